Fix the shared interfaces: kernel, decision interface, messages, codes, events, rules, settings

Cause: an empty repository; the parts are to be built side by side and need one set of interfaces first. Ruled out: letting each part define its own types and joining them later; the joins would decide the design. Change: kernel with self-registering plug-ins on inversify, tasks with bounded mailboxes, numbered result codes and events with their tables, zod schemas of rules and settings, typed messages between nodes, interfaces of overload control, routing, claims, membership, platform client and configuration store, test and install scripts, architecture page. Before/after: ./scripts/test passes (3 tests: tables of codes and events match the pages).

--- /dev/null
+++ b/src/config/document.ts
@@ -0,0 +1,49 @@
+/** Reading and checking of YAML or JSON documents with zod; every error is reported at once. */
+import { Result } from 'true-myth';
+import { parseDocument } from 'yaml';
+import type { z } from 'zod';
+import { createFailure, type Failure, type Violation } from '../core/failure.js';
+import type { ResultCode } from '../core/result-code.js';
+
+/** Longest document accepted, in characters; a guard against mistaken input. */
+export const MAX_DOCUMENT_LENGTH = 4 * 1024 * 1024;
+
+/**
+ * Parses and validates a document.
+ *
+ * @param text YAML 1.2 or JSON
+ * @param schema zod schema; use strict objects so that unknown keys are errors
+ * @param code result code of the failure
+ */
+export function parseAndValidate<T>(
+  text: string,
+  schema: z.ZodType<T>,
+  code: ResultCode,
+): Result<T, Failure> {
+  if (text.length > MAX_DOCUMENT_LENGTH) {
+    return Result.err(createFailure(code, `document is longer than ${MAX_DOCUMENT_LENGTH}`));
+  }
+  const document = parseDocument(text, { prettyErrors: true });
+  if (document.errors.length > 0) {
+    const violations = document.errors.map((error) => ({ path: '', message: error.message }));
+    return Result.err(createFailure(code, 'document is not valid YAML or JSON', { violations }));
+  }
+  return validateValue(document.toJS(), schema, code);
+}
+
+/** Validates an already parsed value; see {@link parseAndValidate}. */
+export function validateValue<T>(
+  value: unknown,
+  schema: z.ZodType<T>,
+  code: ResultCode,
+): Result<T, Failure> {
+  const parsed = schema.safeParse(value);
+  if (parsed.success) {
+    return Result.ok(parsed.data);
+  }
+  const violations: Violation[] = parsed.error.issues.map((issue) => ({
+    path: issue.path.join('.'),
+    message: issue.message,
+  }));
+  return Result.err(createFailure(code, `${violations.length} invalid member(s)`, { violations }));
+}
--- /dev/null
+++ b/src/config/settings.ts
@@ -0,0 +1,99 @@
+/** One node's own settings: identity, addresses, platform endpoints and limits. */
+import { Result } from 'true-myth';
+import { z } from 'zod';
+import type { Failure } from '../core/failure.js';
+import { ResultCode } from '../core/result-code.js';
+import { parseAndValidate, validateValue } from './document.js';
+import { address } from './rules.js';
+
+const name = z.string().regex(/^[a-z][a-z0-9-]{0,62}$/, 'lower-case letters, digits and hyphens');
+const url = z.string().regex(/^https?:\/\/[^\s]+$/, 'an http or https URL');
+
+/** Schema of a node's settings document. */
+export const settingsSchema = z.strictObject({
+  node: z.strictObject({
+    /** Unique name; a replacement machine takes a new name. */
+    id: name,
+    zone: name,
+    region: name,
+    /** Target ids that this node fronts; empty leaves the choice to the placement by zone. */
+    fronts: z.array(name).max(1_000).default([]),
+  }),
+  listen: z.strictObject({
+    /** Callers' HTTP entry, also used by back ends for the next call of a chain. */
+    entry: address,
+    /** Operators' interface, metrics and health. */
+    admin: address,
+    /** Node-to-node links: the same port for TCP (calls) and UDP (membership). */
+    peer: address,
+  }),
+  platform: z.strictObject({
+    /** Base URLs of the key-value service (etcd v3 JSON gateway). */
+    keyValue: z.array(url).min(1).max(9),
+    /** URL of the list of machines. */
+    machines: url,
+    /** Time limit of one exchange in milliseconds. */
+    timeoutMs: z.int().min(10).max(60_000).default(1_000),
+  }),
+  peers: z.strictObject({
+    /** Addresses to join by; the list of machines adds to them. */
+    seeds: z.array(address).max(64).default([]),
+    /** Key shared by all nodes, 16 characters or more; authenticates links and datagrams. */
+    sharedKey: z.string().min(16).max(1_024),
+  }),
+  admin: z.strictObject({
+    /** Bearer token that operators present; may not be empty. */
+    token: z.string().min(8).max(1_024),
+  }),
+  limits: z
+    .strictObject({
+      /** Largest node-to-node frame in bytes. */
+      maxFrameBytes: z.int().min(1_024).max(67_108_864).default(20_971_520),
+      /** Requests in flight on one link. */
+      maxInFlightPerLink: z.int().min(1).max(100_000).default(4_096),
+      /** Messages waiting in one task's mailbox. */
+      maxMailboxLength: z.int().min(1).max(1_000_000).default(16_384),
+      /** Bytes of bodies that the node buffers at once. */
+      maxBufferedBytes: z.int().min(1_024).max(4_294_967_296).default(67_108_864),
+      /** Time in which a caller must have sent the whole request, in milliseconds. */
+      requestReadTimeoutMs: z.int().min(10).max(600_000).default(10_000),
+    })
+    .prefault({}),
+  overload: z
+    .strictObject({
+      /** Name of the registered overload policy. */
+      policy: z.string().min(1).max(64).default('adaptive'),
+    })
+    .prefault({}),
+  log: z
+    .strictObject({ level: z.enum(['trace', 'debug', 'info', 'warn', 'error']).default('info') })
+    .prefault({}),
+  /** Time allowed for a planned stop, in milliseconds. */
+  stopTimeoutMs: z.int().min(0).max(600_000).default(30_000),
+});
+
+/** One node's validated settings. */
+export type Settings = z.infer<typeof settingsSchema>;
+
+/** Parses and validates a settings document (YAML or JSON). */
+export function parseSettings(text: string): Result<Settings, Failure> {
+  return parseAndValidate(text, settingsSchema, ResultCode.SettingsInvalid);
+}
+
+/** Validates settings that were put together in code or from flags. */
+export function validateSettings(value: unknown): Result<Settings, Failure> {
+  return validateValue(value, settingsSchema, ResultCode.SettingsInvalid);
+}
+
+/** An address split into its parts. */
+export interface HostAndPort {
+  readonly host: string;
+  readonly port: number;
+}
+
+/** Splits `127.0.0.1:8080` or `[::1]:8080`; the schema has checked the form. */
+export function splitAddress(value: string): HostAndPort {
+  const separator = value.lastIndexOf(':');
+  const host = value.slice(0, separator).replace(/^\[|\]$/g, '');
+  return { host, port: Number(value.slice(separator + 1)) };
+}
--- /dev/null
+++ b/src/core/overload.ts
@@ -0,0 +1,130 @@
+/**
+ * Interfaces of the overload decision logic. Implementations are pure and
+ * deterministic: `now` (milliseconds, monotonic) comes in with each event, actions go
+ * out as return values. A node, the emulator and the tests drive the same code.
+ *
+ * See docs/design/overload-control.md.
+ */
+import type { AttemptOutcome, LoadReport, RequestContext } from './request.js';
+import type { ResultCode } from './result-code.js';
+
+/** A refusal, final at once, with the time after which a repeat is worthwhile. */
+export interface Refusal {
+  readonly code: ResultCode;
+  readonly detail: string;
+  readonly retryAfterMs: number;
+}
+
+/** What a target gate wants done with a request that it was offered earlier or just now. */
+export type GateAction =
+  | { readonly type: 'dispatch'; readonly ticket: number }
+  | { readonly type: 'refuse'; readonly ticket: number; readonly refusal: Refusal };
+
+/**
+ * Admission before one target: concurrency limit, priority queue and deadlines.
+ * Every offered ticket gets exactly one `dispatch` or `refuse` action, from the call
+ * itself or from a later one, unless it was cancelled while it waited.
+ */
+export interface TargetGate {
+  /** Offers a request; `ticket` is unique per gate. */
+  offer(now: number, ticket: number, request: RequestContext): readonly GateAction[];
+  /** Ends a dispatched ticket; may dispatch or refuse waiting ones. */
+  complete(now: number, ticket: number, outcome: AttemptOutcome): readonly GateAction[];
+  /** Withdraws a waiting ticket whose caller went away. */
+  cancel(now: number, ticket: number): readonly GateAction[];
+  /** Called when `nextTimer` has come. */
+  onTimer(now: number): readonly GateAction[];
+  /** Time of the next needed `onTimer`, if any. */
+  nextTimer(): number | undefined;
+  /** Load to put on the answers. */
+  report(now: number): LoadReport;
+  /** Merges the admission threshold learned from services below this target. */
+  noteDownstream(now: number, service: string, threshold: number): void;
+}
+
+/** Parameters of a target gate that come from the rules. */
+export interface TargetGateOptions {
+  /** First concurrency limit (the target's slots as far as the operator knows). */
+  readonly initialLimit: number;
+  /** Upper bound of the limit: the target's connections. */
+  readonly maxLimit: number;
+  /** Seed of the gate's random numbers. */
+  readonly seed: number;
+}
+
+/** A target as routing sees it. */
+export interface TargetView {
+  readonly id: string;
+  readonly zone: string;
+  readonly region: string;
+  /** Whether some live node fronts the target and nobody has seen it leaving. */
+  readonly eligible: boolean;
+}
+
+/** Outcome of a pick: a target, or a refusal of the attempt. */
+export type PickResult =
+  | { readonly type: 'target'; readonly target: string }
+  | { readonly type: 'refuse'; readonly refusal: Refusal };
+
+/** Whether to try again after a failed attempt. */
+export type RetryDecision =
+  | { readonly type: 'retry'; readonly delayMs: number }
+  | { readonly type: 'give-up'; readonly refusal: Refusal };
+
+/**
+ * The calling side for one service: admission at the entry, routing, retries.
+ */
+export interface ServiceRouter {
+  /** Replaces the known targets (rules, membership or drain signs changed). */
+  updateTargets(now: number, targets: readonly TargetView[]): void;
+  /** Entry admission by criticality; `undefined` admits. */
+  admit(now: number, request: RequestContext): Refusal | undefined;
+  /** Chooses a target for the next attempt; `tried` are targets of earlier attempts. */
+  pick(now: number, request: RequestContext, tried: readonly string[]): PickResult;
+  /** Reports the end of an attempt that was picked. */
+  onOutcome(now: number, outcome: AttemptReport): void;
+  /** Decides on another attempt after `outcome`; consumes retry budget when it says retry. */
+  decideRetry(now: number, request: RequestContext, state: RetryState): RetryDecision;
+  /** Admission threshold of the service (lowest over its targets), 0 when idle. */
+  threshold(now: number): number;
+}
+
+/** The end of one attempt as the router sees it. */
+export interface AttemptReport {
+  readonly target: string;
+  readonly outcome: AttemptOutcome;
+  /** From dispatch to the end, in milliseconds. */
+  readonly latencyMs: number;
+  /** Load carried on the answer, when one came. */
+  readonly load?: LoadReport;
+  /** Retry time from a refusal, in milliseconds. */
+  readonly retryAfterMs?: number;
+}
+
+/** What is known when a retry is decided. */
+export interface RetryState {
+  /** Attempts made so far for this call at this hop, at least 1. */
+  readonly attemptsMade: number;
+  /** Attempts that the request's budget still allows. */
+  readonly attemptsLeft: number;
+  readonly lastOutcome: AttemptOutcome;
+  /** Whether the last attempt may have taken effect. */
+  readonly mayHaveRun: boolean;
+  readonly retryAfterMs?: number;
+}
+
+/** Parameters of a service router that come from settings and rules. */
+export interface ServiceRouterOptions {
+  readonly service: string;
+  readonly localZone: string;
+  readonly localRegion: string;
+  /** Seed of the router's random numbers. */
+  readonly seed: number;
+}
+
+/** A named overload policy: how gates and routers are made. Policies register under a name. */
+export interface OverloadPolicy {
+  readonly name: string;
+  createTargetGate(options: TargetGateOptions): TargetGate;
+  createServiceRouter(options: ServiceRouterOptions): ServiceRouter;
+}
--- /dev/null
+++ b/src/core/request.ts
@@ -0,0 +1,65 @@
+/** Types that describe one request on its way through the call graph. */
+
+/**
+ * Importance of a request kind, most important first. Under overload a lower
+ * class is refused before any request of a higher class at the same place.
+ */
+export const CRITICALITIES = ['critical', 'high', 'normal', 'sheddable'] as const;
+
+/** One of {@link CRITICALITIES}. */
+export type Criticality = (typeof CRITICALITIES)[number];
+
+/** Rank of a class: 0 is the most important. */
+export function rankOf(criticality: Criticality): number {
+  return CRITICALITIES.indexOf(criticality);
+}
+
+/** Everything decision logic knows about one request. */
+export interface RequestContext {
+  /** Identity of the caller's request, unchanged across hops and retries. */
+  readonly requestId: string;
+  readonly tenant: string;
+  readonly service: string;
+  readonly kind: string;
+  readonly criticality: Criticality;
+  /** Absolute end of usefulness, in milliseconds of the local monotonic clock. */
+  readonly deadline: number;
+  /** Whether a repeat of a request that may have run is allowed. */
+  readonly idempotent: boolean;
+  /** Service hops above this one; 0 at the caller's entry. */
+  readonly depth: number;
+}
+
+/** How one attempt at a target ended, as admission, limits and routing see it. */
+export type AttemptOutcome =
+  /** A complete answer that was not a refusal. */
+  | 'success'
+  /** The target (or the node before it) refused for load; not run. */
+  | 'overloaded'
+  /** The target said that it is leaving; not run. */
+  | 'draining'
+  /** Connection failed before a byte was sent; not run. */
+  | 'unreachable'
+  /** Sent, but no complete answer: reset, truncated or lost. */
+  | 'failed'
+  /** Sent, but no answer before the deadline. */
+  | 'timeout'
+  /** The caller went away first. */
+  | 'cancelled';
+
+/** Load of one target as carried on answers from the node before it. */
+export interface LoadReport {
+  /** Requests being served now. */
+  readonly inFlight: number;
+  /** Requests waiting in the node's queue for the target. */
+  readonly queued: number;
+  /** Current adaptive concurrency limit. */
+  readonly limit: number;
+  /** Smoothed service latency in milliseconds. */
+  readonly latencyMs: number;
+  /**
+   * Admission threshold for the whole path at and below the target: 0..1, where
+   * requests with {@link admissionPriority} below the threshold would be refused.
+   */
+  readonly threshold: number;
+}
--- /dev/null
+++ b/src/kernel/clock.ts
@@ -0,0 +1,81 @@
+/** Time as the tasks see it; tests and the emulator bring their own. */
+
+/** Cancels a pending timer; harmless when it has fired. */
+export type CancelTimer = () => void;
+
+/** Source of time and timers. */
+export interface Clock {
+  /** Monotonic milliseconds with fraction; the zero point is arbitrary. */
+  now(): number;
+  /** Milliseconds since the Unix epoch; for time stamps only, never for ordering. */
+  wallNow(): number;
+  /** Calls `callback` once after `delayMs`. */
+  schedule(delayMs: number, callback: () => void): CancelTimer;
+}
+
+/** The machine's clock. */
+export const systemClock: Clock = {
+  now: () => performance.now(),
+  wallNow: () => Date.now(),
+  schedule: (delayMs, callback) => {
+    const timer = setTimeout(callback, delayMs);
+    return () => {
+      clearTimeout(timer);
+    };
+  },
+};
+
+interface PendingTimer {
+  readonly at: number;
+  readonly order: number;
+  readonly callback: () => void;
+}
+
+/** A clock that moves only when told to; timers fire in order of time, then of creation. */
+export class ManualClock implements Clock {
+  private current = 0;
+  private created = 0;
+  private readonly pending = new Set<PendingTimer>();
+
+  now(): number {
+    return this.current;
+  }
+
+  wallNow(): number {
+    return this.current;
+  }
+
+  schedule(delayMs: number, callback: () => void): CancelTimer {
+    this.created += 1;
+    const at = this.current + Math.max(0, delayMs);
+    const timer: PendingTimer = { at, order: this.created, callback };
+    this.pending.add(timer);
+    return () => {
+      this.pending.delete(timer);
+    };
+  }
+
+  /** Moves time forward and fires every timer that falls due, in order. */
+  advance(milliseconds: number): void {
+    const end = this.current + milliseconds;
+    for (let next = this.earliest(end); next !== undefined; next = this.earliest(end)) {
+      this.pending.delete(next);
+      this.current = next.at;
+      next.callback();
+    }
+    this.current = end;
+  }
+
+  private earliest(end: number): PendingTimer | undefined {
+    let found: PendingTimer | undefined;
+    for (const timer of this.pending) {
+      if (timer.at > end) continue;
+      const sooner =
+        found === undefined ||
+        timer.at < found.at ||
+        (timer.at === found.at && timer.order < found.order);
+      if (sooner) found = timer;
+    }
+    return found;
+  }
+}
--- /dev/null
+++ b/src/kernel/event.ts
@@ -0,0 +1,104 @@
+/**
+ * Numbered log events. docs/EVENTS.md holds the same catalogue; a test fails when the
+ * two differ. Numbers are never reused.
+ */
+import pino from 'pino';
+
+/** 1xx node, 2xx configuration, 3xx membership, 4xx requests, 5xx claims, 6xx peers, 7xx operators. */
+export enum Event {
+  NodeStarted = 100,
+  NodeDraining = 101,
+  NodeStopped = 102,
+  InternalError = 103,
+  SettingsRejected = 104,
+  RulesInForce = 200,
+  RulesAccepted = 201,
+  RulesRejected = 202,
+  PlatformUnavailable = 203,
+  PlatformRecovered = 204,
+  OlderRevisionIgnored = 205,
+  MachineListUpdated = 206,
+  MemberJoined = 300,
+  MemberSuspected = 301,
+  MemberFailed = 302,
+  MemberLeaving = 303,
+  MemberRefuted = 304,
+  RequestRefused = 400,
+  RequestFailed = 401,
+  TargetDraining = 402,
+  TargetUnreachable = 403,
+  LimitChanged = 404,
+  EntryInputRejected = 405,
+  ClaimRefused = 500,
+  ClaimReplicaRecovering = 501,
+  ClaimReplicaReady = 502,
+  ClaimHandedOver = 503,
+  PeerConnected = 600,
+  PeerDisconnected = 601,
+  PeerRejected = 602,
+  FrameRejected = 603,
+  OperatorRequest = 700,
+  OperatorRejected = 701,
+}
+
+type Level = 'debug' | 'info' | 'warn' | 'error';
+
+/** Level and text of each event. */
+export const EVENTS: Readonly<Record<Event, readonly [Level, string]>> = {
+  [Event.NodeStarted]: ['info', 'node started'],
+  [Event.NodeDraining]: ['info', 'planned stop: node takes no new work'],
+  [Event.NodeStopped]: ['info', 'node stopped'],
+  [Event.InternalError]: ['error', 'internal error'],
+  [Event.SettingsRejected]: ['error', 'settings rejected'],
+  [Event.RulesInForce]: ['info', 'rules revision in force'],
+  [Event.RulesAccepted]: ['info', 'rules revision accepted'],
+  [Event.RulesRejected]: ['warn', 'rules rejected'],
+  [Event.PlatformUnavailable]: ['warn', 'platform service unavailable'],
+  [Event.PlatformRecovered]: ['info', 'platform service available again'],
+  [Event.OlderRevisionIgnored]: ['debug', 'older rules revision ignored'],
+  [Event.MachineListUpdated]: ['debug', 'list of machines changed'],
+  [Event.MemberJoined]: ['info', 'member joined'],
+  [Event.MemberSuspected]: ['info', 'member suspected'],
+  [Event.MemberFailed]: ['warn', 'member considered failed'],
+  [Event.MemberLeaving]: ['info', 'member is leaving'],
+  [Event.MemberRefuted]: ['info', 'suspicion of this node refuted'],
+  [Event.RequestRefused]: ['debug', 'request refused'],
+  [Event.RequestFailed]: ['info', 'request failed'],
+  [Event.TargetDraining]: ['info', 'target is leaving'],
+  [Event.TargetUnreachable]: ['warn', 'target unreachable'],
+  [Event.LimitChanged]: ['debug', 'concurrency limit changed'],
+  [Event.EntryInputRejected]: ['info', 'caller input rejected'],
+  [Event.ClaimRefused]: ['info', 'claim refused'],
+  [Event.ClaimReplicaRecovering]: ['info', 'claim replica recovering its tables'],
+  [Event.ClaimReplicaReady]: ['info', 'claim replica votes'],
+  [Event.ClaimHandedOver]: ['info', 'claim tables handed over'],
+  [Event.PeerConnected]: ['debug', 'link to peer up'],
+  [Event.PeerDisconnected]: ['info', 'link to peer down'],
+  [Event.PeerRejected]: ['warn', 'peer rejected'],
+  [Event.FrameRejected]: ['warn', 'frame rejected'],
+  [Event.OperatorRequest]: ['info', 'operator request'],
+  [Event.OperatorRejected]: ['warn', 'operator request rejected'],
+};
+
+/** Values that may stand beside an event. */
+export type EventFields = Readonly<Record<string, string | number | boolean | undefined>>;
+
+/** Writes numbered events. */
+export interface EventLog {
+  emit(event: Event, fields?: EventFields): void;
+}
+
+/** Writes events as pino JSON lines to standard error. */
+export function createPinoEventLog(level: string, bindings: EventFields = {}): EventLog {
+  const destination = pino.destination({ fd: 2, sync: false });
+  const logger = pino({ level, base: { ...bindings } }, destination);
+  return {
+    emit: (event, fields = {}) => {
+      const [eventLevel, text] = EVENTS[event];
+      logger[eventLevel]({ event, ...fields }, text);
+    },
+  };
+}
+
+/** Drops everything; for tests and hollow nodes. */
+export const silentEventLog: EventLog = { emit: () => {} };
--- /dev/null
+++ b/src/kernel/kernel.ts
@@ -0,0 +1,68 @@
+/** The kernel: one inversify container, the plug-ins' life cycle, nothing else. */
+import 'reflect-metadata';
+import { Container } from 'inversify';
+import type { Settings } from '../config/settings.js';
+import type { Clock } from './clock.js';
+import { Event, type EventLog } from './event.js';
+import type { Plugin } from './plugin.js';
+import { Token } from './token.js';
+
+/** What a kernel is made from. */
+export interface KernelOptions {
+  readonly settings: Settings;
+  readonly clock: Clock;
+  readonly log: EventLog;
+  readonly plugins: readonly Plugin[];
+}
+
+/** Runs the plug-ins of one node. */
+export class Kernel {
+  readonly container = new Container({ defaultScope: 'Singleton' });
+  private started: Plugin[] = [];
+  private readonly log: EventLog;
+
+  constructor(private readonly options: KernelOptions) {
+    this.log = options.log;
+    this.container.bind(Token.Settings).toConstantValue(options.settings);
+    this.container.bind(Token.Clock).toConstantValue(options.clock);
+    this.container.bind(Token.EventLog).toConstantValue(options.log);
+    this.container.bind(Token.Kernel).toConstantValue(this);
+    for (const plugin of options.plugins) plugin.bind(this.container);
+  }
+
+  /** Starts every plug-in in order; on failure stops those already started and rejects. */
+  async start(): Promise<void> {
+    for (const plugin of this.options.plugins) {
+      try {
+        this.started.push(plugin);
+        await plugin.start?.(this.container);
+      } catch (error) {
+        await this.stop();
+        throw error;
+      }
+    }
+    this.log.emit(Event.NodeStarted, { node: this.options.settings.node.id });
+  }
+
+  /** Planned stop: drains in reverse start order, then stops. */
+  async drainAndStop(): Promise<void> {
+    this.log.emit(Event.NodeDraining, { node: this.options.settings.node.id });
+    for (const plugin of [...this.started].reverse()) {
+      await plugin.drain?.(this.container);
+    }
+    await this.stop();
+  }
+
+  /** Stops in reverse start order; a plug-in that fails to stop does not keep the others. */
+  async stop(): Promise<void> {
+    for (const plugin of [...this.started].reverse()) {
+      try {
+        await plugin.stop?.(this.container);
+      } catch (error) {
+        this.log.emit(Event.InternalError, { plugin: plugin.name, error: String(error) });
+      }
+    }
+    this.started = [];
+    this.log.emit(Event.NodeStopped, { node: this.options.settings.node.id });
+  }
+}
--- /dev/null
+++ b/src/kernel/plugin.ts
@@ -0,0 +1,48 @@
+/** Plug-ins and their registry. A plug-in's module registers itself when it is imported. */
+import type { Container } from 'inversify';
+
+/**
+ * A part of a node. `bind` runs for all plug-ins before the first `start`; starts run in
+ * order of `order`, drains and stops in the opposite order.
+ */
+export interface Plugin {
+  readonly name: string;
+  /** Position in the start sequence; see {@link StartOrder}. */
+  readonly order: number;
+  /** Binds the plug-in's services to their tokens. Does no I/O. */
+  bind(container: Container): void;
+  /** Opens sockets and starts tasks. Rejects when the node cannot run. */
+  start?(container: Container): Promise<void>;
+  /** Planned stop, first part: takes no new work, lets running work end. */
+  drain?(container: Container): Promise<void>;
+  /** Closes everything that `start` opened. */
+  stop?(container: Container): Promise<void>;
+}
+
+/** Positions in the start sequence, with room between them. */
+export enum StartOrder {
+  Observability = 10,
+  Peer = 20,
+  Membership = 30,
+  Platform = 40,
+  Configuration = 50,
+  Claims = 60,
+  Target = 70,
+  Entry = 80,
+  Admin = 90,
+}
+
+const registered = new Map<string, Plugin>();
+
+/** Registers a plug-in; a second registration of a name is a defect. */
+export function registerPlugin(plugin: Plugin): void {
+  if (registered.has(plugin.name)) {
+    throw new Error(`plug-in ${plugin.name} is registered twice`);
+  }
+  registered.set(plugin.name, plugin);
+}
+
+/** All registered plug-ins in start order. */
+export function listPlugins(): readonly Plugin[] {
+  return [...registered.values()].sort((a, b) => a.order - b.order);
+}
--- /dev/null
+++ b/src/kernel/token.ts
@@ -0,0 +1,34 @@
+/** Typed identifiers under which plug-ins find each other's services in the container. */
+import type { ServiceIdentifier } from 'inversify';
+import type { ClaimService } from '../claims/claim-service.js';
+import type { ConfigStore } from '../config/config-store.js';
+import type { Settings } from '../config/settings.js';
+import type { CallRouter } from '../entry/call-router.js';
+import type { Membership } from '../membership/membership.js';
+import type { PeerNetwork } from '../peer/peer-network.js';
+import type { PlatformClient } from '../platform/platform-client.js';
+import type { TargetDispatcher } from '../target/target-dispatcher.js';
+import type { Clock } from './clock.js';
+import type { EventLog } from './event.js';
+import type { Kernel } from './kernel.js';
+import type { Metrics } from './metrics.js';
+
+function token<T>(name: string): ServiceIdentifier<T> {
+  return Symbol.for(`sillshore.${name}`);
+}
+
+/** One token a service. */
+export const Token = {
+  Settings: token<Settings>('Settings'),
+  Clock: token<Clock>('Clock'),
+  EventLog: token<EventLog>('EventLog'),
+  Metrics: token<Metrics>('Metrics'),
+  Kernel: token<Kernel>('Kernel'),
+  PeerNetwork: token<PeerNetwork>('PeerNetwork'),
+  Membership: token<Membership>('Membership'),
+  PlatformClient: token<PlatformClient>('PlatformClient'),
+  ConfigStore: token<ConfigStore>('ConfigStore'),
+  ClaimService: token<ClaimService>('ClaimService'),
+  TargetDispatcher: token<TargetDispatcher>('TargetDispatcher'),
+  CallRouter: token<CallRouter>('CallRouter'),
+} as const;
--- /dev/null
+++ b/src/peer/peer-network.ts
@@ -0,0 +1,44 @@
+/** Calls between nodes. The transport hides behind this interface; tests use one in memory. */
+import type { Result } from 'true-myth';
+import type { Failure } from '../core/failure.js';
+import type { PeerCallName, PeerCalls } from './messages.js';
+
+/** Limits and cancellation of one call. */
+export interface PeerCallOptions {
+  readonly timeoutMs: number;
+  readonly signal?: AbortSignal;
+}
+
+/** Checks a received body; a failure is answered to the sender and the link stays up. */
+export type BodyValidator<T> = (body: unknown) => Result<T, Failure>;
+
+/** Handles one received call; never rejects. */
+export type PeerCallHandler<K extends PeerCallName> = (
+  from: string,
+  request: PeerCalls[K]['request'],
+  signal: AbortSignal,
+) => Promise<Result<PeerCalls[K]['reply'], Failure>>;
+
+/** Multiplexed, authenticated calls between nodes. */
+export interface PeerNetwork {
+  /**
+   * Calls a node by name; the address comes from the address book that membership fills.
+   *
+   * Failures: `PeerUnreachable` (not sent), `PeerLost`, `PeerTimeout` (may have been handled),
+   * `MailboxFull` (not sent), or the handler's own failure.
+   */
+  call<K extends PeerCallName>(
+    node: string,
+    name: K,
+    request: PeerCalls[K]['request'],
+    options: PeerCallOptions,
+  ): Promise<Result<PeerCalls[K]['reply'], Failure>>;
+  /** Registers the handler of a call; one handler a name. */
+  handle<K extends PeerCallName>(
+    name: K,
+    validate: BodyValidator<PeerCalls[K]['request']>,
+    handler: PeerCallHandler<K>,
+  ): void;
+  /** Tells where a node listens, `host:port`; undefined forgets it and closes its link. */
+  setAddress(node: string, address: string | undefined): void;
+}
