--- a/src/config/config-store.ts
+++ b/src/config/config-store.ts
@@ -8,6 +8,8 @@
   readonly revision: number;
   /** Position in the single order of all tenants' changes (the store's modRevision). */
   readonly version: number;
+  /** `version` of the tenant's first revision (its key's createRevision); decides whose host it is. */
+  readonly createdVersion?: number;
   /** Chosen by the operator's client; a repeated apply with the same id is the same change. */
   readonly operationId: string;
   readonly author: string;
--- a/src/kernel/token.ts
+++ b/src/kernel/token.ts
@@ -2,6 +2,7 @@
 import type { ServiceIdentifier } from 'inversify';
 import type { ClaimService } from '../claims/claim-service.js';
 import type { ConfigStore } from '../config/config-store.js';
+import type { RulesRepository } from '../config/rules-repository.js';
 import type { Settings } from '../config/settings.js';
 import type { CallRouter } from '../entry/call-router.js';
 import type { Membership } from '../membership/membership.js';
@@ -28,6 +29,7 @@
   Membership: token<Membership>('Membership'),
   PlatformClient: token<PlatformClient>('PlatformClient'),
   ConfigStore: token<ConfigStore>('ConfigStore'),
+  RulesRepository: token<RulesRepository>('RulesRepository'),
   ClaimService: token<ClaimService>('ClaimService'),
   TargetDispatcher: token<TargetDispatcher>('TargetDispatcher'),
   CallRouter: token<CallRouter>('CallRouter'),
