Register the overload policies: a thin adaptive one and three baselines

Cause: emulator and data path need policies by name to run against. Ruled out: nothing measured yet. Change: baselines none, fixed and aimd from small parts (limit, queue, bounded gate, round-robin router); adaptive is a fixed limit with a criticality queue for now.

--- /dev/null
+++ b/src/core/limit/aimd-limit.ts
@@ -0,0 +1,61 @@
+/**
+ * Additive increase, multiplicative decrease of a concurrency limit, on latency and
+ * failures, as TCP Reno does with its window (RFC 5681). A baseline.
+ */
+import type { ConcurrencyLimit, LimitSample } from './concurrency-limit.js';
+
+/** Parameters of {@link AimdLimit}. */
+export interface AimdLimitOptions {
+  readonly initialLimit: number;
+  readonly maxLimit: number;
+  /** A latency above this multiple of the lowest seen counts as congestion. Default 2. */
+  readonly congestionRatio?: number;
+  /** Factor on congestion. Default 0.9. */
+  readonly decrease?: number;
+  /** Shortest time between two decreases, in milliseconds. Default 100. */
+  readonly decreaseIntervalMs?: number;
+}
+
+const DEFAULT_CONGESTION_RATIO = 2;
+const DEFAULT_DECREASE = 0.9;
+const DEFAULT_DECREASE_INTERVAL_MS = 100;
+
+/** AIMD limit: one more per limit's worth of good answers, a tenth less on congestion. */
+export class AimdLimit implements ConcurrencyLimit {
+  private limit: number;
+  private lowestLatencyMs = Infinity;
+  private decreasedAt = -Infinity;
+
+  constructor(private readonly options: AimdLimitOptions) {
+    this.limit = options.initialLimit;
+  }
+
+  current(): number {
+    return Math.floor(this.limit);
+  }
+
+  onComplete(sample: LimitSample): void {
+    if (sample.outcome === 'cancelled' || sample.outcome === 'draining') return;
+    if (sample.outcome === 'success') {
+      this.lowestLatencyMs = Math.min(this.lowestLatencyMs, sample.latencyMs);
+    }
+    if (this.isCongested(sample)) {
+      this.decrease(sample.now);
+    } else if (sample.inFlight >= this.current()) {
+      this.limit = Math.min(this.options.maxLimit, this.limit + 1 / this.limit);
+    }
+  }
+
+  private isCongested(sample: LimitSample): boolean {
+    if (sample.outcome !== 'success') return true;
+    const ratio = this.options.congestionRatio ?? DEFAULT_CONGESTION_RATIO;
+    return sample.latencyMs > ratio * this.lowestLatencyMs;
+  }
+
+  private decrease(now: number): void {
+    const interval = this.options.decreaseIntervalMs ?? DEFAULT_DECREASE_INTERVAL_MS;
+    if (now - this.decreasedAt < interval) return;
+    this.decreasedAt = now;
+    this.limit = Math.max(1, this.limit * (this.options.decrease ?? DEFAULT_DECREASE));
+  }
+}
--- /dev/null
+++ b/src/core/limit/concurrency-limit.ts
@@ -0,0 +1,22 @@
+/** Interface of concurrency limits: how many requests one target may serve at a time. */
+import type { AttemptOutcome } from '../request.js';
+
+/** The end of one dispatched request. */
+export interface LimitSample {
+  readonly now: number;
+  /** From dispatch to the end, in milliseconds. */
+  readonly latencyMs: number;
+  readonly outcome: AttemptOutcome;
+  /** Requests in flight just before this one ended, itself included. */
+  readonly inFlight: number;
+  /** Whether requests were waiting for a slot when this one ended. */
+  readonly queued: boolean;
+}
+
+/** A limit that may learn from completed requests. */
+export interface ConcurrencyLimit {
+  /** Requests that may be in flight at once; at least 1. */
+  current(): number;
+  /** Learns from one completed request. */
+  onComplete(sample: LimitSample): void;
+}
--- /dev/null
+++ b/src/core/policies/bounded-gate.ts
@@ -0,0 +1,98 @@
+/**
+ * A target gate made of a concurrency limit and a queue bounded by count, without
+ * admission by criticality: the gate of the baselines.
+ */
+import type { ConcurrencyLimit } from '../limit/concurrency-limit.js';
+import type { GateAction, Refusal, TargetGate } from '../overload.js';
+import type { WaitingQueue, WaitingRequest } from '../queue/waiting-queue.js';
+import type { AttemptOutcome, LoadReport, RequestContext } from '../request.js';
+import { ResultCode } from '../result-code.js';
+
+/** Parts of a {@link BoundedGate}. */
+export interface BoundedGateOptions {
+  readonly limit: ConcurrencyLimit;
+  readonly queue: WaitingQueue;
+  /** Most requests that may wait. */
+  readonly maxQueued: number;
+  /** Whether a waiting request is refused at its deadline; else the dispatch is wasted. */
+  readonly expires: boolean;
+}
+
+/** Retry time of every refusal of a baseline, in milliseconds. */
+export const BASELINE_RETRY_AFTER_MS = 100;
+
+const LATENCY_SMOOTHING = 0.1;
+
+/** Limit, queue and nothing else. */
+export class BoundedGate implements TargetGate {
+  private readonly dispatchedAt = new Map<number, number>();
+  private latencyMs = 0;
+
+  constructor(private readonly options: BoundedGateOptions) {}
+
+  offer(now: number, ticket: number, request: RequestContext): readonly GateAction[] {
+    const { queue, maxQueued } = this.options;
+    queue.add({ ticket, request, enqueuedAt: now });
+    const actions = this.drain(now);
+    if (queue.length <= maxQueued) return actions;
+    queue.remove(ticket);
+    return [...actions, refuse(ticket, ResultCode.QueueFull, 'queue full')];
+  }
+
+  complete(now: number, ticket: number, outcome: AttemptOutcome): readonly GateAction[] {
+    const startedAt = this.dispatchedAt.get(ticket);
+    if (startedAt === undefined) return [];
+    const inFlight = this.dispatchedAt.size;
+    const latencyMs = now - startedAt;
+    this.dispatchedAt.delete(ticket);
+    this.latencyMs += LATENCY_SMOOTHING * (latencyMs - this.latencyMs);
+    const queued = this.options.queue.length > 0;
+    this.options.limit.onComplete({ now, latencyMs, outcome, inFlight, queued });
+    return this.drain(now);
+  }
+
+  cancel(_now: number, ticket: number): readonly GateAction[] {
+    this.options.queue.remove(ticket);
+    return [];
+  }
+
+  onTimer(now: number): readonly GateAction[] {
+    return this.drain(now);
+  }
+
+  nextTimer(): number | undefined {
+    return this.options.expires ? this.options.queue.earliestDeadline() : undefined;
+  }
+
+  report(): LoadReport {
+    const { limit, queue } = this.options;
+    return {
+      inFlight: this.dispatchedAt.size,
+      queued: queue.length,
+      limit: limit.current(),
+      latencyMs: this.latencyMs,
+      threshold: 0,
+    };
+  }
+
+  noteDownstream(): void {}
+
+  private drain(now: number): GateAction[] {
+    const { limit, queue, expires } = this.options;
+    const expired: readonly WaitingRequest[] = expires ? queue.takeExpired(now) : [];
+    const actions: GateAction[] = expired.map(({ ticket }) =>
+      refuse(ticket, ResultCode.DeadlineUnreachable, 'deadline passed in the queue'),
+    );
+    while (queue.length > 0 && this.dispatchedAt.size < limit.current()) {
+      const { ticket } = queue.takeNext()!;
+      this.dispatchedAt.set(ticket, now);
+      actions.push({ type: 'dispatch', ticket });
+    }
+    return actions;
+  }
+}
+
+function refuse(ticket: number, code: ResultCode, detail: string): GateAction {
+  const refusal: Refusal = { code, detail, retryAfterMs: BASELINE_RETRY_AFTER_MS };
+  return { type: 'refuse', ticket, refusal };
+}
--- /dev/null
+++ b/src/core/policies/fixed.ts
@@ -0,0 +1,21 @@
+/** Baseline `fixed`: a fixed limit, a bounded first-in-first-out queue, retries per layer. */
+import { createFixedLimit } from '../limit/fixed-limit.js';
+import { registerOverloadPolicy } from '../overload-policy-registry.js';
+import { FifoQueue } from '../queue/fifo-queue.js';
+import { BaselineRouter } from './baseline-router.js';
+import { BoundedGate } from './bounded-gate.js';
+
+/** Waiting requests per slot of the target. */
+const QUEUED_PER_SLOT = 10;
+
+registerOverloadPolicy({
+  name: 'fixed',
+  createTargetGate: ({ initialLimit }) =>
+    new BoundedGate({
+      limit: createFixedLimit(initialLimit),
+      queue: new FifoQueue(),
+      maxQueued: QUEUED_PER_SLOT * initialLimit,
+      expires: true,
+    }),
+  createServiceRouter: () => new BaselineRouter(),
+});
