Let the load on an answer carry the threshold of its kind

Cause: kinds of one service call different services below, so one threshold per target would refuse kinds that never reach the overloaded service. Ruled out: a map of kinds on the wire; the report of each answer needs its own kind only. Change: optional request in TargetGate.report, optional kind in noteDownstream, AttemptReport and ServiceRouter.threshold; callers without them behave as before. Conclusion: kept; the message format does not change.

--- a/src/core/overload.ts
+++ b/src/core/overload.ts
@@ -36,10 +36,18 @@
   onTimer(now: number): readonly GateAction[];
   /** Time of the next needed `onTimer`, if any. */
   nextTimer(): number | undefined;
-  /** Load to put on the answers. */
-  report(now: number): LoadReport;
-  /** Merges the admission threshold learned from services below this target. */
-  noteDownstream(now: number, service: string, threshold: number): void;
+  /**
+   * Load to put on the answer to `request`. Its threshold is that of the request's kind,
+   * because kinds differ in the services that they call below; without a request it is
+   * the gate's own.
+   */
+  report(now: number, request?: RequestContext): LoadReport;
+  /**
+   * Merges the admission threshold learned from a service below this target.
+   *
+   * @param kind kind, at this gate, of the request that made the call; absent: every kind
+   */
+  noteDownstream(now: number, service: string, threshold: number, kind?: string): void;
 }
 
 /** Parameters of a target gate that come from the rules. */
@@ -85,13 +93,15 @@
   onOutcome(now: number, outcome: AttemptReport): void;
   /** Decides on another attempt after `outcome`; consumes retry budget when it says retry. */
   decideRetry(now: number, request: RequestContext, state: RetryState): RetryDecision;
-  /** Admission threshold of the service (lowest over its targets), 0 when idle. */
-  threshold(now: number): number;
+  /** Admission threshold of the service for a kind (lowest over its targets), 0 when idle. */
+  threshold(now: number, kind?: string): number;
 }
 
 /** The end of one attempt as the router sees it. */
 export interface AttemptReport {
   readonly target: string;
+  /** Kind of the request at this service; tells which threshold the load carries. */
+  readonly kind?: string;
   readonly outcome: AttemptOutcome;
   /** From dispatch to the end, in milliseconds. */
   readonly latencyMs: number;
