--- /dev/null
+++ b/src/core/forwarded-fields.ts
@@ -0,0 +1,66 @@
+/**
+ * Which header fields pass from one side of a node to the other. Everything passes in its
+ * order and case except hop-by-hop fields (RFC 9110, section 7.6.1) and message framing,
+ * which is written anew because bodies are buffered whole.
+ */
+import type { HeaderFields } from './http-message.js';
+
+const HOP_BY_HOP_FIELDS: ReadonlySet<string> = new Set([
+  'connection',
+  'keep-alive',
+  'proxy-connection',
+  'te',
+  'trailer',
+  'transfer-encoding',
+  'upgrade',
+]);
+
+/** Fields that the receiving side of a request has dealt with already. */
+const REQUEST_ONLY_FIELDS: ReadonlySet<string> = new Set(['expect', 'content-length']);
+
+/** Names listed in the `Connection` fields, in lower case; they are hop-by-hop too. */
+export function connectionTokens(headers: HeaderFields): ReadonlySet<string> {
+  const tokens = new Set<string>();
+  for (const [name, value] of headers) {
+    if (name.toLowerCase() !== 'connection') continue;
+    for (const token of value.split(',')) tokens.add(token.trim().toLowerCase());
+  }
+  return tokens;
+}
+
+/** Methods whose requests carry a length even when the body is empty (RFC 9110, section 8.6). */
+const METHODS_WITH_BODY: ReadonlySet<string> = new Set(['POST', 'PUT', 'PATCH']);
+
+/** Fields of a caller's request that go on to the back end, with the length of the whole body. */
+export function forwardRequestFields(
+  method: string,
+  headers: HeaderFields,
+  bodyLength: number,
+): HeaderFields {
+  const kept = withoutHopByHop(headers, REQUEST_ONLY_FIELDS);
+  if (!METHODS_WITH_BODY.has(method) && !hasBodyFraming(headers)) return kept;
+  return [...kept, ['Content-Length', String(bodyLength)]];
+}
+
+/** Fields of a back end's answer that go on to the caller; framing is the sender's. */
+export function forwardAnswerFields(headers: HeaderFields): HeaderFields {
+  return withoutHopByHop(headers, new Set());
+}
+
+function hasBodyFraming(headers: HeaderFields): boolean {
+  return headers.some(([name]) => {
+    const lower = name.toLowerCase();
+    return lower === 'content-length' || lower === 'transfer-encoding';
+  });
+}
+
+function withoutHopByHop(
+  headers: HeaderFields,
+  alsoRemoved: ReadonlySet<string>,
+): (readonly [string, string])[] {
+  const tokens = connectionTokens(headers);
+  return headers.filter(([name]) => {
+    const lower = name.toLowerCase();
+    return !HOP_BY_HOP_FIELDS.has(lower) && !alsoRemoved.has(lower) && !tokens.has(lower);
+  });
+}
--- /dev/null
+++ b/src/entry/attempt-source.ts
@@ -0,0 +1,92 @@
+/** Where the attempts of one call come from: its own budget, or also the shared one of its key. */
+import { Result } from 'true-myth';
+import type { ClaimService } from '../claims/claim-service.js';
+import { AttemptBudget } from '../core/attempt-budget.js';
+import { createFailure, type Failure } from '../core/failure.js';
+import { ResultCode } from '../core/result-code.js';
+import type { InboundCall } from './call-router.js';
+
+/** Longest wait for a charge of the shared budget, in milliseconds. */
+const CHARGE_WAIT_MS = 250;
+
+/** Grants attempts to the tries of one call. */
+export class AttemptSource {
+  private readonly budget: AttemptBudget;
+  /** Attempts charged to the shared budget and not granted to a try. */
+  private charged = 0;
+  private used = 0;
+
+  constructor(
+    private readonly call: InboundCall,
+    private readonly need: number,
+    private readonly claims: ClaimService,
+  ) {
+    this.budget = new AttemptBudget(call.attempts, need);
+  }
+
+  /** Attempts spent, grants that have not been settled included. */
+  get attemptsUsed(): number {
+    return this.used;
+  }
+
+  /** Attempts that further tries may get. */
+  get remaining(): number {
+    return this.budget.remaining;
+  }
+
+  /** Grants attempts to the next try, at least one, or says why there are none. */
+  async grant(now: number): Promise<Result<number, Failure>> {
+    const wanted = this.budget.grant();
+    if (wanted < 1) return Result.err(exhausted());
+    const granted = await this.charge(wanted, now);
+    if (granted.isErr || granted.value < 1) {
+      this.budget.settle(wanted, 0);
+      return granted.isErr ? granted : Result.err(exhausted());
+    }
+    this.budget.settle(wanted, granted.value);
+    this.used += granted.value;
+    return granted;
+  }
+
+  /** Settles a grant; see {@link AttemptBudget.settle}. */
+  settle(granted: number, used: number): void {
+    const unused = Math.max(0, granted - used);
+    this.budget.settle(granted, used);
+    this.used -= unused;
+    if (this.isShared) this.charged += unused;
+  }
+
+  /** Repeats of the same key at other nodes share one budget; calls of back ends have a ledger. */
+  private get isShared(): boolean {
+    const { context, idempotencyKey, parentAttemptId } = this.call;
+    return context.idempotent && idempotencyKey !== undefined && parentAttemptId === undefined;
+  }
+
+  private async charge(wanted: number, now: number): Promise<Result<number, Failure>> {
+    if (!this.isShared) return Result.ok(wanted);
+    const enough = Math.min(this.need, wanted);
+    if (this.charged >= enough) return Result.ok(this.takeCharged(wanted));
+    const { context, kind } = this.call;
+    const granted = await this.claims.charge({
+      tenant: context.tenant,
+      requestId: context.requestId,
+      wanted: wanted - this.charged,
+      bound: kind.attempts,
+      deadline: Math.min(context.deadline, now + CHARGE_WAIT_MS),
+    });
+    if (granted.isErr) return granted;
+    this.charged += granted.value;
+    return Result.ok(this.takeCharged(wanted));
+  }
+
+  private takeCharged(wanted: number): number {
+    const taken = Math.min(wanted, this.charged);
+    this.charged -= taken;
+    return taken;
+  }
+}
+
+function exhausted(): Failure {
+  const detail = 'the attempts of the whole call chain are used up';
+  return createFailure(ResultCode.AttemptsExhausted, detail);
+}
--- /dev/null
+++ b/src/entry/call-factory.ts
@@ -0,0 +1,130 @@
+/** From a received request to a call: classification, context and attempts. */
+import { randomBytes, randomUUID } from 'node:crypto';
+import { Result } from 'true-myth';
+import type { Classification, ConfigStore } from '../config/config-store.js';
+import { readParent } from '../core/call-baggage.js';
+import { createFailure, type Failure } from '../core/failure.js';
+import { forwardRequestFields } from '../core/forwarded-fields.js';
+import { findHeader, type HeaderFields, type HttpRequest } from '../core/http-message.js';
+import { ResultCode } from '../core/result-code.js';
+import type { Clock } from '../kernel/clock.js';
+import type { InboundCall } from './call-router.js';
+import { readCallerTimeout } from './caller-timeout.js';
+import { readIdempotencyKey } from './idempotency-key.js';
+import type { ParentLedger, ParentReference } from './parent-ledger.js';
+
+const NOT_READY_RETRY_MS = 1_000;
+const TRACE_ID_BYTES = 16;
+const SPAN_ID_BYTES = 8;
+
+/** A call ready for routing, with the parent whose attempts it draws on. */
+export interface PreparedCall {
+  readonly call: InboundCall;
+  readonly parent?: ParentReference;
+}
+
+/** Finds service and kind from the head of a request, before its body is read. */
+export function classify(
+  config: ConfigStore,
+  method: string,
+  path: string,
+  headers: HeaderFields,
+): Result<Classification, Failure> {
+  if (config.version === 0) {
+    const options = { retryAfterMs: NOT_READY_RETRY_MS };
+    return Result.err(createFailure(ResultCode.NotReady, 'no rules in force yet', options));
+  }
+  const host = findHeader(headers, 'host') ?? '';
+  const found = config.findServiceByHost(host);
+  if (found === undefined) {
+    return Result.err(createFailure(ResultCode.UnknownService, `host "${host}"`));
+  }
+  const kind = config.findKind(found.service, method, path);
+  if (kind === undefined) {
+    const detail = `${method} ${path.split('?')[0] ?? ''} at ${found.service.name}`;
+    return Result.err(createFailure(ResultCode.UnknownKind, detail));
+  }
+  return Result.ok({ ...found, kind });
+}
+
+/** Builds the call of a complete request. */
+export class CallFactory {
+  constructor(
+    private readonly clock: Clock,
+    private readonly parents: ParentLedger,
+  ) {}
+
+  /** @param received local monotonic time at which the head of the request was there */
+  async create(
+    { tenant, service, kind }: Classification,
+    request: HttpRequest,
+    received: number,
+  ): Promise<Result<PreparedCall, Failure>> {
+    const key = readIdempotencyKey(request.headers, kind);
+    if (key.isErr) return Result.err(key.error);
+    const timeout = readCallerTimeout(request.headers);
+    if (timeout.isErr) return Result.err(timeout.error);
+    const wait = Math.min(kind.deadlineMs, timeout.value ?? kind.deadlineMs);
+    const base: InboundCall = {
+      context: {
+        requestId: key.value ?? randomUUID(),
+        tenant,
+        service: service.name,
+        kind: kind.name,
+        criticality: kind.criticality,
+        deadline: received + wait,
+        idempotent: kind.idempotent,
+        depth: 0,
+      },
+      request: prepareRequest(request),
+      service,
+      kind,
+      attempts: kind.attempts,
+      ...(key.value === undefined ? {} : { idempotencyKey: key.value }),
+    };
+    return this.underParent(base);
+  }
+
+  /** A call of a back end draws on the attempts, deadline and importance of its parent. */
+  private async underParent(call: InboundCall): Promise<Result<PreparedCall, Failure>> {
+    const parent = readParent(call.request.headers);
+    if (parent === undefined) return checkOpenToCallers(call);
+    if (call.service.entry === 'external') {
+      const detail = `${call.service.name} takes no calls of other services`;
+      return Result.err(createFailure(ResultCode.UnknownService, detail));
+    }
+    const reserved = await this.parents.reserve(parent, call);
+    if (reserved.isErr) return Result.err(reserved.error);
+    const { granted, requestId, criticality, depth, deadline } = reserved.value;
+    const context = {
+      ...call.context,
+      requestId,
+      criticality,
+      depth: depth + 1,
+      deadline: Math.min(call.context.deadline, deadline),
+    };
+    const { parentAttemptId } = parent;
+    return Result.ok({ call: { ...call, context, attempts: granted, parentAttemptId }, parent });
+  }
+}
+
+function checkOpenToCallers(call: InboundCall): Result<PreparedCall, Failure> {
+  if (call.service.entry !== 'internal') return Result.ok({ call });
+  const detail = `${call.service.name} takes calls of other services only`;
+  return Result.err(createFailure(ResultCode.CallContextRequired, detail));
+}
+
+/** The request as it goes to the back end, apart from the baggage that its node adds. */
+function prepareRequest(request: HttpRequest): HttpRequest {
+  const { method, body } = request;
+  const headers = forwardRequestFields(method, request.headers, body.length);
+  if (findHeader(headers, 'traceparent') !== undefined) return { ...request, headers };
+  return { ...request, headers: [...headers, ['traceparent', createTraceparent()]] };
+}
+
+/** A W3C trace context with a new trace, not sampled. */
+function createTraceparent(): string {
+  const trace = randomBytes(TRACE_ID_BYTES).toString('hex');
+  const span = randomBytes(SPAN_ID_BYTES).toString('hex');
+  return `00-${trace}-${span}-00`;
+}
--- /dev/null
+++ b/src/entry/entry-plugin.ts
@@ -0,0 +1,196 @@
+/** Plug-in of the callers' interface: the listener, its task and the call router. */
+import { randomInt } from 'node:crypto';
+import type { Container } from 'inversify';
+import { splitAddress } from '../config/settings.js';
+import { createFailure, type Failure } from '../core/failure.js';
+import type { HttpAnswer } from '../core/http-message.js';
+import { ResultCode } from '../core/result-code.js';
+import { Event } from '../kernel/event.js';
+import { StartOrder, registerPlugin } from '../kernel/plugin.js';
+import { Token } from '../kernel/token.js';
+import { TargetPlacement } from '../target/target-placement.js';
+import { requirePolicy } from '../target/target-plugin.js';
+import { CallFactory } from './call-factory.js';
+import { KEEP_ALIVE_TIMEOUT_MS, startEntryServer, type EntryServer } from './entry-server.js';
+import { EntryTask } from './entry-task.js';
+import type { HttpExchange } from './http-exchange.js';
+import { ParentLedger } from './parent-ledger.js';
+import { toProblemAnswer } from './problem-document.js';
+import { ServiceCallRouter } from './service-call-router.js';
+import { TargetCaller } from './target-caller.js';
+
+/** Time for peers and callers to learn of a planned stop while the node still serves. */
+const LEAVING_PHASE_MS = 1_500;
+const IDLE_CHECK_MS = 20;
+/** Longest wait for idle connections: callers were told the keep-alive time. */
+const IDLE_CONNECTIONS_WAIT_MS = KEEP_ALIVE_TIMEOUT_MS + 1_000;
+const MAX_SEED = 2 ** 30;
+const OVERLOADED_RETRY_MS = 200;
+
+/** State of one node's plug-in. */
+class EntrySide {
+  private readonly task: EntryTask;
+  private server: EntryServer | undefined;
+  private draining = false;
+  private unsubscribe: (() => void)[] = [];
+
+  constructor(
+    private readonly container: Container,
+    private readonly router: ServiceCallRouter,
+  ) {
+    this.task = createTask(container, router);
+  }
+
+  async start(): Promise<void> {
+    const { listen, limits } = this.container.get(Token.Settings);
+    const refresh = (): void => {
+      this.refresh();
+    };
+    this.unsubscribe = [
+      this.container.get(Token.Membership).subscribe(refresh),
+      this.container.get(Token.ConfigStore).subscribe(refresh),
+    ];
+    this.server = await startEntryServer({
+      ...splitAddress(listen.entry),
+      framework: 'node-http',
+      headersTimeoutMs: limits.requestReadTimeoutMs,
+      clock: this.container.get(Token.Clock),
+      onExchange: (exchange) => {
+        this.accept(exchange);
+      },
+      onBadInput: (failure) => this.describeBadInput(failure),
+    });
+    this.refresh();
+  }
+
+  /**
+   * Planned stop: peers are told first, while callers are still served and asked to close
+   * their connections; then new requests are refused, not run, until all that runs has ended.
+   * Calls of back ends are served all the time: attempts that run here need them.
+   */
+  async drain(): Promise<void> {
+    const clock = this.container.get(Token.Clock);
+    const end = clock.now() + this.container.get(Token.Settings).stopTimeoutMs;
+    this.draining = true;
+    this.container.get(Token.Membership).update({ ready: false });
+    this.task.post({ type: 'phase', phase: 'leaving' });
+    await this.sleep(Math.min(LEAVING_PHASE_MS, end - clock.now()));
+    this.task.post({ type: 'phase', phase: 'refusing' });
+    const dispatcher = this.container.get(Token.TargetDispatcher);
+    await this.waitUntil(end, () => this.router.inProgress === 0 && dispatcher.inProgress === 0);
+    const idleEnd = Math.min(end, clock.now() + IDLE_CONNECTIONS_WAIT_MS);
+    await this.waitUntil(idleEnd, () => (this.server?.connections ?? 0) === 0);
+  }
+
+  async stop(): Promise<void> {
+    for (const unsubscribe of this.unsubscribe) unsubscribe();
+    await this.server?.close();
+    this.task.close();
+  }
+
+  private accept(exchange: HttpExchange): void {
+    if (this.task.post({ type: 'exchange', exchange })) return;
+    const { node } = this.container.get(Token.Settings);
+    const options = { retryAfterMs: OVERLOADED_RETRY_MS };
+    const failure = createFailure(ResultCode.MailboxFull, 'too many requests', options);
+    exchange.answer(toProblemAnswer(failure, node.id), true);
+  }
+
+  private describeBadInput(failure: Failure): HttpAnswer {
+    const { code, detail } = failure;
+    this.container.get(Token.EventLog).emit(Event.EntryInputRejected, { code, detail });
+    const metrics = this.container.get(Token.Metrics);
+    metrics.requests.inc({ service: '', kind: '', code: String(code) });
+    return toProblemAnswer(failure, this.container.get(Token.Settings).node.id);
+  }
+
+  private refresh(): void {
+    this.router.refresh();
+    const membership = this.container.get(Token.Membership);
+    const ready = this.container.get(Token.ConfigStore).version > 0 && !this.draining;
+    if (membership.self().ready !== ready) membership.update({ ready });
+  }
+
+  private sleep(delayMs: number): Promise<void> {
+    const clock = this.container.get(Token.Clock);
+    return new Promise((resolve) => clock.schedule(Math.max(0, delayMs), resolve));
+  }
+
+  private async waitUntil(end: number, done: () => boolean): Promise<void> {
+    const clock = this.container.get(Token.Clock);
+    while (!done() && clock.now() < end) await this.sleep(IDLE_CHECK_MS);
+  }
+}
+
+function createRouter(container: Container): ServiceCallRouter {
+  const settings = container.get(Token.Settings);
+  const clock = container.get(Token.Clock);
+  const config = container.get(Token.ConfigStore);
+  const placement = new TargetPlacement(container.get(Token.Membership), config);
+  return new ServiceCallRouter({
+    settings,
+    config,
+    claims: container.get(Token.ClaimService),
+    policy: requirePolicy(settings.overload.policy),
+    placement,
+    caller: new TargetCaller(
+      settings.node.id,
+      placement,
+      container.get(Token.TargetDispatcher),
+      container.get(Token.PeerNetwork),
+      clock,
+    ),
+    clock,
+    log: container.get(Token.EventLog),
+    incarnation: clock.wallNow().toString(36),
+    seed: randomInt(MAX_SEED),
+  });
+}
+
+function createTask(container: Container, router: ServiceCallRouter): EntryTask {
+  const settings = container.get(Token.Settings);
+  const clock = container.get(Token.Clock);
+  const config = container.get(Token.ConfigStore);
+  const parents = new ParentLedger(
+    settings.node.id,
+    container.get(Token.TargetDispatcher),
+    config,
+    container.get(Token.PeerNetwork),
+    clock,
+  );
+  return new EntryTask({
+    nodeId: settings.node.id,
+    mailboxCapacity: settings.limits.maxMailboxLength,
+    requestReadTimeoutMs: settings.limits.requestReadTimeoutMs,
+    config,
+    calls: new CallFactory(clock, parents),
+    router,
+    parents,
+    buffers: container.get(Token.ByteBudget),
+    clock,
+    log: container.get(Token.EventLog),
+    metrics: container.get(Token.Metrics),
+  });
+}
+
+const sides = new WeakMap<Container, EntrySide>();
+
+registerPlugin({
+  name: 'entry',
+  order: StartOrder.Entry,
+  bind(container) {
+    container.bind(Token.CallRouter).toDynamicValue(() => createRouter(container));
+  },
+  async start(container) {
+    const router = container.get(Token.CallRouter) as ServiceCallRouter;
+    const side = new EntrySide(container, router);
+    sides.set(container, side);
+    await side.start();
+  },
+  async drain(container) {
+    await sides.get(container)?.drain();
+  },
+  async stop(container) {
+    await sides.get(container)?.stop();
+  },
+});
--- /dev/null
+++ b/src/entry/entry-server.ts
@@ -0,0 +1,155 @@
+/** The listener of the callers' interface. The HTTP library hides behind {@link EntryServer}. */
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import type { AddressInfo, Socket } from 'node:net';
+import type { Duplex } from 'node:stream';
+import express from 'express';
+import { createFailure, type Failure } from '../core/failure.js';
+import { ResultCode } from '../core/result-code.js';
+import type { HttpAnswer } from '../core/http-message.js';
+import type { Clock } from '../kernel/clock.js';
+import { HttpExchange } from './http-exchange.js';
+
+/** Idle time after which a keep-alive connection is closed; told to callers in `Keep-Alive`. */
+export const KEEP_ALIVE_TIMEOUT_MS = 5_000;
+const CONNECTION_CHECK_INTERVAL_MS = 250;
+const MAX_HEADER_BYTES = 16_384;
+
+/** Libraries that can take requests; docs/design/data-path.md compares them. */
+export type EntryFramework = 'node-http' | 'express';
+
+/** Parameters of the listener. */
+export interface EntryServerOptions {
+  readonly host: string;
+  readonly port: number;
+  readonly framework: EntryFramework;
+  /** Time in which the head of a request must be there, in milliseconds. */
+  readonly headersTimeoutMs: number;
+  readonly clock: Clock;
+  readonly onExchange: (exchange: HttpExchange) => void;
+  /** Turns input that is not HTTP into the answer that its sender gets. */
+  readonly onBadInput: (failure: Failure) => HttpAnswer;
+}
+
+/** A started listener. */
+export interface EntryServer {
+  readonly port: number;
+  /** Open connections. */
+  readonly connections: number;
+  /** Takes no new connections and closes all that are idle. */
+  stopListening(): void;
+  /** Closes everything. */
+  close(): Promise<void>;
+}
+
+/** Starts to listen. Rejects when the address cannot be bound. */
+export async function startEntryServer(options: EntryServerOptions): Promise<EntryServer> {
+  const sockets = new Set<Socket>();
+  const server = createServer({
+    headersTimeout: options.headersTimeoutMs,
+    // The time for bodies is limited by the exchange, which knows the request kind.
+    requestTimeout: 0,
+    keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
+    connectionsCheckingInterval: CONNECTION_CHECK_INTERVAL_MS,
+    maxHeaderSize: MAX_HEADER_BYTES,
+    requireHostHeader: false,
+    noDelay: true,
+  });
+  server.on('connection', (socket) => {
+    sockets.add(socket);
+    socket.on('close', () => sockets.delete(socket));
+  });
+  attachListeners(server, options);
+  await listen(server, options);
+  return {
+    port: (server.address() as AddressInfo).port,
+    get connections() {
+      return sockets.size;
+    },
+    stopListening: () => {
+      server.close();
+      server.closeIdleConnections();
+    },
+    close: () => closeServer(server, sockets),
+  };
+}
+
+function attachListeners(server: Server, options: EntryServerOptions): void {
+  const { clock, onExchange } = options;
+  const listener = createListener(options.framework, (request, response) => {
+    onExchange(new HttpExchange(request, response, clock, false));
+  });
+  server.on('request', listener);
+  const withExpectation = (request: IncomingMessage, response: ServerResponse): void => {
+    onExchange(new HttpExchange(request, response, clock, true));
+  };
+  server.on('checkContinue', withExpectation);
+  server.on('checkExpectation', withExpectation);
+  server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
+    rejectInput(options, socket, toInputFailure(error));
+  });
+  server.on('connect', (_request, socket) => {
+    const detail = 'CONNECT is not served';
+    rejectInput(options, socket, createFailure(ResultCode.MalformedRequest, detail));
+  });
+}
+
+type RequestListener = (request: IncomingMessage, response: ServerResponse) => void;
+
+function createListener(framework: EntryFramework, handle: RequestListener): RequestListener {
+  if (framework === 'node-http') return handle;
+  const application = express();
+  application.disable('x-powered-by');
+  application.use((request, response) => {
+    handle(request, response);
+  });
+  return application as unknown as RequestListener;
+}
+
+function listen(server: Server, { host, port }: EntryServerOptions): Promise<void> {
+  return new Promise((resolve, reject) => {
+    server.once('error', reject);
+    server.listen(port, host, () => {
+      server.off('error', reject);
+      resolve();
+    });
+  });
+}
+
+function closeServer(server: Server, sockets: ReadonlySet<Socket>): Promise<void> {
+  return new Promise((resolve) => {
+    server.close(() => {
+      resolve();
+    });
+    for (const socket of sockets) socket.destroy();
+  });
+}
+
+function toInputFailure(error: NodeJS.ErrnoException): Failure {
+  if (error.code === 'ERR_HTTP_REQUEST_TIMEOUT') {
+    return createFailure(ResultCode.RequestReadTimeout, 'the head of the request is late');
+  }
+  return createFailure(ResultCode.MalformedRequest, error.code ?? 'not HTTP');
+}
+
+/** Answers on the raw connection, unless an answer is on its way on it, and closes it. */
+function rejectInput(options: EntryServerOptions, socket: Duplex, failure: Failure): void {
+  const answer = options.onBadInput(failure);
+  const started = socket instanceof Object && '_httpMessage' in socket && socket._httpMessage;
+  if (!socket.writable || started) {
+    socket.destroy();
+    return;
+  }
+  socket.end(serializeAnswer(answer), () => {
+    socket.destroy();
+  });
+}
+
+function serializeAnswer({ status, headers, body }: HttpAnswer): Buffer {
+  const fields = [
+    ...headers,
+    ['Content-Length', String(body.length)] as const,
+    ['Connection', 'close'] as const,
+  ];
+  const lines = fields.map(([name, value]) => `${name}: ${value}\r\n`).join('');
+  return Buffer.concat([Buffer.from(`HTTP/1.1 ${status} \r\n${lines}\r\n`, 'latin1'), body]);
+}
--- a/src/kernel/token.ts
+++ b/src/kernel/token.ts
@@ -1,6 +1,7 @@
 /** Typed identifiers under which plug-ins find each other's services in the container. */
 import type { ServiceIdentifier } from 'inversify';
 import type { ClaimService } from '../claims/claim-service.js';
+import type { ByteBudget } from '../core/byte-budget.js';
 import type { ConfigStore } from '../config/config-store.js';
 import type { RulesRepository } from '../config/rules-repository.js';
 import type { Settings } from '../config/settings.js';
@@ -33,4 +34,5 @@
   ClaimService: token<ClaimService>('ClaimService'),
   TargetDispatcher: token<TargetDispatcher>('TargetDispatcher'),
   CallRouter: token<CallRouter>('CallRouter'),
+  ByteBudget: token<ByteBudget>('ByteBudget'),
 } as const;
--- /dev/null
+++ b/src/target/attempt-end.ts
@@ -0,0 +1,38 @@
+/** Ends of attempts: shorthand for results that several places of the target side give. */
+import type { AttemptResult } from '../core/attempt.js';
+import { createFailure, type Failure } from '../core/failure.js';
+import type { AttemptOutcome, LoadReport } from '../core/request.js';
+import { ResultCode } from '../core/result-code.js';
+
+/** Time after which a repeat at another target is worthwhile: at once, for lack of a better. */
+const SOON_MS = 50;
+
+/** An attempt that was never dispatched. */
+export function notDispatched(
+  outcome: AttemptOutcome,
+  failure: Failure,
+  load?: LoadReport,
+): AttemptResult {
+  const end = { type: 'failure', outcome, failure, attemptsUsed: 0 } as const;
+  return load === undefined ? end : { ...end, load };
+}
+
+/** The target is leaving. */
+export function refusedByLeavingTarget(target: string): AttemptResult {
+  const options = { execution: 'not-run', retryAfterMs: SOON_MS } as const;
+  const failure = createFailure(ResultCode.TargetRefused, `target ${target} is leaving`, options);
+  return notDispatched('draining', failure);
+}
+
+/** The task has too much to do. */
+export function refusedByFullMailbox(target: string): AttemptResult {
+  const detail = `mailbox of target ${target} is full`;
+  const failure = createFailure(ResultCode.MailboxFull, detail, { retryAfterMs: SOON_MS });
+  return notDispatched('overloaded', failure);
+}
+
+/** The caller went away while the attempt waited. */
+export function cancelledWhileWaiting(): AttemptResult {
+  const options = { execution: 'not-run' } as const;
+  return notDispatched('cancelled', createFailure(ResultCode.Cancelled, 'cancelled', options));
+}
--- /dev/null
+++ b/src/target/health-poller.ts
@@ -0,0 +1,78 @@
+/** Polls the health endpoint of each fronted target, as one sign of leaving among several. */
+import got from 'got';
+import type { CancelTimer, Clock } from '../kernel/clock.js';
+import type { HealthState } from './leaving-signs.js';
+
+const POLL_INTERVAL_MS = 1_000;
+const POLL_TIMEOUT_MS = 900;
+
+/** A target with the address to poll. */
+export interface PolledTarget {
+  readonly target: string;
+  readonly address: string;
+}
+
+/** Asks one target for its state; never rejects. */
+export type HealthProbe = (address: string) => Promise<HealthState>;
+
+/** Asks by HTTP. */
+export const httpHealthProbe: HealthProbe = async (address) => {
+  try {
+    const answer = await got(`http://${address}/health`, {
+      retry: { limit: 0 },
+      timeout: { request: POLL_TIMEOUT_MS },
+      throwHttpErrors: false,
+      followRedirect: false,
+    });
+    return parseHealth(answer.body);
+  } catch {
+    return 'unreachable';
+  }
+};
+
+/** Reads `{"state": ...}`; a back end without the endpoint counts as serving. */
+export function parseHealth(body: string): HealthState {
+  try {
+    const value = JSON.parse(body) as { state?: unknown } | null;
+    return value?.state === 'starting' || value?.state === 'draining' ? value.state : 'serving';
+  } catch {
+    return 'serving';
+  }
+}
+
+/** Polls all targets once a second. */
+export class HealthPoller {
+  private cancelTimer: CancelTimer = () => {};
+  private readonly asking = new Set<string>();
+
+  constructor(
+    private readonly clock: Clock,
+    private readonly probe: HealthProbe,
+    private readonly list: () => readonly PolledTarget[],
+    private readonly report: (target: string, state: HealthState) => void,
+  ) {}
+
+  start(): void {
+    this.cancelTimer = this.clock.schedule(POLL_INTERVAL_MS, () => {
+      this.pollAll();
+      this.start();
+    });
+  }
+
+  stop(): void {
+    this.cancelTimer();
+  }
+
+  private pollAll(): void {
+    for (const { target, address } of this.list()) {
+      if (!this.asking.has(target)) void this.poll(target, address);
+    }
+  }
+
+  private async poll(target: string, address: string): Promise<void> {
+    this.asking.add(target);
+    const state = await this.probe(address);
+    this.asking.delete(target);
+    this.report(target, state);
+  }
+}
--- /dev/null
+++ b/src/target/local-target-dispatcher.ts
@@ -0,0 +1,221 @@
+/** The targets that this node fronts: one task each, made when needed and retired when idle. */
+import type { AttemptResult, TargetAttempt } from '../core/attempt.js';
+import { AttemptLedger } from '../core/attempt-ledger.js';
+import type { ByteBudget } from '../core/byte-budget.js';
+import { createFailure } from '../core/failure.js';
+import type { OverloadPolicy } from '../core/overload.js';
+import { ResultCode } from '../core/result-code.js';
+import type { ConfigStore, LocatedTarget } from '../config/config-store.js';
+import { splitAddress, type Settings } from '../config/settings.js';
+import type { CancelTimer, Clock } from '../kernel/clock.js';
+import type { EventLog } from '../kernel/event.js';
+import type { Metrics } from '../kernel/metrics.js';
+import { notDispatched, refusedByFullMailbox } from './attempt-end.js';
+import type { BackendClientFactory } from './backend-client.js';
+import type { HealthState } from './leaving-signs.js';
+import type { ParentAttempt, TargetDispatcher } from './target-dispatcher.js';
+import { TargetTask } from './target-task.js';
+
+/** How long a target that is placed elsewhere keeps its task for nodes with an older view. */
+const RETIRE_AFTER_MS = 5_000;
+
+/** What the dispatcher works with. */
+export interface LocalTargetDispatcherOptions {
+  readonly settings: Settings;
+  readonly config: ConfigStore;
+  readonly policy: OverloadPolicy;
+  readonly buffers: ByteBudget;
+  readonly createClient: BackendClientFactory;
+  readonly clock: Clock;
+  readonly log: EventLog;
+  readonly metrics: Metrics;
+  /** Told the ids of all fronted targets that are leaving, after each change. */
+  readonly onLeavingChanged: (leaving: readonly string[]) => void;
+}
+
+/** A task with the part of the rules that it was made from. */
+interface FrontedTarget {
+  readonly task: TargetTask;
+  readonly shape: string;
+  readonly address: string;
+}
+
+/** See the module comment. */
+export class LocalTargetDispatcher implements TargetDispatcher {
+  private readonly fronted = new Map<string, FrontedTarget>();
+  /** Tasks that finish what runs. */
+  private readonly retiring = new Set<TargetTask>();
+  private readonly ledger = new AttemptLedger();
+  private readonly running = new Map<string, TargetAttempt>();
+  private placed: ReadonlySet<string> = new Set();
+  private cancelRetirement: CancelTimer = () => {};
+  private created = 0;
+
+  constructor(private readonly options: LocalTargetDispatcherOptions) {}
+
+  get inProgress(): number {
+    return this.running.size;
+  }
+
+  /** Fronted targets with their addresses, for health polls. */
+  list(): readonly { readonly target: string; readonly address: string }[] {
+    return [...this.fronted].map(([target, { address }]) => ({ target, address }));
+  }
+
+  dispatch(attempt: TargetAttempt, signal: AbortSignal): Promise<AttemptResult> {
+    const located = this.options.config.findTarget(attempt.target);
+    if (located === undefined) return Promise.resolve(unknownTarget(attempt.target));
+    const { task } = this.ensure(attempt.target, located);
+    const kind = located.service.kinds.find(({ name }) => name === attempt.context.kind);
+    this.running.set(attempt.attemptId, attempt);
+    return new Promise((done) => {
+      const resolve = (result: AttemptResult): void => {
+        this.running.delete(attempt.attemptId);
+        done(result);
+      };
+      const maxAnswerBytes = kind?.maxAnswerBytes ?? 0;
+      if (task.post({ type: 'offer', attempt, maxAnswerBytes, signal, resolve })) return;
+      resolve(refusedByFullMailbox(attempt.target));
+    });
+  }
+
+  reserveAttempts(parentAttemptId: string, wanted: number): number {
+    return this.ledger.reserve(parentAttemptId, wanted);
+  }
+
+  returnAttempts(parentAttemptId: string, unused: number): void {
+    this.ledger.giveBack(parentAttemptId, unused);
+  }
+
+  findParent(parentAttemptId: string): ParentAttempt | undefined {
+    const attempt = this.running.get(parentAttemptId);
+    if (attempt === undefined) return undefined;
+    return { attempt, attemptsLeft: this.ledger.remaining(parentAttemptId) };
+  }
+
+  noteDownstream(parentAttemptId: string, service: string, threshold: number): void {
+    const attempt = this.running.get(parentAttemptId);
+    if (attempt === undefined) return;
+    const { kind } = attempt.context;
+    this.fronted.get(attempt.target)?.task.post({ type: 'downstream', service, threshold, kind });
+  }
+
+  /**
+   * Makes tasks for targets that are placed here. The others are retired after a while: until
+   * then nodes with an older view still send attempts, which share the gate.
+   */
+  setPlaced(targets: readonly string[]): void {
+    this.placed = new Set(targets);
+    for (const target of targets) {
+      const located = this.options.config.findTarget(target);
+      if (located !== undefined) this.ensure(target, located);
+    }
+    const unplaced = [...this.fronted.keys()].some((target) => !this.placed.has(target));
+    if (unplaced) this.scheduleRetirement();
+    this.publishLeaving();
+  }
+
+  /** Takes a health poll's result in. */
+  noteHealth(target: string, state: HealthState): void {
+    this.fronted.get(target)?.task.post({ type: 'health', state });
+  }
+
+  /** Starts or ends an operator's drain of a target; false when it is not fronted here. */
+  drainTarget(target: string, drained: boolean): boolean {
+    return this.fronted.get(target)?.task.post({ type: 'operator-drain', drained }) ?? false;
+  }
+
+  /** Takes the platform's list of leaving targets in. */
+  noteListedAsLeaving(leaving: readonly string[]): void {
+    const listed = new Set(leaving);
+    for (const [target, { task }] of this.fronted) {
+      task.post({ type: 'listed-leaving', leaving: listed.has(target) });
+    }
+  }
+
+  /** Ids of fronted targets that are leaving. */
+  leavingTargets(): readonly string[] {
+    return [...this.fronted].filter(([, { task }]) => task.leaving).map(([target]) => target);
+  }
+
+  /** Retires all tasks. */
+  close(): void {
+    this.cancelRetirement();
+    for (const [target, { task }] of this.fronted) this.retire(target, task);
+  }
+
+  private ensure(target: string, located: LocatedTarget): FrontedTarget {
+    const shape = shapeOf(located);
+    const existing = this.fronted.get(target);
+    if (existing?.shape === shape) return existing;
+    if (existing !== undefined) this.retire(target, existing.task);
+    const { address } = located.target;
+    const made = { task: this.createTask(target, located), shape, address };
+    this.fronted.set(target, made);
+    return made;
+  }
+
+  private createTask(target: string, located: LocatedTarget): TargetTask {
+    const { settings, policy, createClient, clock, log, metrics, buffers } = this.options;
+    const { slots, connections } = located.service;
+    this.created += 1;
+    const task: TargetTask = new TargetTask({
+      target,
+      nodeId: settings.node.id,
+      mailboxCapacity: settings.limits.maxMailboxLength,
+      gate: policy.createTargetGate({
+        initialLimit: slots,
+        maxLimit: connections,
+        seed: this.created,
+      }),
+      client: createClient({
+        ...splitAddress(located.target.address),
+        maxConnections: connections,
+      }),
+      ledger: this.ledger,
+      buffers,
+      clock,
+      log,
+      metrics,
+      onLeavingChanged: () => {
+        this.publishLeaving();
+      },
+      onRetired: () => {
+        this.retiring.delete(task);
+      },
+    });
+    return task;
+  }
+
+  private scheduleRetirement(): void {
+    this.cancelRetirement();
+    this.cancelRetirement = this.options.clock.schedule(RETIRE_AFTER_MS, () => {
+      for (const [target, { task }] of this.fronted) {
+        if (!this.placed.has(target)) this.retire(target, task);
+      }
+      this.publishLeaving();
+    });
+  }
+
+  private retire(target: string, task: TargetTask): void {
+    this.fronted.delete(target);
+    this.retiring.add(task);
+    task.post({ type: 'retire' });
+  }
+
+  private publishLeaving(): void {
+    this.options.onLeavingChanged(this.leavingTargets());
+  }
+}
+
+/** The members of the rules whose change needs a new task. */
+function shapeOf({ service, target }: LocatedTarget): string {
+  return `${target.address} ${service.slots} ${service.connections}`;
+}
+
+function unknownTarget(target: string): AttemptResult {
+  const detail = `target ${target} is not in the rules in force here`;
+  const options = { execution: 'not-run', retryAfterMs: 100 } as const;
+  const failure = createFailure(ResultCode.NoTargetAvailable, detail, options);
+  return notDispatched('unreachable', failure);
+}
--- /dev/null
+++ b/src/target/node-backend-client.ts
@@ -0,0 +1,261 @@
+/**
+ * Back-end client on `node:http`. It was chosen because it tells exactly whether a byte has
+ * been sent and whether an answer is complete; see docs/design/data-path.md.
+ */
+import {
+  Agent,
+  request as httpRequest,
+  type ClientRequest,
+  type IncomingMessage,
+  type OutgoingHttpHeaders,
+} from 'node:http';
+import type { Socket } from 'node:net';
+import type { Duplex } from 'node:stream';
+import { connectionTokens } from '../core/forwarded-fields.js';
+import { createFailure } from '../core/failure.js';
+import type { HeaderFields, HttpRequest } from '../core/http-message.js';
+import { ResultCode } from '../core/result-code.js';
+import type { CancelTimer, Clock } from '../kernel/clock.js';
+import type {
+  BackendCallLimits,
+  BackendClient,
+  BackendClientOptions,
+  BackendErrorCause,
+  BackendResult,
+} from './backend-client.js';
+
+/** Idle connections are closed well before back ends usually close them (5 s in Node). */
+const FREE_SOCKET_TIMEOUT_MS = 4_000;
+
+/** Statuses whose answers have no body (RFC 9110, section 6.4.1). */
+const STATUSES_WITHOUT_BODY: ReadonlySet<number> = new Set([204, 304]);
+
+/** A pool that closes a connection on which anything arrives between two exchanges. */
+class StrictAgent extends Agent {
+  private readonly guards = new WeakMap<Duplex, () => void>();
+
+  override keepSocketAlive(stream: Duplex): boolean {
+    if (stream.readableLength > 0) return false;
+    const guard = (): void => {
+      stream.destroy();
+    };
+    this.guards.set(stream, guard);
+    stream.on('data', guard);
+    return super.keepSocketAlive(stream) as unknown as boolean;
+  }
+
+  override reuseSocket(stream: Duplex, request: ClientRequest): void {
+    const guard = this.guards.get(stream);
+    if (guard !== undefined) stream.off('data', guard);
+    super.reuseSocket(stream, request);
+  }
+}
+
+/** Creates the client of one back end. */
+export function createNodeBackendClient(
+  options: BackendClientOptions,
+  clock: Clock,
+): BackendClient {
+  const agent = new StrictAgent({
+    keepAlive: true,
+    maxSockets: options.maxConnections,
+    maxFreeSockets: options.maxConnections,
+    scheduling: 'lifo',
+    timeout: FREE_SOCKET_TIMEOUT_MS,
+  });
+  return {
+    call: (message, limits) =>
+      new Promise((resolve) => {
+        new Exchange(message, options, agent, clock, limits, resolve).start();
+      }),
+    close: () => {
+      agent.destroy();
+    },
+  };
+}
+
+const FAILURE_CODES: Readonly<Record<BackendErrorCause, ResultCode>> = {
+  unreachable: ResultCode.TargetUnreachable,
+  withdrawn: ResultCode.DeadlineExceeded,
+  failed: ResultCode.AnswerIncomplete,
+  timeout: ResultCode.AnswerTimeout,
+  cancelled: ResultCode.Cancelled,
+  'too-large': ResultCode.AnswerTooLarge,
+  'buffer-exhausted': ResultCode.BufferExhausted,
+};
+
+/** One request and its answer. */
+class Exchange {
+  private request: ClientRequest | undefined;
+  private sent = false;
+  private ended = false;
+  private cancelTimer: CancelTimer = () => {};
+  private readonly chunks: Buffer[] = [];
+  private received = 0;
+  private readonly onAbort = (): void => {
+    this.fail('cancelled', 'the caller went away');
+  };
+
+  constructor(
+    private readonly message: HttpRequest,
+    private readonly options: BackendClientOptions,
+    private readonly agent: Agent,
+    private readonly clock: Clock,
+    private readonly limits: BackendCallLimits,
+    private readonly resolve: (result: BackendResult) => void,
+  ) {}
+
+  start(): void {
+    const { signal, timeoutMs } = this.limits;
+    if (signal.aborted) {
+      this.onAbort();
+      return;
+    }
+    signal.addEventListener('abort', this.onAbort, { once: true });
+    this.cancelTimer = this.clock.schedule(timeoutMs, () => {
+      this.fail('timeout', `no answer within ${Math.round(timeoutMs)} ms`);
+    });
+    try {
+      this.open();
+    } catch (error) {
+      this.fail('withdrawn', String(error));
+    }
+  }
+
+  private open(): void {
+    const request = httpRequest({
+      host: this.options.host,
+      port: this.options.port,
+      agent: this.agent,
+      method: this.message.method,
+      path: this.message.path,
+      // An array of pairs keeps order and case; the published type lacks this form.
+      headers: this.message.headers as unknown as OutgoingHttpHeaders,
+    });
+    this.request = request;
+    request.on('socket', (socket) => {
+      this.onSocket(socket);
+    });
+    request.on('response', (response) => {
+      this.onResponse(response);
+    });
+    request.on('upgrade', (_response, socket) => {
+      socket.destroy();
+      this.fail('failed', 'the back end switched protocols');
+    });
+    request.on('error', (error) => {
+      this.fail(this.sent ? 'failed' : 'unreachable', error.message);
+    });
+    request.on('close', () => {
+      this.fail(this.sent ? 'failed' : 'unreachable', 'connection closed');
+    });
+  }
+
+  private onSocket(socket: Socket): void {
+    if (!socket.connecting) {
+      this.send();
+      return;
+    }
+    socket.once('connect', () => {
+      socket.setNoDelay(true);
+      this.send();
+    });
+  }
+
+  private send(): void {
+    if (this.ended) return;
+    if (!this.limits.mayStart()) {
+      this.fail('withdrawn', 'too late to dispatch');
+      return;
+    }
+    this.sent = true;
+    this.request?.end(this.message.body);
+  }
+
+  private onResponse(response: IncomingMessage): void {
+    const declared = Number(response.headers['content-length'] ?? 0);
+    if (this.expectsBody(response) && declared > this.limits.maxAnswerBytes) {
+      this.fail('too-large', `answer of ${declared} bytes`);
+      return;
+    }
+    response.on('data', (chunk: Buffer) => {
+      this.onData(chunk);
+    });
+    response.on('error', (error) => {
+      this.fail('failed', error.message);
+    });
+    response.on('end', () => {
+      this.onEnd(response);
+    });
+  }
+
+  private onData(chunk: Buffer): void {
+    if (this.ended) return;
+    this.received += chunk.length;
+    if (this.received > this.limits.maxAnswerBytes) {
+      this.fail('too-large', `answer is longer than ${this.limits.maxAnswerBytes} bytes`);
+      return;
+    }
+    if (!this.limits.takeBuffer(chunk.length)) {
+      this.fail('buffer-exhausted', 'no buffer left for the answer');
+      return;
+    }
+    this.chunks.push(chunk);
+  }
+
+  private onEnd(response: IncomingMessage): void {
+    if (this.ended) return;
+    const headers = pairUp(response.rawHeaders);
+    if (!response.complete || !this.hasKnownLength(response)) {
+      this.fail('failed', 'the answer ended early or has no length');
+      return;
+    }
+    this.finish();
+    this.resolve({
+      type: 'answer',
+      answer: { status: response.statusCode ?? 0, headers, body: joinChunks(this.chunks) },
+      closes: connectionTokens(headers).has('close'),
+    });
+  }
+
+  private expectsBody(response: IncomingMessage): boolean {
+    const status = response.statusCode ?? 0;
+    return this.message.method !== 'HEAD' && !STATUSES_WITHOUT_BODY.has(status);
+  }
+
+  /** An answer that ends with the connection can't be told from one that was cut off. */
+  private hasKnownLength(response: IncomingMessage): boolean {
+    const { headers } = response;
+    if (!this.expectsBody(response)) return true;
+    return headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined;
+  }
+
+  private fail(cause: BackendErrorCause, detail: string): void {
+    if (this.ended) return;
+    this.finish();
+    const execution = this.sent ? 'unknown' : 'not-run';
+    const failure = createFailure(FAILURE_CODES[cause], detail, { execution });
+    this.resolve({ type: 'failure', cause, failure, sent: this.sent });
+    // The connection is closed, so that a late answer can never reach another request.
+    this.request?.destroy();
+  }
+
+  private finish(): void {
+    this.ended = true;
+    this.cancelTimer();
+    this.limits.signal.removeEventListener('abort', this.onAbort);
+  }
+}
+
+function pairUp(rawHeaders: readonly string[]): HeaderFields {
+  const headers: [string, string][] = [];
+  for (let index = 0; index + 1 < rawHeaders.length; index += 2) {
+    headers.push([rawHeaders[index] ?? '', rawHeaders[index + 1] ?? '']);
+  }
+  return headers;
+}
+
+function joinChunks(chunks: readonly Buffer[]): Uint8Array {
+  const only = chunks[0];
+  return chunks.length === 1 && only !== undefined ? only : Buffer.concat(chunks);
+}
--- /dev/null
+++ b/src/target/target-placement.ts
@@ -0,0 +1,62 @@
+/** Where targets are fronted now, kept up to date with membership and rules. */
+import { Placement } from '../core/placement.js';
+import type { TargetView } from '../core/overload.js';
+import type { ConfigStore } from '../config/config-store.js';
+import type { ServiceRules } from '../config/rules.js';
+import type { Member, Membership } from '../membership/membership.js';
+
+/** View of one node; call {@link TargetPlacement.refresh} after each change of the members. */
+export class TargetPlacement {
+  private placement = new Placement([]);
+  private leaving: ReadonlySet<string> = new Set();
+
+  constructor(
+    private readonly membership: Membership,
+    private readonly config: ConfigStore,
+  ) {
+    this.refresh();
+  }
+
+  /** Reads the members again. */
+  refresh(): void {
+    const members = this.membership.members();
+    this.placement = new Placement(members.filter(canTakeWork));
+    this.leaving = new Set(members.flatMap((member) => member.leavingTargets));
+  }
+
+  /** The node that fronts a target, if any can. */
+  nodeFor(target: string): string | undefined {
+    const located = this.config.findTarget(target);
+    return located === undefined ? undefined : this.placement.nodeFor(target, located.target.zone);
+  }
+
+  /** Targets of all tenants that are placed at a node. */
+  placedAt(nodeId: string): readonly string[] {
+    return this.config
+      .records()
+      .flatMap(({ rules }) => rules.services)
+      .flatMap(({ targets }) => targets)
+      .filter(({ id, zone }) => this.placement.nodeFor(id, zone) === nodeId)
+      .map(({ id }) => id);
+  }
+
+  /** A service's targets as routing sees them. */
+  viewsOf(service: ServiceRules): readonly TargetView[] {
+    return service.targets.map(({ id, zone }) => ({
+      id,
+      zone,
+      region: this.regionOf(zone),
+      eligible: !this.leaving.has(id) && this.placement.nodeFor(id, zone) !== undefined,
+    }));
+  }
+
+  /** A zone's region is that of its members; a zone without members counts as its own. */
+  private regionOf(zone: string): string {
+    const member = this.membership.members().find((candidate) => candidate.zone === zone);
+    return member?.region ?? zone;
+  }
+}
+
+function canTakeWork(member: Member): boolean {
+  return member.ready && (member.state === 'alive' || member.state === 'suspect');
+}
--- /dev/null
+++ b/src/target/target-plugin.ts
@@ -0,0 +1,147 @@
+/** Plug-in of the target side: the fronted targets and the calls of other nodes to them. */
+import type { Container } from 'inversify';
+import { Result } from 'true-myth';
+import { ByteBudget } from '../core/byte-budget.js';
+import { findOverloadPolicy } from '../core/overload-policy-registry.js';
+import type { OverloadPolicy } from '../core/overload.js';
+import { StartOrder, registerPlugin } from '../kernel/plugin.js';
+import { Token } from '../kernel/token.js';
+import { decodeAttempt, encodeResult, validateAttemptMessage } from './attempt-codec.js';
+import { reserveForCall, returnFromCall } from './attempt-reservation.js';
+import { validateReserveMessage, validateReturnMessage } from './attempt-ledger-codec.js';
+import { HealthPoller, httpHealthProbe } from './health-poller.js';
+import { LocalTargetDispatcher } from './local-target-dispatcher.js';
+import { createNodeBackendClient } from './node-backend-client.js';
+import { TargetPlacement } from './target-placement.js';
+
+const IDLE_CHECK_MS = 20;
+
+/** State of one node's plug-in, kept in its container so that hollow nodes can share a process. */
+class TargetSide {
+  private readonly poller: HealthPoller;
+  private readonly placement: TargetPlacement;
+  private unsubscribe: (() => void)[] = [];
+
+  constructor(
+    private readonly container: Container,
+    private readonly dispatcher: LocalTargetDispatcher,
+  ) {
+    this.placement = new TargetPlacement(
+      container.get(Token.Membership),
+      container.get(Token.ConfigStore),
+    );
+    this.poller = new HealthPoller(
+      container.get(Token.Clock),
+      httpHealthProbe,
+      () => dispatcher.list(),
+      (target, state) => {
+        dispatcher.noteHealth(target, state);
+      },
+    );
+  }
+
+  start(): void {
+    this.handlePeerCalls();
+    const refresh = (): void => {
+      this.refresh();
+    };
+    this.unsubscribe = [
+      this.container.get(Token.Membership).subscribe(refresh),
+      this.container.get(Token.ConfigStore).subscribe(refresh),
+    ];
+    this.refresh();
+    this.poller.start();
+  }
+
+  /** Waits until no attempt waits or runs here, at most as long as a planned stop may take. */
+  async drain(): Promise<void> {
+    const clock = this.container.get(Token.Clock);
+    const end = clock.now() + this.container.get(Token.Settings).stopTimeoutMs;
+    while (this.dispatcher.inProgress > 0 && clock.now() < end) {
+      await new Promise<void>((resolve) => clock.schedule(IDLE_CHECK_MS, resolve));
+    }
+  }
+
+  stop(): void {
+    for (const unsubscribe of this.unsubscribe) unsubscribe();
+    this.poller.stop();
+    this.dispatcher.close();
+  }
+
+  private refresh(): void {
+    this.placement.refresh();
+    const { id } = this.container.get(Token.Settings).node;
+    this.dispatcher.setPlaced(this.placement.placedAt(id));
+  }
+
+  private handlePeerCalls(): void {
+    const peers = this.container.get(Token.PeerNetwork);
+    const clock = this.container.get(Token.Clock);
+    const config = this.container.get(Token.ConfigStore);
+    peers.handle('attempt', validateAttemptMessage, async (_from, message, signal) => {
+      const attempt = decodeAttempt(message, clock.now());
+      return Result.ok(encodeResult(await this.dispatcher.dispatch(attempt, signal)));
+    });
+    peers.handle('reserveAttempts', validateReserveMessage, (_from, message) => {
+      const reply = reserveForCall(this.dispatcher, config, message, clock.now());
+      return Promise.resolve(Result.ok(reply));
+    });
+    peers.handle('returnAttempts', validateReturnMessage, (_from, message) => {
+      returnFromCall(this.dispatcher, message);
+      return Promise.resolve(Result.ok({ taken: true }));
+    });
+  }
+}
+
+const sides = new WeakMap<Container, TargetSide>();
+
+function createDispatcher(container: Container): LocalTargetDispatcher {
+  const clock = container.get(Token.Clock);
+  const membership = container.get(Token.Membership);
+  return new LocalTargetDispatcher({
+    settings: container.get(Token.Settings),
+    config: container.get(Token.ConfigStore),
+    policy: requirePolicy(container.get(Token.Settings).overload.policy),
+    buffers: container.get(Token.ByteBudget),
+    createClient: (options) => createNodeBackendClient(options, clock),
+    clock,
+    log: container.get(Token.EventLog),
+    metrics: container.get(Token.Metrics),
+    onLeavingChanged: (leavingTargets) => {
+      const known = membership.self().leavingTargets;
+      if (leavingTargets.join() !== known.join()) membership.update({ leavingTargets });
+    },
+  });
+}
+
+/** Finds the policy that the settings name; a name without a policy keeps the node from starting. */
+export function requirePolicy(name: string): OverloadPolicy {
+  const policy = findOverloadPolicy(name);
+  if (policy === undefined) throw new Error(`no overload policy is named ${name}`);
+  return policy;
+}
+
+registerPlugin({
+  name: 'target',
+  order: StartOrder.Target,
+  bind(container) {
+    container
+      .bind(Token.ByteBudget)
+      .toDynamicValue(() => new ByteBudget(container.get(Token.Settings).limits.maxBufferedBytes));
+    container.bind(Token.TargetDispatcher).toDynamicValue(() => createDispatcher(container));
+  },
+  start(container) {
+    const dispatcher = container.get(Token.TargetDispatcher) as LocalTargetDispatcher;
+    const side = new TargetSide(container, dispatcher);
+    sides.set(container, side);
+    side.start();
+    return Promise.resolve();
+  },
+  async drain(container) {
+    await sides.get(container)?.drain();
+  },
+  stop(container) {
+    sides.get(container)?.stop();
+    return Promise.resolve();
+  },
+});
--- /dev/null
+++ b/src/target/target-task.ts
@@ -0,0 +1,352 @@
+/**
+ * The task that owns one target: its gate, its connections and the attempts that wait for it
+ * or run at it. All state changes happen in messages, one at a time.
+ */
+import type { AttemptResult } from '../core/attempt.js';
+import type { AttemptLedger } from '../core/attempt-ledger.js';
+import type { BufferReservation, ByteBudget } from '../core/byte-budget.js';
+import { withBaggage } from '../core/call-baggage.js';
+import { createFailure } from '../core/failure.js';
+import type { HttpRequest } from '../core/http-message.js';
+import type { GateAction, Refusal, TargetGate } from '../core/overload.js';
+import type { LoadReport, RequestContext } from '../core/request.js';
+import { ResultCode } from '../core/result-code.js';
+import type { CancelTimer, Clock } from '../kernel/clock.js';
+import { Event, type EventLog } from '../kernel/event.js';
+import type { Metrics } from '../kernel/metrics.js';
+import { Task } from '../kernel/task.js';
+import { AnswerSizeEstimate } from './answer-size-estimate.js';
+import { cancelledWhileWaiting, notDispatched, refusedByLeavingTarget } from './attempt-end.js';
+import type { BackendClient, BackendResult } from './backend-client.js';
+import { outcomeOf, saysDraining, toAttemptResult } from './backend-result.js';
+import { LeavingSigns } from './leaving-signs.js';
+import type { DownstreamMessage, OfferMessage, TargetMessage } from './target-messages.js';
+
+/** What a target task works with. */
+export interface TargetTaskOptions {
+  readonly target: string;
+  readonly nodeId: string;
+  readonly mailboxCapacity: number;
+  readonly gate: TargetGate;
+  readonly client: BackendClient;
+  readonly ledger: AttemptLedger;
+  readonly buffers: ByteBudget;
+  readonly clock: Clock;
+  readonly log: EventLog;
+  readonly metrics: Metrics;
+  /** Called when the target starts or ends leaving. */
+  readonly onLeavingChanged: () => void;
+  /** Called once, when a retired task has ended its work. */
+  readonly onRetired: () => void;
+}
+
+/** An offered attempt from its offer to its end. */
+interface Ticket {
+  readonly offer: OfferMessage;
+  readonly stopListening: () => void;
+  running: boolean;
+  reservation?: BufferReservation;
+}
+
+/** The gauges of this target, looked up once. */
+interface LoadGauges {
+  readonly inFlight: GaugeValue;
+  readonly queued: GaugeValue;
+  readonly limit: GaugeValue;
+}
+
+interface GaugeValue {
+  set(value: number): void;
+}
+
+const REPOST_DELAY_MS = 1;
+const NOTHING_RUN = { execution: 'not-run' } as const;
+const BUFFER_RETRY_AFTER_MS = 100;
+
+/** See the module comment. */
+export class TargetTask extends Task<TargetMessage> {
+  private readonly tickets = new Map<number, Ticket>();
+  private readonly signs = new LeavingSigns();
+  private readonly answerSizes = new AnswerSizeEstimate();
+  private lastTicket = 0;
+  private wasLeaving = false;
+  private retiring = false;
+  private retired = false;
+  private armedFor: number | undefined;
+  private cancelGateTimer: CancelTimer = () => {};
+  private readonly gauges: LoadGauges;
+
+  constructor(private readonly options: TargetTaskOptions) {
+    super(`target ${options.target}`, options.mailboxCapacity);
+    const { metrics, target } = options;
+    this.gauges = {
+      inFlight: metrics.inFlight.labels({ target }),
+      queued: metrics.queued.labels({ target }),
+      limit: metrics.limit.labels({ target }),
+    };
+  }
+
+  /** Attempts that wait or run. */
+  get inProgress(): number {
+    return this.tickets.size;
+  }
+
+  /** Whether the target may get no new work. */
+  get leaving(): boolean {
+    return this.signs.leaving;
+  }
+
+  /** Load as the gate sees it, for a request's kind or in general. */
+  report(request?: RequestContext): LoadReport {
+    return this.options.gate.report(this.options.clock.now(), request);
+  }
+
+  protected override handle(message: TargetMessage): void {
+    switch (message.type) {
+      case 'offer':
+        this.onOffer(message);
+        break;
+      case 'ended':
+        this.onEnded(message.ticket, message.result);
+        break;
+      case 'cancelled':
+        this.onCancelled(message.ticket);
+        break;
+      case 'timer':
+        this.apply(this.options.gate.onTimer(this.options.clock.now()));
+        break;
+      case 'health':
+        this.signs.noteHealth(message.state);
+        break;
+      case 'operator-drain':
+        this.signs.setDrainedByOperator(message.drained);
+        break;
+      case 'listed-leaving':
+        this.signs.setListedAsLeaving(message.leaving);
+        break;
+      case 'downstream':
+        this.noteDownstream(message);
+        break;
+      case 'retire':
+        this.retiring = true;
+        break;
+    }
+    this.afterMessage();
+  }
+
+  private onOffer(offer: OfferMessage): void {
+    if (this.signs.leaving) {
+      offer.resolve(refusedByLeavingTarget(this.options.target));
+      return;
+    }
+    if (offer.signal.aborted) {
+      offer.resolve(cancelledWhileWaiting());
+      return;
+    }
+    this.lastTicket += 1;
+    const ticket = this.lastTicket;
+    const onAbort = (): void => {
+      this.postOwn({ type: 'cancelled', ticket });
+    };
+    offer.signal.addEventListener('abort', onAbort, { once: true });
+    const stopListening = (): void => {
+      offer.signal.removeEventListener('abort', onAbort);
+    };
+    this.tickets.set(ticket, { offer, stopListening, running: false });
+    const now = this.options.clock.now();
+    this.apply(this.options.gate.offer(now, ticket, offer.attempt.context));
+  }
+
+  private onCancelled(ticket: number): void {
+    const entry = this.tickets.get(ticket);
+    // A running call is cancelled by its own signal and ends through `ended`.
+    if (entry === undefined || entry.running) return;
+    const actions = this.options.gate.cancel(this.options.clock.now(), ticket);
+    this.end(ticket, cancelledWhileWaiting());
+    this.apply(actions);
+  }
+
+  private onEnded(ticket: number, result: BackendResult): void {
+    const entry = this.tickets.get(ticket);
+    if (entry === undefined) return;
+    if (saysDraining(result)) this.signs.noteDrainingAnswer();
+    if (result.type === 'answer') this.answerSizes.note(result.answer.body.length);
+    const spent = this.options.ledger.close(entry.offer.attempt.attemptId);
+    const dispatched = result.type === 'answer' || result.sent;
+    const now = this.options.clock.now();
+    const actions = this.options.gate.complete(now, ticket, outcomeOf(result));
+    const load = this.report(entry.offer.attempt.context);
+    this.logFailure(result);
+    this.end(ticket, toAttemptResult(result, dispatched ? spent : 0, load));
+    this.apply(actions);
+  }
+
+  private apply(actions: readonly GateAction[]): void {
+    for (const action of actions) {
+      if (action.type === 'dispatch') this.start(action.ticket);
+      else this.refuse(action.ticket, action.refusal);
+    }
+  }
+
+  private refuse(ticket: number, refusal: Refusal): void {
+    const { code, detail, retryAfterMs } = refusal;
+    const failure = createFailure(code, detail, { ...NOTHING_RUN, retryAfterMs });
+    const context = this.tickets.get(ticket)?.offer.attempt.context;
+    this.end(ticket, notDispatched('overloaded', failure, this.report(context)));
+  }
+
+  private start(ticket: number): void {
+    const entry = this.tickets.get(ticket);
+    if (entry === undefined) return;
+    entry.running = true;
+    const { attempt } = entry.offer;
+    if (this.signs.leaving) {
+      this.giveUp(ticket, refusedByLeavingTarget(this.options.target));
+      return;
+    }
+    const reservation = this.options.buffers.tryReserve(this.answerSizes.expected);
+    if (reservation === undefined) {
+      const options = { ...NOTHING_RUN, retryAfterMs: BUFFER_RETRY_AFTER_MS };
+      const failure = createFailure(
+        ResultCode.BufferExhausted,
+        'no buffer for the answer',
+        options,
+      );
+      const load = this.report(attempt.context);
+      this.giveUp(ticket, notDispatched('overloaded', failure, load));
+      return;
+    }
+    entry.reservation = reservation;
+    this.options.ledger.open(attempt.attemptId, attempt.attemptsGranted);
+    void this.callBackend(ticket, entry.offer, reservation);
+  }
+
+  private async callBackend(
+    ticket: number,
+    offer: OfferMessage,
+    reservation: BufferReservation,
+  ): Promise<void> {
+    const { attempt, maxAnswerBytes, signal } = offer;
+    let buffered = 0;
+    const result = await this.options.client.call(this.toBackendRequest(offer), {
+      timeoutMs: Math.max(0, attempt.context.deadline - this.options.clock.now()),
+      maxAnswerBytes,
+      signal,
+      mayStart: () => this.mayStart(offer),
+      takeBuffer: (bytes) => {
+        buffered += bytes;
+        return reservation.cover(buffered);
+      },
+    });
+    this.postOwn({ type: 'ended', ticket, result });
+  }
+
+  /** Checked right before the first byte of the request can reach the back end. */
+  private mayStart(offer: OfferMessage): boolean {
+    const now = this.options.clock.now();
+    const { context, notAfter } = offer.attempt;
+    return now < context.deadline && (notAfter === undefined || now <= notAfter);
+  }
+
+  private toBackendRequest(offer: OfferMessage): HttpRequest {
+    const { attemptId, context, request } = offer.attempt;
+    const headers = withBaggage(request.headers, {
+      parentAttemptId: attemptId,
+      nodeId: this.options.nodeId,
+      deadlineMs: context.deadline - this.options.clock.now(),
+      requestId: context.requestId,
+    });
+    return { ...request, headers };
+  }
+
+  /** Ends a ticket that the gate has dispatched and that never reached the back end. */
+  private giveUp(ticket: number, result: AttemptResult): void {
+    const now = this.options.clock.now();
+    const actions = this.options.gate.complete(now, ticket, result.outcome);
+    this.end(ticket, result);
+    this.apply(actions);
+  }
+
+  private end(ticket: number, result: AttemptResult): void {
+    const entry = this.tickets.get(ticket);
+    if (entry === undefined) return;
+    this.tickets.delete(ticket);
+    entry.stopListening();
+    entry.reservation?.release();
+    const { service } = entry.offer.attempt.context;
+    this.options.metrics.attempts.inc({ service, outcome: result.outcome });
+    entry.offer.resolve(result);
+  }
+
+  private noteDownstream({ service, threshold, kind }: DownstreamMessage): void {
+    this.options.gate.noteDownstream(this.options.clock.now(), service, threshold, kind);
+  }
+
+  private logFailure(result: BackendResult): void {
+    if (result.type === 'answer' || result.cause !== 'unreachable') return;
+    const { target } = this.options;
+    this.options.log.emit(Event.TargetUnreachable, { target, detail: result.failure.detail });
+  }
+
+  private afterMessage(): void {
+    if (this.signs.leaving !== this.wasLeaving) this.onLeavingChanged();
+    this.armGateTimer();
+    this.setGauges();
+    if (this.retiring && this.tickets.size === 0) this.retire();
+  }
+
+  private onLeavingChanged(): void {
+    const { target, log, onLeavingChanged } = this.options;
+    this.wasLeaving = this.signs.leaving;
+    if (this.wasLeaving) {
+      log.emit(Event.TargetDraining, { target });
+      this.refuseWaiting();
+    }
+    onLeavingChanged();
+  }
+
+  private refuseWaiting(): void {
+    const waiting = [...this.tickets].filter(([, entry]) => !entry.running);
+    for (const [ticket] of waiting) {
+      const actions = this.options.gate.cancel(this.options.clock.now(), ticket);
+      this.end(ticket, refusedByLeavingTarget(this.options.target));
+      this.apply(actions);
+    }
+  }
+
+  private armGateTimer(): void {
+    const next = this.options.gate.nextTimer();
+    if (next === this.armedFor) return;
+    this.cancelGateTimer();
+    this.armedFor = next;
+    if (next === undefined) return;
+    const delayMs = Math.max(0, next - this.options.clock.now());
+    this.cancelGateTimer = this.options.clock.schedule(delayMs, () => {
+      this.armedFor = undefined;
+      this.postOwn({ type: 'timer' });
+    });
+  }
+
+  private setGauges(): void {
+    const load = this.report();
+    this.gauges.inFlight.set(load.inFlight);
+    this.gauges.queued.set(load.queued);
+    this.gauges.limit.set(load.limit);
+  }
+
+  /** Posts a message of the task's own timers and calls, which may not get lost. */
+  private postOwn(message: TargetMessage): void {
+    if (this.post(message) || this.retired) return;
+    this.options.clock.schedule(REPOST_DELAY_MS, () => {
+      this.postOwn(message);
+    });
+  }
+
+  private retire(): void {
+    this.retired = true;
+    this.cancelGateTimer();
+    this.options.client.close();
+    this.close();
+    this.options.onRetired();
+  }
+}
--- /dev/null
+++ b/src/testing/fake-services.ts
@@ -0,0 +1,181 @@
+/** Stand-ins in memory for the services beside the path of a call; for tests. */
+import { Result } from 'true-myth';
+import type {
+  AttemptCharge,
+  ClaimDecision,
+  ClaimRequest,
+  ClaimService,
+} from '../claims/claim-service.js';
+import { createFailure, type Failure } from '../core/failure.js';
+import type { HttpAnswer } from '../core/http-message.js';
+import { ResultCode } from '../core/result-code.js';
+import type { Clock } from '../kernel/clock.js';
+import type { Member, Membership, MutableFacts } from '../membership/membership.js';
+import type { PeerCallName, PeerCalls } from '../peer/messages.js';
+import type {
+  BodyValidator,
+  PeerCallHandler,
+  PeerCallOptions,
+  PeerNetwork,
+} from '../peer/peer-network.js';
+
+/** The members of one fleet, seen at once by all nodes. */
+export class FakeFleet {
+  readonly members = new Map<string, Member>();
+  readonly handlers = new Map<string, Map<string, AnyHandler>>();
+  private readonly listeners = new Set<() => void>();
+
+  notify(): void {
+    for (const listener of this.listeners) listener();
+  }
+
+  subscribe(listener: () => void): () => void {
+    this.listeners.add(listener);
+    return () => this.listeners.delete(listener);
+  }
+}
+
+interface AnyHandler {
+  readonly validate: (body: unknown) => Result<unknown, Failure>;
+  readonly handle: (
+    from: string,
+    body: unknown,
+    signal: AbortSignal,
+  ) => Promise<Result<unknown, Failure>>;
+}
+
+/** Membership without a network. */
+export class FakeMembership implements Membership {
+  constructor(
+    private readonly fleet: FakeFleet,
+    private readonly own: Member,
+  ) {
+    fleet.members.set(own.nodeId, own);
+  }
+
+  self(): Member {
+    return this.fleet.members.get(this.own.nodeId) ?? this.own;
+  }
+
+  members(): readonly Member[] {
+    return [...this.fleet.members.values()];
+  }
+
+  find(nodeId: string): Member | undefined {
+    return this.fleet.members.get(nodeId);
+  }
+
+  update(facts: MutableFacts): void {
+    this.fleet.members.set(this.own.nodeId, { ...this.self(), ...facts });
+    this.fleet.notify();
+  }
+
+  addSeeds(): void {}
+
+  leave(): Promise<void> {
+    return Promise.resolve();
+  }
+
+  subscribe(listener: () => void): () => void {
+    return this.fleet.subscribe(listener);
+  }
+}
+
+/** Calls between the nodes of a fleet, without a network. */
+export class FakePeerNetwork implements PeerNetwork {
+  /** Peers whose replies are lost after the call was handled. */
+  readonly lossy = new Set<string>();
+
+  constructor(
+    private readonly fleet: FakeFleet,
+    private readonly nodeId: string,
+  ) {}
+
+  async call<K extends PeerCallName>(
+    node: string,
+    name: K,
+    request: PeerCalls[K]['request'],
+    options: PeerCallOptions,
+  ): Promise<Result<PeerCalls[K]['reply'], Failure>> {
+    const handler = this.fleet.handlers.get(node)?.get(name);
+    if (handler === undefined) {
+      return Result.err(createFailure(ResultCode.PeerUnreachable, node));
+    }
+    const body = handler.validate(request);
+    if (body.isErr) return Result.err(body.error);
+    const signal = options.signal ?? new AbortController().signal;
+    const reply = await handler.handle(this.nodeId, body.value, signal);
+    if (this.lossy.has(node)) return Result.err(createFailure(ResultCode.PeerLost, node));
+    return reply as Result<PeerCalls[K]['reply'], Failure>;
+  }
+
+  handle<K extends PeerCallName>(
+    name: K,
+    validate: BodyValidator<PeerCalls[K]['request']>,
+    handler: PeerCallHandler<K>,
+  ): void {
+    const own = this.fleet.handlers.get(this.nodeId) ?? new Map<string, AnyHandler>();
+    this.fleet.handlers.set(this.nodeId, own);
+    own.set(name, { validate, handle: handler as AnyHandler['handle'] });
+  }
+
+  setAddress(): void {}
+}
+
+interface ClaimRecord {
+  readonly fingerprint: string;
+  state: 'running' | 'finished';
+  answer?: HttpAnswer;
+}
+
+/** Claims and charges of one fleet, without replicas. */
+export class FakeClaimService implements ClaimService {
+  private readonly records = new Map<string, ClaimRecord>();
+  private readonly charges = new Map<string, number>();
+  /** Refuses everything, as when no majority answers. */
+  unavailable = false;
+  /** Time for which a grant allows dispatch. */
+  notAfterMs = 5_000;
+
+  constructor(private readonly clock: Clock) {}
+
+  claim(request: ClaimRequest): Promise<ClaimDecision> {
+    return Promise.resolve(this.decide(request));
+  }
+
+  release(request: ClaimRequest): void {
+    this.records.delete(request.key);
+  }
+
+  finish(request: ClaimRequest, answer: HttpAnswer | undefined): void {
+    const record = this.records.get(request.key);
+    if (record === undefined) return;
+    record.state = 'finished';
+    if (answer !== undefined) record.answer = answer;
+  }
+
+  charge(charge: AttemptCharge): Promise<Result<number, Failure>> {
+    const used = this.charges.get(charge.requestId) ?? 0;
+    const granted = Math.min(charge.wanted, charge.bound - used);
+    this.charges.set(charge.requestId, used + granted);
+    if (granted > 0) return Promise.resolve(Result.ok(granted));
+    return Promise.resolve(Result.err(createFailure(ResultCode.AttemptsExhausted, 'charged')));
+  }
+
+  private decide(request: ClaimRequest): ClaimDecision {
+    if (this.unavailable) {
+      return { type: 'refused', failure: createFailure(ResultCode.ClaimUnavailable, 'test') };
+    }
+    const record = this.records.get(request.key);
+    if (record === undefined) {
+      this.records.set(request.key, { fingerprint: request.fingerprint, state: 'running' });
+      return { type: 'granted', notAfter: this.clock.now() + this.notAfterMs };
+    }
+    if (record.fingerprint !== request.fingerprint) {
+      return { type: 'refused', failure: createFailure(ResultCode.IdempotencyKeyReused, 'test') };
+    }
+    if (record.state === 'running') return { type: 'in-progress' };
+    const { answer } = record;
+    return answer === undefined ? { type: 'finished' } : { type: 'finished', answer };
+  }
+}
