--- /dev/null
+++ b/src/target/backend-contract.test.ts
@@ -0,0 +1,379 @@
+/**
+ * Contract of the link to back ends: whatever a back end does, the caller gets the complete own
+ * answer or one numbered failure, and the next request is fine.
+ */
+import assert from 'node:assert/strict';
+import { after, before, test } from 'node:test';
+import { ResultCode } from '../core/result-code.js';
+import { DataPathFleet, type DataPathNode } from '../testing/data-path-node.js';
+import { send, type TestAnswer } from '../testing/raw-http.js';
+import {
+  answerPlain,
+  startScriptedBackend,
+  type BackendScript,
+  type ScriptedBackend,
+} from '../testing/scripted-backend.js';
+
+const DEADLINE_MS = 250;
+const MAX_ANSWER_BYTES = 1_000;
+
+const fleet = new DataPathFleet();
+let backend: ScriptedBackend;
+let near: DataPathNode;
+let far: DataPathNode;
+
+before(async () => {
+  backend = await startScriptedBackend();
+  const kind = {
+    criticality: 'normal',
+    idempotent: true,
+    deadlineMs: DEADLINE_MS,
+    maxAnswerBytes: MAX_ANSWER_BYTES,
+  };
+  fleet.apply({
+    apiVersion: 'sillshore/v1',
+    tenant: 'test',
+    services: [
+      {
+        name: 'guide',
+        hosts: ['guide'],
+        slots: 2,
+        connections: 2,
+        targets: [{ id: 'guide-1', zone: 'zone-a', address: `127.0.0.1:${backend.port}` }],
+        kinds: [
+          { ...kind, name: 'once', match: { pathPrefix: '/' }, attempts: 1 },
+          { ...kind, name: 'retried', match: { pathPrefix: '/retried' }, attempts: 3 },
+        ],
+      },
+    ],
+  });
+  near = await fleet.start('node-a', ['guide-1']);
+  far = await fleet.start('node-b');
+});
+
+after(async () => {
+  await fleet.stop();
+  await backend.close();
+});
+
+interface FaultCase {
+  readonly name: string;
+  readonly script: BackendScript;
+  readonly code: ResultCode;
+  readonly execution: string;
+}
+
+const reply =
+  (text: string, end = false): BackendScript =>
+  ({ socket }) => {
+    socket.write(text, 'latin1');
+    if (end) socket.end();
+  };
+
+const OK = 'HTTP/1.1 200 OK\r\n';
+
+const FAULTS: readonly FaultCase[] = [
+  {
+    name: 'truncated: fewer bytes than Content-Length',
+    script: reply(`${OK}Content-Length: 10\r\n\r\nhalf`, true),
+    code: ResultCode.AnswerIncomplete,
+    execution: 'unknown',
+  },
+  {
+    name: 'truncated: chunked without the last chunk',
+    script: reply(`${OK}Transfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n`, true),
+    code: ResultCode.AnswerIncomplete,
+    execution: 'unknown',
+  },
+  {
+    name: 'truncated: chunked with Connection: close',
+    script: reply(
+      `${OK}Connection: close\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n`,
+      true,
+    ),
+    code: ResultCode.AnswerIncomplete,
+    execution: 'unknown',
+  },
+  {
+    name: 'no length at all: the end cannot be told from a cut',
+    script: reply(`${OK}Connection: close\r\n\r\nmaybe all`, true),
+    code: ResultCode.AnswerIncomplete,
+    execution: 'unknown',
+  },
+  {
+    name: 'reset after the request',
+    script: ({ socket }) => socket.resetAndDestroy(),
+    code: ResultCode.AnswerIncomplete,
+    execution: 'unknown',
+  },
+  {
+    name: 'reset in the head of the answer',
+    script: ({ socket }) => socket.write('HTTP/1.1 200', () => socket.resetAndDestroy()),
+    code: ResultCode.AnswerIncomplete,
+    execution: 'unknown',
+  },
+  {
+    name: 'reset in the body of the answer',
+    script: ({ socket }) => {
+      socket.write(`${OK}Content-Length: 9\r\n\r\nhalf`, () => socket.resetAndDestroy());
+    },
+    code: ResultCode.AnswerIncomplete,
+    execution: 'unknown',
+  },
+  {
+    name: 'closed without an answer',
+    script: ({ socket }) => socket.end(),
+    code: ResultCode.AnswerIncomplete,
+    execution: 'unknown',
+  },
+  {
+    name: 'garbage instead of an answer',
+    script: reply('\x00\x01 no HTTP at all\r\n\r\n'),
+    code: ResultCode.AnswerIncomplete,
+    execution: 'unknown',
+  },
+  {
+    name: 'both Content-Length and chunked',
+    script: reply(`${OK}Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n`),
+    code: ResultCode.AnswerIncomplete,
+    execution: 'unknown',
+  },
+  {
+    name: 'two different Content-Length fields',
+    script: reply(`${OK}Content-Length: 4\r\nContent-Length: 5\r\n\r\nhalf!`),
+    code: ResultCode.AnswerIncomplete,
+    execution: 'unknown',
+  },
+  {
+    name: 'slow headers: the head never ends',
+    script: reply(`${OK}X-Slow: `),
+    code: ResultCode.AnswerTimeout,
+    execution: 'unknown',
+  },
+  {
+    name: 'no answer',
+    script: () => undefined,
+    code: ResultCode.AnswerTimeout,
+    execution: 'unknown',
+  },
+  {
+    name: 'the body stops',
+    script: reply(`${OK}Content-Length: 9\r\n\r\nhalf`),
+    code: ResultCode.AnswerTimeout,
+    execution: 'unknown',
+  },
+  {
+    name: 'too large by its Content-Length',
+    script: reply(`${OK}Content-Length: ${MAX_ANSWER_BYTES + 1}\r\n\r\n`),
+    code: ResultCode.AnswerTooLarge,
+    execution: 'unknown',
+  },
+  {
+    name: 'too large in chunks',
+    script: reply(`${OK}Transfer-Encoding: chunked\r\n\r\n7d0\r\n${'x'.repeat(2_000)}\r\n`),
+    code: ResultCode.AnswerTooLarge,
+    execution: 'unknown',
+  },
+  {
+    name: 'switched protocols',
+    script: reply('HTTP/1.1 101 Switching Protocols\r\nConnection: upgrade\r\nUpgrade: x\r\n\r\n'),
+    code: ResultCode.AnswerIncomplete,
+    execution: 'unknown',
+  },
+  {
+    name: 'refused for load by the back end itself',
+    script: reply(
+      'HTTP/1.1 503 No\r\nBackend-State: overloaded\r\nRetry-After: 2\r\nContent-Length: 0\r\n\r\n',
+    ),
+    code: ResultCode.TargetRefused,
+    execution: 'not-run',
+  },
+];
+
+function assertProblem(answer: TestAnswer, { code, execution }: FaultCase): void {
+  const document = JSON.parse(answer.body) as { code: number; execution: string };
+  assert.deepEqual({ code: document.code, execution: document.execution }, { code, execution });
+  assert.equal(answer.headers['sillshore-result'], String(code));
+  assert.equal(answer.headers['sillshore-execution'], execution);
+  assert.equal(answer.headers['content-type'], 'application/problem+json');
+}
+
+for (const fault of FAULTS) {
+  test(fault.name, async () => {
+    for (const [index, { entryPort: port }] of [near, far].entries()) {
+      const path = `/fault-${index}`;
+      backend.setScript((request) => {
+        if (request.path === path) fault.script(request);
+        else answerPlain(request);
+      });
+      assertProblem(await send({ port, path }), fault);
+      const next = await send({ port, path: '/next' });
+      assert.deepEqual([next.status, next.body], [200, '/next']);
+    }
+  });
+}
+
+interface AnswerCase {
+  readonly name: string;
+  readonly method?: string;
+  readonly script: BackendScript;
+  readonly status: number;
+  readonly body: string;
+  readonly headers: Readonly<Record<string, string>>;
+}
+
+const ANSWERS: readonly AnswerCase[] = [
+  {
+    name: 'chunked body is passed whole, with its length',
+    script: reply(
+      `${OK}X-A: 1\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n1\r\nc\r\n0\r\n\r\n`,
+    ),
+    status: 200,
+    body: 'abc',
+    headers: { 'content-length': '3', 'x-a': '1' },
+  },
+  {
+    name: '1xx before the answer',
+    script: reply(
+      `HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n${OK}Content-Length: 2\r\n\r\nok`,
+    ),
+    status: 200,
+    body: 'ok',
+    headers: { 'content-length': '2' },
+  },
+  {
+    name: 'HEAD keeps the length of the body that is not sent',
+    method: 'HEAD',
+    script: reply(`${OK}Content-Length: 1234567\r\n\r\n`),
+    status: 200,
+    body: '',
+    headers: { 'content-length': '1234567' },
+  },
+  {
+    name: '204 has no body and no length',
+    script: reply('HTTP/1.1 204 No Content\r\nX-A: 1\r\n\r\n'),
+    status: 204,
+    body: '',
+    headers: { 'x-a': '1' },
+  },
+  {
+    name: '304 has no body',
+    script: reply('HTTP/1.1 304 Not Modified\r\nETag: "a"\r\n\r\n'),
+    status: 304,
+    body: '',
+    headers: { etag: '"a"' },
+  },
+  {
+    name: 'an error answer of the back end is passed like any other',
+    script: reply('HTTP/1.1 500 Oops\r\nContent-Length: 3\r\n\r\nbad'),
+    status: 500,
+    body: 'bad',
+    headers: {},
+  },
+  {
+    name: 'hop-by-hop fields of the answer stay on the hop',
+    script: reply(`${OK}Connection: X-Hop\r\nX-Hop: 1\r\nX-Kept: 2\r\nContent-Length: 0\r\n\r\n`),
+    status: 200,
+    body: '',
+    headers: { 'x-kept': '2' },
+  },
+];
+
+for (const { name, method = 'GET', script, status, body, headers } of ANSWERS) {
+  test(name, async () => {
+    for (const { entryPort: port } of [near, far]) {
+      backend.setScript(script);
+      const answer = await send({ port, path: '/answer', method });
+      assert.deepEqual([answer.status, answer.body], [status, body]);
+      for (const [field, value] of Object.entries(headers)) {
+        assert.equal(answer.headers[field], value);
+      }
+      assert.equal(answer.headers['x-hop'], undefined);
+      backend.setScript(answerPlain);
+      const next = await send({ port, path: '/next' });
+      assert.equal(next.body, '/next');
+    }
+  });
+}
+
+test('a late answer after a timeout never reaches the next request', async () => {
+  for (const { entryPort: port } of [near, far]) {
+    let sendLate: () => void = () => undefined;
+    backend.setScript((request) => {
+      if (request.path !== '/late') answerPlain(request);
+      else sendLate = () => reply(`${OK}Content-Length: 4\r\n\r\nlate`)(request);
+    });
+    const timedOut = await send({ port, path: '/late' });
+    assert.equal(timedOut.headers['sillshore-result'], String(ResultCode.AnswerTimeout));
+    sendLate();
+    for (const path of ['/one', '/two', '/three']) {
+      assert.equal((await send({ port, path })).body, path);
+    }
+  }
+});
+
+test('a second, unasked answer never reaches the next request', async () => {
+  const twice = `${OK}Content-Length: 3\r\n\r\none${OK}Content-Length: 3\r\n\r\ntwo`;
+  const later = ({ socket }: { socket: { write(text: string): boolean } }): void => {
+    socket.write(`${OK}Content-Length: 3\r\n\r\none`);
+    setTimeout(() => socket.write(`${OK}Content-Length: 3\r\n\r\ntwo`), 20);
+  };
+  for (const script of [reply(twice), later]) {
+    backend.setScript(script);
+    const first = await send({ port: near.entryPort, path: '/first' });
+    assert.ok(first.body === 'one' || first.headers['sillshore-result'] !== undefined);
+    await new Promise((resolve) => setTimeout(resolve, 60));
+    backend.setScript(answerPlain);
+    for (const path of ['/a', '/b', '/c']) {
+      assert.equal((await send({ port: near.entryPort, path })).body, path);
+    }
+  }
+});
+
+test('a caller that goes away has its back-end call closed, and the slot is free again', async () => {
+  for (const { entryPort: port } of [near, far]) {
+    const aborts = [new AbortController(), new AbortController(), new AbortController()];
+    const closed: Promise<unknown>[] = [];
+    const started = new Promise<void>((resolve) => {
+      backend.setScript(({ socket }) => {
+        closed.push(new Promise((done) => socket.once('close', done)));
+        if (closed.length === 2) resolve();
+      });
+    });
+    const calls = aborts.map(({ signal }) => send({ port, path: '/gone', signal }));
+    const ends = Promise.allSettled(calls);
+    await started;
+    for (const abort of aborts) abort.abort();
+    await ends;
+    await Promise.all(closed);
+    backend.setScript(answerPlain);
+    assert.equal((await send({ port, path: '/next' })).body, '/next');
+  }
+});
+
+test('an idempotent request is repeated within its attempts, and no further', async () => {
+  for (const { entryPort: port } of [near, far]) {
+    backend.setScript(({ socket }) => socket.resetAndDestroy());
+    const before = backend.seen.length;
+    const failed = await send({ port, path: '/retried/always' });
+    assert.equal(failed.headers['sillshore-result'], String(ResultCode.AnswerIncomplete));
+    assert.equal(backend.seen.length - before, 3);
+    let first = true;
+    backend.setScript((request) => {
+      if (first) request.socket.resetAndDestroy();
+      else answerPlain(request);
+      first = false;
+    });
+    assert.equal((await send({ port, path: '/retried/once' })).body, '/retried/once');
+  }
+});
+
+test('a back end that cannot be reached was not run', async () => {
+  const { port: freed } = backend;
+  await backend.close();
+  const answer = await send({ port: near.entryPort, path: '/x' });
+  assert.equal(answer.headers['sillshore-result'], String(ResultCode.TargetUnreachable));
+  assert.equal(answer.headers['sillshore-execution'], 'not-run');
+  assert.ok(freed > 0);
+  backend = await startScriptedBackend();
+});
