Prove the callers' interface by a table of bad input and by sequences

Cause: bad input, slow senders and keys were untested; garbage inside a chunked body got no answer (the row failed), because an exchange was already registered on its connection. Ruled out: answering on the raw connection whenever an exchange is there: a pipelined earlier request could take the 400 for its own answer. Change: 20 input rows, 11 sequences; bad input is answered on its connection only when nothing else is on its way there, or only the request that it belongs to.

--- /dev/null
+++ b/src/entry/entry-contract.test.ts
@@ -0,0 +1,358 @@
+/** Contract of the callers' interface: bad input gets its number, and others do not suffer. */
+import assert from 'node:assert/strict';
+import { Agent } from 'node:http';
+import { connect } from 'node:net';
+import { after, before, beforeEach, test } from 'node:test';
+import { ResultCode } from '../core/result-code.js';
+import { DataPathFleet, type DataPathNode } from '../testing/data-path-node.js';
+import { send, sendRaw } from '../testing/raw-http.js';
+import {
+  answerPlain,
+  startScriptedBackend,
+  type ScriptedBackend,
+} from '../testing/scripted-backend.js';
+
+const READ_TIMEOUT_MS = 150;
+const MAX_REQUEST_BYTES = 1_000;
+const UUID_V7 = '018f0000-0000-7000-8000-000000000001';
+
+const fleet = new DataPathFleet();
+let backend: ScriptedBackend;
+let node: DataPathNode;
+
+before(async () => {
+  backend = await startScriptedBackend();
+  const kind = { criticality: 'normal', attempts: 2, deadlineMs: 500 };
+  const limited = { ...kind, maxRequestBytes: MAX_REQUEST_BYTES, idempotent: true };
+  const target = { zone: 'zone-a', address: `127.0.0.1:${backend.port}` };
+  const service = { slots: 4, connections: 4 };
+  fleet.apply({
+    apiVersion: 'sillshore/v1',
+    tenant: 'test',
+    services: [
+      {
+        ...service,
+        name: 'guide',
+        hosts: ['guide'],
+        targets: [{ ...target, id: 'guide-1' }],
+        kinds: [
+          { ...limited, name: 'read', match: { pathPrefix: '/steps' } },
+          { ...kind, name: 'promise', match: { pathPrefix: '/promises' }, idempotent: false },
+        ],
+      },
+      {
+        ...service,
+        name: 'ledger',
+        hosts: ['ledger'],
+        entry: 'internal',
+        targets: [{ ...target, id: 'ledger-1' }],
+        kinds: [{ ...kind, name: 'write', match: { pathPrefix: '/' }, idempotent: true }],
+      },
+    ],
+  });
+  const limits = { requestReadTimeoutMs: READ_TIMEOUT_MS };
+  node = await fleet.start('node-a', ['guide-1', 'ledger-1'], { limits });
+});
+
+beforeEach(() => {
+  backend.setScript(answerPlain);
+});
+
+after(async () => {
+  await fleet.stop();
+  await backend.close();
+});
+
+interface InputCase {
+  readonly name: string;
+  readonly raw: string;
+  readonly code: ResultCode;
+  readonly status: number;
+}
+
+const HEAD = 'GET /steps HTTP/1.1\r\nHost: guide\r\n';
+const POST = 'POST /steps HTTP/1.1\r\nHost: guide\r\nConnection: close\r\n';
+const CLOSE = 'Connection: close\r\n\r\n';
+
+const INPUTS: readonly InputCase[] = [
+  { name: 'garbage', raw: '\x00\x01\x02\r\n\r\n', code: ResultCode.MalformedRequest, status: 400 },
+  {
+    name: 'TLS hello',
+    raw: '\x16\x03\x01\x02\x00',
+    code: ResultCode.MalformedRequest,
+    status: 400,
+  },
+  {
+    name: 'head larger than the limit',
+    raw: `${HEAD}X-Big: ${'x'.repeat(20_000)}\r\n${CLOSE}`,
+    code: ResultCode.MalformedRequest,
+    status: 400,
+  },
+  {
+    name: 'Content-Length and chunked together',
+    raw: `${POST}Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n`,
+    code: ResultCode.MalformedRequest,
+    status: 400,
+  },
+  {
+    name: 'two Host fields',
+    raw: `${HEAD}Host: other\r\n${CLOSE}`,
+    code: ResultCode.MalformedRequest,
+    status: 400,
+  },
+  {
+    name: 'no Host field',
+    raw: `GET /steps HTTP/1.1\r\n${CLOSE}`,
+    code: ResultCode.MalformedRequest,
+    status: 400,
+  },
+  {
+    name: 'CONNECT',
+    raw: `CONNECT guide:1 HTTP/1.1\r\nHost: guide:1\r\n\r\n`,
+    code: ResultCode.MalformedRequest,
+    status: 400,
+  },
+  {
+    name: 'unknown service',
+    raw: `GET /steps HTTP/1.1\r\nHost: nobody\r\n${CLOSE}`,
+    code: ResultCode.UnknownService,
+    status: 404,
+  },
+  {
+    name: 'unknown kind',
+    raw: `GET /other HTTP/1.1\r\nHost: guide\r\n${CLOSE}`,
+    code: ResultCode.UnknownKind,
+    status: 404,
+  },
+  {
+    name: 'declared body too large',
+    raw: `${POST}Content-Length: ${MAX_REQUEST_BYTES + 1}\r\n\r\n${'x'.repeat(MAX_REQUEST_BYTES + 1)}`,
+    code: ResultCode.BodyTooLarge,
+    status: 413,
+  },
+  {
+    name: 'chunked body too large',
+    raw: `${POST}Transfer-Encoding: chunked\r\n\r\n7d0\r\n${'x'.repeat(2_000)}\r\n0\r\n\r\n`,
+    code: ResultCode.BodyTooLarge,
+    status: 413,
+  },
+  {
+    name: 'slow head',
+    raw: HEAD,
+    code: ResultCode.RequestReadTimeout,
+    status: 408,
+  },
+  {
+    name: 'slow body',
+    raw: `${POST}Content-Length: 10\r\n\r\nhalf`,
+    code: ResultCode.RequestReadTimeout,
+    status: 408,
+  },
+  {
+    name: 'garbage in a chunked body',
+    raw: `${POST}Transfer-Encoding: chunked\r\n\r\nzz\r\n`,
+    code: ResultCode.MalformedRequest,
+    status: 400,
+  },
+  {
+    name: 'timeout field that is no number',
+    raw: `${HEAD}Sillshore-Timeout: soon\r\n${CLOSE}`,
+    code: ResultCode.InvalidField,
+    status: 400,
+  },
+  {
+    name: 'timeout field out of range',
+    raw: `${HEAD}Sillshore-Timeout: 0\r\n${CLOSE}`,
+    code: ResultCode.InvalidField,
+    status: 400,
+  },
+  {
+    name: 'key that is no UUIDv7',
+    raw: `${HEAD}Idempotency-Key: abc\r\n${CLOSE}`,
+    code: ResultCode.InvalidField,
+    status: 400,
+  },
+  {
+    name: 'non-idempotent kind without a key',
+    raw: `POST /promises HTTP/1.1\r\nHost: guide\r\nContent-Length: 0\r\n${CLOSE}`,
+    code: ResultCode.IdempotencyKeyRequired,
+    status: 400,
+  },
+  {
+    name: 'internal service without its context',
+    raw: `GET /x HTTP/1.1\r\nHost: ledger\r\n${CLOSE}`,
+    code: ResultCode.CallContextRequired,
+    status: 400,
+  },
+  {
+    name: 'context of an attempt that does not run',
+    raw: `GET /x HTTP/1.1\r\nHost: ledger\r\nBaggage: sillshore-parent=a.b.c\r\n${CLOSE}`,
+    code: ResultCode.CallContextRequired,
+    status: 400,
+  },
+];
+
+for (const { name, raw, code, status } of INPUTS) {
+  test(`bad input: ${name}`, async () => {
+    const seenBefore = backend.seen.length;
+    const other = send({ port: node.entryPort, path: '/steps/other' });
+    const received = await sendRaw(node.entryPort, raw);
+    const [head = '', body = ''] = received.split('\r\n\r\n');
+    assert.match(head, new RegExp(`^HTTP/1.1 ${status} `));
+    assert.match(head, new RegExp(`\\r\\nSillshore-Result: ${code}\\r\\n`));
+    const document = JSON.parse(body) as { code: number; execution: string };
+    assert.deepEqual([document.code, document.execution], [code, 'not-run']);
+    assert.equal((await other).body, '/steps/other');
+    assert.deepEqual(backend.seen.slice(seenBefore), ['/steps/other']);
+  });
+}
+
+test('a request that is cut off in its body never reaches the back end', async () => {
+  const seenBefore = backend.seen.length;
+  const socket = connect(node.entryPort, '127.0.0.1');
+  socket.write(`${POST}Content-Length: 10\r\n\r\nhalf`);
+  await new Promise<void>((resolve) => socket.end(resolve));
+  await new Promise((resolve) => socket.once('close', resolve).resume());
+  assert.equal((await send({ port: node.entryPort, path: '/steps/next' })).body, '/steps/next');
+  assert.deepEqual(backend.seen.slice(seenBefore), ['/steps/next']);
+});
+
+test('Expect: 100-continue is answered before the body, and not for a refused one', async () => {
+  const expecting = `${POST}Expect: 100-continue\r\n`;
+  const wanted = `${expecting}Content-Length: 2\r\n\r\nab`;
+  assert.match(
+    await sendRaw(node.entryPort, wanted),
+    /^HTTP\/1.1 100 Continue\r\n\r\nHTTP\/1.1 200/,
+  );
+  const refused = `${expecting}Content-Length: ${MAX_REQUEST_BYTES + 1}\r\n\r\n`;
+  assert.match(await sendRaw(node.entryPort, refused), /^HTTP\/1.1 413/);
+});
+
+test('pipelined requests are answered in their order', async () => {
+  const request = (path: string, last = ''): string =>
+    `GET ${path} HTTP/1.1\r\nHost: guide\r\n${last}\r\n`;
+  const raw =
+    request('/steps/1') + request('/steps/2') + request('/steps/3', 'Connection: close\r\n');
+  const received = await sendRaw(node.entryPort, raw);
+  assert.deepEqual(received.match(/\/steps\/\d/g), ['/steps/1', '/steps/2', '/steps/3']);
+});
+
+test('method, path, query, body and fields pass unchanged, context is added', async () => {
+  await send({
+    port: node.entryPort,
+    method: 'PUT',
+    path: '/steps/a%20b?x=1&y=%2F',
+    headers: { 'X-One': ['1', '2'], Connection: 'X-Hop', 'X-Hop': 'h', baggage: 'user=7' },
+    body: 'abc',
+  });
+  const head = backend.heads.at(-1) ?? '';
+  assert.match(head, /^PUT \/steps\/a%20b\?x=1&y=%2F HTTP\/1.1\r\n/);
+  assert.match(head, /X-One: 1\r\nX-One: 2\r\n/);
+  assert.match(head, /\r\nContent-Length: 3\r\n/);
+  assert.match(head, /\r\ntraceparent: 00-[0-9a-f]{32}-[0-9a-f]{16}-00/);
+  assert.match(
+    head,
+    /\r\nbaggage: user=7,sillshore-parent=node-a\.\w+\.\w+,sillshore-node=node-a,/,
+  );
+  const left = Number(/sillshore-deadline=(\d+)/.exec(head)?.[1]);
+  assert.ok(left > 0 && left <= 500);
+  assert.doesNotMatch(head, /X-Hop/);
+});
+
+test("the caller's own timeout shortens the deadline", async () => {
+  backend.setScript(() => undefined);
+  const headers = { 'Sillshore-Timeout': '40' };
+  const answer = await send({ port: node.entryPort, path: '/steps/slow', headers });
+  const codes = [ResultCode.AnswerTimeout, ResultCode.DeadlineExceeded].map(String);
+  assert.ok(codes.includes(String(answer.headers['sillshore-result'])));
+  assert.equal(answer.headers['sillshore-execution'], 'unknown');
+  assert.ok(Number(/sillshore-deadline=(\d+)/.exec(backend.heads.at(-1) ?? '')?.[1]) <= 40);
+});
+
+const KEY_CASES = [
+  {
+    name: 'answered',
+    key: `${UUID_V7.slice(0, -1)}2`,
+    script: answerPlain,
+    status: 200,
+    replays: true,
+  },
+  {
+    name: 'reset after it was sent',
+    key: `${UUID_V7.slice(0, -1)}3`,
+    script: ({ socket }: { socket: { resetAndDestroy(): unknown } }) => {
+      socket.resetAndDestroy();
+    },
+    status: 502,
+    replays: false,
+  },
+];
+
+for (const { name, key, script, status, replays } of KEY_CASES) {
+  test(`a non-idempotent request takes effect once: ${name}`, async () => {
+    backend.setScript(script);
+    const seenBefore = backend.seen.length;
+    const request = {
+      port: node.entryPort,
+      method: 'POST',
+      path: '/promises/1',
+      headers: { 'Idempotency-Key': `"${key}"` },
+    };
+    assert.equal((await send(request)).status, status);
+    const repeat = await send(request);
+    assert.equal(repeat.headers['sillshore-replayed'], replays ? 'true' : undefined);
+    const code = replays ? undefined : String(ResultCode.OutcomeUnknown);
+    assert.equal(repeat.headers['sillshore-result'], code);
+    assert.equal(backend.seen.length - seenBefore, 1);
+    const other = await send({ ...request, body: 'another body' });
+    assert.equal(other.headers['sillshore-result'], String(ResultCode.IdempotencyKeyReused));
+  });
+}
+
+test('a non-idempotent request refused by the back end itself is tried again under its claim', async () => {
+  let refusals = 1;
+  backend.setScript((request) => {
+    refusals -= 1;
+    if (refusals < 0) answerPlain(request);
+    else
+      request.socket.write(
+        'HTTP/1.1 503 No\r\nBackend-State: overloaded\r\nContent-Length: 0\r\n\r\n',
+      );
+  });
+  const headers = { 'Idempotency-Key': `${UUID_V7.slice(0, -1)}4` };
+  const path = '/promises/2';
+  const answer = await send({ port: node.entryPort, method: 'POST', path, headers });
+  assert.deepEqual([answer.status, answer.body], [200, path]);
+});
+
+test('no dispatch after the time that the claim allows', async () => {
+  fleet.claims.notAfterMs = -1;
+  const seenBefore = backend.seen.length;
+  const headers = { 'Idempotency-Key': `${UUID_V7.slice(0, -1)}5` };
+  const path = '/promises/3';
+  const answer = await send({ port: node.entryPort, method: 'POST', path, headers });
+  fleet.claims.notAfterMs = 5_000;
+  assert.equal(answer.headers['sillshore-execution'], 'not-run');
+  assert.equal(backend.seen.length, seenBefore);
+});
+
+test('repeats of one idempotent request share its attempts', async () => {
+  const headers = { 'Idempotency-Key': `${UUID_V7.slice(0, -1)}6` };
+  const seenBefore = backend.seen.length;
+  const codes: unknown[] = [];
+  for (let repeat = 0; repeat < 4; repeat += 1) {
+    const answer = await send({ port: node.entryPort, path: '/steps/key', headers });
+    codes.push(answer.headers['sillshore-result']);
+  }
+  const exhausted = String(ResultCode.AttemptsExhausted);
+  assert.deepEqual(codes, [undefined, undefined, exhausted, exhausted]);
+  assert.equal(backend.seen.length - seenBefore, 2);
+});
+
+test('connections are kept alive', async () => {
+  const agent = new Agent({ keepAlive: true, maxSockets: 1 });
+  const first = await send({ port: node.entryPort, path: '/steps/1', agent });
+  assert.equal(first.headers.connection, 'keep-alive');
+  assert.equal((await send({ port: node.entryPort, path: '/steps/2', agent })).body, '/steps/2');
+  agent.destroy();
+});
--- a/src/entry/entry-server.ts
+++ b/src/entry/entry-server.ts
@@ -74,18 +74,24 @@
 }
 
 function attachListeners(server: Server, options: EntryServerOptions): void {
-  const { clock, onExchange } = options;
+  const running = new RunningExchanges();
+  const accept = (request: IncomingMessage, response: ServerResponse, expects: boolean): void => {
+    const exchange = new HttpExchange(request, response, options.clock, expects);
+    running.add(request.socket, exchange);
+    options.onExchange(exchange);
+  };
   const listener = createListener(options.framework, (request, response) => {
-    onExchange(new HttpExchange(request, response, clock, false));
+    accept(request, response, false);
   });
   server.on('request', listener);
   const withExpectation = (request: IncomingMessage, response: ServerResponse): void => {
-    onExchange(new HttpExchange(request, response, clock, true));
+    accept(request, response, true);
   };
   server.on('checkContinue', withExpectation);
   server.on('checkExpectation', withExpectation);
   server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
-    rejectInput(options, socket, toInputFailure(error));
+    if (running.giveWay(socket)) rejectInput(options, socket, toInputFailure(error));
+    else socket.destroy();
   });
   server.on('connect', (_request, socket) => {
     const detail = 'CONNECT is not served';
@@ -93,6 +99,30 @@
   });
 }
 
+/** Exchanges in progress by connection; pipelining allows several. */
+class RunningExchanges {
+  private readonly bySocket = new WeakMap<Duplex, Set<HttpExchange>>();
+
+  add(socket: Duplex, exchange: HttpExchange): void {
+    const exchanges = this.bySocket.get(socket) ?? new Set();
+    this.bySocket.set(socket, exchanges);
+    exchanges.add(exchange);
+    exchange.onClose(() => exchanges.delete(exchange));
+  }
+
+  /**
+   * Whether bad input on a connection may be answered on it: nothing else is on its way, or
+   * only the request that the bad input is a part of, which is then given up.
+   */
+  giveWay(socket: Duplex): boolean {
+    const [first, second] = this.bySocket.get(socket) ?? [];
+    if (first === undefined) return true;
+    if (second !== undefined || !first.awaitsRequest) return false;
+    first.abandon();
+    return true;
+  }
+}
+
 type RequestListener = (request: IncomingMessage, response: ServerResponse) => void;
 
 function createListener(framework: EntryFramework, handle: RequestListener): RequestListener {
@@ -131,11 +161,10 @@
   return createFailure(ResultCode.MalformedRequest, error.code ?? 'not HTTP');
 }
 
-/** Answers on the raw connection, unless an answer is on its way on it, and closes it. */
+/** Answers on the raw connection and closes it. */
 function rejectInput(options: EntryServerOptions, socket: Duplex, failure: Failure): void {
   const answer = options.onBadInput(failure);
-  const started = socket instanceof Object && '_httpMessage' in socket && socket._httpMessage;
-  if (!socket.writable || started) {
+  if (!socket.writable) {
     socket.destroy();
     return;
   }
--- a/src/entry/http-exchange.ts
+++ b/src/entry/http-exchange.ts
@@ -30,6 +30,7 @@
   readonly path: string;
   readonly headers: HeaderFields;
   private readonly abort = new AbortController();
+  private abandoned = false;
 
   constructor(
     private readonly request: IncomingMessage,
@@ -52,6 +53,17 @@
     });
   }
 
+  /** Whether the request is still arriving and nothing has been answered. */
+  get awaitsRequest(): boolean {
+    return !this.request.complete && !this.response.headersSent && !this.abandoned;
+  }
+
+  /** Gives the exchange up: its connection was answered and closed on a lower level. */
+  abandon(): void {
+    this.abandoned = true;
+    this.abort.abort();
+  }
+
   /** Aborts when the caller goes away before it has the whole answer. */
   get signal(): AbortSignal {
     return this.abort.signal;
@@ -84,7 +96,7 @@
   /** Sends the whole answer; ignored when the caller is gone. */
   answer(answer: HttpAnswer, closeConnection: boolean): void {
     const { response, request } = this;
-    if (response.destroyed || response.headersSent) return;
+    if (this.abandoned || response.destroyed || response.headersSent) return;
     const headers = answer.headers.flatMap(([name, value]) => [name, value]);
     if (this.needsLength(answer)) headers.push('Content-Length', String(answer.body.length));
     if (closeConnection) headers.push('Connection', 'close');
