Keep own and reported signs of leaving apart; finish non-idempotent requests without their caller

Cause: a sign told by one node would have been told back by the next for ever; a caller that gave up a non-idempotent request after its dispatch left a key whose answer nobody could get any more. Ruled out: cancelling and releasing the claim: the request may have taken effect. Change: only a node's own signs and the list of machines are published; others' signs stop work here. Attempts under a claim are not cancelled; a repeat of the key gets their answer.

--- a/src/entry/entry-contract.test.ts
+++ b/src/entry/entry-contract.test.ts
@@ -325,6 +325,31 @@
   assert.deepEqual([answer.status, answer.body], [200, path]);
 });
 
+test('a caller that goes away gets the answer of its non-idempotent request by a repeat', async () => {
+  const abort = new AbortController();
+  let answerNow: () => void = () => undefined;
+  const arrived = new Promise<void>((resolve) => {
+    backend.setScript((request) => {
+      answerNow = () => {
+        answerPlain(request);
+      };
+      resolve();
+    });
+  });
+  const headers = { 'Idempotency-Key': `${UUID_V7.slice(0, -1)}7` };
+  const request = { port: node.entryPort, method: 'POST', path: '/promises/4', headers };
+  const gone = send({ ...request, signal: abort.signal });
+  await arrived;
+  abort.abort();
+  await assert.rejects(gone);
+  const early = await send(request);
+  assert.equal(early.headers['sillshore-result'], String(ResultCode.RequestInProgress));
+  answerNow();
+  let repeat = await send(request);
+  while (repeat.status === 409) repeat = await send(request);
+  assert.deepEqual([repeat.body, repeat.headers['sillshore-replayed']], ['/promises/4', 'true']);
+});
+
 test('no dispatch after the time that the claim allows', async () => {
   fleet.claims.notAfterMs = -1;
   const seenBefore = backend.seen.length;
--- a/src/entry/routed-call.ts
+++ b/src/entry/routed-call.ts
@@ -12,6 +12,9 @@
 /** Bound on tries of one call at one hop; refusals by targets cost no attempts. */
 const MAX_TRIES = 16;
 
+/** Signal of attempts that are not cancelled. */
+const NEVER_ABORTED = new AbortController().signal;
+
 /** What one call works with. */
 export interface RoutedCallOptions {
   readonly call: InboundCall;
@@ -85,7 +88,7 @@
   }
 
   private callTarget(target: string, attemptsGranted: number): Promise<AttemptResult> {
-    const { call, caller, signal, createAttemptId } = this.options;
+    const { call, caller, createAttemptId } = this.options;
     const attempt = {
       attemptId: createAttemptId(),
       target,
@@ -94,7 +97,9 @@
       attemptsGranted,
     };
     const { notAfter } = this;
-    return caller.call(notAfter === undefined ? attempt : { ...attempt, notAfter }, signal);
+    if (notAfter === undefined) return caller.call(attempt, this.options.signal);
+    // It takes effect once only: it goes on without its caller, whose repeat gets the answer.
+    return caller.call({ ...attempt, notAfter }, NEVER_ABORTED);
   }
 
   private report(target: string, result: AttemptResult, started: number): void {
--- a/src/target/leaving-signs.ts
+++ b/src/target/leaving-signs.ts
@@ -15,11 +15,16 @@
   private stoppedServing = false;
   private unreachablePolls = 0;
   private drainedByOperator = false;
-  private listedAsLeaving = false;
+  private reportedByOthers = false;
 
   /** Whether the target may get no new work. */
   get leaving(): boolean {
-    return this.seenInTraffic || this.drainedByOperator || this.listedAsLeaving;
+    return this.seenHere || this.reportedByOthers;
+  }
+
+  /** Whether this node has a sign of its own, to be told to others. */
+  get seenHere(): boolean {
+    return this.seenInTraffic || this.drainedByOperator;
   }
 
   /** An answer said that the target is draining. */
@@ -55,8 +60,8 @@
     this.drainedByOperator = drained;
   }
 
-  /** The platform's list of machines shows the target as leaving, or not. */
-  setListedAsLeaving(listed: boolean): void {
-    this.listedAsLeaving = listed;
+  /** Another node or the platform's list of machines shows the target as leaving, or not. */
+  setReportedByOthers(reported: boolean): void {
+    this.reportedByOthers = reported;
   }
 }
--- a/src/target/local-target-dispatcher.ts
+++ b/src/target/local-target-dispatcher.ts
@@ -48,6 +48,8 @@
   private readonly ledger = new AttemptLedger();
   private readonly running = new Map<string, TargetAttempt>();
   private placed: ReadonlySet<string> = new Set();
+  private listedAsLeaving: ReadonlySet<string> = new Set();
+  private reportedByOthers: ReadonlySet<string> = new Set();
   private cancelRetirement: CancelTimer = () => {};
   private created = 0;
 
@@ -125,17 +127,24 @@
     return this.fronted.get(target)?.task.post({ type: 'operator-drain', drained }) ?? false;
   }
 
-  /** Takes the platform's list of leaving targets in. */
-  noteListedAsLeaving(leaving: readonly string[]): void {
-    const listed = new Set(leaving);
-    for (const [target, { task }] of this.fronted) {
-      task.post({ type: 'listed-leaving', leaving: listed.has(target) });
-    }
+  /** Takes the targets that the platform's list of machines shows as leaving, and spreads them. */
+  noteListedAsLeaving(targets: readonly string[]): void {
+    this.listedAsLeaving = new Set(targets);
+    this.tellTasks();
+    this.publishLeaving();
+  }
+
+  /** Takes the targets that other nodes have seen leaving. */
+  noteReportedByOthers(targets: readonly string[]): void {
+    this.reportedByOthers = new Set(targets);
+    this.tellTasks();
   }
 
-  /** Ids of fronted targets that are leaving. */
+  /** Targets that this node itself knows to be leaving, sorted. */
   leavingTargets(): readonly string[] {
-    return [...this.fronted].filter(([, { task }]) => task.leaving).map(([target]) => target);
+    const seen = [...this.fronted].filter(([, { task }]) => task.seenLeavingHere);
+    const ids = new Set([...seen.map(([target]) => target), ...this.listedAsLeaving]);
+    return [...ids].sort();
   }
 
   /** Retires all tasks. */
@@ -152,6 +161,7 @@
     const { address } = located.target;
     const made = { task: this.createTask(target, located), shape, address };
     this.fronted.set(target, made);
+    this.tellTask(target, made.task);
     return made;
   }
 
@@ -203,6 +213,15 @@
     task.post({ type: 'retire' });
   }
 
+  private tellTasks(): void {
+    for (const [target, { task }] of this.fronted) this.tellTask(target, task);
+  }
+
+  private tellTask(target: string, task: TargetTask): void {
+    const leaving = this.listedAsLeaving.has(target) || this.reportedByOthers.has(target);
+    task.post({ type: 'reported-leaving', leaving });
+  }
+
   private publishLeaving(): void {
     this.options.onLeavingChanged(this.leavingTargets());
   }
--- a/src/target/target-messages.ts
+++ b/src/target/target-messages.ts
@@ -35,8 +35,8 @@
   | { readonly type: 'health'; readonly state: HealthState }
   /** An operator drains the target, or ends the drain. */
   | { readonly type: 'operator-drain'; readonly drained: boolean }
-  /** The list of machines shows the target as leaving, or not. */
-  | { readonly type: 'listed-leaving'; readonly leaving: boolean }
+  /** Another node or the list of machines shows the target as leaving, or not. */
+  | { readonly type: 'reported-leaving'; readonly leaving: boolean }
   | DownstreamMessage
   /** The target is no longer placed here: finish what runs, then close. */
   | { readonly type: 'retire' };
--- a/src/target/target-plugin.ts
+++ b/src/target/target-plugin.ts
@@ -72,6 +72,9 @@
     this.placement.refresh();
     const { id } = this.container.get(Token.Settings).node;
     this.dispatcher.setPlaced(this.placement.placedAt(id));
+    const members = this.container.get(Token.Membership).members();
+    const others = members.filter(({ nodeId }) => nodeId !== id);
+    this.dispatcher.noteReportedByOthers(others.flatMap((member) => member.leavingTargets));
   }
 
   private handlePeerCalls(): void {
--- a/src/target/target-task.ts
+++ b/src/target/target-task.ts
@@ -34,7 +34,7 @@
   readonly clock: Clock;
   readonly log: EventLog;
   readonly metrics: Metrics;
-  /** Called when the target starts or ends leaving. */
+  /** Called when this node starts or ends seeing the target leave. */
   readonly onLeavingChanged: () => void;
   /** Called once, when a retired task has ended its work. */
   readonly onRetired: () => void;
@@ -70,6 +70,7 @@
   private readonly answerSizes = new AnswerSizeEstimate();
   private lastTicket = 0;
   private wasLeaving = false;
+  private wasSeenHere = false;
   private retiring = false;
   private retired = false;
   private armedFor: number | undefined;
@@ -96,6 +97,11 @@
     return this.signs.leaving;
   }
 
+  /** Whether this node itself has seen the target leave. */
+  get seenLeavingHere(): boolean {
+    return this.signs.seenHere;
+  }
+
   /** Load as the gate sees it, for a request's kind or in general. */
   report(request?: RequestContext): LoadReport {
     return this.options.gate.report(this.options.clock.now(), request);
@@ -121,8 +127,8 @@
       case 'operator-drain':
         this.signs.setDrainedByOperator(message.drained);
         break;
-      case 'listed-leaving':
-        this.signs.setListedAsLeaving(message.leaving);
+      case 'reported-leaving':
+        this.signs.setReportedByOthers(message.leaving);
         break;
       case 'downstream':
         this.noteDownstream(message);
@@ -290,19 +296,22 @@
 
   private afterMessage(): void {
     if (this.signs.leaving !== this.wasLeaving) this.onLeavingChanged();
+    if (this.signs.seenHere !== this.wasSeenHere) {
+      this.wasSeenHere = this.signs.seenHere;
+      this.options.onLeavingChanged();
+    }
     this.armGateTimer();
     this.setGauges();
     if (this.retiring && this.tickets.size === 0) this.retire();
   }
 
   private onLeavingChanged(): void {
-    const { target, log, onLeavingChanged } = this.options;
+    const { target, log } = this.options;
     this.wasLeaving = this.signs.leaving;
     if (this.wasLeaving) {
       log.emit(Event.TargetDraining, { target });
       this.refuseWaiting();
     }
-    onLeavingChanged();
   }
 
   private refuseWaiting(): void {
