Add the links between nodes: BSON frames over TCP with mutual authentication

Cause: calls between nodes had an interface (PeerNetwork) and no transport. Ruled out: one connection for both directions (two state machines in one link, and a cut of one direction would end both); a separate length prefix (BSON starts with its length).

--- /dev/null
+++ b/src/peer/incoming-link.ts
@@ -0,0 +1,145 @@
+/** The serving end of a link: checks the peer's proof, runs handlers and sends their replies. */
+import type { Socket } from 'node:net';
+import type { Result } from 'true-myth';
+import { createFailure, type Failure } from '../core/failure.js';
+import { ResultCode } from '../core/result-code.js';
+import type { Envelope } from './frame-codec.js';
+import type { HandlerRegistry } from './handler-registry.js';
+import {
+  createHelloFrame,
+  createNonce,
+  createProof,
+  readHello,
+  readProof,
+  verifyProof,
+  type HandshakeContext,
+} from './handshake.js';
+import { PeerLink, type LinkOptions } from './peer-link.js';
+
+/** Messages of the handlers to an incoming link. */
+export interface IncomingCommand {
+  readonly type: 'finished';
+  readonly id: number;
+  readonly result: Result<unknown, Failure>;
+}
+
+/** Options of an incoming link. */
+export interface IncomingLinkOptions extends LinkOptions {
+  readonly handlers: HandlerRegistry;
+  /** Called once when the link has ended. */
+  readonly onEnd: (link: IncomingLink) => void;
+}
+
+/** A connection that carries one peer's calls to this node. */
+export class IncomingLink extends PeerLink<IncomingCommand> {
+  private readonly running = new Map<number, AbortController>();
+  private readonly nonce = createNonce();
+  private context: HandshakeContext | undefined;
+  private lastId = 0;
+
+  constructor(
+    socket: Socket,
+    private readonly linkOptions: IncomingLinkOptions,
+  ) {
+    super(`from ${socket.remoteAddress ?? '?'}:${socket.remotePort ?? '?'}`, socket, linkOptions);
+  }
+
+  get inFlight(): number {
+    return this.running.size;
+  }
+
+  protected onConnected(): void {}
+
+  protected onHandshakeFrame(envelope: Envelope): void {
+    if (this.context === undefined) this.onHello(envelope);
+    else this.onProof(envelope, this.context);
+  }
+
+  protected onFrame(envelope: Envelope): boolean {
+    switch (envelope.t) {
+      case 'call':
+        return this.onCall(envelope);
+      case 'cancel':
+        this.cancel(envelope.id);
+        return true;
+      default:
+        return false;
+    }
+  }
+
+  protected onCommand({ id, result }: IncomingCommand): void {
+    if (this.running.delete(id)) this.reply(id, result);
+  }
+
+  protected onEnd(): void {
+    for (const controller of this.running.values()) controller.abort();
+    this.running.clear();
+    this.linkOptions.onEnd(this);
+  }
+
+  private onHello(envelope: Envelope): void {
+    const { node, sharedKey } = this.linkOptions;
+    const hello = readHello(envelope);
+    if (hello === undefined) {
+      this.rejectPeer('another protocol');
+      return;
+    }
+    this.context = {
+      clientNode: hello.node,
+      serverNode: node,
+      clientNonce: hello.nonce,
+      serverNonce: this.nonce,
+    };
+    const proof = createProof(sharedKey, 'server', this.context);
+    this.send(createHelloFrame({ node, nonce: this.nonce, proof }));
+  }
+
+  private onProof(envelope: Envelope, context: HandshakeContext): void {
+    const { sharedKey } = this.linkOptions;
+    if (!verifyProof(sharedKey, 'client', context, readProof(envelope))) {
+      this.rejectPeer('wrong proof');
+      return;
+    }
+    this.acceptPeer(context.clientNode);
+  }
+
+  private onCall({ id, name, body }: Envelope): boolean {
+    if (id <= this.lastId || name === undefined) return false;
+    this.lastId = id;
+    if (this.running.size >= this.options.limits.maxInFlight) {
+      this.replyFailure(id, createFailure(ResultCode.MailboxFull, 'too many calls in flight'));
+      return true;
+    }
+    const controller = new AbortController();
+    this.running.set(id, controller);
+    void this.linkOptions.handlers
+      .run(this.peerNode ?? '', name, body, controller.signal)
+      .then((result) => this.post({ type: 'finished', id, result }));
+    return true;
+  }
+
+  private cancel(id: number): void {
+    const controller = this.running.get(id);
+    this.running.delete(id);
+    controller?.abort();
+  }
+
+  private reply(id: number, result: Result<unknown, Failure>): void {
+    if (result.isErr) {
+      this.replyFailure(id, result.error);
+      return;
+    }
+    const sent = this.send({ t: 'reply', id, body: result.value });
+    if (sent.isErr) this.replyFailure(id, this.describeUnsent(sent.error));
+  }
+
+  private replyFailure(id: number, failure: Failure): void {
+    const sent = this.send({ t: 'reply', id, failure });
+    if (sent.isErr) this.end('peer does not read its replies');
+  }
+
+  /** The call was handled although its reply cannot be sent. */
+  private describeUnsent(failure: Failure): Failure {
+    return { ...failure, detail: `reply not sent: ${failure.detail}`, execution: 'unknown' };
+  }
+}
--- /dev/null
+++ b/src/peer/peer-plugin.ts
@@ -0,0 +1,38 @@
+/** Plug-in: the links to the other nodes. */
+import { createRandom } from '../core/random.js';
+import { registerPlugin, StartOrder } from '../kernel/plugin.js';
+import { Token } from '../kernel/token.js';
+import { TcpPeerNetwork } from './tcp-peer-network.js';
+
+registerPlugin({
+  name: 'peer',
+  order: StartOrder.Peer,
+  bind(container) {
+    container.bind(Token.PeerNetwork).toDynamicValue((context) => {
+      const settings = context.get(Token.Settings);
+      const clock = context.get(Token.Clock);
+      const { maxFrameBytes, maxInFlightPerLink, maxMailboxLength, maxBufferedBytes } =
+        settings.limits;
+      return new TcpPeerNetwork({
+        node: settings.node.id,
+        address: settings.listen.peer,
+        sharedKey: settings.peers.sharedKey,
+        limits: {
+          maxFrameBytes,
+          maxInFlight: maxInFlightPerLink,
+          maxMailboxLength,
+          maxWriteBacklogBytes: Math.max(maxBufferedBytes, maxFrameBytes),
+        },
+        clock,
+        log: context.get(Token.EventLog),
+        random: createRandom(clock.wallNow() | 0),
+      });
+    });
+  },
+  async start(container) {
+    await (container.get(Token.PeerNetwork) as TcpPeerNetwork).listen();
+  },
+  async stop(container) {
+    await (container.get(Token.PeerNetwork) as TcpPeerNetwork).close();
+  },
+});
