Add membership: SWIM with suspicion and local health over UDP, state exchange over links

Cause: nodes had no way to know each other without the platform. Change: a pure protocol in src/core/membership (merge rules, probing, gossip queue, anti-entropy by bucket hashes), run by MembershipTask with authenticated datagrams of at most 1,400 bytes; memberSync and memberFetch over peer links; the plug-in; a fleet under virtual time in src/testing for the fault tables.

--- /dev/null
+++ b/src/core/membership/member-table.ts
@@ -0,0 +1,169 @@
+/** The members that this node knows, other than itself, and what it remembers of forgotten ones. */
+import type { Member, MemberFacts, MemberState } from '../member.js';
+import { comparePositions, type ClaimPosition } from './member-update.js';
+import type { MembershipOptions } from './membership-options.js';
+import type { Suspicion } from './suspicion.js';
+
+/** One member. */
+export interface MemberEntry {
+  facts: MemberFacts;
+  leaving: boolean;
+  /** Strongest claim that it does not answer; facts of a higher position refute it. */
+  claim: ClaimPosition | undefined;
+  /** Running suspicion. */
+  suspicion: Suspicion | undefined;
+  /** When it was found failed; undefined while it is not. */
+  failedAt: number | undefined;
+  /** When this node last told it of the claim against it. */
+  confrontedAt: number;
+  /** Cached view; undefined after a change. */
+  view: Member | undefined;
+}
+
+interface Tombstone extends ClaimPosition {
+  readonly at: number;
+}
+
+/** Members by node id, with the address index, tombstones and the cached list of the live. */
+export class MemberTable {
+  private readonly entries = new Map<string, MemberEntry>();
+  private readonly tombstones = new Map<string, Tombstone>();
+  private readonly liveByAddress = new Map<string, string>();
+  private readonly suspects = new Set<MemberEntry>();
+  private live: MemberEntry[] | undefined;
+
+  constructor(private readonly options: MembershipOptions) {}
+
+  find(nodeId: string): MemberEntry | undefined {
+    return this.entries.get(nodeId);
+  }
+
+  /** The member that listens on an address and has not failed. */
+  findLiveByAddress(address: string): MemberEntry | undefined {
+    const nodeId = this.liveByAddress.get(address);
+    return nodeId === undefined ? undefined : this.entries.get(nodeId);
+  }
+
+  /** Every entry, failed ones included. */
+  all(): Iterable<MemberEntry> {
+    return this.entries.values();
+  }
+
+  /** Members that have not failed. */
+  listLive(): readonly MemberEntry[] {
+    this.live ??= [...this.entries.values()].filter((entry) => entry.failedAt === undefined);
+    return this.live;
+  }
+
+  /** Members under suspicion. */
+  listSuspects(): Iterable<MemberEntry> {
+    return this.suspects;
+  }
+
+  /** Adds a member or replaces its facts; clears a refuted claim. */
+  put(facts: MemberFacts, leaving: boolean): MemberEntry {
+    const existing = this.entries.get(facts.nodeId);
+    const entry: MemberEntry = existing ?? {
+      facts,
+      leaving,
+      claim: undefined,
+      suspicion: undefined,
+      failedAt: undefined,
+      confrontedAt: -Infinity,
+      view: undefined,
+    };
+    this.unindexAddress(entry);
+    entry.facts = facts;
+    entry.leaving = leaving;
+    if (entry.claim !== undefined && comparePositions(facts, entry.claim) > 0) {
+      entry.claim = undefined;
+      entry.suspicion = undefined;
+      entry.failedAt = undefined;
+    }
+    this.tombstones.delete(facts.nodeId);
+    this.entries.set(facts.nodeId, entry);
+    this.touch(entry);
+    return entry;
+  }
+
+  /** Starts a suspicion. */
+  suspect(entry: MemberEntry, claim: ClaimPosition, suspicion: Suspicion): void {
+    entry.claim = claim;
+    entry.suspicion = suspicion;
+    this.touch(entry);
+  }
+
+  /** Marks a member as failed. */
+  fail(entry: MemberEntry, claim: ClaimPosition, now: number): void {
+    this.unindexAddress(entry);
+    entry.claim = claim;
+    entry.suspicion = undefined;
+    entry.failedAt = now;
+    this.touch(entry);
+  }
+
+  /** Raises a member's rules version. */
+  setVersion(entry: MemberEntry, configVersion: number): void {
+    entry.facts = { ...entry.facts, configVersion };
+    entry.view = undefined;
+  }
+
+  /** Position below which nothing about a forgotten member is taken in. */
+  findTombstone(nodeId: string): ClaimPosition | undefined {
+    return this.tombstones.get(nodeId);
+  }
+
+  /** Remembers that a node that is not in the table has failed at a position. */
+  bury(nodeId: string, { incarnation, sequence }: ClaimPosition, now: number): void {
+    this.tombstones.delete(nodeId);
+    this.tombstones.set(nodeId, { incarnation, sequence, at: now });
+    if (this.tombstones.size > this.options.maxTombstones) {
+      const [oldest] = this.tombstones.keys();
+      this.tombstones.delete(oldest!);
+    }
+  }
+
+  /** Forgets members that failed long ago, and old tombstones; returns the forgotten. */
+  forgetOld(now: number): readonly string[] {
+    const forgotten: string[] = [];
+    for (const [nodeId, { facts, leaving, failedAt, claim }] of this.entries) {
+      const keepMs = leaving ? this.options.forgetLeftMs : this.options.forgetFailedMs;
+      if (failedAt === undefined || now - failedAt < keepMs) continue;
+      this.entries.delete(nodeId);
+      this.bury(nodeId, claim ?? facts, now);
+      forgotten.push(nodeId);
+    }
+    for (const [nodeId, { at }] of this.tombstones) {
+      if (now - at >= this.options.tombstoneMs) this.tombstones.delete(nodeId);
+    }
+    return forgotten;
+  }
+
+  private touch(entry: MemberEntry): void {
+    entry.view = undefined;
+    this.live = undefined;
+    if (entry.failedAt === undefined) {
+      this.liveByAddress.set(entry.facts.peerAddress, entry.facts.nodeId);
+    }
+    if (entry.suspicion === undefined) this.suspects.delete(entry);
+    else this.suspects.add(entry);
+  }
+
+  private unindexAddress(entry: MemberEntry): void {
+    const { peerAddress, nodeId } = entry.facts;
+    if (this.liveByAddress.get(peerAddress) === nodeId) this.liveByAddress.delete(peerAddress);
+  }
+}
+
+/** State of an entry; a leaving member stays so while it is suspected. */
+export function stateOf(entry: MemberEntry): MemberState {
+  if (entry.failedAt !== undefined) return 'failed';
+  if (entry.leaving) return 'leaving';
+  return entry.suspicion === undefined ? 'alive' : 'suspect';
+}
+
+/** The member as the other parts of the node see it. */
+export function viewOf(entry: MemberEntry): Member {
+  entry.view ??= { ...entry.facts, state: stateOf(entry) };
+  return entry.view;
+}
--- /dev/null
+++ b/src/core/membership/membership-options.ts
@@ -0,0 +1,62 @@
+/** Timing and limits of the membership protocol. */
+
+/** Options; see {@link DEFAULT_MEMBERSHIP_OPTIONS}. Times in milliseconds. */
+export interface MembershipOptions {
+  /** Pause between probes of one member each. */
+  readonly probeIntervalMs: number;
+  /** Wait for the direct answer before others are asked to ping. */
+  readonly probeTimeoutMs: number;
+  /** Members asked to ping on this node's behalf. */
+  readonly indirectProbes: number;
+  /** Shortest suspicion: this times log10 of the fleet's size (1 at least) probe intervals. */
+  readonly suspicionMultiplier: number;
+  /** Longest suspicion, as a multiple of the shortest. */
+  readonly suspicionMaxFactor: number;
+  /** Independent suspicions that bring the wait down to the shortest. */
+  readonly suspicionConfirmations: number;
+  /** Highest local health score; probe times grow by 1 plus the score (Lifeguard). */
+  readonly maxLocalHealth: number;
+  /** Pause between gossip rounds while there is something to spread. */
+  readonly gossipIntervalMs: number;
+  /** Members that one gossip round goes to. */
+  readonly gossipFanOut: number;
+  /** An update is sent this times log10 of the fleet's size + 1 times, rounded up. */
+  readonly retransmitMultiplier: number;
+  /** Pause between state exchanges, on average. */
+  readonly syncIntervalMs: number;
+  /** Pause between pings of addresses that may have come back (seeds, failed members). */
+  readonly rejoinIntervalMs: number;
+  /** Time for which a failed member is tried again and kept in the table. */
+  readonly forgetFailedMs: number;
+  /** The same for a member that had announced its stop. */
+  readonly forgetLeftMs: number;
+  /** Time for which a forgotten member's last position is kept. */
+  readonly tombstoneMs: number;
+  readonly maxTombstones: number;
+  /** Room for updates in one datagram, in bytes. */
+  readonly maxUpdateBytes: number;
+  /** A timer that is later than this tells that the process was paused. */
+  readonly pauseThresholdMs: number;
+}
+
+/** Defaults for a fleet of 3 to 1,000 nodes with up to 100 ms between regions. */
+export const DEFAULT_MEMBERSHIP_OPTIONS: MembershipOptions = {
+  probeIntervalMs: 1_000,
+  probeTimeoutMs: 350,
+  indirectProbes: 3,
+  suspicionMultiplier: 3,
+  suspicionMaxFactor: 4,
+  suspicionConfirmations: 3,
+  maxLocalHealth: 8,
+  gossipIntervalMs: 200,
+  gossipFanOut: 3,
+  retransmitMultiplier: 4,
+  syncIntervalMs: 30_000,
+  rejoinIntervalMs: 10_000,
+  forgetFailedMs: 2 * 3_600_000,
+  forgetLeftMs: 60_000,
+  tombstoneMs: 24 * 3_600_000,
+  maxTombstones: 8_192,
+  maxUpdateBytes: 1_150,
+  pauseThresholdMs: 1_000,
+};
--- /dev/null
+++ b/src/core/membership/membership-protocol.ts
@@ -0,0 +1,342 @@
+/**
+ * SWIM membership with suspicion, refutation and Lifeguard's local health: events and `now`
+ * in, actions out. See docs/design/membership.md.
+ */
+import type { Member, MemberFacts, MutableFacts } from '../member.js';
+import type { Random } from '../random.js';
+import {
+  answerSync,
+  createHandOvers,
+  hashBuckets,
+  listFacts,
+  listUpdates,
+} from './anti-entropy.js';
+import { viewOf, type MemberEntry } from './member-table.js';
+import type { FactsUpdate, MemberUpdate, NoticeUpdate } from './member-update.js';
+import type {
+  AckMessage,
+  MemberSyncReply,
+  MemberSyncRequest,
+  MembershipAction,
+  MembershipMessage,
+  PingMessage,
+} from './membership-message.js';
+import { DEFAULT_MEMBERSHIP_OPTIONS, type MembershipOptions } from './membership-options.js';
+import { sample } from './probe-order.js';
+import { Prober } from './prober.js';
+import { ProtocolState } from './protocol-state.js';
+import { UpdateMerger, type UpdateSource } from './update-merger.js';
+
+/** Pause in which updates that arrive together are gathered into one datagram. */
+const GATHER_MS = 10;
+/** Seeds pinged at once while this node knows nobody. */
+const JOIN_SEEDS = 3;
+const JOIN_INTERVAL_MS = 1_000;
+const FORGET_INTERVAL_MS = 10_000;
+/** Pause between state exchanges that members coming back give rise to. */
+const RETURN_SYNC_PAUSE_MS = 2_000;
+
+type Actions = readonly MembershipAction[];
+
+/** The membership protocol of one node. */
+export class MembershipProtocol {
+  private readonly state: ProtocolState;
+  private readonly merger: UpdateMerger;
+  private readonly prober: Prober;
+  private readonly seeds = new Set<string>();
+  private gossipAt = Infinity;
+  private lastGossipAt = -Infinity;
+  private syncAt = Infinity;
+  private rejoinAt = Infinity;
+  private forgetAt = Infinity;
+  private lastReturnSyncAt = -Infinity;
+  private joined = false;
+
+  /**
+   * @param self this node's facts at start
+   * @param random for probe order, gossip targets and jitter
+   */
+  constructor(
+    self: MemberFacts,
+    random: Random,
+    private readonly options: MembershipOptions = DEFAULT_MEMBERSHIP_OPTIONS,
+  ) {
+    this.state = new ProtocolState(self, options, random);
+    this.merger = new UpdateMerger(this.state, (now, entry) => {
+      this.onJoined(now, entry);
+    });
+    this.prober = new Prober(this.state, (now, entry) => {
+      this.merger.suspectUnanswered(now, entry);
+    });
+  }
+
+  /** This node as a member. */
+  self(): Member {
+    return { ...this.state.self, state: this.state.leaving ? 'leaving' : 'alive' };
+  }
+
+  /** All members that have not failed, this node included, sorted by node id. */
+  members(): readonly Member[] {
+    const members = this.state.table.listLive().map(viewOf);
+    members.push(this.self());
+    return members.sort((a, b) => (a.nodeId < b.nodeId ? -1 : 1));
+  }
+
+  /** One member, also when it has failed and is not forgotten. */
+  find(nodeId: string): Member | undefined {
+    if (nodeId === this.state.self.nodeId) return this.self();
+    const entry = this.state.table.find(nodeId);
+    return entry === undefined ? undefined : viewOf(entry);
+  }
+
+  /** Whether this node's announcement of its stop has been sent often enough. */
+  get isLeaveSpread(): boolean {
+    return this.state.leaving && !this.state.queue.has(this.state.self.nodeId);
+  }
+
+  /** Starts the protocol. */
+  start(now: number): Actions {
+    this.prober.start(now);
+    this.scheduleSync(now);
+    this.rejoinAt = now;
+    this.forgetAt = now + FORGET_INTERVAL_MS;
+    return this.finish(now);
+  }
+
+  /** Adds addresses to join by. */
+  addSeeds(now: number, addresses: readonly string[]): Actions {
+    for (const address of addresses) {
+      if (address !== this.state.self.peerAddress) this.seeds.add(address);
+    }
+    if (!this.joined && this.rejoinAt !== Infinity) this.rejoinAt = now;
+    return this.finish(now);
+  }
+
+  /** Changes this node's own facts. */
+  update(now: number, { configVersion, ...facts }: MutableFacts): Actions {
+    const { state } = this;
+    const { self } = state;
+    if (configVersion !== undefined && configVersion > self.configVersion) {
+      const { nodeId, incarnation } = self;
+      state.self = { ...self, configVersion };
+      state.spreadVersion({ type: 'version', nodeId, incarnation, configVersion });
+      state.markChanged();
+    }
+    if (hasChange(self, facts)) this.announce(facts);
+    return this.finish(now);
+  }
+
+  /** Announces this node's planned stop. */
+  leave(now: number): Actions {
+    if (!this.state.leaving) {
+      this.state.leaving = true;
+      this.announce({ ready: false });
+      this.lastGossipAt = -Infinity;
+    }
+    return this.finish(now);
+  }
+
+  /** Time of the next needed {@link onTimer}. */
+  nextTimer(): number {
+    const { gossipAt, syncAt, rejoinAt, forgetAt } = this;
+    let next = Math.min(gossipAt, syncAt, rejoinAt, forgetAt, this.prober.nextTimer());
+    for (const { suspicion } of this.state.table.listSuspects()) {
+      if (suspicion !== undefined) next = Math.min(next, suspicion.deadline);
+    }
+    return next;
+  }
+
+  /** Called when {@link nextTimer} has come. */
+  onTimer(now: number): Actions {
+    const lateMs = now - this.nextTimer();
+    if (lateMs > this.options.pauseThresholdMs) this.recoverFromPause(now, lateMs);
+    this.merger.expireSuspicions(now);
+    this.prober.onTimer(now);
+    if (now >= this.gossipAt) this.gossip(now);
+    if (now >= this.syncAt) this.syncWithRandom(now);
+    if (now >= this.rejoinAt) this.rejoin(now);
+    if (now >= this.forgetAt) this.forget(now);
+    return this.finish(now);
+  }
+
+  /** A datagram has come in from an address. */
+  onMessage(now: number, address: string, message: MembershipMessage): Actions {
+    const { from: nodeId, incarnation, configVersion } = message;
+    if (nodeId === this.state.self.nodeId) return [];
+    this.merger.apply(now, message.updates, { nodeId, isSync: false });
+    this.merger.applyVersion({ type: 'version', nodeId, incarnation, configVersion });
+    switch (message.type) {
+      case 'ping':
+        this.onPing(address, message);
+        break;
+      case 'ack':
+        this.onAck(address, message);
+        break;
+      case 'ping-request':
+        this.prober.onPingRequest(now, address, message);
+        break;
+      case 'nack':
+        this.prober.onNack(message);
+        break;
+      case 'gossip':
+        break;
+    }
+    if (message.type !== 'ping') this.confront(now, address, message);
+    return this.finish(now);
+  }
+
+  /** The first request of a state exchange. */
+  createSyncRequest(): MemberSyncRequest {
+    return { hashes: hashBuckets(this.state), after: '', updates: [] };
+  }
+
+  /** A peer wants a state exchange. */
+  onSyncRequest(
+    now: number,
+    nodeId: string,
+    request: MemberSyncRequest,
+  ): { reply: MemberSyncReply; actions: Actions } {
+    const reply = answerSync(this.state, request);
+    return { reply, actions: this.applyUpdates(now, nodeId, request.updates) };
+  }
+
+  /** This node's side of the buckets that differ, as requests that hand it over. */
+  createHandOvers(buckets: readonly number[]): readonly MemberSyncRequest[] {
+    return createHandOvers(listUpdates(this.state, buckets));
+  }
+
+  /** The peer's page of a state exchange, or facts that were fetched. */
+  onSyncReply(now: number, nodeId: string, updates: readonly MemberUpdate[]): Actions {
+    this.joined = true;
+    return this.applyUpdates(now, nodeId, updates);
+  }
+
+  /** Facts of some members, for a peer that asks. */
+  listFacts(nodeIds: readonly string[]): readonly FactsUpdate[] {
+    return listFacts(this.state, nodeIds);
+  }
+
+  private applyUpdates(now: number, nodeId: string, updates: readonly MemberUpdate[]): Actions {
+    const source: UpdateSource = { nodeId, isSync: true };
+    this.merger.apply(now, updates, source);
+    return this.finish(now);
+  }
+
+  private onPing(address: string, message: PingMessage): void {
+    const { state } = this;
+    const { nodeId } = state.self;
+    if (message.to !== '' && message.to !== nodeId) {
+      // The address has changed hands: tell who is here now.
+      state.send(address, { type: 'gossip' }, [state.describeSelf()]);
+      return;
+    }
+    const first: MemberUpdate[] = message.to === '' ? [state.describeSelf()] : [];
+    const claim = state.describeClaim(message.from, message.incarnation);
+    if (claim !== undefined) first.push(claim);
+    const known = state.table.find(message.from)?.facts.incarnation;
+    const factsWanted = known === undefined || known < message.incarnation;
+    const { probe } = message;
+    state.send(address, { type: 'ack', probe, subject: nodeId, factsWanted }, first);
+  }
+
+  private onAck(address: string, message: AckMessage): void {
+    this.prober.onAck(message);
+    if (message.factsWanted) {
+      this.state.send(address, { type: 'gossip' }, [this.state.describeSelf()]);
+    }
+  }
+
+  /** Tells a member that is heard from what is held against it, so that it can refute. */
+  private confront(now: number, address: string, message: MembershipMessage): void {
+    const { state } = this;
+    const entry = state.table.find(message.from);
+    const claim = state.describeClaim(message.from, message.incarnation);
+    if (entry === undefined || claim === undefined) return;
+    if (now - entry.confrontedAt < this.options.probeIntervalMs) return;
+    entry.confrontedAt = now;
+    state.send(address, { type: 'gossip' }, [claim]);
+  }
+
+  private onJoined(now: number, { facts }: MemberEntry): void {
+    this.prober.add(facts.nodeId);
+    if (!this.joined || now - this.lastReturnSyncAt >= RETURN_SYNC_PAUSE_MS) {
+      this.lastReturnSyncAt = now;
+      this.state.emit({ type: 'sync', nodeId: facts.nodeId });
+    }
+  }
+
+  /** Spreads new facts of this node. */
+  private announce(facts: MutableFacts): void {
+    const { state } = this;
+    state.self = { ...state.self, ...facts, sequence: state.self.sequence + 1 };
+    state.queue.push(state.describeSelf() as FactsUpdate | NoticeUpdate);
+    state.markChanged();
+  }
+
+  private gossip(now: number): void {
+    const { state, options } = this;
+    this.lastGossipAt = now;
+    this.gossipAt = Infinity;
+    const fanOut = state.queue.hasUrgent ? options.gossipFanOut : 1;
+    for (const { facts } of sample(state.table.listLive(), fanOut, state.random)) {
+      if (state.queue.isEmpty) return;
+      state.send(facts.peerAddress, { type: 'gossip' });
+    }
+  }
+
+  private syncWithRandom(now: number): void {
+    this.scheduleSync(now);
+    const [entry] = sample(this.state.table.listLive(), 1, this.state.random);
+    if (entry !== undefined) this.state.emit({ type: 'sync', nodeId: entry.facts.nodeId });
+  }
+
+  /** Exchanges are quick to repeat until the first one has worked. */
+  private scheduleSync(now: number): void {
+    const interval = this.joined ? this.options.syncIntervalMs : JOIN_INTERVAL_MS;
+    this.syncAt = now + interval * (0.5 + this.state.random.next());
+  }
+
+  /** Pings addresses where a member may have come up or come back. */
+  private rejoin(now: number): void {
+    const { state, options } = this;
+    const isAlone = state.table.listLive().length === 0;
+    const interval = isAlone ? JOIN_INTERVAL_MS : options.rejoinIntervalMs;
+    this.rejoinAt = now + interval * (0.75 + 0.5 * state.random.next());
+    const candidates = new Set(this.seeds);
+    for (const { facts, failedAt, leaving } of state.table.all()) {
+      if (failedAt !== undefined && !leaving) candidates.add(facts.peerAddress);
+    }
+    const absent = [...candidates].filter(
+      (address) => state.table.findLiveByAddress(address) === undefined,
+    );
+    for (const address of sample(absent, isAlone ? JOIN_SEEDS : 1, state.random)) {
+      const probe = this.prober.nextNumber();
+      state.send(address, { type: 'ping', probe, to: '' }, [state.describeSelf()]);
+    }
+  }
+
+  private forget(now: number): void {
+    this.forgetAt = now + FORGET_INTERVAL_MS;
+    for (const nodeId of this.state.table.forgetOld(now)) this.state.queue.remove(nodeId);
+  }
+
+  private recoverFromPause(now: number, lateMs: number): void {
+    this.prober.skipProbe(now);
+    for (const { suspicion } of this.state.table.listSuspects()) suspicion?.postpone(lateMs);
+  }
+
+  private finish(now: number): Actions {
+    const { queue, table } = this.state;
+    if (this.gossipAt === Infinity && !queue.isEmpty && table.listLive().length > 0) {
+      const next = this.lastGossipAt + this.options.gossipIntervalMs;
+      this.gossipAt = Math.max(now + GATHER_MS, next);
+    }
+    return this.state.takeActions();
+  }
+}
+
+function hasChange(self: MemberFacts, facts: MutableFacts): boolean {
+  return Object.entries(facts).some(
+    ([key, value]) => JSON.stringify(self[key as keyof MemberFacts]) !== JSON.stringify(value),
+  );
+}
--- a/src/peer/messages.ts
+++ b/src/peer/messages.ts
@@ -4,6 +4,7 @@
 import type { AttemptOutcome, Criticality, LoadReport } from '../core/request.js';
 import type { Execution } from '../core/result-code.js';
 import type { ClaimCalls } from '../claims/claim-messages.js';
+import type { MembershipCalls } from '../membership/membership-calls.js';
 
 /** An attempt for a target of the receiving node. Durations instead of times: clocks differ. */
 export interface AttemptMessage {
@@ -60,7 +61,7 @@
 }
 
 /** Request and reply type of every call between nodes. Modules with many messages add a map. */
-export interface PeerCalls extends ClaimCalls {
+export interface PeerCalls extends ClaimCalls, MembershipCalls {
   attempt: { request: AttemptMessage; reply: AttemptReply };
   configFetch: { request: ConfigFetchMessage; reply: ConfigFetchReply };
 }
--- a/src/peer/peer-plugin.ts
+++ b/src/peer/peer-plugin.ts
@@ -1,4 +1,5 @@
 /** Plug-in: the links to the other nodes. */
+import { combineHashes, hash32 } from '../core/hash.js';
 import { createRandom } from '../core/random.js';
 import { registerPlugin, StartOrder } from '../kernel/plugin.js';
 import { Token } from '../kernel/token.js';
@@ -25,7 +26,7 @@
         },
         clock,
         log: context.get(Token.EventLog),
-        random: createRandom(clock.wallNow() | 0),
+        random: createRandom(combineHashes(hash32(settings.node.id), clock.wallNow())),
       });
     });
   },
--- /dev/null
+++ b/src/testing/simulated-fleet.ts
@@ -0,0 +1,325 @@
+/** A fleet of membership protocols under virtual time, with a network that can fail. */
+import { calculateObjectSize } from 'bson';
+import type { MemberFacts } from '../core/member.js';
+import { MembershipProtocol } from '../core/membership/membership-protocol.js';
+import type {
+  MembershipAction,
+  MembershipMessage,
+  MemberSyncRequest,
+} from '../core/membership/membership-message.js';
+import { createRandom, type Random } from '../core/random.js';
+import { DatagramCodec } from '../membership/datagram-codec.js';
+
+/** Bytes of an IPv4 and a UDP header. */
+const PACKET_HEADER_BYTES = 28;
+
+/** A protocol instance with its place in the network. */
+export interface SimulatedNode {
+  readonly id: string;
+  readonly zone: string;
+  readonly address: string;
+  readonly protocol: MembershipProtocol;
+  /** The process runs. */
+  running: boolean;
+  /** The process stands still (SIGSTOP); its datagrams wait. */
+  paused: boolean;
+  readonly waiting: (() => void)[];
+  timerAt: number;
+  /** Bytes sent and received, packet headers included. */
+  bytes: number;
+  /** Names of events, as `failed node-3`. */
+  readonly events: string[];
+}
+
+/** What makes a node. */
+export interface NodeSpec {
+  readonly id: string;
+  readonly zone?: string;
+  readonly address?: string;
+  readonly incarnation?: number;
+  readonly seeds?: readonly string[];
+}
+
+interface ScheduledEvent {
+  readonly at: number;
+  readonly order: number;
+  readonly run: () => void;
+}
+
+/** The fleet and its network. Deterministic for a seed. */
+export class SimulatedFleet {
+  now = 0;
+  readonly nodes = new Map<string, SimulatedNode>();
+  /** Share of datagrams that are lost. */
+  lossRate = 0;
+  /** Whether packets from one node to another are dropped. */
+  isCut: (from: SimulatedNode, to: SimulatedNode) => boolean = () => false;
+  /** Count bytes with the real codec; slower. */
+  countBytes = false;
+  /** Largest datagram sent while counting. */
+  largestDatagram = 0;
+  private readonly heap: ScheduledEvent[] = [];
+  private readonly random: Random;
+  private readonly codec = new DatagramCodec('a key of the simulated fleet');
+  private created = 0;
+
+  constructor(seed: number) {
+    this.random = createRandom(seed);
+  }
+
+  /** Starts nodes `node-1` and up over three zones, each joining by the first two. */
+  addNodes(count: number): void {
+    for (let index = 1; index <= count; index += 1) this.addNode({ id: `node-${index}` });
+  }
+
+  /** Starts one node; one of the same id replaces the earlier process. */
+  addNode(spec: NodeSpec): SimulatedNode {
+    const index = this.nodes.size;
+    const zone = spec.zone ?? `zone-${index % 3}`;
+    const address = spec.address ?? `10.0.${Math.floor(index / 250)}.${(index % 250) + 1}:7000`;
+    const facts: MemberFacts = {
+      nodeId: spec.id,
+      incarnation: spec.incarnation ?? 1_700_000_000_000 + Math.floor(this.now),
+      sequence: 0,
+      zone,
+      region: 'region-a',
+      peerAddress: address,
+      entryAddress: address.replace(':7000', ':8000'),
+      adminAddress: address.replace(':7000', ':9000'),
+      fronts: [],
+      leavingTargets: [],
+      configVersion: 0,
+      ready: true,
+    };
+    const protocol = new MembershipProtocol(facts, createRandom(this.random.nextInt(2 ** 30)));
+    const node: SimulatedNode = {
+      id: spec.id,
+      zone,
+      address,
+      protocol,
+      running: true,
+      paused: false,
+      waiting: [],
+      timerAt: Infinity,
+      bytes: 0,
+      events: [],
+    };
+    this.nodes.set(spec.id, node);
+    const seeds = spec.seeds ?? ['10.0.0.1:7000', '10.0.0.2:7000'];
+    this.act(node, (now) => [...protocol.start(now), ...protocol.addSeeds(now, seeds)]);
+    return node;
+  }
+
+  node(id: string): SimulatedNode {
+    return this.nodes.get(id)!;
+  }
+
+  /** Nodes whose process runs. */
+  running(): SimulatedNode[] {
+    return [...this.nodes.values()].filter((node) => node.running);
+  }
+
+  /** Ends a process without a word. */
+  kill(...ids: string[]): void {
+    for (const id of ids) this.node(id).running = false;
+  }
+
+  /** Stops a process for a while; its datagrams wait for it. */
+  pause(id: string): void {
+    this.node(id).paused = true;
+  }
+
+  resume(id: string): void {
+    const node = this.node(id);
+    node.paused = false;
+    for (const deliver of node.waiting.splice(0)) deliver();
+    this.arm(node);
+  }
+
+  /** Runs an input of a node's protocol and what follows from it. */
+  act(node: SimulatedNode, input: (now: number) => readonly MembershipAction[]): void {
+    for (const action of input(this.now)) this.perform(node, action);
+    this.arm(node);
+  }
+
+  /** Moves virtual time forward. */
+  run(milliseconds: number): void {
+    const end = this.now + milliseconds;
+    while (this.heap.length > 0 && this.heap[0]!.at <= end) {
+      const event = this.pop();
+      this.now = event.at;
+      event.run();
+    }
+    this.now = end;
+  }
+
+  /**
+   * Runs until a condition holds.
+   *
+   * @returns milliseconds that it took, or Infinity when it did not hold within the limit
+   */
+  runUntil(condition: () => boolean, limitMs: number, stepMs = 50): number {
+    for (let waited = 0; waited <= limitMs; waited += stepMs) {
+      if (condition()) return waited;
+      this.run(stepMs);
+    }
+    return Infinity;
+  }
+
+  /** Whether every running node sees exactly the running nodes, none of them suspected. */
+  hasConverged(): boolean {
+    const running = this.running();
+    const expected = running.map(({ id }) => id).sort();
+    return running.every(({ protocol }) => {
+      const members = protocol.members();
+      if (members.length !== expected.length) return false;
+      return members.every(
+        ({ nodeId, state }, index) => nodeId === expected[index] && state !== 'suspect',
+      );
+    });
+  }
+
+  /** Events of a name over all nodes. */
+  countEvents(name: string): number {
+    let count = 0;
+    for (const { events } of this.nodes.values()) {
+      count += events.filter((event) => event.startsWith(name)).length;
+    }
+    return count;
+  }
+
+  private perform(node: SimulatedNode, action: MembershipAction): void {
+    if (action.type === 'send') this.send(node, action.to, action.message);
+    if (action.type === 'event') node.events.push(`${action.event} ${action.nodeId}`);
+    if (action.type === 'sync') this.exchange(node, action.nodeId);
+    if (action.type === 'fetch') this.fetch(node, action.source, action.nodeIds);
+  }
+
+  private send(from: SimulatedNode, address: string, message: MembershipMessage): void {
+    const bytes = this.countBytes ? this.measure(message) : 0;
+    from.bytes += bytes;
+    this.largestDatagram = Math.max(this.largestDatagram, bytes - PACKET_HEADER_BYTES);
+    if (this.random.next() < this.lossRate) return;
+    this.schedule(this.latency(), () => {
+      const to = this.findByAddress(address);
+      if (to === undefined || this.isCut(from, to)) return;
+      to.bytes += bytes;
+      this.deliver(to, () => {
+        this.act(to, (now) => to.protocol.onMessage(now, from.address, message));
+      });
+    });
+  }
+
+  private deliver(to: SimulatedNode, handle: () => void): void {
+    if (!to.running) return;
+    if (to.paused) to.waiting.push(handle);
+    else handle();
+  }
+
+  /** The exchange of MemberSync, in one step after a round trip. */
+  private exchange(from: SimulatedNode, nodeId: string): void {
+    this.schedule(2 * this.latency(), () => {
+      const to = this.nodes.get(nodeId);
+      if (to === undefined || !this.canCall(from, to)) return;
+      const request = from.protocol.createSyncRequest();
+      let handOvers: readonly MemberSyncRequest[] | undefined;
+      let after = '';
+      do {
+        const reply = this.call(from, to, { ...request, after });
+        handOvers ??= from.protocol.createHandOvers(reply.buckets);
+        this.act(from, (now) => from.protocol.onSyncReply(now, to.id, reply.updates));
+        after = reply.next;
+      } while (after !== '');
+      for (const handOver of handOvers) this.call(from, to, handOver);
+    });
+  }
+
+  private call(from: SimulatedNode, to: SimulatedNode, request: MemberSyncRequest) {
+    const { reply, actions } = to.protocol.onSyncRequest(this.now, from.id, request);
+    this.act(to, () => actions);
+    const bytes = this.countBytes ? calculateObjectSize(request) + calculateObjectSize(reply) : 0;
+    from.bytes += bytes;
+    to.bytes += bytes;
+    return reply;
+  }
+
+  private fetch(from: SimulatedNode, source: string, nodeIds: readonly string[]): void {
+    this.schedule(2 * this.latency(), () => {
+      const to = this.nodes.get(source);
+      if (to === undefined || !this.canCall(from, to)) return;
+      const updates = to.protocol.listFacts(nodeIds);
+      this.act(from, (now) => from.protocol.onSyncReply(now, source, updates));
+    });
+  }
+
+  private canCall(from: SimulatedNode, to: SimulatedNode): boolean {
+    const bothRun = from.running && to.running && !from.paused && !to.paused;
+    return bothRun && !this.isCut(from, to) && !this.isCut(to, from);
+  }
+
+  private findByAddress(address: string): SimulatedNode | undefined {
+    for (const node of this.nodes.values()) {
+      if (node.address === address && node.running) return node;
+    }
+    return undefined;
+  }
+
+  private measure(message: MembershipMessage): number {
+    return this.codec.encode(message).length + PACKET_HEADER_BYTES;
+  }
+
+  /** One way: 0.5 to 1.5 ms. */
+  private latency(): number {
+    return 0.5 + this.random.next();
+  }
+
+  private arm(node: SimulatedNode): void {
+    const next = node.protocol.nextTimer();
+    if (next === node.timerAt || next === Infinity) return;
+    node.timerAt = next;
+    this.schedule(Math.max(0, next - this.now), () => {
+      if (node.timerAt !== next || !node.running || this.nodes.get(node.id) !== node) return;
+      node.timerAt = Infinity;
+      this.deliver(node, () => {
+        this.act(node, (now) => node.protocol.onTimer(now));
+      });
+    });
+  }
+
+  private schedule(delayMs: number, run: () => void): void {
+    this.created += 1;
+    const event = { at: this.now + delayMs, order: this.created, run };
+    const { heap } = this;
+    let index = heap.length;
+    heap.push(event);
+    while (index > 0) {
+      const parent = (index - 1) >> 1;
+      if (!isBefore(event, heap[parent]!)) break;
+      heap[index] = heap[parent]!;
+      index = parent;
+    }
+    heap[index] = event;
+  }
+
+  private pop(): ScheduledEvent {
+    const { heap } = this;
+    const first = heap[0]!;
+    const last = heap.pop()!;
+    if (heap.length === 0) return first;
+    let index = 0;
+    for (;;) {
+      let child = 2 * index + 1;
+      if (child >= heap.length) break;
+      if (child + 1 < heap.length && isBefore(heap[child + 1]!, heap[child]!)) child += 1;
+      if (!isBefore(heap[child]!, last)) break;
+      heap[index] = heap[child]!;
+      index = child;
+    }
+    heap[index] = last;
+    return first;
+  }
+}
+
+function isBefore(a: ScheduledEvent, b: ScheduledEvent): boolean {
+  return a.at < b.at || (a.at === b.at && a.order < b.order);
+}
