Add the claim service: replicas, coordinators, placement by epochs

Cause: a non-idempotent request needs a write-once record of its dispatch, kept without a disk, and repeats of a request id need one attempt budget. Ruled out: groups taken from membership views (two views give two groups); the platform as the only authority on placement (no change while it is down); a cap of two thirds of the bound per replica for attempt budgets (a single entry node would get two of three attempts), write-once slots in its place.

--- /dev/null
+++ b/src/claims/charge-requester.ts
@@ -0,0 +1,107 @@
+/** Charges attempts of a request id at the group, so that all entry nodes share one bound. */
+import { Result } from 'true-myth';
+import type { BudgetCharge } from '../core/claim/attempt-budgets.js';
+import { ChargeRound, type ChargeOutcome } from '../core/claim/charge-coordinator.js';
+import { BUDGET_RETENTION_MS } from '../core/claim/claim-limits.js';
+import { createFailure, type Failure } from '../core/failure.js';
+import { ResultCode } from '../core/result-code.js';
+import type { AttemptCharge } from './claim-service.js';
+import { pause, settleRound, type RequesterOptions } from './requester.js';
+
+/** Rounds of one charge when concurrent charges split the slots. */
+const MAX_ROUNDS = 4;
+
+/** Largest bound that the replicas keep slots for. */
+const MAX_BOUND = 255;
+
+/**
+ * Attempts that one node grants by itself to one request id while no majority answers. The bound
+ * that then holds is the kind's bound plus this for each entry node that is cut off.
+ */
+export const ATTEMPTS_WITHOUT_MAJORITY = 1;
+
+/** Request ids remembered for that; with more, charges without a majority are refused. */
+const MAX_LOCAL_IDS = 20_000;
+
+/** Coordinator of charges. */
+export class ChargeRequester {
+  private charges = 0;
+  private readonly local = new Map<string, { granted: number; createdAt: number }>();
+
+  /** @param name unique per process start; makes charge ids unique */
+  constructor(
+    private readonly options: RequesterOptions,
+    private readonly name: string,
+  ) {}
+
+  /** Charges attempts; see `ClaimService.charge`. */
+  async charge(charge: AttemptCharge): Promise<Result<number, Failure>> {
+    const key = `${charge.tenant}/${charge.requestId}`;
+    for (let round = 0; round < MAX_ROUNDS; round += 1) {
+      const outcome = await this.runRound(key, charge);
+      if (outcome === undefined) break;
+      if (outcome.slots.length > 0) return Result.ok(outcome.slots.length);
+      if (!outcome.heardMajority) break;
+      if (!outcome.split) return exhausted('all attempts of this request id are spent');
+      await pause(
+        this.options.clock,
+        1 + this.options.random.next() * this.options.timing.retryJitterMs,
+      );
+      if (this.options.clock.now() >= charge.deadline) break;
+    }
+    return this.grantLocally(key);
+  }
+
+  /** One round under a charge id of its own; gives back what does not count. */
+  private async runRound(key: string, charge: AttemptCharge): Promise<ChargeOutcome | undefined> {
+    const record = this.options.placement();
+    if (record === undefined) return undefined;
+    const wanted = Math.min(charge.wanted, charge.bound, MAX_BOUND);
+    const budget = this.createBudgetCharge(key, wanted, charge.bound);
+    const round = new ChargeRound(record, wanted);
+    const request = { type: 'charge', epoch: record.epoch, charge: budget } as const;
+    await settleRound(this.options, round, request, charge.deadline, () => round.complete);
+    const outcome = round.outcome();
+    this.giveBackUnused(budget, outcome.slots);
+    return outcome;
+  }
+
+  private createBudgetCharge(key: string, wanted: number, bound: number): BudgetCharge {
+    this.charges += 1;
+    return {
+      key,
+      chargeId: `${this.name}.${this.charges}`,
+      wanted,
+      bound: Math.min(bound, MAX_BOUND),
+    };
+  }
+
+  private giveBackUnused(charge: BudgetCharge, used: readonly number[]): void {
+    if (used.length >= charge.wanted) return;
+    const all = Array.from({ length: charge.bound }, (_, slot) => slot);
+    const unused = all.filter((slot) => !used.includes(slot));
+    const { key, chargeId } = charge;
+    void this.options.delivery.deliver({ type: 'give-back', key, chargeId, unused });
+  }
+
+  private grantLocally(key: string): Result<number, Failure> {
+    const now = this.options.clock.now();
+    for (const [known, { createdAt }] of this.local) {
+      if (now - createdAt <= BUDGET_RETENTION_MS) break;
+      this.local.delete(known);
+    }
+    const entry = this.local.get(key) ?? { granted: 0, createdAt: now };
+    if (this.local.size >= MAX_LOCAL_IDS || entry.granted >= ATTEMPTS_WITHOUT_MAJORITY) {
+      const detail = 'no majority of replicas to charge attempts at';
+      return Result.err(
+        createFailure(ResultCode.ClaimUnavailable, detail, { retryAfterMs: 1_000 }),
+      );
+    }
+    this.local.set(key, { ...entry, granted: entry.granted + 1 });
+    return Result.ok(1);
+  }
+}
+
+function exhausted(detail: string): Result<number, Failure> {
+  return Result.err(createFailure(ResultCode.AttemptsExhausted, detail));
+}
--- /dev/null
+++ b/src/claims/claim-requester.ts
@@ -0,0 +1,141 @@
+/** Claims keys for the call router: rounds of requests to the group, until decided or too late. */
+import { ClaimRound, type ClaimVerdict } from '../core/claim/claim-coordinator.js';
+import { checkKey, readIssueTime } from '../core/claim/claim-key.js';
+import { DISPATCH_WINDOW_MS } from '../core/claim/claim-limits.js';
+import type { ClaimSubject } from '../core/claim/claim-table.js';
+import { createFailure } from '../core/failure.js';
+import type { HttpAnswer } from '../core/http-message.js';
+import { ResultCode, type Execution } from '../core/result-code.js';
+import { Event } from '../kernel/event.js';
+import type { ClaimDecision, ClaimRequest } from './claim-service.js';
+import { GrantedClaims } from './granted-claims.js';
+import { pause, settleRound, type RequesterOptions } from './requester.js';
+
+/** Time after which a caller may repeat a claim that could not be decided, in milliseconds. */
+const RETRY_AFTER_MS = 1_000;
+
+/** Coordinator of claims. */
+export class ClaimRequester {
+  private readonly granted: GrantedClaims;
+  private rounds = 0;
+
+  constructor(private readonly options: RequesterOptions) {
+    this.granted = new GrantedClaims(options.clock);
+  }
+
+  /** Claims a key; see `ClaimService.claim`. */
+  async claim(request: ClaimRequest): Promise<ClaimDecision> {
+    const { clock, log } = this.options;
+    const startedAt = clock.now();
+    const issuedAtMs = checkKey(request.key, clock.wallNow());
+    if (issuedAtMs.isErr) return { type: 'refused', failure: issuedAtMs.error };
+    const decision = await this.runRounds(request, startedAt + DISPATCH_WINDOW_MS);
+    if (decision.type === 'refused') {
+      log.emit(Event.ClaimRefused, { key: request.key, code: decision.failure.code });
+    }
+    return decision;
+  }
+
+  /** Gives a key back whose attempt is certainly not run, now or later. */
+  release(request: ClaimRequest): void {
+    const subject = this.granted.take(request.attemptId);
+    if (subject !== undefined) void this.giveBack(subject);
+  }
+
+  /** Records the end of a dispatched attempt. */
+  finish(request: ClaimRequest, answer: HttpAnswer | undefined): void {
+    const subject = this.granted.take(request.attemptId);
+    if (subject === undefined) return;
+    const kept = answer === undefined ? {} : { answer };
+    void this.options.delivery.deliver({ type: 'finish', subject, ...kept });
+  }
+
+  private async runRounds(request: ClaimRequest, notAfter: number): Promise<ClaimDecision> {
+    const { clock, timing, random } = this.options;
+    let sawEarlierAttempt = false;
+    let noEarlierAttempt = false;
+    do {
+      const record = this.options.placement();
+      if (record === undefined) return refuseUnavailable('no placement of replicas is known');
+      const round = new ClaimRound(record);
+      const subject = this.describe(request);
+      const verdict = await this.runRound(round, subject, Math.min(request.deadline, notAfter));
+      if (verdict.type === 'granted') {
+        this.granted.add(request.attemptId, subject);
+        return { type: 'granted', notAfter };
+      }
+      round.giveUp();
+      const released = this.giveBack(subject);
+      if (verdict.type !== 'undecided') return conclude(verdict);
+      sawEarlierAttempt ||= round.sawEarlierAttempt;
+      noEarlierAttempt = round.provesNoEarlierAttempt;
+      const newer = round.findNewerRecord();
+      if (newer !== undefined) this.options.observe(newer);
+      await released;
+      await pause(clock, 1 + random.next() * timing.retryJitterMs);
+    } while (clock.now() < request.deadline);
+    if (sawEarlierAttempt) return { type: 'in-progress' };
+    return refuseUnavailable('no majority of replicas in time', noEarlierAttempt);
+  }
+
+  private async runRound(
+    round: ClaimRound,
+    subject: ClaimSubject,
+    deadline: number,
+  ): Promise<ClaimVerdict | { readonly type: 'undecided' }> {
+    const { epoch } = round.record;
+    const request = { type: 'claim', epoch, subject } as const;
+    await settleRound(this.options, round, request, deadline, () => {
+      return round.verdict().type !== 'waiting';
+    });
+    if (this.options.clock.now() >= deadline) return { type: 'undecided' };
+    const verdict = round.verdict();
+    return verdict.type === 'waiting' ? { type: 'undecided' } : verdict;
+  }
+
+  private async giveBack({ key, attemptId }: ClaimSubject): Promise<void> {
+    await this.options.delivery.deliver({ type: 'release', key, attemptId });
+  }
+
+  /**
+   * Each round claims under an id of its own, because the release of a round that gave up may
+   * reach a replica after the grant of the next one.
+   */
+  private describe(request: ClaimRequest): ClaimSubject {
+    this.rounds += 1;
+    return {
+      key: `${request.tenant}/${request.service}/${request.key.toLowerCase()}`,
+      issuedAtMs: readIssueTime(request.key.toLowerCase()) ?? 0,
+      fingerprint: request.fingerprint,
+      attemptId: `${request.attemptId}.${this.rounds}`,
+    };
+  }
+}
+
+/** Maps a round that has ended without a grant. */
+function conclude(verdict: ClaimVerdict): ClaimDecision {
+  switch (verdict.type) {
+    case 'finished':
+      return verdict;
+    case 'reused':
+      return refuse(ResultCode.IdempotencyKeyReused, 'the key was used for another request');
+    case 'expired':
+      return refuse(ResultCode.IdempotencyKeyExpired, 'the key is too old for the replicas');
+    default:
+      return { type: 'in-progress' };
+  }
+}
+
+function refuse(code: ResultCode, detail: string): ClaimDecision {
+  return { type: 'refused', failure: createFailure(code, detail) };
+}
+
+/**
+ * This attempt was not run. An earlier one with the same key may have been, unless a majority
+ * had no record of one; so the caller is told `unknown` in all other cases.
+ */
+function refuseUnavailable(detail: string, noEarlierAttempt = false): ClaimDecision {
+  const execution: Execution = noEarlierAttempt ? 'not-run' : 'unknown';
+  const options = { execution, retryAfterMs: RETRY_AFTER_MS };
+  return { type: 'refused', failure: createFailure(ResultCode.ClaimUnavailable, detail, options) };
+}
--- /dev/null
+++ b/src/claims/claim-task.ts
@@ -0,0 +1,124 @@
+/** Claims at one node: replica, coordinators and placement, put together. */
+import type { Result } from 'true-myth';
+import type { PlacementRecord } from '../core/claim/placement.js';
+import type { ReplicaStatus } from '../core/claim/replica-messages.js';
+import type { Failure } from '../core/failure.js';
+import type { HttpAnswer } from '../core/http-message.js';
+import { createRandom } from '../core/random.js';
+import type { Clock } from '../kernel/clock.js';
+import type { EventLog } from '../kernel/event.js';
+import type { Membership } from '../membership/membership.js';
+import type { PeerNetwork } from '../peer/peer-network.js';
+import type { PlatformClient } from '../platform/platform-client.js';
+import { ChargeRequester } from './charge-requester.js';
+import { ClaimRequester } from './claim-requester.js';
+import type { AttemptCharge, ClaimDecision, ClaimRequest, ClaimService } from './claim-service.js';
+import { DEFAULT_CLAIM_TIMING, type ClaimTiming } from './claim-timing.js';
+import { PlacementKeeper } from './placement-keeper.js';
+import { PlacementStore } from './placement-store.js';
+import { ReplicaClient } from './replica-client.js';
+import { ReplicaDelivery } from './replica-delivery.js';
+import { ReplicaTask } from './replica-task.js';
+
+/** What the claims of a node need. */
+export interface ClaimTaskOptions {
+  readonly nodeId: string;
+  /** Unique per process start and growing; see `createIncarnation`. */
+  readonly incarnation: number;
+  readonly clock: Clock;
+  readonly log: EventLog;
+  readonly network: PeerNetwork;
+  readonly membership: Membership;
+  readonly platform: PlatformClient;
+  /** Requests that may wait for the local replica. */
+  readonly mailboxCapacity: number;
+  readonly timing?: ClaimTiming;
+}
+
+/** Distinguishes process starts within one millisecond, or after the wall clock was set back. */
+const INCARNATIONS_PER_MS = 4_096;
+
+/**
+ * Creates the incarnation of a process: start time with random low bits.
+ *
+ * @param wallNowMs Unix milliseconds
+ * @param fraction random, in [0, 1)
+ */
+export function createIncarnation(wallNowMs: number, fraction: number): number {
+  return Math.floor(wallNowMs) * INCARNATIONS_PER_MS + Math.floor(fraction * INCARNATIONS_PER_MS);
+}
+
+/** The claim service with its replica. */
+export class ClaimTask implements ClaimService {
+  private readonly replica: ReplicaTask;
+  private readonly keeper: PlacementKeeper;
+  private readonly claims: ClaimRequester;
+  private readonly charges: ChargeRequester;
+
+  constructor(options: ClaimTaskOptions) {
+    const { nodeId, incarnation, clock, log, membership } = options;
+    const timing = options.timing ?? DEFAULT_CLAIM_TIMING;
+    const random = createRandom(incarnation % 2 ** 31);
+    this.replica = new ReplicaTask({ nodeId, incarnation }, options.mailboxCapacity, clock, log);
+    const replica = this.replica;
+    const client = new ReplicaClient(options.network, replica);
+    const store = new PlacementStore(options.platform);
+    const keeper = { clock, timing, random, membership, replica, client, store };
+    this.keeper = new PlacementKeeper(keeper);
+    const placement = (): PlacementRecord | undefined => this.keeper.record;
+    const observe = (record: PlacementRecord): void => {
+      this.keeper.observe(record);
+    };
+    const delivery = new ReplicaDelivery({ clock, timing, client, placement });
+    const requester = { clock, log, timing, random, client, delivery, placement, observe };
+    this.claims = new ClaimRequester(requester);
+    this.charges = new ChargeRequester(requester, `${nodeId}#${incarnation}`);
+  }
+
+  /** What the local replica does now. */
+  get replicaStatus(): ReplicaStatus {
+    return this.replica.view.status;
+  }
+
+  /** Newest placement record that this node knows. */
+  get placement(): PlacementRecord | undefined {
+    return this.keeper.record;
+  }
+
+  /** Claims held by the local replica. */
+  get replicaSize(): number {
+    return this.replica.view.size;
+  }
+
+  claim(request: ClaimRequest): Promise<ClaimDecision> {
+    return this.claims.claim(request);
+  }
+
+  release(request: ClaimRequest): void {
+    this.claims.release(request);
+  }
+
+  finish(request: ClaimRequest, answer: HttpAnswer | undefined): void {
+    this.claims.finish(request, answer);
+  }
+
+  charge(charge: AttemptCharge): Promise<Result<number, Failure>> {
+    return this.charges.charge(charge);
+  }
+
+  /** Starts placement and recovery. */
+  start(): void {
+    this.keeper.start();
+  }
+
+  /** Planned stop: hands the replica's tables over; bounded in time. */
+  drain(): Promise<void> {
+    return this.keeper.handOver();
+  }
+
+  /** Stops at once. */
+  stop(): void {
+    this.keeper.stop();
+    this.replica.close();
+  }
+}
--- /dev/null
+++ b/src/claims/claim-timing.ts
@@ -0,0 +1,42 @@
+/** Durations of the claim tasks, in milliseconds. Tests pass shorter ones. */
+
+/** Intervals and limits of the claim tasks. */
+export interface ClaimTiming {
+  /** Longest wait for the replies of one round of a claim or charge. */
+  readonly roundTimeoutMs: number;
+  /** Largest random pause before another round. */
+  readonly retryJitterMs: number;
+  /** Pause before the first repeat of a release, finish or give-back; doubles each time. */
+  readonly deliveryRetryMs: number;
+  /** Interval of the placement keeper. */
+  readonly tickMs: number;
+  /** Interval of asking a random node for its placement record. */
+  readonly gossipMs: number;
+  /** Interval of comparing the placement record with the platform's. */
+  readonly platformMs: number;
+  /** Time to wait for nodes of three zones before the first placement. */
+  readonly bootstrapWaitMs: number;
+  /** Time for which a wanted change of members must have been stable. */
+  readonly changeDelayMs: number;
+  /** Time after which another member takes over an unfinished change. */
+  readonly takeOverMs: number;
+  /** Limit of one exchange of a change of epoch. */
+  readonly changeTimeoutMs: number;
+  /** Limit of the hand-over at a planned stop. */
+  readonly drainMs: number;
+}
+
+/** Timing of a node. */
+export const DEFAULT_CLAIM_TIMING: ClaimTiming = {
+  roundTimeoutMs: 250,
+  retryJitterMs: 20,
+  deliveryRetryMs: 100,
+  tickMs: 200,
+  gossipMs: 1_000,
+  platformMs: 5_000,
+  bootstrapWaitMs: 1_500,
+  changeDelayMs: 500,
+  takeOverMs: 1_000,
+  changeTimeoutMs: 500,
+  drainMs: 1_500,
+};
--- /dev/null
+++ b/src/claims/epoch-changer.ts
@@ -0,0 +1,172 @@
+/** Runs a change of epoch over the network: prepare, accept, install, establish. */
+import { ClaimTable } from '../core/claim/claim-table.js';
+import { EpochChange, type EpochChangeStep } from '../core/claim/epoch-change.js';
+import { majorityOf, type Incarnation, type PlacementRecord } from '../core/claim/placement.js';
+import type { ReplicaReply, ReplicaRequest } from '../core/claim/replica-messages.js';
+import type { Clock } from '../kernel/clock.js';
+import type { ClaimTiming } from './claim-timing.js';
+import type { PlacementStore } from './placement-store.js';
+import type { ReplicaClient } from './replica-client.js';
+import type { ReplicaTask } from './replica-task.js';
+
+/** What the changer needs. */
+export interface EpochChangerOptions {
+  readonly clock: Clock;
+  readonly timing: ClaimTiming;
+  readonly replica: ReplicaTask;
+  readonly client: ReplicaClient;
+  readonly store: PlacementStore;
+}
+
+/** Proposer of epochs at one node. */
+export class EpochChanger {
+  private round = 0;
+  private busy = false;
+
+  constructor(private readonly options: EpochChangerOptions) {}
+
+  /**
+   * Proposes new members and carries the change through, or the change that another proposer
+   * has begun. May end without success; the caller tries again.
+   *
+   * @param chosen node ids of the next epoch
+   * @param end give up at this local monotonic time
+   * @returns whether a next epoch was established
+   */
+  async change(chosen: readonly string[], end: number): Promise<boolean> {
+    const old = this.options.replica.view.record;
+    if (old === undefined || this.busy) return false;
+    this.busy = true;
+    try {
+      return await this.propose(old, chosen, end);
+    } finally {
+      this.busy = false;
+    }
+  }
+
+  /**
+   * Asks nodes for their incarnations. Leaves out nodes that are about to stop, and new ones that
+   * do not answer. A present member that does not answer stays while the others are a majority.
+   */
+  async findMembers(
+    old: PlacementRecord | undefined,
+    chosen: readonly string[],
+  ): Promise<readonly Incarnation[]> {
+    const { client, timing } = this.options;
+    const answering: Incarnation[] = [];
+    const silent: Incarnation[] = [];
+    const asks = chosen.map(async (nodeId) => {
+      const reply = await client.ask(nodeId, { type: 'status' }, timing.changeTimeoutMs);
+      const present = old?.members.find((member) => member.nodeId === nodeId);
+      if (reply?.type !== 'status') silent.push(...(present === undefined ? [] : [present]));
+      else if (reply.willing) answering.push({ nodeId, incarnation: reply.incarnation });
+    });
+    await Promise.all(asks);
+    const all = [...answering, ...silent];
+    const members = answering.length >= majorityOf(all.length) ? all : answering;
+    return members.sort((a, b) => chosen.indexOf(a.nodeId) - chosen.indexOf(b.nodeId));
+  }
+
+  /** Tells the members of the given records that the last of these is established. */
+  async establish(records: readonly PlacementRecord[]): Promise<void> {
+    const record = records.at(-1);
+    if (record === undefined) return;
+    const ids = records.flatMap((each) => each.members.map((member) => member.nodeId));
+    await this.askEach([...new Set(ids)], { type: 'establish', record });
+  }
+
+  private async propose(
+    old: PlacementRecord,
+    chosen: readonly string[],
+    end: number,
+  ): Promise<boolean> {
+    const members = await this.findMembers(old, chosen);
+    if (members.length === 0 || !this.isWorthwhile(old, members)) return false;
+    const proposed = { epoch: old.epoch + 1, members, fresh: false, floorMs: old.floorMs };
+    const change = new EpochChange(old, this.nextBallot(), proposed);
+    const { epoch } = old;
+    const { ballot } = change;
+    if (!(await this.runPhase(change, { type: 'prepare', epoch, ballot }, 'accepting')))
+      return false;
+    const { successor } = change;
+    if (!(await this.runPhase(change, { type: 'accept', epoch, ballot, successor }, 'decided'))) {
+      return false;
+    }
+    if (!(await this.install(change, end))) return false;
+    await this.establish([old, successor]);
+    await this.options.store.publish(successor);
+    return true;
+  }
+
+  /** Whether the members differ from the present ones, or an unfinished change holds up votes. */
+  private isWorthwhile(old: PlacementRecord, members: readonly Incarnation[]): boolean {
+    if (this.options.replica.view.status === 'sealed') return true;
+    const isPresent = (each: Incarnation): boolean =>
+      old.members.some((member) => member.nodeId === each.nodeId);
+    return members.length !== old.members.length || !members.every(isPresent);
+  }
+
+  private async runPhase(
+    change: EpochChange,
+    request: ReplicaRequest,
+    wanted: EpochChangeStep,
+  ): Promise<boolean> {
+    const ids = change.old.members.map((member) => member.nodeId);
+    await this.askEach(ids, request, (reply) => {
+      change.onReply(reply);
+      return change.step === wanted;
+    });
+    const rejectedBy = change.rejectedBy;
+    if (rejectedBy !== undefined) this.round = Math.max(this.round, rejectedBy.round);
+    return change.step === wanted;
+  }
+
+  /** Starts the new members; this node's own replica last, as it holds the old epoch's memory. */
+  private async install(change: EpochChange, end: number): Promise<boolean> {
+    const { clock, replica } = this.options;
+    const merged = new ClaimTable();
+    for (const table of change.tables) merged.merge(table);
+    const record = change.successor;
+    const request = { type: 'install', record, table: merged.snapshot() } as const;
+    const self = replica.view.self.nodeId;
+    const ids = record.members.map((member) => member.nodeId);
+    const ordered = [ids.filter((id) => id !== self), ids.filter((id) => id === self)];
+    const installed = new Set<string>();
+    do {
+      for (const group of ordered) {
+        const missing = group.filter((id) => !installed.has(id));
+        await this.askEach(missing, request, (reply, nodeId) => {
+          if (reply.type === 'done') installed.add(nodeId);
+          return false;
+        });
+      }
+      if (installed.size >= majorityOf(ids.length)) return true;
+    } while (clock.now() < end);
+    return false;
+  }
+
+  /** Asks nodes at once; resolves when `isEnough` says so or all have answered or timed out. */
+  private askEach(
+    nodeIds: readonly string[],
+    request: ReplicaRequest,
+    isEnough: (reply: ReplicaReply, nodeId: string) => boolean = () => false,
+  ): Promise<void> {
+    const { client, timing } = this.options;
+    return new Promise((resolve) => {
+      const asks = nodeIds.map(async (nodeId) => {
+        const reply = await client.ask(nodeId, request, timing.changeTimeoutMs);
+        if (reply !== undefined && isEnough(reply, nodeId)) resolve();
+      });
+      void Promise.all(asks).then(() => {
+        resolve();
+      });
+    });
+  }
+
+  /** A ballot above all that this node has seen; unique, as it names the process's incarnation. */
+  private nextBallot(): { readonly round: number; readonly nodeId: string } {
+    const { self, promisedBallot } = this.options.replica.view;
+    this.round = Math.max(this.round, promisedBallot?.round ?? 0) + 1;
+    return { round: this.round, nodeId: `${self.nodeId}#${self.incarnation}` };
+  }
+}
--- /dev/null
+++ b/src/claims/requester.ts
@@ -0,0 +1,69 @@
+/** What the coordinators of claims and of charges share. */
+import type { PlacementRecord } from '../core/claim/placement.js';
+import type { ReplicaReply, ReplicaRequest } from '../core/claim/replica-messages.js';
+import type { Random } from '../core/random.js';
+import type { Clock } from '../kernel/clock.js';
+import type { EventLog } from '../kernel/event.js';
+import type { ClaimTiming } from './claim-timing.js';
+import type { ReplicaClient } from './replica-client.js';
+import type { ReplicaDelivery } from './replica-delivery.js';
+
+/** What a requester needs. */
+export interface RequesterOptions {
+  readonly clock: Clock;
+  readonly log: EventLog;
+  readonly timing: ClaimTiming;
+  readonly random: Random;
+  readonly client: ReplicaClient;
+  readonly delivery: ReplicaDelivery;
+  /** Newest established placement record. */
+  readonly placement: () => PlacementRecord | undefined;
+  /** Takes in a newer record that a replica told about. */
+  readonly observe: (record: PlacementRecord) => void;
+}
+
+/** A round that collects one reply per member. */
+export interface Round {
+  readonly record: PlacementRecord;
+  onReply(nodeId: string, reply: ReplicaReply | undefined): void;
+}
+
+/** Waits on the given clock. */
+export function pause(clock: Clock, delayMs: number): Promise<void> {
+  return new Promise((resolve) => {
+    clock.schedule(delayMs, resolve);
+  });
+}
+
+/**
+ * Sends a request to all members and resolves once `isSettled` says so, every member has
+ * answered, the round's time is over or the deadline has come. Later replies are ignored.
+ */
+export function settleRound(
+  options: RequesterOptions,
+  round: Round,
+  request: ReplicaRequest,
+  deadline: number,
+  isSettled: () => boolean,
+): Promise<void> {
+  const { client, clock, timing } = options;
+  const timeoutMs = Math.min(timing.roundTimeoutMs, deadline - clock.now());
+  if (timeoutMs <= 0) return Promise.resolve();
+  return new Promise((resolve) => {
+    let open = true;
+    const close = (): void => {
+      open = false;
+      cancel();
+      resolve();
+    };
+    const cancel = clock.schedule(timeoutMs, close);
+    const onReply = (nodeId: string, reply: ReplicaReply | undefined): void => {
+      if (!open) return;
+      round.onReply(nodeId, reply);
+      if (isSettled()) close();
+    };
+    void client.askAll(round.record, request, timeoutMs, onReply).then(() => {
+      if (open) close();
+    });
+  });
+}
--- /dev/null
+++ b/src/core/claim/claim-table.ts
@@ -0,0 +1,135 @@
+/** Claims and attempt budgets that one replica keeps in memory, bounded by count and by age. */
+import type { HttpAnswer } from '../http-message.js';
+import { AnswerStore } from './answer-store.js';
+import { AttemptBudgets, type BudgetEntry } from './attempt-budgets.js';
+import { KEY_HORIZON_MS, MAX_CLAIMS, RETENTION_MARGIN_MS } from './claim-limits.js';
+
+/**
+ * State of one key: `held` by an attempt that may be dispatched, `finished` after its dispatch,
+ * `conflict` when recovered tables named two attempts: then nobody gets the key.
+ */
+export type ClaimPhase = 'held' | 'finished' | 'conflict';
+
+/** What identifies a claim. */
+export interface ClaimSubject {
+  /** Tenant, service and Idempotency-Key. */
+  readonly key: string;
+  /** Issue time of the key, Unix milliseconds. */
+  readonly issuedAtMs: number;
+  /** Digest of the request. */
+  readonly fingerprint: string;
+  /** The attempt that claims. */
+  readonly attemptId: string;
+}
+
+/** One key in a replica's table. */
+export interface ClaimEntry extends ClaimSubject {
+  readonly phase: ClaimPhase;
+  /** The answer of a finished attempt, when it was kept. */
+  readonly answer?: HttpAnswer;
+}
+
+/** A copy of a replica's memory, for recovery and hand-over. */
+export interface TableSnapshot {
+  readonly claims: readonly ClaimEntry[];
+  readonly budgets: readonly BudgetEntry[];
+}
+
+/** Joins what two replicas know of a key. */
+function mergeEntries(left: ClaimEntry, right: ClaimEntry): ClaimEntry {
+  if (left.phase === 'finished')
+    return left.answer === undefined ? preferFinished(right, left) : left;
+  if (right.phase === 'finished') return right;
+  if (left.attemptId === right.attemptId && left.phase === right.phase) return left;
+  return { ...left, phase: 'conflict' };
+}
+
+function preferFinished(candidate: ClaimEntry, otherwise: ClaimEntry): ClaimEntry {
+  return candidate.phase === 'finished' ? candidate : otherwise;
+}
+
+/** Whether a key is so old that no replica accepts it any more. */
+function isForgettable(issuedAtMs: number, wallNowMs: number): boolean {
+  return wallNowMs - issuedAtMs > KEY_HORIZON_MS + RETENTION_MARGIN_MS;
+}
+
+/** The table. All methods are deterministic; time is an argument. */
+export class ClaimTable {
+  readonly budgets = new AttemptBudgets();
+  private readonly claims = new Map<string, ClaimEntry>();
+  private readonly answers = new AnswerStore();
+
+  constructor(private readonly maxClaims = MAX_CLAIMS) {}
+
+  /** Number of claims. */
+  get size(): number {
+    return this.claims.size;
+  }
+
+  /** Finds a key, with its answer. */
+  find(key: string): ClaimEntry | undefined {
+    const entry = this.claims.get(key);
+    if (entry === undefined) return undefined;
+    const answer = this.answers.find(key);
+    return answer === undefined ? entry : { ...entry, answer };
+  }
+
+  /** Gives a free key to an attempt. Returns false when the table is full. */
+  hold(subject: ClaimSubject): boolean {
+    if (this.claims.size >= this.maxClaims) return false;
+    const { key, issuedAtMs, fingerprint, attemptId } = subject;
+    this.claims.set(key, { key, issuedAtMs, fingerprint, attemptId, phase: 'held' });
+    return true;
+  }
+
+  /** Frees a key that the attempt holds and has not finished. */
+  release(key: string, attemptId: string): void {
+    const entry = this.claims.get(key);
+    if (entry?.attemptId === attemptId && entry.phase === 'held') this.claims.delete(key);
+  }
+
+  /** Records that the attempt was dispatched and has ended; overrides every other holder. */
+  finish(subject: ClaimSubject, answer: HttpAnswer | undefined): void {
+    const { key, issuedAtMs, fingerprint, attemptId } = subject;
+    const known = this.claims.get(key);
+    if (known === undefined && this.claims.size >= this.maxClaims) return;
+    if (known?.phase === 'finished' && known.attemptId !== attemptId) return;
+    this.claims.set(key, { key, issuedAtMs, fingerprint, attemptId, phase: 'finished' });
+    if (answer !== undefined) this.answers.keep(key, answer);
+  }
+
+  /** Forgets what has expired. */
+  expire(wallNowMs: number): void {
+    for (const [key, entry] of this.claims) {
+      if (!isForgettable(entry.issuedAtMs, wallNowMs)) continue;
+      this.claims.delete(key);
+      this.answers.forget(key);
+    }
+    this.budgets.expire(wallNowMs);
+  }
+
+  /** Copies the table. */
+  snapshot(): TableSnapshot {
+    const claims = [...this.claims.keys()].map((key) => this.find(key)!);
+    return { claims, budgets: this.budgets.snapshot() };
+  }
+
+  /** Joins a copy of another replica's table into this one; the bound on claims may be exceeded. */
+  merge(snapshot: TableSnapshot): void {
+    for (const incoming of snapshot.claims) {
+      const known = this.find(incoming.key);
+      const merged = known === undefined ? incoming : mergeEntries(known, incoming);
+      const { answer, ...entry } = merged;
+      this.claims.set(entry.key, entry);
+      if (answer !== undefined) this.answers.keep(entry.key, answer);
+    }
+    this.budgets.merge(snapshot.budgets);
+  }
+
+  /** Forgets everything. */
+  clear(): void {
+    this.claims.clear();
+    this.answers.clear();
+    this.budgets.clear();
+  }
+}
--- /dev/null
+++ b/src/core/claim/replica-messages.ts
@@ -0,0 +1,160 @@
+/** Requests to a claim replica and its replies. */
+import type { HttpAnswer } from '../http-message.js';
+import type { BudgetCharge } from './attempt-budgets.js';
+import type { ClaimSubject, TableSnapshot } from './claim-table.js';
+import type { PlacementRecord, Vote } from './placement.js';
+
+/** Number of a proposal for the next epoch; unique per proposer and totally ordered. */
+export interface Ballot {
+  readonly round: number;
+  readonly nodeId: string;
+}
+
+/** The successor that a replica has accepted last. */
+export interface AcceptedSuccessor {
+  readonly ballot: Ballot;
+  readonly successor: PlacementRecord;
+}
+
+/** Asks for a key. */
+export interface ClaimMessage {
+  readonly type: 'claim';
+  readonly epoch: number;
+  readonly subject: ClaimSubject;
+}
+
+/** Gives a key back; the attempt is never dispatched afterwards. */
+export interface ReleaseMessage {
+  readonly type: 'release';
+  readonly key: string;
+  readonly attemptId: string;
+}
+
+/** Tells that a dispatched attempt has ended; without an answer its outcome stays unknown. */
+export interface FinishMessage {
+  readonly type: 'finish';
+  readonly subject: ClaimSubject;
+  readonly answer?: HttpAnswer;
+}
+
+/** Asks for attempts of a request id. */
+export interface ChargeMessage {
+  readonly type: 'charge';
+  readonly epoch: number;
+  readonly charge: BudgetCharge;
+}
+
+/** Gives slots back that the charge does not use. */
+export interface GiveBackMessage {
+  readonly type: 'give-back';
+  readonly key: string;
+  readonly chargeId: string;
+  readonly unused: readonly number[];
+}
+
+/** A restarted replica reads the tables of another one. */
+export interface RecoverMessage {
+  readonly type: 'recover';
+  readonly epoch: number;
+  readonly nodeId: string;
+  readonly incarnation: number;
+}
+
+/** First phase of a change of epoch: stops votes and reads the tables. */
+export interface PrepareMessage {
+  readonly type: 'prepare';
+  readonly epoch: number;
+  readonly ballot: Ballot;
+}
+
+/** Second phase of a change of epoch: agrees on the next record. */
+export interface AcceptMessage {
+  readonly type: 'accept';
+  readonly epoch: number;
+  readonly ballot: Ballot;
+  readonly successor: PlacementRecord;
+}
+
+/** Starts a member of an agreed record with the tables of the epoch before. */
+export interface InstallMessage {
+  readonly type: 'install';
+  readonly record: PlacementRecord;
+  readonly table: TableSnapshot;
+}
+
+/** Tells that a majority of a record's members has been started. */
+export interface EstablishMessage {
+  readonly type: 'establish';
+  readonly record: PlacementRecord;
+}
+
+/** Asks for incarnation, status and the newest established record. */
+export interface StatusMessage {
+  readonly type: 'status';
+}
+
+/** Every request to a replica. */
+export type ReplicaRequest =
+  | ClaimMessage
+  | ReleaseMessage
+  | FinishMessage
+  | ChargeMessage
+  | GiveBackMessage
+  | RecoverMessage
+  | PrepareMessage
+  | AcceptMessage
+  | InstallMessage
+  | EstablishMessage
+  | StatusMessage;
+
+/**
+ * What a replica does: `idle` (no member), `pending` (member, tables not yet installed),
+ * `recovering` (restarted, reads the others' tables), `voting`, `sealed` (stopped for the next epoch).
+ */
+export type ReplicaStatus = 'idle' | 'pending' | 'recovering' | 'voting' | 'sealed';
+
+/** Everything that a replica must not forget, as read by another one. */
+export interface ReplicaMemory {
+  readonly table: TableSnapshot;
+  readonly promised?: Ballot;
+  readonly accepted?: AcceptedSuccessor;
+}
+
+/** Every reply of a replica. */
+export type ReplicaReply =
+  /** The key belongs to the attempt, as far as this replica goes. */
+  | { readonly type: 'granted'; readonly vote: Vote }
+  /** Another attempt holds the key, or tables conflict (`attemptId` empty). */
+  | { readonly type: 'held'; readonly attemptId: string }
+  /** An attempt was dispatched and has ended. */
+  | { readonly type: 'finished'; readonly attemptId: string; readonly answer?: HttpAnswer }
+  /** The key was used with another fingerprint. */
+  | { readonly type: 'reused' }
+  /** The key is older than the horizon or the group's floor. */
+  | { readonly type: 'expired' }
+  /** The table is full. */
+  | { readonly type: 'full' }
+  | { readonly type: 'charged'; readonly vote: Vote; readonly slots: readonly number[] }
+  /** The replica cannot answer now; a newer record, when it has one. */
+  | { readonly type: 'not-voting'; readonly record?: PlacementRecord }
+  | { readonly type: 'recovered'; readonly vote: Vote; readonly memory: ReplicaMemory }
+  | { readonly type: 'promised'; readonly vote: Vote; readonly memory: ReplicaMemory }
+  | { readonly type: 'accepted'; readonly vote: Vote }
+  /** A higher ballot was promised. */
+  | { readonly type: 'rejected'; readonly promised: Ballot }
+  | { readonly type: 'done' }
+  | {
+      readonly type: 'status';
+      readonly incarnation: number;
+      readonly status: ReplicaStatus;
+      /** False once the node's planned stop has begun. */
+      readonly willing: boolean;
+      readonly record?: PlacementRecord;
+    };
+
+/** Whether the left ballot is below the right one; no ballot is below every ballot. */
+export function isBelow(left: Ballot | undefined, right: Ballot): boolean {
+  if (left === undefined) return true;
+  if (left.round !== right.round) return left.round < right.round;
+  return left.nodeId < right.nodeId;
+}
