--- /dev/null
+++ b/src/stand-ins/platform/machine-list.ts
@@ -0,0 +1,31 @@
+/** The platform's list of machines; a change shows only after the lag. */
+import type { Machine } from '../../platform/platform-client.js';
+
+/** Longest lag that readers may ask for. */
+export const MAX_LAG_MS = 600_000;
+
+interface Version {
+  readonly at: number;
+  readonly machines: readonly Machine[];
+}
+
+/** Keeps the versions of the list that may still be shown. */
+export class MachineList {
+  private versions: Version[];
+
+  constructor(machines: readonly Machine[]) {
+    this.versions = [{ at: Number.NEGATIVE_INFINITY, machines }];
+  }
+
+  /** Replaces the list; readers see it once the lag has passed. */
+  set(now: number, machines: readonly Machine[]): void {
+    const outdated = this.versions.findLastIndex(({ at }) => at <= now - MAX_LAG_MS);
+    this.versions = [...this.versions.slice(Math.max(0, outdated)), { at: now, machines }];
+  }
+
+  /** The list as it was `lagMs` ago. */
+  read(now: number, lagMs: number): readonly Machine[] {
+    const visible = this.versions.filter(({ at }) => at <= now - lagMs);
+    return (visible.at(-1) ?? this.versions[0]!).machines;
+  }
+}
