--- a/src/config/in-memory-config-store.test.ts
+++ b/src/config/in-memory-config-store.test.ts
@@ -3,24 +3,12 @@
 import fc from 'fast-check';
 import type { RevisionRecord } from './config-store.js';
 import { InMemoryConfigStore } from './in-memory-config-store.js';
+import { createSampleRules } from '../testing/sample-rules.js';
 import { parseRules, type Rules } from './rules.js';
 
-function createRules(tenant: string, host = `${tenant}.test`, target = `${tenant}-1`): Rules {
-  const kinds = [
-    { name: 'any', match: { pathPrefix: '/' } },
-    { name: 'step', match: { pathPrefix: '/steps/' } },
-    { name: 'step-write', match: { pathPrefix: '/steps/', method: 'POST' } },
-  ].map((kind) => ({
-    ...kind,
-    criticality: 'normal',
-    deadlineMs: 100,
-    attempts: 3,
-    idempotent: true,
-  }));
-  const targets = [{ id: target, zone: 'zone-a', address: '127.0.0.1:9001' }];
-  const service = { name: 'guide', hosts: [host], slots: 4, connections: 10, targets, kinds };
-  const document = { apiVersion: 'sillshore/v1', tenant, services: [service] };
-  const parsed = parseRules(JSON.stringify(document));
+function createRules(tenant: string, host?: string, target?: string): Rules {
+  const document = createSampleRules({ tenant, ...(host && { host }), ...(target && { target }) });
+  const parsed = parseRules(document);
   assert.ok(parsed.isOk);
   return parsed.value;
 }
--- /dev/null
+++ b/src/testing/in-memory-platform.ts
@@ -0,0 +1,136 @@
+/** PlatformClient over an in-memory store with planned faults, for tests of decision logic. */
+import { Result } from 'true-myth';
+import { createFailure, type Failure } from '../core/failure.js';
+import { ResultCode } from '../core/result-code.js';
+import type {
+  Compare,
+  KeyValue,
+  Machine,
+  PlatformClient,
+  Put,
+  RangeResult,
+  TransactionResult,
+  WatchEvent,
+} from '../platform/platform-client.js';
+import { KeyValueStore, type StoredValue } from '../stand-ins/platform/key-value-store.js';
+
+/** What happens to one write: `late` takes effect only when {@link InMemoryPlatform.deliverLate} runs. */
+export type WriteFate = 'ok' | 'refused' | 'lost-before' | 'lost-after' | 'late';
+
+/** Fates by call; absent calls end well. */
+export interface PlatformPlan {
+  readonly nextWrite?: () => WriteFate;
+  readonly nextReadFails?: () => boolean;
+  /** Passes each exchange through a scheduler. */
+  readonly step?: () => Promise<void>;
+}
+
+/** The platform of a test; several clients may share one store. */
+export class InMemoryPlatform implements PlatformClient {
+  /** Refuses everything and loses all watches while true. */
+  down = false;
+  machineList: readonly Machine[] = [];
+  /** Reads and writes so far. */
+  exchanges = 0;
+  private readonly late: (() => void)[] = [];
+  private readonly watchers = new Set<(event: WatchEvent) => void>();
+
+  constructor(
+    readonly store = new KeyValueStore(),
+    private readonly plan: PlatformPlan = {},
+  ) {}
+
+  get available(): boolean {
+    return !this.down;
+  }
+
+  get watchCount(): number {
+    return this.watchers.size;
+  }
+
+  async range(prefix: string): Promise<Result<RangeResult, Failure>> {
+    this.exchanges += 1;
+    await this.plan.step?.();
+    if (this.down || this.plan.nextReadFails?.() === true) return unavailable();
+    const { values } = this.store.range({ key: prefix, end: `${prefix}\u00ff` });
+    return Result.ok({ values: values.map(toKeyValue), revision: this.store.revision });
+  }
+
+  async transact(
+    compares: readonly Compare[],
+    puts: readonly Put[],
+  ): Promise<Result<TransactionResult, Failure>> {
+    this.exchanges += 1;
+    await this.plan.step?.();
+    const fate = this.down ? 'refused' : (this.plan.nextWrite?.() ?? 'ok');
+    if (fate === 'refused') return unavailable();
+    if (fate === 'late') this.late.push(() => this.write(compares, puts));
+    if (fate === 'late' || fate === 'lost-before') return unknown();
+    const result = this.write(compares, puts);
+    await this.plan.step?.();
+    return fate === 'lost-after' ? unknown() : Result.ok(result);
+  }
+
+  watch(prefix: string, from: number, listener: (event: WatchEvent) => void): () => void {
+    if (this.down) {
+      queueMicrotask(() => {
+        listener({ type: 'lost', failure: createFailure(ResultCode.PlatformUnavailable, 'down') });
+      });
+      return () => {};
+    }
+    const deliver = (events: readonly { keyValue: StoredValue }[]) => {
+      for (const { keyValue } of events) {
+        if (this.down || !keyValue.key.startsWith(prefix)) continue;
+        listener({ type: 'put', keyValue: toKeyValue(keyValue) });
+      }
+    };
+    const unsubscribe = this.store.subscribe(deliver);
+    const stop = () => {
+      unsubscribe();
+      this.watchers.delete(listener);
+    };
+    this.watchers.add(listener);
+    deliver(this.store.eventsSince(from));
+    return stop;
+  }
+
+  machines(): Promise<Result<readonly Machine[], Failure>> {
+    const result = Result.ok<readonly Machine[], Failure>(this.machineList);
+    return Promise.resolve(this.down ? unavailable() : result);
+  }
+
+  /** Starts an outage: every watch is lost. */
+  startOutage(): void {
+    this.down = true;
+    const failure = createFailure(ResultCode.PlatformUnavailable, 'outage');
+    const lost = [...this.watchers];
+    this.watchers.clear();
+    for (const listener of lost) listener({ type: 'lost', failure });
+  }
+
+  /** Lets the writes with fate `late` reach the store. */
+  deliverLate(): void {
+    for (const write of this.late.splice(0)) write();
+  }
+
+  private write(compares: readonly Compare[], puts: readonly Put[]): TransactionResult {
+    const { succeeded } = this.store.transact(
+      compares.map(({ key, modRevision }) => ({ key, target: 'MOD', value: modRevision })),
+      puts.map(({ key, value }) => ({ type: 'put', key, value, lease: 0 })),
+      [],
+    );
+    return { succeeded, revision: this.store.revision };
+  }
+}
+
+function toKeyValue({ key, value, createRevision, modRevision, version }: StoredValue): KeyValue {
+  return { key, value, createRevision, modRevision, version };
+}
+
+function unavailable<T>(): Result<T, Failure> {
+  return Result.err(createFailure(ResultCode.PlatformUnavailable, 'planned fault'));
+}
+
+function unknown<T>(): Result<T, Failure> {
+  return Result.err(createFailure(ResultCode.WriteOutcomeUnknown, 'planned fault'));
+}
