Keep draining when one plug-in's drain fails, and stop each plug-in once

Cause: a rejected drain ended Kernel.drainAndStop before the others were drained and before anything was stopped; two stops at once stopped each plug-in twice. Ruled out: the plug-ins themselves; the tests use recorders that do nothing else. Change: drains and stops share one guarded step; stop takes the list of started plug-ins before it begins. Events of the node's life no longer repeat the node id, which the log's bindings carry.

--- a/src/kernel/kernel.ts
+++ b/src/kernel/kernel.ts
@@ -41,28 +41,33 @@
         throw error;
       }
     }
-    this.log.emit(Event.NodeStarted, { node: this.options.settings.node.id });
+    this.log.emit(Event.NodeStarted);
   }
 
-  /** Planned stop: drains in reverse start order, then stops. */
+  /** Planned stop: drains in reverse start order, then stops. A failed drain keeps no other. */
   async drainAndStop(): Promise<void> {
-    this.log.emit(Event.NodeDraining, { node: this.options.settings.node.id });
+    this.log.emit(Event.NodeDraining);
     for (const plugin of [...this.started].reverse()) {
-      await plugin.drain?.(this.container);
+      await this.attempt(plugin, () => plugin.drain?.(this.container));
     }
     await this.stop();
   }
 
   /** Stops in reverse start order; a plug-in that fails to stop does not keep the others. */
   async stop(): Promise<void> {
-    for (const plugin of [...this.started].reverse()) {
-      try {
-        await plugin.stop?.(this.container);
-      } catch (error) {
-        this.log.emit(Event.InternalError, { plugin: plugin.name, error: String(error) });
-      }
-    }
+    const started = [...this.started].reverse();
     this.started = [];
-    this.log.emit(Event.NodeStopped, { node: this.options.settings.node.id });
+    for (const plugin of started) {
+      await this.attempt(plugin, () => plugin.stop?.(this.container));
+    }
+    this.log.emit(Event.NodeStopped);
+  }
+
+  private async attempt(plugin: Plugin, step: () => Promise<void> | undefined): Promise<void> {
+    try {
+      await step();
+    } catch (error) {
+      this.log.emit(Event.InternalError, { plugin: plugin.name, error: String(error) });
+    }
   }
 }
