Start a node from the command line; registration of commands by area

Cause: no program yet; the areas need the place where their commands are registered. Ruled out: one large command file, which every area would have to edit.

--- /dev/null
+++ b/src/cli/run-command-line.ts
@@ -0,0 +1,40 @@
+/** Runs one command line in this process; main.ts and the tests call it. */
+import { Cli, type BaseContext, type Command } from 'clipanion';
+import { ExitCode } from './exit-code.js';
+import { registeredCommands } from './registered-commands.js';
+import { readVersion } from './version-command.js';
+
+/** Streams and environment of a command line; the process's own where absent. */
+export type CommandLineContext = Partial<BaseContext>;
+
+function createCli(): Cli {
+  const cli = new Cli({
+    binaryLabel: 'Sillshore: overload control for service call graphs',
+    binaryName: 'sillshore',
+    binaryVersion: readVersion(),
+  });
+  for (const command of registeredCommands) cli.register(command);
+  return cli;
+}
+
+/**
+ * Parses and runs a command line.
+ *
+ * @param argv arguments after the program's name
+ * @returns the exit code; wrong usage is `ExitCode.InvalidInput`
+ */
+export async function runCommandLine(
+  argv: string[],
+  context: CommandLineContext = {},
+): Promise<number> {
+  const cli = createCli();
+  const full = { ...Cli.defaultContext, ...context };
+  let command: Command;
+  try {
+    command = cli.process(argv, full);
+  } catch (error) {
+    full.stderr.write(cli.error(error));
+    return ExitCode.InvalidInput;
+  }
+  return await cli.run(command, full);
+}
--- /dev/null
+++ b/src/cli/version-command.ts
@@ -0,0 +1,38 @@
+/** `sillshore version`. */
+import { readFileSync } from 'node:fs';
+import { Command, Option } from 'clipanion';
+import { z } from 'zod';
+import { SillshoreCommand } from './command.js';
+import { ExitCode } from './exit-code.js';
+
+const packageSchema = z.object({ version: z.string() });
+
+/** Version of the installed package. */
+export function readVersion(): string {
+  const text = readFileSync(new URL('../../package.json', import.meta.url), 'utf8');
+  return packageSchema.parse(JSON.parse(text)).version;
+}
+
+/** Prints the version. */
+export class VersionCommand extends SillshoreCommand {
+  static override paths = [['version'], ['--version']];
+  static override usage = Command.Usage({
+    description: 'print the version',
+    examples: [
+      ['Print the version', '$0 version'],
+      ['For a program', '$0 version --json'],
+    ],
+  });
+
+  json = Option.Boolean('--json', false, { description: 'Print JSON' });
+
+  protected async run(): Promise<ExitCode> {
+    const version = readVersion();
+    if (this.json) this.printJson({ version, node: process.version });
+    else this.print(version);
+    return ExitCode.Ok;
+  }
+}
+
+/** Commands of this module. */
+export const versionCommands = [VersionCommand];
--- /dev/null
+++ b/src/node/plugins.ts
@@ -0,0 +1,2 @@
+/** The plug-ins of a node: importing a plug-in's module registers it. */
+import '../observability/observability-plugin.js';
--- /dev/null
+++ b/src/node/run-node.ts
@@ -0,0 +1,103 @@
+/** Runs a node in this process until a signal stops it. */
+import type { Settings } from '../config/settings.js';
+import type { Clock } from '../kernel/clock.js';
+import { Event } from '../kernel/event.js';
+import type { Kernel } from '../kernel/kernel.js';
+import { Token } from '../kernel/token.js';
+import { createNode, type NodeOptions } from './start-node.js';
+
+const STOP_SIGNALS = ['SIGTERM', 'SIGINT'] as const;
+
+/** Where stop signals come from; tests bring their own emitter. */
+export interface SignalSource {
+  on(signal: string, listener: () => void): unknown;
+  off(signal: string, listener: () => void): unknown;
+}
+
+/** How a node's run ended. */
+export type NodeEnd = 'stopped' | 'start-failed' | 'cut-short';
+
+/**
+ * Starts a node and waits for its end. The first SIGTERM or SIGINT starts a planned stop,
+ * bounded by `settings.stopTimeoutMs`; a second one stops at once.
+ *
+ * @returns `stopped` after a complete planned stop, `cut-short` when the time limit or a
+ * second signal ended it
+ */
+export async function runNode(
+  settings: Settings,
+  options: NodeOptions = {},
+  signals: SignalSource = process,
+): Promise<NodeEnd> {
+  const kernel = createNode(settings, options);
+  const log = kernel.container.get(Token.EventLog);
+  const stops = new SignalQueue(signals);
+  try {
+    await kernel.start();
+  } catch (error) {
+    log.emit(Event.InternalError, { error: String(error) });
+    return 'start-failed';
+  }
+  try {
+    await stops.next();
+    return await stopAsPlanned(kernel, settings.stopTimeoutMs, stops);
+  } finally {
+    stops.close();
+  }
+}
+
+async function stopAsPlanned(
+  kernel: Kernel,
+  timeoutMs: number,
+  stops: SignalQueue,
+): Promise<NodeEnd> {
+  const clock = kernel.container.get(Token.Clock);
+  const timer = createTimer(clock, timeoutMs);
+  const log = kernel.container.get(Token.EventLog);
+  const ended = await Promise.race([
+    kernel.drainAndStop().then(() => 'stopped' as const),
+    timer.promise.then(() => 'time limit' as const),
+    stops.next().then(() => 'second signal' as const),
+  ]);
+  timer.cancel();
+  if (ended === 'stopped') return 'stopped';
+  log.emit(Event.InternalError, { error: `planned stop cut short by ${ended}` });
+  await kernel.stop();
+  return 'cut-short';
+}
+
+function createTimer(clock: Clock, delayMs: number): { promise: Promise<void>; cancel(): void } {
+  let cancel = (): void => {};
+  const promise = new Promise<void>((resolve) => {
+    cancel = clock.schedule(delayMs, resolve);
+  });
+  return { promise, cancel };
+}
+
+/** Counts stop signals, so that one that came during the start is not lost. */
+class SignalQueue {
+  private waiting = 0;
+  private wake: (() => void) | undefined;
+  private readonly listener = (): void => {
+    this.waiting += 1;
+    this.wake?.();
+  };
+
+  constructor(private readonly source: SignalSource) {
+    for (const signal of STOP_SIGNALS) source.on(signal, this.listener);
+  }
+
+  /** Waits for the next stop signal. */
+  async next(): Promise<void> {
+    if (this.waiting === 0) {
+      await new Promise<void>((resolve) => {
+        this.wake = resolve;
+      });
+    }
+    this.waiting -= 1;
+  }
+
+  close(): void {
+    for (const signal of STOP_SIGNALS) this.source.off(signal, this.listener);
+  }
+}
