Add the interfaces for operators' drain commands

Cause: the administration API has to reach the target side and the node that is to stop. Ruled out: forwarding over the other node's administration port, which would need its token; the peer link is authenticated already. Change: calls drainTarget and drainNode between nodes, the interface TargetAdministration (the target side binds it), Kernel.requestStop and stopRequested.

--- /dev/null
+++ b/src/admin/admin-messages.ts
@@ -0,0 +1,19 @@
+/** Messages by which a node passes an operator's command on to the node concerned. */
+
+/** Starts or ends an operator's drain of a target that the receiving node fronts. */
+export interface DrainTargetMessage {
+  readonly target: string;
+  readonly drained: boolean;
+}
+
+/** Whether the receiving node fronts the target and took the command. */
+export interface DrainTargetReply {
+  readonly applied: boolean;
+}
+
+/** Request and reply type of each administration call between nodes. */
+export interface AdminCalls {
+  drainTarget: { request: DrainTargetMessage; reply: DrainTargetReply };
+  /** Starts the planned stop of the receiving node. */
+  drainNode: { request: Record<string, never>; reply: Record<string, never> };
+}
--- a/src/kernel/kernel.test.ts
+++ b/src/kernel/kernel.test.ts
@@ -116,3 +116,12 @@
   await Promise.all([kernel.stop(), kernel.stop()]);
   assert.deepEqual(recorder.steps, [...STARTED, 'stop c', 'stop b', 'stop a']);
 });
+
+test('a stop asked for from inside the node is announced once and shows as draining', async () => {
+  const kernel = new Recorder().kernel();
+  assert.equal(kernel.draining, false);
+  kernel.requestStop();
+  kernel.requestStop();
+  await kernel.stopRequested;
+  assert.equal(kernel.draining, true);
+});
--- a/src/kernel/kernel.ts
+++ b/src/kernel/kernel.ts
@@ -18,11 +18,18 @@
 /** Runs the plug-ins of one node. */
 export class Kernel {
   readonly container = new Container({ defaultScope: 'Singleton' });
+  /** Resolves when a planned stop was asked for from inside the node. */
+  readonly stopRequested: Promise<void>;
+  private resolveStopRequested: () => void = () => {};
+  private stopping = false;
   private started: Plugin[] = [];
   private readonly log: EventLog;
 
   constructor(private readonly options: KernelOptions) {
     this.log = options.log;
+    this.stopRequested = new Promise((resolve) => {
+      this.resolveStopRequested = resolve;
+    });
     this.container.bind(Token.Settings).toConstantValue(options.settings);
     this.container.bind(Token.Clock).toConstantValue(options.clock);
     this.container.bind(Token.EventLog).toConstantValue(options.log);
@@ -30,6 +37,17 @@
     for (const plugin of options.plugins) plugin.bind(this.container);
   }
 
+  /** Whether a planned stop was asked for or has begun. */
+  get draining(): boolean {
+    return this.stopping;
+  }
+
+  /** Asks whoever runs the node for a planned stop; see src/node/run-node.ts. */
+  requestStop(): void {
+    this.stopping = true;
+    this.resolveStopRequested();
+  }
+
   /** Starts every plug-in in order; on failure stops those already started and rejects. */
   async start(): Promise<void> {
     for (const plugin of this.options.plugins) {
@@ -46,6 +64,7 @@
 
   /** Planned stop: drains in reverse start order, then stops. A failed drain keeps no other. */
   async drainAndStop(): Promise<void> {
+    this.stopping = true;
     this.log.emit(Event.NodeDraining);
     for (const plugin of [...this.started].reverse()) {
       await this.attempt(plugin, () => plugin.drain?.(this.container));
--- a/src/kernel/token.ts
+++ b/src/kernel/token.ts
@@ -8,6 +8,7 @@
 import type { Membership } from '../membership/membership.js';
 import type { PeerNetwork } from '../peer/peer-network.js';
 import type { PlatformClient } from '../platform/platform-client.js';
+import type { TargetAdministration } from '../target/target-administration.js';
 import type { TargetDispatcher } from '../target/target-dispatcher.js';
 import type { Clock } from './clock.js';
 import type { EventLog } from './event.js';
@@ -32,5 +33,6 @@
   RulesRepository: token<RulesRepository>('RulesRepository'),
   ClaimService: token<ClaimService>('ClaimService'),
   TargetDispatcher: token<TargetDispatcher>('TargetDispatcher'),
+  TargetAdministration: token<TargetAdministration>('TargetAdministration'),
   CallRouter: token<CallRouter>('CallRouter'),
 } as const;
--- a/src/node/run-node.ts
+++ b/src/node/run-node.ts
@@ -18,8 +18,9 @@
 export type NodeEnd = 'stopped' | 'start-failed' | 'cut-short';
 
 /**
- * Starts a node and waits for its end. The first SIGTERM or SIGINT starts a planned stop,
- * bounded by `settings.stopTimeoutMs`; a second one stops at once.
+ * Starts a node and waits for its end. The first SIGTERM or SIGINT, or an operator's drain
+ * command, starts a planned stop, bounded by `settings.stopTimeoutMs`; a signal after that
+ * stops at once.
  *
  * @returns `stopped` after a complete planned stop, `cut-short` when the time limit or a
  * second signal ended it
@@ -39,7 +40,7 @@
     return 'start-failed';
   }
   try {
-    await stops.next();
+    await Promise.race([stops.next(), kernel.stopRequested]);
     return await stopAsPlanned(kernel, settings.stopTimeoutMs, stops);
   } finally {
     stops.close();
--- a/src/peer/messages.ts
+++ b/src/peer/messages.ts
@@ -1,4 +1,5 @@
 /** Every message between nodes, typed by name. The codec is BSON; see docs/PEER-PROTOCOL.md. */
+import type { AdminCalls } from '../admin/admin-messages.js';
 import type { RevisionRecord } from '../config/config-store.js';
 import type { HeaderFields } from '../core/http-message.js';
 import type { AttemptOutcome, Criticality, LoadReport } from '../core/request.js';
@@ -60,7 +61,7 @@
 }
 
 /** Request and reply type of every call between nodes. Modules with many messages add a map. */
-export interface PeerCalls extends ClaimCalls {
+export interface PeerCalls extends ClaimCalls, AdminCalls {
   attempt: { request: AttemptMessage; reply: AttemptReply };
   configFetch: { request: ConfigFetchMessage; reply: ConfigFetchReply };
 }
