Serve the operators' interface

Cause: no operators' interface yet. Ruled out: the middleware of connect-express: it answers what the library itself refuses (malformed JSON, wrong types, oversized bodies) without a numbered code, and interceptors run only after the body was parsed; so the token is checked by an express handler before the body is read, and a small adapter over the same library numbers every error. Change: admin plug-in with AdminService, /metrics, /healthz, /readyz, token, body and time limits; drain commands pass between nodes over the peer link.

--- /dev/null
+++ b/src/admin/admin-server.ts
@@ -0,0 +1,162 @@
+/** The HTTP server of the administration port: remote calls, metrics, health. */
+import { createServer, type Server } from 'node:http';
+import type { AddressInfo, Socket } from 'node:net';
+import express, { type Express, type Request } from 'express';
+import type { ErrorRequestHandler, RequestHandler } from 'express';
+import { splitAddress } from '../config/settings.js';
+import { createFailure } from '../core/failure.js';
+import { ResultCode } from '../core/result-code.js';
+import { AdminService } from '../gen/sillshore/admin/v1/admin_pb.js';
+import { Event } from '../kernel/event.js';
+import type { AdminNode } from './admin-node.js';
+import { createAdminService } from './admin-service.js';
+import { presentsToken } from './authentication.js';
+import { createConnectMiddleware, methodOf, sendConnectError } from './connect-middleware.js';
+import { DrainCommands } from './drain-commands.js';
+import { isReady } from './node-status.js';
+import { formatRawProblem, sendProblem } from './problem-document.js';
+
+/** Largest request in bytes: a rules document of 4 Mi characters, with room for JSON escapes. */
+export const MAX_REQUEST_BYTES = 8 * 1024 * 1024;
+/** Time in which a client must have sent its request, in milliseconds. */
+const REQUEST_TIMEOUT_MS = 15_000;
+const HEADERS_TIMEOUT_MS = 5_000;
+const TIMEOUT_CHECK_MS = 1_000;
+/** Time that running calls get when the server stops, in milliseconds. */
+const STOP_GRACE_MS = 2_000;
+
+/** Path below which all remote calls stand. */
+const SERVICE_PATH = `/${AdminService.typeName}`;
+
+function isRemoteCall(request: Request): boolean {
+  return request.path.startsWith(`${SERVICE_PATH}/`);
+}
+
+/** See the module comment. */
+export class AdminServer {
+  private readonly shutdown = new AbortController();
+  private readonly server: Server;
+
+  constructor(private readonly node: AdminNode) {
+    const drains = new DrainCommands(node);
+    drains.registerHandlers();
+    const options = {
+      requestTimeout: REQUEST_TIMEOUT_MS,
+      headersTimeout: HEADERS_TIMEOUT_MS,
+      connectionsCheckingInterval: TIMEOUT_CHECK_MS,
+    };
+    this.server = createServer(options, this.createApp(drains));
+    this.server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
+      this.answerClientError(error, socket as Socket);
+    });
+  }
+
+  /** Port that the server listens on; the settings may ask for any free one by 0. */
+  get port(): number {
+    return (this.server.address() as AddressInfo).port;
+  }
+
+  /** Listens; rejects when the address cannot be had. */
+  async start(): Promise<void> {
+    const { host, port } = splitAddress(this.node.settings.listen.admin);
+    await new Promise<void>((resolve, reject) => {
+      this.server.once('error', reject);
+      this.server.listen(port, host, () => {
+        this.server.off('error', reject);
+        resolve();
+      });
+    });
+  }
+
+  /** Ends streams, lets running calls end within a limit, closes. */
+  async stop(): Promise<void> {
+    this.shutdown.abort();
+    const cancel = this.node.clock.schedule(STOP_GRACE_MS, () => {
+      this.server.closeAllConnections();
+    });
+    await new Promise<void>((resolve) => {
+      this.server.close(() => {
+        resolve();
+      });
+    });
+    cancel();
+  }
+
+  private createApp(drains: DrainCommands): Express {
+    const { node } = this;
+    const app = express();
+    app.disable('x-powered-by');
+    app.get('/metrics', async (_request, response) => {
+      response.type(node.metrics.registry.contentType).send(await node.metrics.registry.metrics());
+    });
+    app.get('/healthz', (_request, response) => {
+      response.json({ state: 'running' });
+    });
+    app.get('/readyz', (_request, response) => {
+      const ready = isReady(node);
+      response.status(ready ? 200 : 503).json({ ready, draining: node.kernel.draining });
+    });
+    app.use(this.authenticate());
+    app.use(
+      createConnectMiddleware({
+        routes: (router) => router.service(AdminService, createAdminService(node, drains)),
+        maxRequestBytes: MAX_REQUEST_BYTES,
+        shutdownSignal: this.shutdown.signal,
+        onDefect: (error) => {
+          node.log.emit(Event.InternalError, { plugin: 'admin', error: String(error) });
+        },
+      }),
+    );
+    app.use((request, response) => {
+      const failure = createFailure(ResultCode.UnknownKind, `no ${request.method} ${request.path}`);
+      if (isRemoteCall(request)) sendConnectError(response, failure);
+      else sendProblem(response, failure);
+    });
+    app.use(this.answerDefect());
+    return app;
+  }
+
+  /** Refuses remote calls without the operator's token, before their body is read. */
+  private authenticate(): RequestHandler {
+    const { settings, log } = this.node;
+    return (request, response, next) => {
+      if (!isRemoteCall(request)) {
+        next();
+        return;
+      }
+      const method = methodOf(request);
+      const from = request.socket.remoteAddress;
+      if (presentsToken(request.headers.authorization, settings.admin.token)) {
+        log.emit(Event.OperatorRequest, { method, from });
+        next();
+        return;
+      }
+      log.emit(Event.OperatorRejected, { method, from });
+      response.set('connection', 'close').set('www-authenticate', 'Bearer');
+      const detail = 'the Authorization field presents no valid bearer token';
+      sendConnectError(response, createFailure(ResultCode.OperatorUnauthenticated, detail));
+    };
+  }
+
+  private answerDefect(): ErrorRequestHandler {
+    // express tells error handlers by their four parameters.
+    return (error: unknown, _request, response, next) => {
+      this.node.log.emit(Event.InternalError, { plugin: 'admin', error: String(error) });
+      if (response.headersSent) next(error);
+      else sendProblem(response, createFailure(ResultCode.Internal, 'the call failed'));
+    };
+  }
+
+  private answerClientError(error: NodeJS.ErrnoException, socket: Socket): void {
+    if (error.code === 'ECONNRESET' || !socket.writable) {
+      socket.destroy();
+      return;
+    }
+    const code =
+      error.code === 'ERR_HTTP_REQUEST_TIMEOUT'
+        ? ResultCode.RequestReadTimeout
+        : ResultCode.MalformedRequest;
+    this.node.log.emit(Event.OperatorRejected, { error: error.code, from: socket.remoteAddress });
+    socket.end(formatRawProblem(createFailure(code, 'no valid HTTP request')));
+  }
+}
--- /dev/null
+++ b/src/admin/connect-error.ts
@@ -0,0 +1,118 @@
+/** Failures on the wire of the operators' interface: Connect errors that carry an ErrorDetail. */
+import { create } from '@bufbuild/protobuf';
+import { Code, ConnectError } from '@connectrpc/connect';
+import type { Result } from 'true-myth';
+import type { ApplyFailure } from '../config/rules-repository.js';
+import { createFailure, type Failure } from '../core/failure.js';
+import { describeResultCode, ResultCode, RESULT_CODES } from '../core/result-code.js';
+import type { Execution } from '../core/result-code.js';
+import {
+  ErrorDetailSchema,
+  Execution as WireExecution,
+  type ErrorDetail,
+} from '../gen/sillshore/admin/v1/admin_pb.js';
+
+/** Header field of every error answer; holds the numbered result code. */
+export const RESULT_HEADER = 'sillshore-result';
+
+const CODE_BY_HTTP_STATUS: Readonly<Record<number, Code>> = {
+  400: Code.InvalidArgument,
+  401: Code.Unauthenticated,
+  403: Code.PermissionDenied,
+  404: Code.NotFound,
+  408: Code.DeadlineExceeded,
+  409: Code.Aborted,
+  413: Code.ResourceExhausted,
+  422: Code.FailedPrecondition,
+  429: Code.ResourceExhausted,
+  499: Code.Canceled,
+  500: Code.Internal,
+  502: Code.Unknown,
+  503: Code.Unavailable,
+  504: Code.DeadlineExceeded,
+};
+
+/** Codes for errors that came without a detail: from the Connect library or the network. */
+const RESULT_BY_CODE: Partial<Record<Code, ResultCode>> = {
+  [Code.InvalidArgument]: ResultCode.MalformedRequest,
+  [Code.ResourceExhausted]: ResultCode.BodyTooLarge,
+  [Code.Unimplemented]: ResultCode.UnknownKind,
+  [Code.NotFound]: ResultCode.UnknownKind,
+  [Code.Unauthenticated]: ResultCode.OperatorUnauthenticated,
+  [Code.Unavailable]: ResultCode.PeerUnreachable,
+  [Code.DeadlineExceeded]: ResultCode.PeerTimeout,
+  [Code.Aborted]: ResultCode.PeerLost,
+  [Code.Canceled]: ResultCode.Cancelled,
+};
+
+const EXECUTION_TO_WIRE: Readonly<Record<Execution, WireExecution>> = {
+  'not-run': WireExecution.NOT_RUN,
+  run: WireExecution.RUN,
+  unknown: WireExecution.UNKNOWN,
+};
+
+/** Connect code of a result code; see docs/RESULT-CODES.md for its HTTP status. */
+export function toConnectCode(code: ResultCode): Code {
+  return CODE_BY_HTTP_STATUS[describeResultCode(code).httpStatus] ?? Code.Internal;
+}
+
+/** The error that carries a failure to an operator's client. */
+export function toConnectError(failure: ApplyFailure): ConnectError {
+  const { title } = describeResultCode(failure.code);
+  const value = create(ErrorDetailSchema, {
+    code: failure.code,
+    title,
+    detail: failure.detail,
+    execution: EXECUTION_TO_WIRE[failure.execution],
+    violations: (failure.violations ?? []).map(({ path, message }) => ({ path, message })),
+    ...(failure.retryAfterMs === undefined ? {} : { retryAfterMs: toInt64(failure.retryAfterMs) }),
+    ...(failure.currentRevision === undefined
+      ? {}
+      : { currentRevision: toInt64(failure.currentRevision) }),
+  });
+  return new ConnectError(
+    `${failure.code} ${title}: ${failure.detail}`,
+    toConnectCode(failure.code),
+    { [RESULT_HEADER]: String(failure.code) },
+    [{ desc: ErrorDetailSchema, value }],
+  );
+}
+
+/** The failure in an error that a client received; network errors get a code as well. */
+export function toFailure(error: unknown): ApplyFailure {
+  const connectError = ConnectError.from(error);
+  const [detail] = connectError.findDetails(ErrorDetailSchema);
+  if (detail !== undefined) return fromDetail(detail);
+  const header = Number(connectError.metadata.get(RESULT_HEADER) ?? Number.NaN);
+  const code = RESULT_CODES.has(header)
+    ? (header as ResultCode)
+    : (RESULT_BY_CODE[connectError.code] ?? ResultCode.Internal);
+  return createFailure(code, connectError.rawMessage);
+}
+
+/** The value of a result; throws the Connect error of its failure. */
+export function unwrapOrThrow<T>(result: Result<T, Failure>): T {
+  if (result.isErr) throw toConnectError(result.error);
+  return result.value;
+}
+
+function fromDetail(detail: ErrorDetail): ApplyFailure {
+  const code = RESULT_CODES.has(detail.code) ? (detail.code as ResultCode) : ResultCode.Internal;
+  const violations = detail.violations.map(({ path, message }) => ({ path, message }));
+  const failure = createFailure(code, detail.detail, {
+    execution: fromWireExecution(detail.execution),
+    ...(violations.length === 0 ? {} : { violations }),
+    ...(detail.retryAfterMs === undefined ? {} : { retryAfterMs: Number(detail.retryAfterMs) }),
+  });
+  if (detail.currentRevision === undefined) return failure;
+  return { ...failure, currentRevision: Number(detail.currentRevision) };
+}
+
+function fromWireExecution(execution: WireExecution): Execution {
+  if (execution === WireExecution.NOT_RUN) return 'not-run';
+  return execution === WireExecution.RUN ? 'run' : 'unknown';
+}
+
+function toInt64(value: number): bigint {
+  return BigInt(Math.ceil(value));
+}
--- /dev/null
+++ b/src/admin/connect-middleware.ts
@@ -0,0 +1,117 @@
+/**
+ * Serves a Connect router under express. Unlike the library's own middleware it also numbers
+ * the errors that the library makes by itself: malformed JSON, wrong types, wrong content
+ * type, oversized bodies.
+ */
+import { Code, ConnectError, createConnectRouter, type ConnectRouter } from '@connectrpc/connect';
+import { universalRequestFromNodeRequest } from '@connectrpc/connect-node';
+import { universalResponseToNodeResponse } from '@connectrpc/connect-node';
+import type { UniversalServerResponse } from '@connectrpc/connect/protocol';
+import { errorToJsonBytes } from '@connectrpc/connect/protocol-connect';
+import type { Request, RequestHandler, Response } from 'express';
+import { createFailure, type Failure } from '../core/failure.js';
+import { ResultCode } from '../core/result-code.js';
+import { RESULT_HEADER, toConnectError } from './connect-error.js';
+
+/** Options of {@link createConnectMiddleware}. */
+export interface ConnectMiddlewareOptions {
+  readonly routes: (router: ConnectRouter) => void;
+  /** Largest request message in bytes. */
+  readonly maxRequestBytes: number;
+  /** Ends the streams when it aborts. */
+  readonly shutdownSignal: AbortSignal;
+  /** Told of errors that are defects. */
+  readonly onDefect: (error: unknown) => void;
+}
+
+const RESULT_BY_STATUS: Readonly<Record<number, ResultCode>> = {
+  400: ResultCode.MalformedRequest,
+  405: ResultCode.MalformedRequest,
+  413: ResultCode.BodyTooLarge,
+  415: ResultCode.InvalidField,
+  429: ResultCode.BodyTooLarge,
+};
+
+/** Creates the middleware; paths that are no method of the router go to the next handler. */
+export function createConnectMiddleware(options: ConnectMiddlewareOptions): RequestHandler {
+  const router = createConnectRouter({
+    connect: true,
+    grpc: false,
+    grpcWeb: false,
+    readMaxBytes: options.maxRequestBytes,
+    shutdownSignal: options.shutdownSignal,
+  });
+  options.routes(router);
+  const handlers = new Map(router.handlers.map((handler) => [handler.requestPath, handler]));
+  return (request, response, next) => {
+    const handler = handlers.get(request.path);
+    if (handler === undefined) {
+      next();
+      return;
+    }
+    handler(universalRequestFromNodeRequest(request, response, undefined, undefined))
+      .then((answer) => numberError(answer))
+      .then((answer) => universalResponseToNodeResponse(answer, response))
+      .catch((error: unknown) => {
+        if (ConnectError.from(error).code !== Code.Aborted) options.onDefect(error);
+      });
+  };
+}
+
+/** Answers a request with a failure in the form of a Connect error. */
+export function sendConnectError(response: Response, failure: Failure): void {
+  const { status, header, body } = toResponse(failure);
+  response.status(status).set(header).end(body);
+}
+
+/** Path of a request without its query, for logs. */
+export function methodOf(request: Request): string {
+  return request.path.split('/').at(-1) ?? '';
+}
+
+async function numberError(answer: UniversalServerResponse): Promise<UniversalServerResponse> {
+  const header = answer.header ?? new Headers();
+  if (answer.status < 400 || header.has(RESULT_HEADER)) return answer;
+  const message = await readMessage(answer.body);
+  const code = RESULT_BY_STATUS[answer.status] ?? ResultCode.Internal;
+  const { body, header: numbered } = toResponse(createFailure(code, message));
+  for (const [name, value] of Object.entries(numbered)) header.set(name, value);
+  return { ...answer, header, body: toAsyncIterable(body) };
+}
+
+function toResponse(failure: Failure): {
+  status: number;
+  header: Record<string, string>;
+  body: Uint8Array;
+} {
+  const error = toConnectError(failure);
+  const body = errorToJsonBytes(error, undefined);
+  const header = {
+    'content-type': 'application/json',
+    'content-length': String(body.byteLength),
+    [RESULT_HEADER]: String(failure.code),
+  };
+  return { status: STATUS_BY_CODE[error.code] ?? 500, header, body };
+}
+
+const STATUS_BY_CODE: Partial<Record<Code, number>> = {
+  [Code.InvalidArgument]: 400,
+  [Code.Unauthenticated]: 401,
+  [Code.NotFound]: 404,
+  [Code.ResourceExhausted]: 429,
+};
+
+async function readMessage(body: AsyncIterable<Uint8Array> | undefined): Promise<string> {
+  const chunks: Uint8Array[] = [];
+  for await (const chunk of body ?? []) chunks.push(chunk);
+  try {
+    const parsed: unknown = JSON.parse(Buffer.concat(chunks).toString('utf8'));
+    return String((parsed as { message?: unknown }).message ?? 'request not understood');
+  } catch {
+    return 'method or content type not supported';
+  }
+}
+
+async function* toAsyncIterable(bytes: Uint8Array): AsyncGenerator<Uint8Array> {
+  yield bytes;
+}
--- /dev/null
+++ b/src/admin/drain-commands.ts
@@ -0,0 +1,101 @@
+/** Operators' drain commands: carried out here or passed on to the node concerned. */
+import { Result, Unit } from 'true-myth';
+import { z } from 'zod';
+import { validateValue } from '../config/document.js';
+import { createFailure, type Failure } from '../core/failure.js';
+import { ResultCode } from '../core/result-code.js';
+import type { Member } from '../membership/membership.js';
+import type { AdminNode } from './admin-node.js';
+import type { DrainTargetMessage } from './admin-messages.js';
+
+/** Time limit of a command on its way to another node, in milliseconds. */
+const FORWARD_TIMEOUT_MS = 2_000;
+
+const drainTargetSchema = z.strictObject({
+  target: z.string().min(1).max(63),
+  drained: z.boolean(),
+});
+const emptySchema = z.strictObject({});
+
+/** See the module comment. */
+export class DrainCommands {
+  constructor(private readonly node: AdminNode) {}
+
+  /** Answers commands that other nodes pass on. */
+  registerHandlers(): void {
+    this.node.peers?.handle(
+      'drainTarget',
+      (body) => validateValue(body, drainTargetSchema, ResultCode.FrameMalformed),
+      (_from, message) => Promise.resolve(Result.ok({ applied: this.drainHere(message) })),
+    );
+    this.node.peers?.handle(
+      'drainNode',
+      (body) => validateValue(body, emptySchema, ResultCode.FrameMalformed),
+      () => {
+        this.node.kernel.requestStop();
+        return Promise.resolve(Result.ok({}));
+      },
+    );
+  }
+
+  /**
+   * Starts or ends the drain of a target.
+   *
+   * Failures: `InvalidField` (no such target in the rules in force), `PeerUnreachable` (no node
+   * that fronts the target took the command; it can be repeated).
+   */
+  async drainTarget(message: DrainTargetMessage): Promise<Result<Unit, Failure>> {
+    const located = this.node.configStore?.findTarget(message.target);
+    if (located === undefined) {
+      const detail = `no target ${message.target} in the rules in force at this node`;
+      return Result.err(createFailure(ResultCode.InvalidField, detail));
+    }
+    const appliedHere = this.drainHere(message);
+    const others = this.findFrontingNodes(message.target, located.target.zone);
+    const applied = await Promise.all(others.map((member) => this.drainAt(member, message)));
+    if (appliedHere || applied.includes(true)) return Result.ok(Unit);
+    const detail = `no node that fronts target ${message.target} took the command`;
+    return Result.err(createFailure(ResultCode.PeerUnreachable, detail));
+  }
+
+  /**
+   * Starts the planned stop of a node.
+   *
+   * @param nodeId empty for this node
+   * @returns the node's name, or `PeerUnreachable`, `PeerLost`, `PeerTimeout`
+   */
+  async drainNode(nodeId: string): Promise<Result<string, Failure>> {
+    const self = this.node.settings.node.id;
+    if (nodeId === '' || nodeId === self) {
+      this.node.kernel.requestStop();
+      return Result.ok(self);
+    }
+    const { membership, peers } = this.node;
+    if (peers === undefined || membership?.find(nodeId) === undefined) {
+      const detail = `this node sees no member ${nodeId}`;
+      return Result.err(createFailure(ResultCode.PeerUnreachable, detail));
+    }
+    const reply = await peers.call(nodeId, 'drainNode', {}, { timeoutMs: FORWARD_TIMEOUT_MS });
+    return reply.map(() => nodeId);
+  }
+
+  private drainHere({ target, drained }: DrainTargetMessage): boolean {
+    return this.node.targets?.drainTarget(target, drained) ?? false;
+  }
+
+  private async drainAt(member: Member, message: DrainTargetMessage): Promise<boolean> {
+    const reply = await this.node.peers?.call(member.nodeId, 'drainTarget', message, {
+      timeoutMs: FORWARD_TIMEOUT_MS,
+    });
+    return reply?.map(({ applied }) => applied).unwrapOr(false) ?? false;
+  }
+
+  /** The nodes set to front the target, else all of its zone: one of them fronts it. */
+  private findFrontingNodes(target: string, zone: string): readonly Member[] {
+    const others = (this.node.membership?.members() ?? []).filter(
+      ({ nodeId }) => nodeId !== this.node.settings.node.id,
+    );
+    const fronting = others.filter(({ fronts }) => fronts.includes(target));
+    return fronting.length > 0 ? fronting : others.filter((member) => member.zone === zone);
+  }
+}
--- /dev/null
+++ b/src/admin/node-status.ts
@@ -0,0 +1,116 @@
+/** The status of a node, its view of the fleet, and the targets of the rules in force. */
+import type { MessageInitShape } from '@bufbuild/protobuf';
+import type { Gauge } from 'prom-client';
+import type { RevisionRecord } from '../config/config-store.js';
+import type {
+  GetStatusResponseSchema,
+  MemberStatusSchema,
+  NodeStatusSchema,
+  TargetStatusSchema,
+} from '../gen/sillshore/admin/v1/admin_pb.js';
+import type { Member } from '../membership/membership.js';
+import { readVersion } from '../node/version.js';
+import type { AdminNode } from './admin-node.js';
+import { toRevision } from './revision-codec.js';
+
+/** The figures of a target at this node, by target id. */
+interface TargetFigures {
+  readonly limit: ReadonlyMap<string, number>;
+  readonly inFlight: ReadonlyMap<string, number>;
+  readonly queued: ReadonlyMap<string, number>;
+}
+
+/**
+ * Collects the status.
+ *
+ * @param startedAt the node's start on its clock, in milliseconds
+ */
+export async function collectStatus(
+  node: AdminNode,
+  startedAt: number,
+): Promise<MessageInitShape<typeof GetStatusResponseSchema>> {
+  const members = node.membership?.members() ?? [];
+  const records = node.configStore?.records() ?? [];
+  const figures = await readFigures(node);
+  const leaving = new Set(members.flatMap((member) => member.leavingTargets));
+  return {
+    node: describeNode(node, startedAt),
+    members: members.map(describeMember),
+    targets: records.flatMap((record) => describeTargets(record, figures, leaving)),
+    revisions: records.map(toRevision),
+  };
+}
+
+function describeNode(
+  node: AdminNode,
+  startedAt: number,
+): MessageInitShape<typeof NodeStatusSchema> {
+  const { id, zone, region } = node.settings.node;
+  return {
+    id,
+    zone,
+    region,
+    programVersion: readVersion(),
+    ready: isReady(node),
+    draining: node.kernel.draining,
+    platformAvailable: node.platform?.available ?? false,
+    uptimeMs: BigInt(Math.floor(node.clock.now() - startedAt)),
+    callsInProgress: node.router?.inProgress ?? 0,
+    attemptsInProgress: node.dispatcher?.inProgress ?? 0,
+  };
+}
+
+/** Whether a node serves callers: its rules are loaded and no planned stop has begun. */
+export function isReady(node: AdminNode): boolean {
+  return (node.membership?.self().ready ?? false) && !node.kernel.draining;
+}
+
+function describeMember(member: Member): MessageInitShape<typeof MemberStatusSchema> {
+  const { zone, region, state, ready, peerAddress, entryAddress, adminAddress } = member;
+  return {
+    id: member.nodeId,
+    zone,
+    region,
+    state,
+    ready,
+    peerAddress,
+    entryAddress,
+    adminAddress,
+    version: BigInt(member.configVersion),
+    leavingTargets: [...member.leavingTargets],
+  };
+}
+
+function describeTargets(
+  record: RevisionRecord,
+  figures: TargetFigures,
+  leaving: ReadonlySet<string>,
+): MessageInitShape<typeof TargetStatusSchema>[] {
+  return record.rules.services.flatMap((service) =>
+    service.targets.map(({ id, zone, address }) => ({
+      id,
+      tenant: record.tenant,
+      service: service.name,
+      zone,
+      address,
+      state: leaving.has(id) ? 'leaving' : 'serving',
+      measured: figures.limit.has(id),
+      limit: figures.limit.get(id) ?? 0,
+      inFlight: figures.inFlight.get(id) ?? 0,
+      queued: figures.queued.get(id) ?? 0,
+    })),
+  );
+}
+
+async function readFigures({ metrics }: AdminNode): Promise<TargetFigures> {
+  return {
+    limit: await readByTarget(metrics.limit),
+    inFlight: await readByTarget(metrics.inFlight),
+    queued: await readByTarget(metrics.queued),
+  };
+}
+
+async function readByTarget(gauge: Gauge<'target'>): Promise<ReadonlyMap<string, number>> {
+  const { values } = await gauge.get();
+  return new Map(values.map(({ labels, value }) => [String(labels.target), value]));
+}
--- a/src/cli/run-command-line.ts
+++ b/src/cli/run-command-line.ts
@@ -2,7 +2,7 @@
 import { Cli, type BaseContext, type Command } from 'clipanion';
 import { ExitCode } from './exit-code.js';
 import { registeredCommands } from './registered-commands.js';
-import { readVersion } from './version-command.js';
+import { readVersion } from '../node/version.js';
 
 /** Streams and environment of a command line; the process's own where absent. */
 export type CommandLineContext = Partial<BaseContext>;
--- a/src/cli/version-command.ts
+++ b/src/cli/version-command.ts
@@ -1,18 +1,9 @@
 /** `sillshore version`. */
-import { readFileSync } from 'node:fs';
 import { Command, Option } from 'clipanion';
-import { z } from 'zod';
+import { readVersion } from '../node/version.js';
 import { SillshoreCommand } from './command.js';
 import { ExitCode } from './exit-code.js';
 
-const packageSchema = z.object({ version: z.string() });
-
-/** Version of the installed package. */
-export function readVersion(): string {
-  const text = readFileSync(new URL('../../package.json', import.meta.url), 'utf8');
-  return packageSchema.parse(JSON.parse(text)).version;
-}
-
 /** Prints the version. */
 export class VersionCommand extends SillshoreCommand {
   static override paths = [['version'], ['--version']];
--- a/src/kernel/token.ts
+++ b/src/kernel/token.ts
@@ -1,5 +1,6 @@
 /** Typed identifiers under which plug-ins find each other's services in the container. */
 import type { ServiceIdentifier } from 'inversify';
+import type { AdminServer } from '../admin/admin-server.js';
 import type { ClaimService } from '../claims/claim-service.js';
 import type { ConfigStore } from '../config/config-store.js';
 import type { RulesRepository } from '../config/rules-repository.js';
@@ -35,4 +36,5 @@
   TargetDispatcher: token<TargetDispatcher>('TargetDispatcher'),
   TargetAdministration: token<TargetAdministration>('TargetAdministration'),
   CallRouter: token<CallRouter>('CallRouter'),
+  AdminServer: token<AdminServer>('AdminServer'),
 } as const;
--- a/src/node/plugins.ts
+++ b/src/node/plugins.ts
@@ -1,2 +1,3 @@
 /** The plug-ins of a node: importing a plug-in's module registers it. */
 import '../observability/observability-plugin.js';
+import '../admin/admin-plugin.js';
