--- /dev/null
+++ b/src/cli/drain-commands.ts
@@ -0,0 +1,63 @@
+/** `sillshore drain target` and `sillshore drain node`. */
+import { Command, Option } from 'clipanion';
+import type { AdminClient } from './admin-client.js';
+import { ExitCode } from './exit-code.js';
+import { callAdmin, CONNECTION_HELP, OperatorCommand } from './operator-command.js';
+
+const CATEGORY = 'Operation';
+
+/** Takes a target out of service, or back in. */
+export class DrainTargetCommand extends OperatorCommand {
+  static override paths = [['drain', 'target']];
+  static override usage = Command.Usage({
+    category: CATEGORY,
+    description: 'give a target no new work',
+    details: `
+      The node that fronts the target keeps the command in memory. To take a target out for good,
+      apply rules without it.
+
+      ${CONNECTION_HELP}
+    `,
+    examples: [
+      ['Drain a target', '$0 drain target promise-2'],
+      ['Take it back into service', '$0 drain target promise-2 --resume'],
+    ],
+  });
+
+  target = Option.String({ name: 'target' });
+  resume = Option.Boolean('--resume', false, { description: 'End an earlier drain' });
+
+  protected async operate(client: AdminClient): Promise<ExitCode> {
+    const { target, resume } = this;
+    const answer = await callAdmin(client.drainTarget({ target, resume }));
+    if (answer.isErr) return this.fail(answer.error);
+    this.print(resume ? `target ${target} back in service` : `target ${target} gets no new work`);
+    return ExitCode.Ok;
+  }
+}
+
+/** Starts the planned stop of a node. */
+export class DrainNodeCommand extends OperatorCommand {
+  static override paths = [['drain', 'node']];
+  static override usage = Command.Usage({
+    category: CATEGORY,
+    description: 'start the planned stop of a node',
+    details: `The asked node passes the command on. ${CONNECTION_HELP}`,
+    examples: [
+      ['The asked node itself', '$0 drain node --admin 127.0.0.1:9000'],
+      ['Another member', '$0 drain node b1 --admin 127.0.0.1:9000'],
+    ],
+  });
+
+  node = Option.String({ name: 'node', required: false });
+
+  protected async operate(client: AdminClient): Promise<ExitCode> {
+    const answer = await callAdmin(client.drainNode({ node: this.node ?? '' }));
+    if (answer.isErr) return this.fail(answer.error);
+    this.print(`planned stop of node ${answer.value.node} has begun`);
+    return ExitCode.Ok;
+  }
+}
+
+/** Commands of this module. */
+export const drainCommands = [DrainTargetCommand, DrainNodeCommand];
--- /dev/null
+++ b/src/cli/status-command.ts
@@ -0,0 +1,128 @@
+/** `sillshore status`. */
+import { toJson } from '@bufbuild/protobuf';
+import { Command, Option } from 'clipanion';
+import type {
+  GetStatusResponse,
+  MemberStatus,
+  NodeStatus,
+  TargetStatus,
+} from '../gen/sillshore/admin/v1/admin_pb.js';
+import { GetStatusResponseSchema } from '../gen/sillshore/admin/v1/admin_pb.js';
+import type { AdminClient } from './admin-client.js';
+import { ExitCode } from './exit-code.js';
+import { callAdmin, CONNECTION_HELP, OperatorCommand } from './operator-command.js';
+import { formatTable } from './table.js';
+
+/** Shows a node, its view of the fleet, and the targets. */
+export class StatusCommand extends OperatorCommand {
+  static override paths = [['status']];
+  static override usage = Command.Usage({
+    category: 'Operation',
+    description: 'show a node, the members that it sees, and its targets',
+    details: `
+      Limit, running and waiting requests of a target are known at the node that fronts it; the
+      table shows the targets that the asked node has figures for. \`--all\` asks every member.
+
+      ${CONNECTION_HELP}
+    `,
+    examples: [
+      ['One node', '$0 status --admin 127.0.0.1:9000'],
+      ['The targets of the whole fleet, for a program', '$0 status --all --json'],
+    ],
+  });
+
+  all = Option.Boolean('--all', false, { description: 'Ask every member for its targets' });
+  json = Option.Boolean('--json', false, { description: 'Print JSON' });
+
+  protected async operate(client: AdminClient): Promise<ExitCode> {
+    const answer = await callAdmin(client.getStatus({}));
+    if (answer.isErr) return this.fail(answer.error);
+    const asked = this.all ? await this.askMembers(answer.value) : [answer.value];
+    if (this.json) this.printAsJson(asked);
+    else this.printTables(answer.value, asked);
+    return ExitCode.Ok;
+  }
+
+  /** The first node's answer and those of the other members that answer. */
+  private async askMembers(first: GetStatusResponse): Promise<GetStatusResponse[]> {
+    const others = first.members.filter(({ id }) => id !== first.node?.id);
+    const asked = await Promise.all(
+      others.map(async ({ id, adminAddress }) => {
+        const client = await this.connect(adminAddress, this.token ?? '');
+        const answer = await callAdmin(client.getStatus({}));
+        if (answer.isErr) this.context.stderr.write(`${id}: ${answer.error.detail}\n`);
+        return answer.isOk ? [answer.value] : [];
+      }),
+    );
+    return [first, ...asked.flat()];
+  }
+
+  private printAsJson(asked: readonly GetStatusResponse[]): void {
+    const values = asked.map((status) =>
+      toJson(GetStatusResponseSchema, status, { alwaysEmitImplicit: true }),
+    );
+    this.printJson(this.all ? { nodes: values } : values[0]);
+  }
+
+  private printTables(first: GetStatusResponse, asked: readonly GetStatusResponse[]): void {
+    const nodes = asked.flatMap(({ node }) => (node === undefined ? [] : [node]));
+    const targets = asked.flatMap((status) =>
+      status.targets.filter(({ measured }) => measured).map((target) => ({ target, status })),
+    );
+    this.print(formatNodes(nodes));
+    this.print(`\n${formatMembers(first.members)}`);
+    this.print(
+      `\n${formatTargets(targets.map(({ target, status }) => [status.node?.id ?? '', target]))}`,
+    );
+  }
+}
+
+function formatNodes(nodes: readonly NodeStatus[]): string {
+  return formatTable(
+    ['NODE', 'ZONE', 'STATE', 'PLATFORM', 'UPTIME S', 'CALLS', 'ATTEMPTS'],
+    nodes.map((node) => [
+      node.id,
+      node.zone,
+      node.draining ? 'draining' : node.ready ? 'ready' : 'not ready',
+      node.platformAvailable ? 'available' : 'unavailable',
+      node.uptimeMs / 1000n,
+      node.callsInProgress,
+      node.attemptsInProgress,
+    ]),
+  );
+}
+
+function formatMembers(members: readonly MemberStatus[]): string {
+  return formatTable(
+    ['MEMBER', 'ZONE', 'STATE', 'READY', 'VERSION', 'ENTRY', 'ADMIN', 'LEAVING TARGETS'],
+    members.map((member) => [
+      member.id,
+      member.zone,
+      member.state,
+      member.ready,
+      member.version,
+      member.entryAddress,
+      member.adminAddress,
+      member.leavingTargets.join(' '),
+    ]),
+  );
+}
+
+function formatTargets(targets: readonly (readonly [string, TargetStatus])[]): string {
+  return formatTable(
+    ['TARGET', 'NODE', 'SERVICE', 'ZONE', 'STATE', 'LIMIT', 'IN FLIGHT', 'QUEUED'],
+    targets.map(([node, target]) => [
+      target.id,
+      node,
+      target.service,
+      target.zone,
+      target.state,
+      Math.round(target.limit * 10) / 10,
+      target.inFlight,
+      target.queued,
+    ]),
+  );
+}
+
+/** Commands of this module. */
+export const statusCommands = [StatusCommand];
