Test the operators' interface; number the errors that stayed without one

Cause: contract tables showed four faults: unknown JSON members were passed over and their defaults taken, malformed binary messages were answered 9001, a method's defect was not logged, and a stop with an open watch waited for the whole grace time. Ruled out: the test clients; the same cases by curl gave the same answers. Change: strict JSON, 1003 for malformed binary messages, event 103 for defects, busy connections are closed once their answer is out while the server stops.

--- a/src/admin/admin-server.ts
+++ b/src/admin/admin-server.ts
@@ -46,6 +46,12 @@
       connectionsCheckingInterval: TIMEOUT_CHECK_MS,
     };
     this.server = createServer(options, this.createApp(drains));
+    this.server.on('request', (request, response) => {
+      response.once('finish', () => {
+        // Otherwise a connection that was busy when the server closed stays open while idle.
+        if (this.shutdown.signal.aborted) request.socket.end();
+      });
+    });
     this.server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
       this.answerClientError(error, socket as Socket);
     });
--- a/src/admin/connect-middleware.ts
+++ b/src/admin/connect-middleware.ts
@@ -3,9 +3,12 @@
  * the errors that the library makes by itself: malformed JSON, wrong types, wrong content
  * type, oversized bodies.
  */
-import { Code, ConnectError, createConnectRouter, type ConnectRouter } from '@connectrpc/connect';
-import { universalRequestFromNodeRequest } from '@connectrpc/connect-node';
-import { universalResponseToNodeResponse } from '@connectrpc/connect-node';
+import { Code, ConnectError, createConnectRouter } from '@connectrpc/connect';
+import type { ConnectRouter, Interceptor } from '@connectrpc/connect';
+import {
+  universalRequestFromNodeRequest,
+  universalResponseToNodeResponse,
+} from '@connectrpc/connect-node';
 import type { UniversalServerResponse } from '@connectrpc/connect/protocol';
 import { errorToJsonBytes } from '@connectrpc/connect/protocol-connect';
 import type { Request, RequestHandler, Response } from 'express';
@@ -40,6 +43,9 @@
     grpcWeb: false,
     readMaxBytes: options.maxRequestBytes,
     shutdownSignal: options.shutdownSignal,
+    // A misspelt member would otherwise be passed over and its default taken.
+    jsonOptions: { ignoreUnknownFields: false },
+    interceptors: [reportDefects(options.onDefect)],
   });
   options.routes(router);
   const handlers = new Map(router.handlers.map((handler) => [handler.requestPath, handler]));
@@ -69,14 +75,28 @@
   return request.path.split('/').at(-1) ?? '';
 }
 
+/** Reports what a method throws besides Connect errors; the client sees an internal error. */
+function reportDefects(onDefect: (error: unknown) => void): Interceptor {
+  return (next) => async (request) => {
+    try {
+      return await next(request);
+    } catch (error) {
+      if (!(error instanceof ConnectError)) onDefect(error);
+      throw error;
+    }
+  };
+}
+
 async function numberError(answer: UniversalServerResponse): Promise<UniversalServerResponse> {
   const header = answer.header ?? new Headers();
   if (answer.status < 400 || header.has(RESULT_HEADER)) return answer;
   const message = await readMessage(answer.body);
-  const code = RESULT_BY_STATUS[answer.status] ?? ResultCode.Internal;
+  // The library reports a malformed binary message as an internal error.
+  const status = message.startsWith('parse binary:') ? 400 : answer.status;
+  const code = RESULT_BY_STATUS[status] ?? ResultCode.Internal;
   const { body, header: numbered } = toResponse(createFailure(code, message));
   for (const [name, value] of Object.entries(numbered)) header.set(name, value);
-  return { ...answer, header, body: toAsyncIterable(body) };
+  return { ...answer, status, header, body: toAsyncIterable(body) };
 }
 
 function toResponse(failure: Failure): {
--- /dev/null
+++ b/src/admin/in-force.test.ts
@@ -0,0 +1,21 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { createMember } from './admin-test-support.js';
+import { computeInForce } from './in-force.js';
+
+test('a zone counts its nodes, those in force, and its lowest version', () => {
+  const members = [
+    createMember('b1', 'zone-b', { configVersion: 6 }),
+    createMember('a1', 'zone-a', { configVersion: 7 }),
+    createMember('a2', 'zone-a', { configVersion: 9 }),
+    createMember('b2', 'zone-b', { configVersion: 7 }),
+  ];
+  assert.deepEqual(computeInForce(7, members).zones, [
+    { zone: 'zone-a', nodes: 2, nodesInForce: 2, lowestVersion: 7 },
+    { zone: 'zone-b', nodes: 2, nodesInForce: 1, lowestVersion: 6 },
+  ]);
+});
+
+test('without members nothing is claimed', () => {
+  assert.deepEqual(computeInForce(1, []), { zones: [], nodes: [] });
+});
