--- /dev/null
+++ b/src/kernel/clock.test.ts
@@ -0,0 +1,54 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { ManualClock } from './clock.js';
+
+/** Schedules a timer that notes its name and the time at which it fired. */
+function note(clock: ManualClock, fired: string[], name: string, delayMs: number): () => void {
+  return clock.schedule(delayMs, () => fired.push(`${name}@${clock.now()}`));
+}
+
+test('timers fire in order of time, then of creation, each at its own time', () => {
+  const clock = new ManualClock();
+  const fired: string[] = [];
+  note(clock, fired, 'late', 30);
+  note(clock, fired, 'first', 10);
+  note(clock, fired, 'second', 10);
+  note(clock, fired, 'now', 0);
+  clock.advance(20);
+  assert.deepEqual(fired, ['now@0', 'first@10', 'second@10']);
+  assert.equal(clock.now(), 20);
+  clock.advance(10);
+  assert.deepEqual(fired.at(-1), 'late@30');
+});
+
+test('a timer made by a timer fires in the same advance when it falls due', () => {
+  const clock = new ManualClock();
+  const fired: string[] = [];
+  clock.schedule(5, () => {
+    note(clock, fired, 'inner', 5);
+    note(clock, fired, 'outside', 6);
+  });
+  clock.advance(10);
+  assert.deepEqual(fired, ['inner@10']);
+});
+
+test('a cancelled timer does not fire; cancelling twice or late is harmless', () => {
+  const clock = new ManualClock();
+  const fired: string[] = [];
+  const cancel = note(clock, fired, 'cancelled', 5);
+  const late = note(clock, fired, 'fired', 5);
+  cancel();
+  cancel();
+  clock.advance(5);
+  late();
+  assert.deepEqual(fired, ['fired@5']);
+});
+
+test('a negative delay counts as none', () => {
+  const clock = new ManualClock();
+  const fired: string[] = [];
+  clock.advance(7);
+  note(clock, fired, 'past', -3);
+  clock.advance(0);
+  assert.deepEqual(fired, ['past@7']);
+});
--- a/src/node/run-node.ts
+++ b/src/node/run-node.ts
@@ -35,13 +35,11 @@
   const stops = new SignalQueue(signals);
   try {
     await kernel.start();
+    await Promise.race([stops.next(), kernel.stopRequested]);
+    return await stopAsPlanned(kernel, settings.stopTimeoutMs, stops);
   } catch (error) {
     log.emit(Event.InternalError, { error: String(error) });
     return 'start-failed';
-  }
-  try {
-    await Promise.race([stops.next(), kernel.stopRequested]);
-    return await stopAsPlanned(kernel, settings.stopTimeoutMs, stops);
   } finally {
     stops.close();
   }
