--- a/src/kernel/token.ts
+++ b/src/kernel/token.ts
@@ -2,6 +2,7 @@
 import type { ServiceIdentifier } from 'inversify';
 import type { AdminServer } from '../admin/admin-server.js';
 import type { ClaimService } from '../claims/claim-service.js';
+import type { ByteBudget } from '../core/byte-budget.js';
 import type { ConfigStore } from '../config/config-store.js';
 import type { RulesRepository } from '../config/rules-repository.js';
 import type { Settings } from '../config/settings.js';
@@ -37,4 +38,5 @@
   TargetAdministration: token<TargetAdministration>('TargetAdministration'),
   CallRouter: token<CallRouter>('CallRouter'),
   AdminServer: token<AdminServer>('AdminServer'),
+  ByteBudget: token<ByteBudget>('ByteBudget'),
 } as const;
