Add the stand-ins for back ends, callers and links, and the example deployments

Cause: nothing to run the path of a request against. Change: `emulate backend`, `emulate callers` and `emulate link` with control endpoints and journals, rules, settings and workloads for Recife and Trondheim.

--- a/src/cli/registered-commands.ts
+++ b/src/cli/registered-commands.ts
@@ -1,5 +1,8 @@
 /** The areas that bring commands; see the convention in command.ts. */
 import { Builtins } from 'clipanion';
+import { commands as backendCommands } from '../stand-ins/backend/commands.js';
+import { commands as callersCommands } from '../stand-ins/callers/commands.js';
+import { commands as linkCommands } from '../stand-ins/link/commands.js';
 import type { CommandClass } from './command.js';
 import { nodeCommands } from './node-command.js';
 import { versionCommands } from './version-command.js';
@@ -9,4 +12,7 @@
   Builtins.HelpCommand,
   ...nodeCommands,
   ...versionCommands,
+  ...backendCommands,
+  ...callersCommands,
+  ...linkCommands,
 ];
--- /dev/null
+++ b/src/stand-ins/backend/downstream-caller.ts
@@ -0,0 +1,98 @@
+/** Calls of a back end to the next service of its chain, by HTTP through a node. */
+import { Agent } from 'node:http';
+import { exchange, type ExchangeResult } from '../http-exchange.js';
+import { CALLER_REQUEST_MEMBER, digestRequest, parseBaggage } from '../request-digest.js';
+import { deriveRequestKey } from '../request-key.js';
+import type { BackendFaults } from './backend-faults.js';
+import type { DownstreamCall } from './backend-options.js';
+
+/** Wait for a call below when the request brought no deadline. */
+const DEFAULT_TIMEOUT_MS = 30_000;
+
+/** The request under which a call is made. */
+export interface CallParent {
+  readonly baggage: string | undefined;
+  readonly traceparent: string | undefined;
+  readonly requestKey: string;
+  readonly deadlineMs: number | undefined;
+  readonly signal: AbortSignal;
+}
+
+/** Result of one call below. */
+export type CallOutcome =
+  | { readonly type: 'ok' }
+  | { readonly type: 'wrong-answer' }
+  | { readonly type: 'failed'; readonly status: number; readonly resultCode?: string };
+
+/** Makes calls with keep-alive connections. */
+export class DownstreamCaller {
+  private readonly agent = new Agent({ keepAlive: true });
+
+  constructor(private readonly faults: () => BackendFaults) {}
+
+  /** Makes one call; with the fault `ownRetries` it repeats a failed one by itself. */
+  async call(call: DownstreamCall, parent: CallParent): Promise<CallOutcome> {
+    let outcome = await this.attempt(call, parent, 0);
+    for (let repeat = 1; repeat <= this.faults().ownRetries; repeat += 1) {
+      if (outcome.type !== 'failed' || parent.signal.aborted) return outcome;
+      outcome = await this.attempt(call, parent, repeat);
+    }
+    return outcome;
+  }
+
+  close(): void {
+    this.agent.destroy();
+  }
+
+  private async attempt(
+    call: DownstreamCall,
+    parent: CallParent,
+    repeat: number,
+  ): Promise<CallOutcome> {
+    const path = `${call.path}?request=${parent.requestKey}`;
+    const body = call.method === 'GET' ? Buffer.alloc(0) : Buffer.from(parent.requestKey);
+    // A node that refuses connections is passed over; anything else is final for this attempt.
+    for (let offset = 0; offset < call.nodes.length; offset += 1) {
+      const base = call.nodes[(repeat + offset) % call.nodes.length]!;
+      const result = await exchange({
+        base,
+        method: call.method,
+        path,
+        headers: this.headers(call, parent),
+        body,
+        agent: this.agent,
+        timeoutMs: parent.deadlineMs ?? DEFAULT_TIMEOUT_MS,
+        signal: parent.signal,
+      });
+      if (result.type === 'not-sent') continue;
+      return judge(result, digestRequest(call.method, path, body));
+    }
+    return { type: 'failed', status: 0 };
+  }
+
+  private headers(call: DownstreamCall, parent: CallParent): Record<string, string> {
+    const headers: Record<string, string> = { host: call.host };
+    const baggage = this.faults().dropContext
+      ? `${CALLER_REQUEST_MEMBER}=${parseBaggage(parent.baggage).get(CALLER_REQUEST_MEMBER) ?? ''}`
+      : parent.baggage;
+    if (baggage !== undefined) headers['baggage'] = baggage;
+    if (parent.traceparent !== undefined) headers['traceparent'] = parent.traceparent;
+    if (call.method !== 'GET') {
+      headers['idempotency-key'] = deriveRequestKey(parent.requestKey, call.service);
+    }
+    return headers;
+  }
+}
+
+function judge(result: ExchangeResult, digest: string): CallOutcome {
+  if (result.type !== 'answer') return { type: 'failed', status: 0 };
+  const resultCode = result.headers['sillshore-result'];
+  if (result.status !== 200) {
+    return {
+      type: 'failed',
+      status: result.status,
+      ...(typeof resultCode === 'string' ? { resultCode } : {}),
+    };
+  }
+  return result.headers['x-request-digest'] === digest ? { type: 'ok' } : { type: 'wrong-answer' };
+}
--- /dev/null
+++ b/src/stand-ins/callers/caller.ts
@@ -0,0 +1,113 @@
+/** One caller's request with its hard retries. */
+import { randomBytes } from 'node:crypto';
+import type { Agent } from 'node:http';
+import type { Random } from '../../core/random.js';
+import { exchange, type ExchangeResult } from '../http-exchange.js';
+import { CALLER_REQUEST_MEMBER, digestRequest } from '../request-digest.js';
+import { createRequestKey } from '../request-key.js';
+import type { Stream } from '../workload.js';
+import {
+  concludeRequest,
+  judgeExchange,
+  type RequestRecord,
+  type TryRecord,
+} from './caller-journal.js';
+
+/** How callers repeat what failed. */
+export interface RetryBehaviour {
+  /** Tries in all, at least 1. */
+  readonly maxTries: number;
+  /** Milliseconds before a repeat. */
+  readonly delayMs: number;
+  /** Part of the patience after which a try is given up and repeated, 0..1; 1 never. */
+  readonly tryPatience: number;
+  /** Whether a repeat goes to another entry. */
+  readonly otherEntry: boolean;
+}
+
+/** Callers that do not repeat. */
+export const NO_RETRIES: RetryBehaviour = {
+  maxTries: 1,
+  delayMs: 0,
+  tryPatience: 1,
+  otherEntry: true,
+};
+
+/** What a caller works with. */
+export interface CallerContext {
+  readonly entries: readonly string[];
+  readonly agent: Agent;
+  readonly random: Random;
+  readonly retries: RetryBehaviour;
+}
+
+/**
+ * Makes one request and its repeats under one request id.
+ *
+ * @param plannedAt `performance.now()` at which it should have been sent
+ */
+export async function makeRequest(
+  context: CallerContext,
+  stream: Stream,
+  plannedAt: number,
+): Promise<RequestRecord> {
+  const { entries, retries, random } = context;
+  const sentAt = Date.now();
+  const key = createRequestKey(sentAt, random);
+  const path = `${stream.path}?request=${key}`;
+  const body = stream.bodyBytes === 0 ? EMPTY : randomBytes(stream.bodyBytes);
+  const digest = digestRequest(stream.method, path, body);
+  const headers = createHeaders(stream, key);
+  const giveUpAt = performance.now() + stream.patienceMs;
+  const tries: TryRecord[] = [];
+  let entry = random.nextInt(entries.length);
+
+  while (tries.length < retries.maxTries) {
+    const left = giveUpAt - performance.now();
+    if (left <= 0) break;
+    const startedAt = performance.now();
+    const result = await exchange({
+      base: entries[entry]!,
+      method: stream.method,
+      path,
+      headers,
+      body,
+      agent: context.agent,
+      timeoutMs: Math.min(left, stream.patienceMs * retries.tryPatience),
+    });
+    const latencyMs = performance.now() - startedAt;
+    const verdict = judgeExchange(result, digest, key);
+    tries.push({ entry, verdict, ended: result.type, latencyMs, ...describeAnswer(result) });
+    if (verdict === 'complete' || verdict === 'wrong') break;
+    if (retries.otherEntry) entry = (entry + 1) % entries.length;
+    if (retries.delayMs > 0) await wait(retries.delayMs);
+  }
+  return concludeRequest(key, stream.kind, sentAt, tries, performance.now() - plannedAt);
+}
+
+const EMPTY = Buffer.alloc(0);
+
+function createHeaders(stream: Stream, key: string): Record<string, string> {
+  return {
+    host: stream.host,
+    baggage: `${CALLER_REQUEST_MEMBER}=${key}`,
+    ...(stream.requestId ? { 'idempotency-key': key } : {}),
+  };
+}
+
+function describeAnswer(result: ExchangeResult): Partial<TryRecord> {
+  if (result.type !== 'answer') return {};
+  const code = result.headers['sillshore-result'];
+  const execution = result.headers['sillshore-execution'];
+  return {
+    status: result.status,
+    ...(typeof code === 'string' ? { code } : {}),
+    ...(typeof execution === 'string' ? { execution } : {}),
+  };
+}
+
+function wait(milliseconds: number): Promise<void> {
+  return new Promise((resolve) => {
+    setTimeout(resolve, milliseconds);
+  });
+}
--- /dev/null
+++ b/src/stand-ins/http-server.ts
@@ -0,0 +1,45 @@
+/** Small helpers on node:http that the stand-ins share. */
+import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import { splitAddress } from '../config/settings.js';
+
+/** Listens on `host:port` and resolves with the address taken. */
+export async function listenOn(server: Server, listen: string): Promise<string> {
+  const { host, port } = splitAddress(listen);
+  await new Promise<void>((resolve, reject) => {
+    server.once('error', reject);
+    server.listen(port, host, () => {
+      server.off('error', reject);
+      resolve();
+    });
+  });
+  const address = server.address() as AddressInfo;
+  return `${host}:${address.port}`;
+}
+
+/** Closes a server together with its connections. */
+export async function closeServer(server: Server): Promise<void> {
+  await new Promise<void>((resolve) => {
+    server.close(() => {
+      resolve();
+    });
+    server.closeAllConnections();
+  });
+}
+
+/** Reads a body whole; rejects when the client ends early. */
+export async function readBody(request: IncomingMessage): Promise<Buffer> {
+  const chunks: Buffer[] = [];
+  for await (const chunk of request) chunks.push(chunk as Buffer);
+  return Buffer.concat(chunks);
+}
+
+/** Answers with a JSON document. */
+export function sendJson(response: ServerResponse, status: number, value: unknown): void {
+  const body = Buffer.from(JSON.stringify(value));
+  response.writeHead(status, {
+    'content-type': 'application/json',
+    'content-length': body.length,
+  });
+  response.end(body);
+}
