Add the deployment driver, the demo and the latency benchmark

Cause: the parts were never run together as processes. Change: a driver that starts platform, back ends, nodes and callers as processes, a check of the journals of both ends, scripts/demo, and `bench latency`.

--- a/src/cli/registered-commands.ts
+++ b/src/cli/registered-commands.ts
@@ -4,6 +4,7 @@
 import { commands as callersCommands } from '../stand-ins/callers/commands.js';
 import { commands as linkCommands } from '../stand-ins/link/commands.js';
 import type { CommandClass } from './command.js';
+import { commands as benchmarkCommands } from '../testing/commands.js';
 import { nodeCommands } from './node-command.js';
 import { versionCommands } from './version-command.js';
 
@@ -15,4 +16,5 @@
   ...backendCommands,
   ...callersCommands,
   ...linkCommands,
+  ...benchmarkCommands,
 ];
--- a/src/stand-ins/backend/backend-work.ts
+++ b/src/stand-ins/backend/backend-work.ts
@@ -160,6 +160,8 @@
   const headers: Record<string, string> = {
     'content-type': 'application/json',
     'x-request-digest': digest,
+    // The back end's own time, so that a benchmark can tell its jitter from the added latency.
+    'server-timing': `total;dur=${(performance.now() - received.arrivedAt).toFixed(3)}`,
     ...(state === undefined ? {} : { 'backend-state': state }),
   };
   const faults = context.faults();
--- a/src/stand-ins/callers/caller-journal.ts
+++ b/src/stand-ins/callers/caller-journal.ts
@@ -26,6 +26,8 @@
   /** `Sillshore-Execution` of the answer. */
   readonly execution?: string;
   readonly latencyMs: number;
+  /** Milliseconds that the back end spent, by its own account. */
+  readonly backendMs?: number;
 }
 
 /** One request of a caller with all its tries. */
--- a/src/stand-ins/callers/caller.ts
+++ b/src/stand-ins/callers/caller.ts
@@ -99,8 +99,10 @@
   if (result.type !== 'answer') return {};
   const code = result.headers['sillshore-result'];
   const execution = result.headers['sillshore-execution'];
+  const [, duration] = /dur=([\d.]+)/.exec(`${result.headers['server-timing'] ?? ''}`) ?? [];
   return {
     status: result.status,
+    ...(duration === undefined ? {} : { backendMs: Number(duration) }),
     ...(typeof code === 'string' ? { code } : {}),
     ...(typeof execution === 'string' ? { execution } : {}),
   };
--- /dev/null
+++ b/src/testing/admin-client.ts
@@ -0,0 +1,59 @@
+/** Reads and commands of the operators' interface as plain JSON, without generated code. */
+import type { Settings } from '../config/settings.js';
+import { requestJson } from './http-json.js';
+
+/** Members of the answers that the driver reads; JSON leaves out false, zero and empty. */
+interface StatusAnswer {
+  readonly node?: { readonly id?: string; readonly ready?: boolean };
+  readonly members?: readonly { readonly id: string; readonly state?: string }[];
+}
+
+interface InForceAnswer {
+  readonly nodes?: readonly { readonly node: string; readonly inForce?: boolean }[];
+}
+
+/** Client of one node's operators' interface. */
+export class AdminClient {
+  private readonly base: string;
+  private readonly headers: Readonly<Record<string, string>>;
+
+  constructor(settings: Settings) {
+    this.base = `http://${settings.listen.admin}/sillshore.admin.v1.AdminService`;
+    this.headers = { authorization: `Bearer ${settings.admin.token}` };
+  }
+
+  /** Members that the node sees and that have not failed. */
+  async listMembers(): Promise<readonly string[]> {
+    const status = await this.call<StatusAnswer>('GetStatus', {});
+    return (status.members ?? []).filter(({ state }) => state === 'alive').map(({ id }) => id);
+  }
+
+  async isReady(): Promise<boolean> {
+    const status = await this.call<StatusAnswer>('GetStatus', {});
+    return status.node?.ready === true;
+  }
+
+  /** Nodes at which the newest revision known to this node is in force. */
+  async nodesInForce(tenant: string): Promise<readonly string[]> {
+    const answer = await this.call<InForceAnswer>('GetInForce', { tenant });
+    return (answer.nodes ?? []).filter(({ inForce }) => inForce === true).map(({ node }) => node);
+  }
+
+  async applyRules(
+    tenant: string,
+    document: string,
+    expectedRevision: number,
+    operationId: string,
+  ): Promise<void> {
+    const message = { tenant, document, expectedRevision, operationId, author: 'test' };
+    await this.call('ApplyRules', message);
+  }
+
+  async drainTarget(target: string): Promise<void> {
+    await this.call('DrainTarget', { target });
+  }
+
+  private call<T>(method: string, message: unknown): Promise<T> {
+    return requestJson<T>(`${this.base}/${method}`, message, this.headers);
+  }
+}
--- /dev/null
+++ b/src/testing/deployment.ts
@@ -0,0 +1,304 @@
+/**
+ * A whole deployment as separate processes on loopback: platform, back ends, nodes, callers.
+ * Everything that it starts is stopped by `stop`, also after a failure.
+ */
+import { readFileSync, rmSync } from 'node:fs';
+import type { BackendControl } from '../stand-ins/backend/backend-faults.js';
+import type { BackendJournal } from '../stand-ins/backend/effects-journal.js';
+import type { CallersResult } from '../stand-ins/callers/start-callers.js';
+import { AdminClient } from './admin-client.js';
+import {
+  planDeployment,
+  type DeploymentPlan,
+  type PlannedNode,
+  type PlannedTarget,
+  type PlanOptions,
+} from './deployment-plan.js';
+import { checkGuarantees, type GuaranteeReport } from './guarantees.js';
+import { poll, requestJson } from './http-json.js';
+import { ManagedProcess, type ProcessEnd } from './managed-process.js';
+
+const START_TIMEOUT_MS = 20_000;
+/** Callers get this long after the end of their run before they are given up. */
+const CALLERS_GRACE_MS = 30_000;
+
+/** A node of the deployment. */
+export interface RunningNode {
+  readonly plan: PlannedNode;
+  readonly id: string;
+  /** Base URL of its entry. */
+  readonly entry: string;
+  readonly admin: AdminClient;
+  process: ManagedProcess;
+}
+
+/** A back end of the deployment. */
+export interface RunningTarget {
+  readonly plan: PlannedTarget;
+  readonly process: ManagedProcess;
+}
+
+/** How callers are run. */
+export interface CallersRunOptions {
+  readonly durationMs: number;
+  readonly rateFactor?: number;
+  readonly seed?: number;
+  readonly kinds?: readonly string[];
+  readonly entries?: readonly string[];
+  /** Tries in all, with hard repeats when above 1. */
+  readonly tries?: number;
+  readonly retryDelayMs?: number;
+  readonly tryPatience?: number;
+}
+
+/** Callers at work. */
+export interface CallersRun {
+  readonly process: ManagedProcess;
+  setRateFactor(factor: number): Promise<void>;
+  /** Result of the whole run. */
+  readonly result: Promise<CallersResult>;
+}
+
+/** A started deployment. */
+export class Deployment {
+  readonly nodes: RunningNode[] = [];
+  readonly targets: RunningTarget[] = [];
+  private platform: ManagedProcess | undefined;
+  private readonly started: ManagedProcess[] = [];
+
+  private constructor(readonly plan: DeploymentPlan) {}
+
+  /** Starts everything and brings the example's rules into force at every node. */
+  static async start(options: PlanOptions): Promise<Deployment> {
+    const deployment = await Deployment.startWithoutRules(options);
+    try {
+      await deployment.applyRules();
+      return deployment;
+    } catch (error) {
+      await deployment.stop();
+      throw error;
+    }
+  }
+
+  /** Starts everything; the platform holds no rules yet. */
+  static async startWithoutRules(options: PlanOptions): Promise<Deployment> {
+    const deployment = new Deployment(await planDeployment(options));
+    try {
+      await deployment.startAll();
+      return deployment;
+    } catch (error) {
+      await deployment.stop();
+      throw error;
+    }
+  }
+
+  /** Entries of the nodes that run. */
+  get entries(): string[] {
+    return this.nodes.filter((node) => node.process.running).map((node) => node.entry);
+  }
+
+  /** Applies the rules document of the plan by the operators' interface of the first node. */
+  async applyRules(): Promise<void> {
+    const { tenant } = this.plan.rules;
+    const document = readFileSync(this.plan.rulesFile, 'utf8');
+    await this.nodes[0]!.admin.applyRules(tenant, document, 0, `start-${tenant}`);
+    await this.waitInForce();
+  }
+
+  /** Waits until the rules are in force and the node is ready at each running node. */
+  async waitInForce(): Promise<void> {
+    const running = this.nodes.filter((node) => node.process.running);
+    await poll('rules in force at every node', START_TIMEOUT_MS, async () => {
+      const ready = await Promise.all(running.map((node) => node.admin.isReady()));
+      const lists = await Promise.all(
+        running.map((node) => node.admin.nodesInForce(this.plan.rules.tenant)),
+      );
+      const known = lists.every((list) => running.every(({ id }) => list.includes(id)));
+      return known && ready.every(Boolean);
+    });
+  }
+
+  findNode(id: string): RunningNode {
+    return expectFound(
+      this.nodes.find((node) => node.id === id),
+      id,
+    );
+  }
+
+  findTarget(id: string): RunningTarget {
+    return expectFound(
+      this.targets.find(({ plan }) => plan.id === id),
+      id,
+    );
+  }
+
+  /** Starts callers; their journal is part of the result. */
+  async startCallers(options: CallersRunOptions): Promise<CallersRun> {
+    const flag = (name: string, value: string | number | undefined): string[] =>
+      value === undefined ? [] : [`--${name}`, `${value}`];
+    const process = this.spawn('callers', [
+      'emulate',
+      'callers',
+      '--journal',
+      ...flag('workload', this.plan.workloadFile),
+      ...flag('control', '127.0.0.1:0'),
+      ...flag('duration-ms', options.durationMs),
+      ...flag('rate-factor', options.rateFactor),
+      ...flag('seed', options.seed),
+      ...flag('tries', options.tries),
+      ...flag('retry-delay-ms', options.retryDelayMs),
+      ...flag('try-patience', options.tryPatience),
+      ...(options.kinds ?? []).flatMap((kind) => ['--kind', kind]),
+      ...(options.entries ?? this.entries).flatMap((entry) => ['--entry', entry]),
+    ]);
+    const ready = JSON.parse(await process.firstLine(START_TIMEOUT_MS)) as { address: string };
+    return {
+      process,
+      setRateFactor: async (rateFactor) => {
+        await requestJson(`http://${ready.address}/control`, { rateFactor });
+      },
+      result: readCallersResult(process, options.durationMs),
+    };
+  }
+
+  /** Switches faults of a back end. */
+  async controlTarget(id: string, change: BackendControl): Promise<void> {
+    const { plan } = this.findTarget(id);
+    await requestJson(`http://${plan.address}/control`, change);
+  }
+
+  /** Switches faults of the platform. */
+  async controlPlatform(change: unknown): Promise<void> {
+    await requestJson(`http://127.0.0.1:${this.plan.platformControlPort}/control`, change);
+  }
+
+  /** Journals of the back ends that run. */
+  async readJournals(): Promise<BackendJournal[]> {
+    const running = this.targets.filter(({ process }) => process.running);
+    return await Promise.all(
+      running.map(({ plan }) =>
+        requestJson<BackendJournal>(`http://${plan.address}/control/journal`),
+      ),
+    );
+  }
+
+  /** Checks what the callers got against the back ends' journals. */
+  async check(results: readonly CallersResult[]): Promise<GuaranteeReport> {
+    const records = results.flatMap((result) => result.records);
+    const journals = await this.readJournals();
+    const journalsIncomplete = journals.length < this.targets.length;
+    return checkGuarantees({ rules: this.plan.rules, records, journals, journalsIncomplete });
+  }
+
+  /** Starts a stopped node again: a new process with the same settings. */
+  async restartNode(id: string): Promise<void> {
+    const node = this.findNode(id);
+    node.process = this.spawnNode(node.plan);
+    await poll(`${id} ready`, START_TIMEOUT_MS, () => node.admin.isReady());
+  }
+
+  /** Planned stop of a node. */
+  async stopNode(id: string): Promise<ProcessEnd> {
+    return await this.findNode(id).process.stop('SIGTERM', START_TIMEOUT_MS);
+  }
+
+  /** Standard error of every process that has written some, for a failed run. */
+  logs(): string {
+    return this.started
+      .filter(({ stderr }) => stderr !== '')
+      .map(({ name, stderr }) => `--- ${name}\n${stderr.slice(-4_000)}`)
+      .join('\n');
+  }
+
+  /** Stops every process, nodes first. */
+  async stop(): Promise<void> {
+    const isNode = (process: ManagedProcess): boolean =>
+      this.nodes.some((node) => node.process === process);
+    const nodes = this.started.filter(isNode);
+    await Promise.all(nodes.map((process) => process.stop()));
+    await Promise.all(this.started.map((process) => process.stop()));
+    rmSync(this.plan.directory, { recursive: true, force: true });
+  }
+
+  private async startAll(): Promise<void> {
+    const { plan } = this;
+    this.platform = this.spawn('platform', [
+      'emulate',
+      'platform',
+      '--listen',
+      `127.0.0.1:${plan.platformPort}`,
+      '--control',
+      `127.0.0.1:${plan.platformControlPort}`,
+    ]);
+    await poll('platform', START_TIMEOUT_MS, async () => {
+      this.expectRunning(this.platform!);
+      await this.controlPlatform({ machines: plan.machines });
+      return true;
+    });
+    for (const node of plan.nodes) {
+      this.nodes.push({
+        plan: node,
+        id: node.settings.node.id,
+        entry: `http://${node.settings.listen.entry}`,
+        admin: new AdminClient(node.settings),
+        process: this.spawnNode(node),
+      });
+    }
+    for (const target of plan.targets) {
+      this.targets.push({ plan: target, process: this.spawnTarget(target) });
+    }
+    await Promise.all(this.targets.map(({ process }) => process.firstLine(START_TIMEOUT_MS)));
+    await poll('nodes see each other', START_TIMEOUT_MS, async () => {
+      for (const node of this.nodes) this.expectRunning(node.process);
+      const lists = await Promise.all(this.nodes.map((node) => node.admin.listMembers()));
+      return lists.every((list) => this.nodes.every(({ id }) => list.includes(id)));
+    });
+  }
+
+  private spawnNode({ settings, settingsFile }: PlannedNode): ManagedProcess {
+    return this.spawn(settings.node.id, ['node', '--settings', settingsFile]);
+  }
+
+  private spawnTarget(target: PlannedTarget): ManagedProcess {
+    const index = this.plan.targets.indexOf(target);
+    const order = (node: RunningNode): number =>
+      node.plan.settings.node.zone === target.zone ? 0 : 1;
+    const nodes = [...this.nodes].sort((a, b) => order(a) - order(b));
+    return this.spawn(target.id, [
+      ...['emulate', 'backend', '--listen', target.address],
+      ...['--service', target.service, '--target', target.id],
+      ...['--slots', `${target.slots}`, '--connections', `${target.connections}`],
+      ...['--workload', this.plan.workloadFile, '--seed', `${index + 1}`],
+      ...nodes.flatMap((node) => ['--node', node.entry]),
+    ]);
+  }
+
+  private spawn(name: string, args: readonly string[]): ManagedProcess {
+    const process = new ManagedProcess(name, args);
+    this.started.push(process);
+    return process;
+  }
+
+  private expectRunning(process: ManagedProcess): void {
+    if (!process.running) throw new Error(`${process.name} ended: ${process.stderr.slice(-4_000)}`);
+  }
+}
+
+async function readCallersResult(
+  process: ManagedProcess,
+  durationMs: number,
+): Promise<CallersResult> {
+  const timer = setTimeout(() => {
+    process.signal('SIGKILL');
+  }, durationMs + CALLERS_GRACE_MS);
+  const end = await process.ended;
+  clearTimeout(timer);
+  const line = process.stdout.trimEnd().split('\n').at(-1) ?? '';
+  if (end.code !== 0) throw new Error(`callers ended with ${end.code}: ${process.stderr}`);
+  return JSON.parse(line) as CallersResult;
+}
+
+function expectFound<T>(found: T | undefined, id: string): T {
+  if (found === undefined) throw new Error(`the deployment has no ${id}`);
+  return found;
+}
