--- a/src/testing/demo.ts
+++ b/src/testing/demo.ts
@@ -33,8 +33,8 @@
   const { rulesFile, rules, nodes } = deployment.plan;
   const { listen, admin } = nodes[0]!.settings;
   const command = new ManagedProcess('config apply', [
-    ...['config', 'apply', rulesFile, '--expected-revision', '0'],
-    ...['--admin', listen.admin, '--token', admin.token],
+    ...['config', 'apply', rulesFile, '--expect', '0'],
+    ...['--admin', `http://${listen.admin}`, '--token', admin.token],
   ]);
   const timer = setTimeout(() => {
     command.signal('SIGKILL');
