--- a/src/cli/registered-commands.ts
+++ b/src/cli/registered-commands.ts
@@ -1,6 +1,10 @@
 /** The areas that bring commands; see the convention in command.ts. */
 import { Builtins } from 'clipanion';
+import { commands as backendCommands } from '../stand-ins/backend/commands.js';
+import { commands as callersCommands } from '../stand-ins/callers/commands.js';
+import { commands as linkCommands } from '../stand-ins/link/commands.js';
 import type { CommandClass } from './command.js';
+import { commands as benchmarkCommands } from '../testing/commands.js';
 import { ConfigApplyCommand } from './config-apply-command.js';
 import { ConfigCheckCommand } from './config-check-command.js';
 import {
@@ -27,4 +31,8 @@
   ...statusCommands,
   ...drainCommands,
   ...versionCommands,
+  ...backendCommands,
+  ...callersCommands,
+  ...linkCommands,
+  ...benchmarkCommands,
 ];
