--- a/src/kernel/token.ts
+++ b/src/kernel/token.ts
@@ -1,7 +1,9 @@
 /** Typed identifiers under which plug-ins find each other's services in the container. */
 import type { ServiceIdentifier } from 'inversify';
 import type { ClaimService } from '../claims/claim-service.js';
+import type { ByteBudget } from '../core/byte-budget.js';
 import type { ConfigStore } from '../config/config-store.js';
+import type { RulesRepository } from '../config/rules-repository.js';
 import type { Settings } from '../config/settings.js';
 import type { CallRouter } from '../entry/call-router.js';
 import type { Membership } from '../membership/membership.js';
@@ -28,7 +30,9 @@
   Membership: token<Membership>('Membership'),
   PlatformClient: token<PlatformClient>('PlatformClient'),
   ConfigStore: token<ConfigStore>('ConfigStore'),
+  RulesRepository: token<RulesRepository>('RulesRepository'),
   ClaimService: token<ClaimService>('ClaimService'),
   TargetDispatcher: token<TargetDispatcher>('TargetDispatcher'),
   CallRouter: token<CallRouter>('CallRouter'),
+  ByteBudget: token<ByteBudget>('ByteBudget'),
 } as const;
