Emulate a deployment in virtual time and compare overload policies

Cause: overload control can only be judged by goodput and recovery over many seeds, which real processes give too slowly. Ruled out: a second implementation of the decision logic; the emulator drives the policies of the registry, AttemptBudget and AttemptLedger unchanged.

--- /dev/null
+++ b/src/emulator/capacity-bound.ts
@@ -0,0 +1,106 @@
+/**
+ * Upper bound of the goodput that a deployment can give; see docs/design/emulator.md.
+ *
+ * A request of a kind holds a slot of each service on its path for a mean time that follows
+ * from the unloaded service times below it. A service has `targets * slots` slots. The bound
+ * is the linear program: most requests per second, no service holding more slots than it has,
+ * no kind above its demand. Classes are weighted so that the more important come first.
+ */
+import { rankOf } from '../core/request.js';
+import { type CallSite, type Deployment, findService } from './deployment.js';
+import { solveLinearProgram } from './linear-program.js';
+
+const MS_PER_SECOND = 1_000;
+/** Weight of a class relative to the next less important one. */
+const CLASS_WEIGHT = 100;
+const LOWEST_RANK = 3;
+
+/** Part of its capacity that a service has, and the factor on its service time. */
+export interface ServiceCondition {
+  /** Slots of all targets that can serve. */
+  readonly slots: number;
+  /** Factor on the service time, averaged over these targets. */
+  readonly slowdown: number;
+}
+
+/** Conditions by service. */
+export type Conditions = ReadonlyMap<string, ServiceCondition>;
+
+/** Conditions without any fault. */
+export function normalConditions(deployment: Deployment): Conditions {
+  return new Map(
+    deployment.services.map(({ name, slots, targets }) => [
+      name,
+      { slots: slots * targets.length, slowdown: 1 },
+    ]),
+  );
+}
+
+/** Slot time that one request of a kind holds at each service, in milliseconds. */
+export function slotTimes(
+  deployment: Deployment,
+  root: CallSite,
+  conditions: Conditions,
+): ReadonlyMap<string, number> {
+  const times = new Map<string, number>();
+  const visit = (site: CallSite): number => {
+    const { serviceTimeMs } = findService(deployment, site.service);
+    const own = serviceTimeMs * (conditions.get(site.service)?.slowdown ?? 1);
+    const below = site.calls.map((call) => visit(call) + callOverheadMs(deployment));
+    const waited = site.parallel ? Math.max(0, ...below) : below.reduce((sum, ms) => sum + ms, 0);
+    const held = own + waited;
+    times.set(site.service, (times.get(site.service) ?? 0) + held);
+    return held;
+  };
+  visit(root);
+  return times;
+}
+
+/** Least time of a call besides the callee's slot time: back end, node, back end, and back. */
+function callOverheadMs(deployment: Deployment): number {
+  return 6 * deployment.localDelayMs;
+}
+
+/**
+ * Goodput bound per kind, in requests per second.
+ *
+ * @param demand requests per second by kind
+ * @param prioritised whether more important classes come first; else all count alike
+ */
+export function goodputBound(
+  deployment: Deployment,
+  conditions: Conditions,
+  demand: readonly number[],
+  prioritised: boolean,
+): number[] {
+  const perKind = deployment.kinds.map(({ root }) => slotTimes(deployment, root, conditions));
+  const serviceRows = deployment.services.map(({ name }) =>
+    perKind.map((times) => (times.get(name) ?? 0) / MS_PER_SECOND),
+  );
+  const demandRows = demand.map((_, row) => demand.map((__, column) => (row === column ? 1 : 0)));
+  const slots = deployment.services.map(({ name }) => conditions.get(name)?.slots ?? 0);
+  const weights = deployment.kinds.map(({ criticality }) =>
+    prioritised ? CLASS_WEIGHT ** (LOWEST_RANK - rankOf(criticality)) : 1,
+  );
+  return solveLinearProgram({
+    objective: weights,
+    rows: [...serviceRows, ...demandRows],
+    bounds: [...slots, ...demand],
+  });
+}
+
+/** Requests per second by kind at the highest load of the kinds' own mix that fits (1x). */
+export function capacityRates(deployment: Deployment): number[] {
+  const conditions = normalConditions(deployment);
+  const shares = deployment.kinds.map(({ share }) => share);
+  const perKind = deployment.kinds.map(({ root }) => slotTimes(deployment, root, conditions));
+  let unit = Infinity;
+  for (const { name } of deployment.services) {
+    const held = perKind.reduce(
+      (sum, times, kind) => sum + (shares[kind]! * (times.get(name) ?? 0)) / MS_PER_SECOND,
+      0,
+    );
+    if (held > 0) unit = Math.min(unit, conditions.get(name)!.slots / held);
+  }
+  return shares.map((share) => share * unit);
+}
--- /dev/null
+++ b/src/emulator/commands.ts
@@ -0,0 +1,102 @@
+/** Commands of the experiment tool. */
+import { readFile } from 'node:fs/promises';
+import { Command, Option } from 'clipanion';
+import { isInInclusiveRange, isInteger, isNumber, applyCascade } from 'typanion';
+import { Result } from 'true-myth';
+import { createFailure, type Failure } from '../core/failure.js';
+import { describeResultCode, ResultCode } from '../core/result-code.js';
+import type { RunResult } from './run-result.js';
+import type { Scenario } from './scenario.js';
+
+const EXIT_OK = 0;
+const EXIT_INVALID_INPUT = 2;
+const MAX_SEEDS = 100;
+
+/** Runs the policies of a scenario file in virtual time. */
+export class ExperimentRunCommand extends Command {
+  static override paths = [['experiment', 'run']];
+  static override usage = Command.Usage({
+    description: 'run a scenario file in virtual time and compare policies',
+    details: `
+      Runs every policy of the scenario with every seed, prints a table by policy and kind, and
+      with --out writes the raw results as JSON and plots as SVG. The same file gives the same
+      result, byte for byte. Progress goes to standard error.
+
+      Exit codes: 0 done, 2 invalid scenario or usage.
+    `,
+    examples: [
+      ['Run a scenario', '$0 experiment run examples/experiments/recife-slow-deep.yaml'],
+      ['One policy, two seeds, files', '$0 experiment run FILE --policy none --seeds 2 --out out'],
+    ],
+  });
+
+  file = Option.String({ name: 'file', required: true });
+  json = Option.Boolean('--json', false, { description: 'Print the summary as JSON' });
+  out = Option.String('--out', { description: 'Directory for raw results and plots' });
+  seeds = Option.String('--seeds', {
+    description: 'Number of seeds, counted from 1, in place of the file’s',
+    validator: applyCascade(isNumber(), [isInteger(), isInInclusiveRange(1, MAX_SEEDS)]),
+  });
+  policies = Option.Array('--policy', { description: 'Policy in place of the file’s; repeatable' });
+
+  override async execute(): Promise<number> {
+    const scenario = await this.readScenario();
+    if (scenario.isErr) return this.fail(scenario.error);
+    const { runExperiment } = await import('./experiment.js');
+    const result = runExperiment(scenario.value, (done, total, run) => {
+      this.context.stderr.write(`${formatProgress(done, total, run)}\n`);
+    });
+    if (this.json) this.context.stdout.write(`${JSON.stringify(result.summary, undefined, 2)}\n`);
+    else {
+      const { formatReport } = await import('./report.js');
+      this.context.stdout.write(`${formatReport(result)}\n`);
+    }
+    if (this.out !== undefined) {
+      const { writeExperimentFiles } = await import('./experiment-files.js');
+      const paths = await writeExperimentFiles(result, this.out);
+      for (const path of paths) this.context.stderr.write(`wrote ${path}\n`);
+    }
+    return EXIT_OK;
+  }
+
+  private async readScenario(): Promise<Result<Scenario, Failure>> {
+    const { parseScenario, validateScenario } = await import('./scenario.js');
+    let text: string;
+    try {
+      text = await readFile(this.file, 'utf8');
+    } catch (error) {
+      const detail = `cannot read ${this.file}: ${(error as Error).message}`;
+      return Result.err(createFailure(ResultCode.ScenarioInvalid, detail));
+    }
+    const seedCount = this.seeds;
+    const { policies } = this;
+    return parseScenario(text).andThen((scenario) =>
+      validateScenario({
+        ...scenario,
+        ...(policies === undefined ? {} : { policies }),
+        ...(seedCount === undefined ? {} : { seeds: countFromOne(seedCount) }),
+      }),
+    );
+  }
+
+  private fail(failure: Failure): number {
+    const { title } = describeResultCode(failure.code);
+    this.context.stderr.write(`error ${failure.code}: ${title}: ${failure.detail}\n`);
+    for (const { path, message } of failure.violations ?? []) {
+      this.context.stderr.write(`  ${path === '' ? '(document)' : path}: ${message}\n`);
+    }
+    return EXIT_INVALID_INPUT;
+  }
+}
+
+function countFromOne(count: number): number[] {
+  return Array.from({ length: count }, (_, index) => index + 1);
+}
+
+function formatProgress(done: number, total: number, run: RunResult): string {
+  const { policy, seed, events, goodputRatio } = run;
+  return `${done}/${total} ${policy} seed ${seed}: ${events} events, goodput/bound ${goodputRatio.toFixed(3)}`;
+}
+
+/** Command classes to register. */
+export const commands = [ExperimentRunCommand];
--- /dev/null
+++ b/src/emulator/emulated-call.ts
@@ -0,0 +1,273 @@
+/**
+ * The calling side of one call at one node: entry admission, target choice, attempts,
+ * retries. It does under virtual time what `src/entry` does on sockets.
+ */
+import { AttemptBudget } from '../core/attempt-budget.js';
+import type { Refusal, RetryState, ServiceRouter } from '../core/overload.js';
+import type { RequestContext } from '../core/request.js';
+import { ResultCode } from '../core/result-code.js';
+import type { CallSite, KindModel } from './deployment.js';
+import type { EmulatedNode } from './emulated-node.js';
+import type { ScheduledEvent } from './event-queue.js';
+import type { CallEnd, RequestRecord } from './request-record.js';
+import { UnsharedAttempts } from './unshared-attempts.js';
+import type { TargetSide } from './target-side.js';
+import type { AttemptEnd, IncomingAttempt, World } from './world.js';
+
+/** One call to make. */
+export interface CallOptions {
+  readonly site: CallSite;
+  readonly kind: KindModel;
+  readonly record: RequestRecord;
+  /** Attempts for the call and everything below it. */
+  readonly attempts: number;
+  /** Absolute deadline, in virtual milliseconds. */
+  readonly deadline: number;
+  readonly onEnd: (end: CallEnd) => void;
+}
+
+interface CurrentAttempt {
+  readonly incoming: IncomingAttempt;
+  readonly side: TargetSide;
+  readonly target: string;
+  readonly sentAt: number;
+  readonly granted: number;
+  readonly timer: ScheduledEvent;
+}
+
+/** A call in progress. */
+export class EmulatedCall {
+  private readonly router: ServiceRouter;
+  private readonly budget: Pick<AttemptBudget, 'remaining' | 'used' | 'grant' | 'settle'>;
+  private context: RequestContext;
+  private current: CurrentAttempt | undefined;
+  private readonly tried: string[] = [];
+  private mayHaveRun = false;
+  private ended = false;
+
+  constructor(
+    private readonly world: World,
+    private readonly node: EmulatedNode,
+    private readonly options: CallOptions,
+  ) {
+    const { site, attempts } = options;
+    this.router = node.router(site.service, this.now());
+    this.budget = world.profile.sharesAttempts
+      ? new AttemptBudget(attempts, site.size)
+      : new UnsharedAttempts();
+    this.context = this.createContext();
+  }
+
+  /** Attempts spent so far, grants that have not come back included. */
+  get attemptsUsed(): number {
+    return this.budget.used;
+  }
+
+  /** Begins with entry admission. */
+  start(): void {
+    const { record, site } = this.options;
+    record.reachedSites[site.index] = 1;
+    this.node.calls.add(this);
+    const refusal = this.router.admit(this.now(), this.context);
+    if (refusal === undefined) this.tryNext();
+    else this.endRefused(refusal, 'admission');
+  }
+
+  /** The caller went away. */
+  cancel(): void {
+    if (this.ended || !this.world.profile.cancels) return;
+    this.ended = true;
+    this.node.calls.delete(this);
+    const attempt = this.current;
+    if (attempt === undefined) return;
+    this.abandon(attempt, 'cancelled');
+    this.reportOutcome(attempt, 'cancelled');
+  }
+
+  /** The node that makes the call is gone; nobody hears of it again. */
+  discard(): void {
+    this.ended = true;
+    if (this.current !== undefined) this.current.timer.cancelled = true;
+    this.current = undefined;
+  }
+
+  /** Ends the current attempt when its target's node was lost. */
+  onZoneLost(zone: string): void {
+    const attempt = this.current;
+    if (attempt?.side.node.zone !== zone) return;
+    this.onAttemptEnd(attempt, unanswered('failed', ResultCode.PeerLost, attempt.granted));
+  }
+
+  private now(): number {
+    return this.world.queue.now();
+  }
+
+  private createContext(): RequestContext {
+    const { site, kind, record, deadline } = this.options;
+    const layered = this.now() + kind.deadlineMs;
+    return {
+      requestId: record.id,
+      tenant: this.world.deployment.tenant,
+      service: site.service,
+      kind: kind.name,
+      criticality: kind.criticality,
+      deadline: this.world.profile.propagatesDeadline ? deadline : layered,
+      idempotent: kind.idempotent,
+      depth: site.depth,
+    };
+  }
+
+  private tryNext(): void {
+    if (this.ended) return;
+    const granted = this.budget.grant();
+    if (granted === 0) {
+      this.endRefused(exhausted(), 'attempts');
+      return;
+    }
+    const pick = this.router.pick(this.now(), this.context, this.tried);
+    if (pick.type === 'refuse') {
+      this.budget.settle(granted, 0);
+      this.endRefused(pick.refusal, 'routing');
+      return;
+    }
+    this.sendAttempt(pick.target, granted);
+  }
+
+  private sendAttempt(target: string, granted: number): void {
+    // Without a common deadline each attempt has a timeout of its own.
+    if (!this.world.profile.propagatesDeadline) this.context = this.createContext();
+    const { site, kind, record } = this.options;
+    const side = this.world.targetSide(target);
+    const incoming: IncomingAttempt = {
+      id: this.world.nextAttemptId(),
+      site,
+      kind,
+      record,
+      context: this.context,
+      granted,
+      reply: (end) => {
+        this.world.send(side.node.zone, this.node.zone, () => {
+          if (this.current === attempt) this.onAttemptEnd(attempt, end);
+        });
+      },
+    };
+    const timer = this.world.queue.scheduleAt(this.context.deadline, () => {
+      this.onTimeout(attempt);
+    });
+    const attempt: CurrentAttempt = {
+      incoming,
+      side,
+      target,
+      sentAt: this.now(),
+      granted,
+      timer,
+    };
+    this.current = attempt;
+    this.tried.push(target);
+    this.world.send(this.node.zone, side.node.zone, () => {
+      side.receive(incoming);
+    });
+  }
+
+  private onTimeout(attempt: CurrentAttempt): void {
+    if (this.world.profile.cancels) this.abandon(attempt, 'timeout');
+    const end = unanswered('timeout', ResultCode.DeadlineExceeded, attempt.granted);
+    this.onAttemptEnd(attempt, end);
+  }
+
+  /** Withdraws an attempt; its message follows the attempt on the same link. */
+  private abandon(attempt: CurrentAttempt, outcome: 'cancelled' | 'timeout'): void {
+    attempt.timer.cancelled = true;
+    const { side, incoming } = attempt;
+    this.world.send(this.node.zone, side.node.zone, () => {
+      side.cancel(incoming, outcome);
+    });
+  }
+
+  private reportOutcome(attempt: CurrentAttempt, outcome: AttemptEnd['outcome']): void {
+    this.current = undefined;
+    const latencyMs = this.now() - attempt.sentAt;
+    const { target } = attempt;
+    const { kind } = this.context;
+    this.router.onOutcome(this.now(), { target, kind, outcome, latencyMs });
+  }
+
+  private onAttemptEnd(attempt: CurrentAttempt, end: AttemptEnd): void {
+    attempt.timer.cancelled = true;
+    this.current = undefined;
+    this.budget.settle(attempt.granted, end.attemptsUsed);
+    this.router.onOutcome(this.now(), {
+      target: attempt.target,
+      kind: this.context.kind,
+      outcome: end.outcome,
+      latencyMs: this.now() - attempt.sentAt,
+      ...(end.load === undefined ? {} : { load: end.load }),
+      ...(end.retryAfterMs === undefined ? {} : { retryAfterMs: end.retryAfterMs }),
+    });
+    this.mayHaveRun ||= end.mayHaveRun;
+    if (end.outcome === 'success') this.finish(end.complete ? 'complete' : 'failed', end.code);
+    else this.decideRetry(end);
+  }
+
+  private decideRetry(end: AttemptEnd): void {
+    const state: RetryState = {
+      attemptsMade: this.tried.length,
+      attemptsLeft: this.budget.remaining,
+      lastOutcome: end.outcome,
+      mayHaveRun: this.mayHaveRun,
+      ...(end.retryAfterMs === undefined ? {} : { retryAfterMs: end.retryAfterMs }),
+    };
+    const decision = this.router.decideRetry(this.now(), this.context, state);
+    if (decision.type === 'retry') {
+      this.retryAfter(decision.delayMs);
+    } else if (end.outcome === 'timeout') {
+      this.finish('timeout', end.code);
+    } else if (this.mayHaveRun) {
+      this.finish('failed', end.code);
+    } else {
+      this.finish('refused', end.code, decision.refusal.retryAfterMs);
+    }
+  }
+
+  private retryAfter(delayMs: number): void {
+    if (this.world.profile.propagatesDeadline && this.now() + delayMs >= this.context.deadline) {
+      this.finish('timeout', ResultCode.DeadlineExceeded);
+      return;
+    }
+    if (delayMs <= 0) {
+      this.tryNext();
+      return;
+    }
+    this.world.queue.schedule(delayMs, () => {
+      this.tryNext();
+    });
+  }
+
+  private endRefused(refusal: Refusal, place: 'admission' | 'routing' | 'attempts'): void {
+    const { record, site } = this.options;
+    this.world.recorder.onRefusal(record, site, place, refusal.code);
+    this.finish(this.mayHaveRun ? 'failed' : 'refused', refusal.code, refusal.retryAfterMs);
+  }
+
+  private finish(result: CallEnd['result'], code: ResultCode, retryAfterMs?: number): void {
+    if (this.ended) return;
+    this.ended = true;
+    this.node.calls.delete(this);
+    const { mayHaveRun, budget } = this;
+    this.options.onEnd({ result, code, retryAfterMs, mayHaveRun, attemptsUsed: budget.used });
+  }
+}
+
+function unanswered(
+  outcome: 'timeout' | 'failed',
+  code: ResultCode,
+  attemptsUsed: number,
+): AttemptEnd {
+  const load = undefined;
+  const retryAfterMs = undefined;
+  return { outcome, complete: false, code, load, retryAfterMs, mayHaveRun: true, attemptsUsed };
+}
+
+function exhausted(): Refusal {
+  return { code: ResultCode.AttemptsExhausted, detail: 'no attempts left', retryAfterMs: 0 };
+}
--- /dev/null
+++ b/src/emulator/experiment.ts
@@ -0,0 +1,139 @@
+/** An experiment: every policy with every seed of a scenario, and the summary over the seeds. */
+import type { KindResult, RunResult } from './run-result.js';
+import { runScenario } from './run-scenario.js';
+import type { Scenario } from './scenario.js';
+import { type Spread, spreadOf } from './statistics.js';
+
+/** Summary of one kind under one policy. */
+export interface KindSummary {
+  readonly kind: string;
+  readonly criticality: string;
+  readonly sent: Spread;
+  /** Shares of the sent requests. */
+  readonly complete: Spread;
+  readonly refused: Spread;
+  readonly failed: Spread;
+  readonly timeout: Spread;
+  /** Complete requests over those that the capacity bound allows. */
+  readonly boundRatio: Spread;
+  readonly p50Ms: Spread;
+  readonly p99Ms: Spread;
+  readonly attemptsPerCall: Spread;
+  readonly maxAttempts: number;
+  readonly attemptsBound: number;
+}
+
+/** Summary of one policy. */
+export interface PolicySummary {
+  readonly policy: string;
+  readonly seeds: number;
+  readonly goodputRatio: Spread;
+  readonly criticalRatio: Spread;
+  readonly unrankedRatio: Spread;
+  readonly attemptsPerCall: Spread;
+  /** Highest of all seeds. */
+  readonly maxAttemptsPerCall: number;
+  /** Milliseconds; `Infinity` stands for not recovered. Absent without a cause. */
+  readonly recoveryMs?: Spread;
+  /** Requests that caused more attempts than their kind allows, over all seeds. */
+  readonly overAttemptsBound: boolean;
+  readonly kinds: readonly KindSummary[];
+  /** Slot time by service, medians of shares. */
+  readonly services: readonly {
+    readonly service: string;
+    readonly useful: number;
+    readonly wasted: number;
+    readonly late: number;
+  }[];
+  /** Median count by `place code service depth`. */
+  readonly refusals: Readonly<Record<string, number>>;
+}
+
+/** All runs of an experiment and their summary by policy. */
+export interface ExperimentResult {
+  readonly scenario: Scenario;
+  readonly runs: readonly RunResult[];
+  readonly summary: readonly PolicySummary[];
+}
+
+/** Told after each run. */
+export type ProgressListener = (done: number, total: number, run: RunResult) => void;
+
+/** Runs an experiment; the same scenario gives the same result. */
+export function runExperiment(scenario: Scenario, onProgress: ProgressListener): ExperimentResult {
+  const total = scenario.policies.length * scenario.seeds.length;
+  const runs: RunResult[] = [];
+  for (const policy of scenario.policies) {
+    for (const seed of scenario.seeds) {
+      const run = runScenario(scenario, policy, seed);
+      runs.push(run);
+      onProgress(runs.length, total, run);
+    }
+  }
+  const summary = scenario.policies.map((policy) =>
+    summarise(
+      policy,
+      runs.filter((run) => run.policy === policy),
+    ),
+  );
+  return { scenario, runs, summary };
+}
+
+function summarise(policy: string, runs: readonly RunResult[]): PolicySummary {
+  const over = (value: (run: RunResult) => number) => spreadOf(runs.map(value));
+  const kinds = (runs[0]?.kinds ?? []).map((_, index) =>
+    summariseKind(runs.map((run) => run.kinds[index]!)),
+  );
+  const hasCause = runs[0]?.recoveryMs !== undefined;
+  return {
+    policy,
+    seeds: runs.length,
+    goodputRatio: over((run) => run.goodputRatio),
+    criticalRatio: over((run) => run.criticalRatio),
+    unrankedRatio: over((run) => run.unrankedRatio),
+    attemptsPerCall: over((run) => run.attemptsPerCall),
+    maxAttemptsPerCall: Math.max(...runs.map((run) => run.maxAttemptsPerCall)),
+    ...(hasCause ? { recoveryMs: over((run) => run.recoveryMs ?? Infinity) } : {}),
+    overAttemptsBound: kinds.some(({ maxAttempts, attemptsBound }) => maxAttempts > attemptsBound),
+    kinds,
+    services: (runs[0]?.services ?? []).map(({ service }, index) => ({
+      service,
+      useful: over((run) => run.services[index]!.useful).median,
+      wasted: over((run) => run.services[index]!.wasted).median,
+      late: over((run) => run.services[index]!.late).median,
+    })),
+    refusals: summariseRefusals(runs),
+  };
+}
+
+function summariseKind(results: readonly KindResult[]): KindSummary {
+  const { kind, criticality, attemptsBound } = results[0]!;
+  const over = (value: (result: KindResult) => number) => spreadOf(results.map(value));
+  const share = (end: keyof KindResult['ends']) => over(({ ends, sent }) => ratio(ends[end], sent));
+  return {
+    kind,
+    criticality,
+    attemptsBound,
+    sent: over(({ sent }) => sent),
+    complete: share('complete'),
+    refused: share('refused'),
+    failed: share('failed'),
+    timeout: share('timeout'),
+    boundRatio: over(({ ends, bound }) => ratio(ends.complete, bound)),
+    p50Ms: over(({ latencyMs }) => latencyMs.p50),
+    p99Ms: over(({ latencyMs }) => latencyMs.p99),
+    attemptsPerCall: over(({ attempts, calls }) => ratio(attempts, calls)),
+    maxAttempts: Math.max(...results.map(({ maxAttempts }) => maxAttempts)),
+  };
+}
+
+function summariseRefusals(runs: readonly RunResult[]): Record<string, number> {
+  const keys = [...new Set(runs.flatMap(({ refusals }) => Object.keys(refusals)))].sort();
+  return Object.fromEntries(
+    keys.map((key) => [key, spreadOf(runs.map(({ refusals }) => refusals[key] ?? 0)).median]),
+  );
+}
+
+function ratio(value: number, of: number): number {
+  return of === 0 ? 0 : value / of;
+}
--- /dev/null
+++ b/src/emulator/phases.ts
@@ -0,0 +1,110 @@
+/** Phases of a scenario with constant conditions, for the capacity bound. */
+import type { Conditions, ServiceCondition } from './capacity-bound.js';
+import type { Deployment, ServiceModel, TargetModel } from './deployment.js';
+import type { Fault, Scenario } from './scenario.js';
+
+/** Length of the steps into which a warm-up is cut, in milliseconds. */
+const WARM_UP_STEP_MS = 500;
+
+/** A stretch of the run in which conditions do not change. */
+export interface Phase {
+  readonly fromMs: number;
+  readonly toMs: number;
+  readonly conditions: Conditions;
+}
+
+/** Cuts the measured part of a scenario into phases. */
+export function phasesOf(scenario: Scenario, deployment: Deployment): Phase[] {
+  const { warmUpMs, durationMs } = scenario;
+  const cuts = [warmUpMs, durationMs, ...changeTimes(scenario)]
+    .filter((at) => at >= warmUpMs && at <= durationMs)
+    .sort((left, right) => left - right);
+  const phases: Phase[] = [];
+  for (const [index, fromMs] of cuts.entries()) {
+    const toMs = cuts[index + 1];
+    if (toMs === undefined || toMs <= fromMs) continue;
+    const conditions = conditionsAt(scenario, deployment, (fromMs + toMs) / 2);
+    phases.push({ fromMs, toMs, conditions });
+  }
+  return phases;
+}
+
+/** First start and last end of everything out of the ordinary; `undefined` without any. */
+export function causePeriod(
+  scenario: Scenario,
+): { readonly fromMs: number; readonly toMs: number } | undefined {
+  // An outage of the platform by itself loads nothing.
+  const periods = [
+    ...scenario.load.surges,
+    ...scenario.faults.filter(({ type }) => type !== 'platform-outage'),
+  ];
+  if (periods.length === 0) return undefined;
+  return {
+    fromMs: Math.min(...periods.map(({ fromMs }) => fromMs)),
+    toMs: Math.max(...periods.map(({ toMs }) => toMs)),
+  };
+}
+
+function changeTimes(scenario: Scenario): number[] {
+  const edges = [...scenario.load.surges, ...scenario.faults].flatMap(({ fromMs, toMs }) => [
+    fromMs,
+    toMs,
+  ]);
+  const steps = scenario.faults.flatMap((fault) => {
+    const warmUpMs = warmUpOf(fault);
+    const count = Math.ceil(warmUpMs / WARM_UP_STEP_MS);
+    return Array.from({ length: count }, (_, step) => fault.toMs + (step + 1) * WARM_UP_STEP_MS);
+  });
+  return [...edges, ...steps];
+}
+
+function warmUpOf(fault: Fault): number {
+  return 'warmUpMs' in fault ? fault.warmUpMs : 0;
+}
+
+function conditionsAt(scenario: Scenario, deployment: Deployment, at: number): Conditions {
+  return new Map(
+    deployment.services.map((service) => [service.name, conditionOf(scenario, service, at)]),
+  );
+}
+
+/** Slots of the targets that serve, and their mean service rate as one slowdown. */
+function conditionOf(scenario: Scenario, service: ServiceModel, at: number): ServiceCondition {
+  const speeds = service.targets.map((target) => speedOf(scenario, service, target, at));
+  const serving = speeds.filter((speed) => speed > 0);
+  const total = serving.reduce((sum, speed) => sum + speed, 0);
+  const slowdown = total === 0 ? 1 : serving.length / total;
+  return { slots: serving.length * service.slots, slowdown };
+}
+
+/** 1 for a normal target, 0 for one that does not serve. */
+function speedOf(
+  scenario: Scenario,
+  service: ServiceModel,
+  target: TargetModel,
+  at: number,
+): number {
+  const faults = scenario.faults.filter((fault) => concerns(fault, service, target));
+  return faults.reduce((speed, fault) => speed * speedUnder(fault, at), 1);
+}
+
+function speedUnder(fault: Fault, at: number): number {
+  const active = at >= fault.fromMs && at < fault.toMs;
+  if (fault.type === 'slow') return active ? 1 / fault.factor : 1;
+  if (fault.type === 'misleading-health') {
+    return active && fault.mode === 'looks-healthy' ? 1 - fault.resetShare : 1;
+  }
+  if (fault.type === 'shedding' || fault.type === 'platform-outage') return 1;
+  if (active) return 0;
+  const warmUpLeft = fault.toMs + fault.warmUpMs - at;
+  if (at < fault.toMs || warmUpLeft <= 0) return 1;
+  return 1 / (1 + (fault.coldFactor - 1) * (warmUpLeft / fault.warmUpMs));
+}
+
+function concerns(fault: Fault, service: ServiceModel, target: TargetModel): boolean {
+  if (fault.type === 'platform-outage') return false;
+  if (fault.type === 'zone-loss') return fault.zone === target.zone;
+  return (
+    fault.service === service.name && (fault.target === undefined || fault.target === target.id)
+  );
+}
--- /dev/null
+++ b/src/emulator/scenario.ts
@@ -0,0 +1,244 @@
+/** The scenario file of an experiment: YAML or JSON, checked strictly, all errors at once. */
+import type { Result } from 'true-myth';
+import { z } from 'zod';
+import { parseAndValidate, validateValue } from '../config/document.js';
+import { listOverloadPolicies } from '../core/overload-policy-registry.js';
+import '../core/overload-policies.js';
+import type { Failure } from '../core/failure.js';
+import { ResultCode } from '../core/result-code.js';
+import { BUILT_IN_DEPLOYMENTS } from './built-in-deployments.js';
+import type { Deployment } from './deployment.js';
+import { createSyntheticFleet } from './synthetic-fleet.js';
+
+const MAX_DURATION_MS = 600_000;
+const time = z.number().min(0).max(MAX_DURATION_MS);
+const named = z.string().min(1).max(63);
+const period = { fromMs: time, toMs: time };
+
+const syntheticSchema = z.strictObject({
+  targets: z.int().min(1).max(1_000),
+  services: z.int().min(1).max(80),
+  zones: z.int().min(1).max(7),
+  regions: z.int().min(1).max(2).default(1),
+  /** Services in a row on the longest chain. */
+  depth: z.int().min(1).max(9),
+  kinds: z.int().min(1).max(16).default(4),
+  /** Calls that each back end of the chain makes. */
+  fanOut: z.int().min(1).max(3).default(1),
+  seed: z.int().min(0).default(1),
+});
+
+/** Parameters of a synthetic fleet. */
+export type SyntheticFleetOptions = z.infer<typeof syntheticSchema>;
+
+const deploymentSchema = z.union([
+  z.enum([...BUILT_IN_DEPLOYMENTS.keys()] as [string, ...string[]]),
+  z.strictObject({ synthetic: syntheticSchema }),
+]);
+
+const loadSchema = z.strictObject({
+  /** Multiple of the deployment's capacity at the kinds' own mix. */
+  multiple: z.number().min(0).max(100).default(0.7),
+  /** Requests per second by kind, in place of the multiple. */
+  ratesPerSecond: z.record(named, z.number().min(0).max(200_000)).optional(),
+  /** Periods with another load; `multiple` counts as a factor when rates are given. */
+  surges: z
+    .array(z.strictObject({ ...period, multiple: z.number().min(0).max(100) }))
+    .max(16)
+    .default([]),
+});
+
+const callersSchema = z.strictObject({
+  tries: z.int().min(1).max(50).default(1),
+  tryTimeoutShare: z.number().min(0.01).max(1).default(1),
+  backoffMs: z.number().min(0).max(60_000).default(10),
+  honoursRetryAfter: z.boolean().default(false),
+  failoverMs: z.number().min(0).max(60_000).default(300),
+});
+
+const targetsOf = { service: named, target: named.optional() };
+
+const faultSchema = z.discriminatedUnion('type', [
+  /** Service time multiplied. */
+  z.strictObject({
+    type: z.literal('slow'),
+    ...targetsOf,
+    ...period,
+    factor: z.number().min(0.01).max(1_000),
+  }),
+  /** Processes killed at `fromMs`, started again (cold) at `toMs`. */
+  z.strictObject({
+    type: z.literal('death'),
+    ...targetsOf,
+    ...period,
+    coldFactor: z.number().min(1).max(100).default(3),
+    warmUpMs: z.number().min(0).max(60_000).default(2_000),
+  }),
+  /** Planned leave: refuses new work from `fromMs`, ends when idle, back (cold) at `toMs`. */
+  z.strictObject({
+    type: z.literal('drain'),
+    ...targetsOf,
+    ...period,
+    /** Time for which a leaving back end still takes work. */
+    graceMs: z.number().min(0).max(60_000).default(0),
+    coldFactor: z.number().min(1).max(100).default(3),
+    warmUpMs: z.number().min(0).max(60_000).default(2_000),
+  }),
+  /** Requests beyond a queue length are refused by the back end itself. */
+  z.strictObject({
+    type: z.literal('shedding'),
+    ...targetsOf,
+    ...period,
+    queueAbove: z.int().min(0).max(10_000),
+  }),
+  /** All nodes and targets of a zone gone without a sign. */
+  z.strictObject({
+    type: z.literal('zone-loss'),
+    zone: named,
+    ...period,
+    coldFactor: z.number().min(1).max(100).default(3),
+    warmUpMs: z.number().min(0).max(60_000).default(2_000),
+  }),
+  /** The list of machines stands still. */
+  z.strictObject({ type: z.literal('platform-outage'), ...period }),
+  /**
+   * Health that misleads: `looks-healthy` resets a share of the connections at once and still
+   * counts as healthy; `looks-down` works but counts as down.
+   */
+  z.strictObject({
+    type: z.literal('misleading-health'),
+    ...targetsOf,
+    ...period,
+    mode: z.enum(['looks-healthy', 'looks-down']),
+    resetShare: z.number().min(0).max(1).default(0.8),
+  }),
+]);
+
+/** One fault over time. */
+export type Fault = z.infer<typeof faultSchema>;
+
+const scenarioSchema = z
+  .strictObject({
+    apiVersion: z.literal('sillshore/v1'),
+    name: z.string().regex(/^[a-z][a-z0-9-]{0,62}$/),
+    description: z.string().max(1_000).default(''),
+    deployment: deploymentSchema,
+    nodesPerZone: z.int().min(1).max(200).default(1),
+    durationMs: z.number().min(100).max(MAX_DURATION_MS),
+    /** Requests sent before are not counted. */
+    warmUpMs: time.default(2_000),
+    seeds: z.array(z.int().min(0).max(2_147_483_647)).min(1).max(100).default([1, 2, 3, 4, 5]),
+    policies: z.array(named).min(1).max(16),
+    load: loadSchema,
+    callers: callersSchema.default(callersSchema.parse({})),
+    faults: z.array(faultSchema).max(64).default([]),
+    /** Delay of the list of machines, in milliseconds. */
+    machineListLagMs: z.number().min(0).max(60_000).default(10_000),
+    /** Time until the nodes agree that a node or zone is gone, in milliseconds. */
+    failureDetectionMs: z.number().min(0).max(60_000).default(1_000),
+    /** Time until other nodes hear that a target is leaving, in milliseconds. */
+    gossipMs: z.number().min(0).max(60_000).default(500),
+  })
+  .superRefine(checkReferences);
+
+/** A validated scenario. */
+export type Scenario = z.infer<typeof scenarioSchema>;
+
+/** Parses and validates a scenario file. */
+export function parseScenario(text: string): Result<Scenario, Failure> {
+  return parseAndValidate(text, scenarioSchema, ResultCode.ScenarioInvalid);
+}
+
+/** Validates a scenario that was changed after it was read. */
+export function validateScenario(value: unknown): Result<Scenario, Failure> {
+  return validateValue(value, scenarioSchema, ResultCode.ScenarioInvalid);
+}
+
+/** The deployment that a scenario names. */
+export function resolveDeployment(
+  scenario: Pick<Scenario, 'deployment' | 'nodesPerZone'>,
+): Deployment {
+  const base =
+    typeof scenario.deployment === 'string'
+      ? BUILT_IN_DEPLOYMENTS.get(scenario.deployment)!
+      : createSyntheticFleet(scenario.deployment.synthetic);
+  return { ...base, nodesPerZone: scenario.nodesPerZone };
+}
+
+interface Issue {
+  readonly path: (string | number)[];
+  readonly message: string;
+}
+
+function checkReferences(scenario: Scenario, context: z.RefinementCtx): void {
+  const deployment = resolveDeployment(scenario);
+  const issues = [
+    ...checkPolicies(scenario),
+    ...checkRates(scenario, deployment),
+    ...checkPeriods(scenario),
+    ...scenario.faults.flatMap((fault, index) => checkFault(fault, index, deployment)),
+  ];
+  for (const { path, message } of issues) context.addIssue({ code: 'custom', path, message });
+}
+
+function checkPolicies(scenario: Scenario): Issue[] {
+  const known = listOverloadPolicies();
+  return scenario.policies.flatMap((name, index) =>
+    known.includes(name)
+      ? []
+      : [
+          {
+            path: ['policies', index],
+            message: `unknown policy ${name}; known: ${known.join(', ')}`,
+          },
+        ],
+  );
+}
+
+function checkRates(scenario: Scenario, deployment: Deployment): Issue[] {
+  const kinds = deployment.kinds.map(({ name }) => name);
+  return Object.keys(scenario.load.ratesPerSecond ?? {}).flatMap((name) =>
+    kinds.includes(name)
+      ? []
+      : [
+          {
+            path: ['load', 'ratesPerSecond', name],
+            message: `unknown kind; known: ${kinds.join(', ')}`,
+          },
+        ],
+  );
+}
+
+function checkPeriods(scenario: Scenario): Issue[] {
+  const issues: Issue[] = [];
+  if (scenario.warmUpMs >= scenario.durationMs) {
+    issues.push({ path: ['warmUpMs'], message: 'must be less than durationMs' });
+  }
+  const check = (path: string, list: readonly { fromMs: number; toMs: number }[]) => {
+    for (const [index, { fromMs, toMs }] of list.entries()) {
+      if (toMs > fromMs) continue;
+      const parts = path.split('.');
+      issues.push({ path: [...parts, index, 'toMs'], message: 'must be greater than fromMs' });
+    }
+  };
+  check('load.surges', scenario.load.surges);
+  check('faults', scenario.faults);
+  return issues;
+}
+
+function checkFault(fault: Fault, index: number, deployment: Deployment): Issue[] {
+  if (fault.type === 'platform-outage') return [];
+  if (fault.type === 'zone-loss') {
+    const known = deployment.zones.some(({ name }) => name === fault.zone);
+    return known
+      ? []
+      : [{ path: ['faults', index, 'zone'], message: `unknown zone ${fault.zone}` }];
+  }
+  const service = deployment.services.find(({ name }) => name === fault.service);
+  if (service === undefined) {
+    return [{ path: ['faults', index, 'service'], message: `unknown service ${fault.service}` }];
+  }
+  const known = fault.target === undefined || service.targets.some(({ id }) => id === fault.target);
+  const message = `service ${fault.service} has no target ${fault.target ?? ''}`;
+  return known ? [] : [{ path: ['faults', index, 'target'], message }];
+}
--- /dev/null
+++ b/src/emulator/simulation.ts
@@ -0,0 +1,243 @@
+/** One emulated run: a deployment under one policy, load, faults and seed. */
+import { AttemptLedger } from '../core/attempt-ledger.js';
+import type { OverloadPolicy } from '../core/overload.js';
+import { EmulatedBackEnd } from './back-end.js';
+import { type CallerBehaviour, Callers } from './callers.js';
+import { ConnectionPool } from './connection-pool.js';
+import {
+  delayBetween,
+  type Deployment,
+  type ServiceModel,
+  type TargetModel,
+} from './deployment.js';
+import { EmulatedNode } from './emulated-node.js';
+import { EventQueue } from './event-queue.js';
+import type { LoadProfile } from './load-profile.js';
+import { type PolicyProfile, profileOf } from './policy-profile.js';
+import { Recorder, WINDOW_MS } from './recorder.js';
+import { createStream, deriveSeed } from './sampling.js';
+import { TargetDirectory } from './target-directory.js';
+import { TargetSide } from './target-side.js';
+import type { World } from './world.js';
+
+/** Time after the end of sending in which the last requests end, in milliseconds. */
+const SETTLE_MS = 1_000;
+
+/** Everything that defines a run. */
+export interface SimulationOptions {
+  readonly deployment: Deployment;
+  readonly policy: OverloadPolicy;
+  readonly seed: number;
+  readonly load: LoadProfile;
+  readonly callers: CallerBehaviour;
+  readonly durationMs: number;
+  readonly warmUpMs: number;
+  readonly gossipMs: number;
+  readonly failureDetectionMs: number;
+  readonly machineListLagMs: number;
+}
+
+/** A run; {@link start} it, let faults act on it, then {@link finish}. */
+export class Simulation implements World {
+  readonly queue = new EventQueue();
+  readonly deployment: Deployment;
+  readonly profile: PolicyProfile;
+  readonly recorder: Recorder;
+  readonly directory: TargetDirectory;
+  readonly nodes: readonly EmulatedNode[];
+  private readonly nodesByZone = new Map<string, readonly EmulatedNode[]>();
+  private readonly sides = new Map<string, TargetSide>();
+  private readonly delays = new Map<string, ReadonlyMap<string, number>>();
+  /** Time at which a zone was lost, while it is lost. */
+  private readonly lostZones = new Map<string, number>();
+  private attempts = 0;
+  private incarnations = 0;
+
+  constructor(private readonly options: SimulationOptions) {
+    const { deployment, policy, warmUpMs, durationMs } = options;
+    this.deployment = deployment;
+    this.profile = profileOf(policy.name);
+    this.directory = new TargetDirectory(deployment);
+    const windows = Math.ceil(durationMs / WINDOW_MS);
+    this.recorder = new Recorder(deployment, () => this.queue.now(), warmUpMs, windows);
+    this.nodes = this.createNodes();
+    this.createDelays();
+    for (const service of deployment.services) this.createSides(service);
+  }
+
+  /** Starts the callers and the sampling of queues. */
+  start(): void {
+    const { callers, seed, load, durationMs } = this.options;
+    new Callers(this, {
+      behaviour: callers,
+      seed,
+      rateOf: (kindIndex, now) => load.rateOf(kindIndex, now),
+      peakRateOf: (kindIndex) => load.peakRateOf(kindIndex),
+      endMs: durationMs,
+      entryNode: (zoneIndex, choice) => this.entryNode(zoneIndex, choice),
+    }).start();
+    this.scheduleSample();
+  }
+
+  /** Runs to virtual time `untilMs`. */
+  runUntil(untilMs: number): void {
+    this.queue.runUntil(untilMs);
+  }
+
+  /** Runs until every request has its end. */
+  finish(): void {
+    const longest = Math.max(...this.deployment.kinds.map(({ deadlineMs }) => deadlineMs));
+    this.queue.runUntil(this.options.durationMs + longest + SETTLE_MS);
+  }
+
+  send(fromZone: string, toZone: string, deliver: () => void): void {
+    if (this.lostZones.has(fromZone) || this.lostZones.has(toZone)) return;
+    this.queue.schedule(this.delays.get(fromZone)!.get(toZone)!, () => {
+      if (!this.lostZones.has(toZone)) deliver();
+    });
+  }
+
+  targetSide(target: string): TargetSide {
+    return this.sides.get(target)!;
+  }
+
+  nextAttemptId(): string {
+    this.attempts += 1;
+    return `a${this.attempts}`;
+  }
+
+  onLeavingSign(target: string): void {
+    this.queue.schedule(this.options.gossipMs, () => {
+      if (this.targetSide(target).leaving) this.exclude(target, 'leaving', true);
+    });
+  }
+
+  /** Changes what the nodes see of a target. */
+  exclude(target: string, reason: Parameters<TargetDirectory['set']>[1], excluded: boolean): void {
+    this.directory.set(target, reason, excluded);
+    const service = this.deployment.services.find(({ targets }) =>
+      targets.some(({ id }) => id === target),
+    );
+    for (const node of this.nodes) node.updateTargets(service!.name, this.queue.now());
+  }
+
+  /** All nodes and targets of a zone are gone at once. */
+  loseZone(zone: string): void {
+    this.lostZones.set(zone, this.queue.now());
+    for (const target of this.targetsIn(zone)) this.targetSide(target.id).backEnd.kill();
+    for (const node of this.nodesByZone.get(zone)!) node.stop();
+    this.queue.schedule(this.options.failureDetectionMs, () => {
+      if (!this.lostZones.has(zone)) return;
+      for (const target of this.targetsIn(zone)) this.exclude(target.id, 'zone-lost', true);
+      for (const node of this.nodes) for (const call of [...node.calls]) call.onZoneLost(zone);
+    });
+  }
+
+  /** New nodes and cold targets take the place of a lost zone's. */
+  restoreZone(zone: string, coldFactor: number, warmUpMs: number): void {
+    this.lostZones.delete(zone);
+    for (const service of this.deployment.services) {
+      for (const target of service.targets) {
+        if (target.zone !== zone) continue;
+        this.createSide(service, target);
+        this.targetSide(target.id).backEnd.start(coldFactor, warmUpMs);
+      }
+    }
+    this.queue.schedule(this.options.gossipMs, () => {
+      for (const target of this.targetsIn(zone)) this.exclude(target.id, 'zone-lost', false);
+    });
+  }
+
+  private targetsIn(zone: string): readonly TargetModel[] {
+    return this.deployment.services.flatMap(({ targets }) =>
+      targets.filter((target) => target.zone === zone),
+    );
+  }
+
+  private createNodes(): EmulatedNode[] {
+    const { deployment, policy, seed } = this.options;
+    const viewOf = (service: string) => this.directory.viewOf(service);
+    const all: EmulatedNode[] = [];
+    for (const { name, region } of deployment.zones) {
+      const nodes = Array.from(
+        { length: deployment.nodesPerZone },
+        (_, index) =>
+          new EmulatedNode(`${name}-node-${index + 1}`, name, region, policy, seed, viewOf),
+      );
+      this.nodesByZone.set(name, nodes);
+      all.push(...nodes);
+    }
+    return all;
+  }
+
+  private createDelays(): void {
+    const names = this.deployment.zones.map(({ name }) => name);
+    for (const from of names) {
+      const row = names.map((to) => [to, delayBetween(this.deployment, from, to)] as const);
+      this.delays.set(from, new Map(row));
+    }
+  }
+
+  private createSides(service: ServiceModel): void {
+    for (const target of service.targets) this.createSide(service, target);
+  }
+
+  private createSide(service: ServiceModel, target: TargetModel): void {
+    const { policy, seed, deployment } = this.options;
+    this.incarnations += 1;
+    const purpose = `${target.id} ${this.incarnations}`;
+    const nodes = this.nodesByZone.get(target.zone)!;
+    const node = nodes[service.targets.indexOf(target) % nodes.length]!;
+    const gate = policy.createTargetGate({
+      initialLimit: service.slots,
+      maxLimit: service.connections,
+      seed: deriveSeed(seed, `gate ${purpose}`),
+    });
+    const random = createStream(seed, `back end ${purpose}`);
+    const side = new TargetSide(this, node, {
+      target: target.id,
+      serviceIndex: deployment.services.indexOf(service),
+      gate,
+      backEnd: new EmulatedBackEnd(this.queue, service, random),
+      pool: new ConnectionPool(this.queue, service.connections, deployment.connectMs),
+      ledger: new AttemptLedger(),
+    });
+    this.sides.set(target.id, side);
+  }
+
+  private entryNode(zoneIndex: number, choice: number): EmulatedNode | undefined {
+    const { zones } = this.deployment;
+    for (let step = 0; step < zones.length; step += 1) {
+      const { name } = zones[(zoneIndex + step) % zones.length]!;
+      const lostAt = this.lostZones.get(name);
+      const nodes = this.nodesByZone.get(name)!;
+      if (lostAt === undefined) return nodes[Math.floor(choice * nodes.length)];
+      // Until callers know of the loss they go on sending into it.
+      if (this.queue.now() < lostAt + this.options.callers.failoverMs) return undefined;
+    }
+    return undefined;
+  }
+
+  private scheduleSample(): void {
+    // Just before the end of each window, so that the sample falls into it.
+    this.queue.schedule(WINDOW_MS - 1, () => {
+      this.sample();
+      this.queue.schedule(1, () => {
+        if (this.queue.now() < this.options.durationMs) this.scheduleSample();
+      });
+    });
+  }
+
+  private sample(): void {
+    for (const [index, service] of this.deployment.services.entries()) {
+      let queued = 0;
+      let inFlight = 0;
+      for (const { id } of service.targets) {
+        const side = this.targetSide(id);
+        queued += side.queued;
+        inFlight += side.backEnd.inFlight;
+      }
+      this.recorder.sampleService(index, queued, inFlight);
+    }
+  }
+}
--- /dev/null
+++ b/src/emulator/target-directory.ts
@@ -0,0 +1,44 @@
+/** What the nodes see of the targets: list of machines, leaving signs, lost zones. */
+import type { TargetView } from '../core/overload.js';
+import type { Deployment } from './deployment.js';
+
+/** Why a target is not eligible. */
+export type Exclusion = 'unlisted' | 'leaving' | 'zone-lost' | 'looks-down';
+
+/** Shared view of all targets; delays are the caller's concern. */
+export class TargetDirectory {
+  private readonly exclusions = new Map<string, Set<Exclusion>>();
+  private readonly views = new Map<string, readonly TargetView[]>();
+
+  constructor(private readonly deployment: Deployment) {}
+
+  /** Targets of a service as the nodes see them now. */
+  viewOf(service: string): readonly TargetView[] {
+    let view = this.views.get(service);
+    if (view === undefined) {
+      view = this.buildView(service);
+      this.views.set(service, view);
+    }
+    return view;
+  }
+
+  /** Sets or clears one reason against a target. */
+  set(target: string, exclusion: Exclusion, excluded: boolean): void {
+    const reasons = this.exclusions.get(target) ?? new Set();
+    if (excluded) reasons.add(exclusion);
+    else reasons.delete(exclusion);
+    this.exclusions.set(target, reasons);
+    this.views.clear();
+  }
+
+  private buildView(service: string): readonly TargetView[] {
+    const regions = new Map(this.deployment.zones.map(({ name, region }) => [name, region]));
+    const model = this.deployment.services.find(({ name }) => name === service);
+    return (model?.targets ?? []).map(({ id, zone }) => ({
+      id,
+      zone,
+      region: regions.get(zone) ?? '',
+      eligible: (this.exclusions.get(id)?.size ?? 0) === 0,
+    }));
+  }
+}
--- /dev/null
+++ b/src/emulator/world.ts
@@ -0,0 +1,51 @@
+/** What all parts of one emulated run share. */
+import type { AttemptOutcome, LoadReport, RequestContext } from '../core/request.js';
+import type { ResultCode } from '../core/result-code.js';
+import type { CallSite, Deployment, KindModel } from './deployment.js';
+import type { EmulatedNode } from './emulated-node.js';
+import type { EventQueue } from './event-queue.js';
+import type { PolicyProfile } from './policy-profile.js';
+import type { Recorder } from './recorder.js';
+import type { RequestRecord } from './request-record.js';
+import type { TargetSide } from './target-side.js';
+
+/** The end of one attempt, as the calling node learns it. */
+export interface AttemptEnd {
+  readonly outcome: AttemptOutcome;
+  /** Whether a complete answer came and it was not an error answer. */
+  readonly complete: boolean;
+  readonly code: ResultCode;
+  readonly load: LoadReport | undefined;
+  readonly retryAfterMs: number | undefined;
+  readonly mayHaveRun: boolean;
+  readonly attemptsUsed: number;
+}
+
+/** An attempt as the node that fronts its target sees it. */
+export interface IncomingAttempt {
+  readonly id: string;
+  readonly site: CallSite;
+  readonly kind: KindModel;
+  readonly record: RequestRecord;
+  readonly context: RequestContext;
+  readonly granted: number;
+  /** Sends the end back to the calling node. */
+  reply(end: AttemptEnd): void;
+}
+
+/** Shared state of one run. */
+export interface World {
+  readonly queue: EventQueue;
+  readonly deployment: Deployment;
+  readonly profile: PolicyProfile;
+  readonly recorder: Recorder;
+  /** Sends a message between zones; it is lost when either zone is lost meanwhile. */
+  send(fromZone: string, toZone: string, deliver: () => void): void;
+  /** The target side of a target on the node that fronts it. */
+  targetSide(target: string): TargetSide;
+  /** Makes an attempt id. */
+  nextAttemptId(): string;
+  /** Called when a target's node saw a sign that the target is leaving. */
+  onLeavingSign(target: string): void;
+  readonly nodes: readonly EmulatedNode[];
+}
