--- /dev/null
+++ b/src/cli/registered-commands.ts
@@ -0,0 +1,38 @@
+/** The areas that bring commands; see the convention in command.ts. */
+import { Builtins } from 'clipanion';
+import { commands as backendCommands } from '../stand-ins/backend/commands.js';
+import { commands as callersCommands } from '../stand-ins/callers/commands.js';
+import { commands as linkCommands } from '../stand-ins/link/commands.js';
+import type { CommandClass } from './command.js';
+import { commands as benchmarkCommands } from '../testing/commands.js';
+import { ConfigApplyCommand } from './config-apply-command.js';
+import { ConfigCheckCommand } from './config-check-command.js';
+import {
+  ConfigGetCommand,
+  ConfigHistoryCommand,
+  ConfigInForceCommand,
+  ConfigWatchCommand,
+} from './config-read-commands.js';
+import { drainCommands } from './drain-commands.js';
+import { nodeCommands } from './node-command.js';
+import { statusCommands } from './status-command.js';
+import { versionCommands } from './version-command.js';
+
+/** Every command of the program. */
+export const registeredCommands: readonly CommandClass[] = [
+  Builtins.HelpCommand,
+  ...nodeCommands,
+  ConfigCheckCommand,
+  ConfigApplyCommand,
+  ConfigGetCommand,
+  ConfigHistoryCommand,
+  ConfigInForceCommand,
+  ConfigWatchCommand,
+  ...statusCommands,
+  ...drainCommands,
+  ...versionCommands,
+  ...backendCommands,
+  ...callersCommands,
+  ...linkCommands,
+  ...benchmarkCommands,
+];
--- a/src/kernel/token.ts
+++ b/src/kernel/token.ts
@@ -1,5 +1,6 @@
 /** Typed identifiers under which plug-ins find each other's services in the container. */
 import type { ServiceIdentifier } from 'inversify';
+import type { AdminServer } from '../admin/admin-server.js';
 import type { ClaimService } from '../claims/claim-service.js';
 import type { ByteBudget } from '../core/byte-budget.js';
 import type { ConfigStore } from '../config/config-store.js';
@@ -9,6 +10,7 @@
 import type { Membership } from '../membership/membership.js';
 import type { PeerNetwork } from '../peer/peer-network.js';
 import type { PlatformClient } from '../platform/platform-client.js';
+import type { TargetAdministration } from '../target/target-administration.js';
 import type { TargetDispatcher } from '../target/target-dispatcher.js';
 import type { Clock } from './clock.js';
 import type { EventLog } from './event.js';
@@ -33,6 +35,8 @@
   RulesRepository: token<RulesRepository>('RulesRepository'),
   ClaimService: token<ClaimService>('ClaimService'),
   TargetDispatcher: token<TargetDispatcher>('TargetDispatcher'),
+  TargetAdministration: token<TargetAdministration>('TargetAdministration'),
   CallRouter: token<CallRouter>('CallRouter'),
+  AdminServer: token<AdminServer>('AdminServer'),
   ByteBudget: token<ByteBudget>('ByteBudget'),
 } as const;
--- a/src/target/target-placement.ts
+++ b/src/target/target-placement.ts
@@ -3,7 +3,7 @@
 import type { TargetView } from '../core/overload.js';
 import type { ConfigStore } from '../config/config-store.js';
 import type { ServiceRules } from '../config/rules.js';
-import type { Member, Membership } from '../membership/membership.js';
+import type { Membership } from '../membership/membership.js';
 
 /** View of one node; call {@link TargetPlacement.refresh} after each change of the members. */
 export class TargetPlacement {
@@ -20,14 +20,16 @@
   /** Reads the members again. */
   refresh(): void {
     const members = this.membership.members();
-    this.placement = new Placement(members.filter(canTakeWork));
+    this.placement = new Placement(members);
     this.leaving = new Set(members.flatMap((member) => member.leavingTargets));
   }
 
   /** The node that fronts a target, if any can. */
   nodeFor(target: string): string | undefined {
     const located = this.config.findTarget(target);
-    return located === undefined ? undefined : this.placement.nodeFor(target, located.target.zone);
+    return located === undefined
+      ? undefined
+      : this.placement.selectFrontingNode(located.target)?.nodeId;
   }
 
   /** Targets of all tenants that are placed at a node. */
@@ -36,7 +38,7 @@
       .records()
       .flatMap(({ rules }) => rules.services)
       .flatMap(({ targets }) => targets)
-      .filter(({ id, zone }) => this.placement.nodeFor(id, zone) === nodeId)
+      .filter((target) => this.placement.selectFrontingNode(target)?.nodeId === nodeId)
       .map(({ id }) => id);
   }
 
@@ -46,7 +48,8 @@
       id,
       zone,
       region: this.regionOf(zone),
-      eligible: !this.leaving.has(id) && this.placement.nodeFor(id, zone) !== undefined,
+      eligible:
+        !this.leaving.has(id) && this.placement.selectFrontingNode({ id, zone }) !== undefined,
     }));
   }
 
@@ -56,7 +59,3 @@
     return member?.region ?? zone;
   }
 }
-
-function canTakeWork(member: Member): boolean {
-  return member.ready && (member.state === 'alive' || member.state === 'suspect');
-}
