Distribute accepted rules between nodes and load them at the start of a node

Cause: a change must be in force in every zone within seconds, also when the platform fails right after it was accepted, and a node that starts in an outage must not fall back. Ruled out: ready right after a read of the platform. Change: ConfigDistribution with the platform watch (at most two nodes a zone), the pull from peers (one in flight, own zone first) and the loading at start; a simulated fleet for its tests.

--- /dev/null
+++ b/src/config/config-distribution.ts
@@ -0,0 +1,126 @@
+/**
+ * Brings accepted rules into force at this node and passes them on.
+ *
+ * Every way in (platform read, watch, peer, own acceptance) gives all changes up to a version,
+ * so that a store's highest version says what it has: the newest record of each tenant up to
+ * that version. Membership spreads the version; peers with a lower one pull.
+ */
+import { createRandom } from '../core/random.js';
+import type { CancelTimer, Clock } from '../kernel/clock.js';
+import { Event, type EventLog } from '../kernel/event.js';
+import type { Membership } from '../membership/membership.js';
+import { isZoneWatcher } from '../membership/zone-watchers.js';
+import type { PeerNetwork } from '../peer/peer-network.js';
+import type { PlatformClient } from '../platform/platform-client.js';
+import type { ConfigStore, RevisionRecord } from './config-store.js';
+import { PeerRulesPull } from './peer-rules-pull.js';
+import { PlatformRulesWatch } from './platform-rules-watch.js';
+import { answerRulesFetch } from './rules-fetch.js';
+import { RulesStartup } from './rules-startup.js';
+
+/** Interval at which roles and peers are looked at also without a change of the members. */
+const CHECK_INTERVAL_MS = 1_000;
+
+/** What the distribution works with. */
+export interface ConfigDistributionOptions {
+  readonly store: ConfigStore;
+  readonly platform: PlatformClient;
+  readonly membership: Membership;
+  readonly network: PeerNetwork;
+  readonly clock: Clock;
+  readonly log: EventLog;
+  /** Seed of all jitter. */
+  readonly seed: number;
+}
+
+/** The distribution of one node. */
+export class ConfigDistribution {
+  private loaded = false;
+  private readonly startup: RulesStartup;
+  private readonly watch: PlatformRulesWatch;
+  private readonly pull: PeerRulesPull;
+  private unsubscribe: () => void = () => {};
+  private cancelTimer: CancelTimer = () => {};
+
+  constructor(private readonly options: ConfigDistributionOptions) {
+    const parts = {
+      ...options,
+      random: createRandom(options.seed),
+      currentVersion: () => options.store.version,
+      onRecords: (records: readonly RevisionRecord[]) => {
+        this.takeIn(records);
+      },
+    };
+    const onLoaded = () => {
+      this.markLoaded();
+    };
+    this.startup = new RulesStartup({ ...parts, onLoaded });
+    this.watch = new PlatformRulesWatch(parts);
+    this.pull = new PeerRulesPull(parts);
+  }
+
+  /** Whether this node follows the platform for its zone now. */
+  get watching(): boolean {
+    return this.watch.running;
+  }
+
+  start(): void {
+    const { network, store, membership } = this.options;
+    answerRulesFetch(network, store, () => this.loaded);
+    this.unsubscribe = membership.subscribe(() => {
+      this.check();
+    });
+    this.checkLater();
+    this.startup.start();
+  }
+
+  stop(): void {
+    this.unsubscribe();
+    this.cancelTimer();
+    this.startup.stop();
+    this.watch.stop();
+    this.pull.stop();
+  }
+
+  /** Takes in a complete read of the platform made by the repository, with the accepted change. */
+  acceptSnapshot(records: readonly RevisionRecord[]): void {
+    this.takeIn(records);
+    this.startup.stop();
+    this.markLoaded();
+  }
+
+  private takeIn(records: readonly RevisionRecord[]): void {
+    const { store, log, membership } = this.options;
+    const before = store.version;
+    for (const record of [...records].sort((a, b) => a.version - b.version)) {
+      const { tenant, revision, version } = record;
+      const known = store.find(tenant)?.revision ?? 0;
+      if (store.offer(record)) log.emit(Event.RulesInForce, { tenant, revision, version });
+      else if (known > revision) log.emit(Event.OlderRevisionIgnored, { tenant, revision, known });
+    }
+    // Peers may ask once they hear of the version, so it is told only after the last record.
+    if (this.loaded && store.version > before) membership.update({ configVersion: store.version });
+  }
+
+  private markLoaded(): void {
+    if (this.loaded) return;
+    this.loaded = true;
+    const { membership, store } = this.options;
+    membership.update({ ready: true, configVersion: store.version });
+    this.check();
+  }
+
+  private check(): void {
+    if (!this.loaded) return;
+    if (isZoneWatcher(this.options.membership)) this.watch.start();
+    else this.watch.stop();
+    this.pull.check();
+  }
+
+  private checkLater(): void {
+    this.cancelTimer = this.options.clock.schedule(CHECK_INTERVAL_MS, () => {
+      this.check();
+      this.checkLater();
+    });
+  }
+}
--- /dev/null
+++ b/src/config/platform-rules-watch.ts
@@ -0,0 +1,116 @@
+/**
+ * Reads the rules from the platform and follows their changes, while this node is one of its
+ * zone's watchers. A watch that is lost is opened again after a fresh read; the last change is
+ * also polled, because a watch on a broken link may stall without an error.
+ */
+import type { Random } from '../core/random.js';
+import type { CancelTimer, Clock } from '../kernel/clock.js';
+import type { PlatformClient, WatchEvent } from '../platform/platform-client.js';
+import type { RevisionRecord } from './config-store.js';
+import { CURRENT_PREFIX, decodeRevision, HEAD_KEY, readSnapshot } from './stored-revision.js';
+
+/** Pause before a lost watch is opened again; doubles up to the maximum, with jitter. */
+const MIN_REOPEN_MS = 250;
+const MAX_REOPEN_MS = 5_000;
+/** Interval at which the last change is polled; the actual one varies by a quarter. */
+export const HEAD_POLL_INTERVAL_MS = 4_000;
+
+/** What the watch works with. */
+export interface PlatformRulesWatchOptions {
+  readonly platform: PlatformClient;
+  readonly clock: Clock;
+  readonly random: Random;
+  /** Highest version that the node has. */
+  readonly currentVersion: () => number;
+  /** Takes records in; every record up to their highest version is among them or known. */
+  readonly onRecords: (records: readonly RevisionRecord[]) => void;
+}
+
+/** Follows the platform's rules between `start` and `stop`; both may be called repeatedly. */
+export class PlatformRulesWatch {
+  private active = false;
+  /** Tells answers of an earlier opening from those of the present one. */
+  private opening = 0;
+  private failures = 0;
+  private stopStream: () => void = () => {};
+  private cancelTimer: CancelTimer = () => {};
+
+  constructor(private readonly options: PlatformRulesWatchOptions) {}
+
+  /** Whether the node reads and follows the platform now. */
+  get running(): boolean {
+    return this.active;
+  }
+
+  start(): void {
+    if (this.active) return;
+    this.active = true;
+    this.failures = 0;
+    void this.open();
+  }
+
+  stop(): void {
+    this.active = false;
+    this.closeStream();
+  }
+
+  private async open(): Promise<void> {
+    this.closeStream();
+    const opening = this.opening;
+    const read = await readSnapshot(this.options.platform);
+    if (opening !== this.opening) return;
+    if (read.isErr) {
+      this.reopenLater();
+      return;
+    }
+    this.options.onRecords(read.value.records);
+    const from = read.value.storeRevision + 1;
+    this.stopStream = this.options.platform.watch(CURRENT_PREFIX, from, (event) => {
+      if (opening === this.opening) this.onEvent(event);
+    });
+    this.pollLater(opening);
+  }
+
+  private closeStream(): void {
+    this.opening += 1;
+    this.stopStream();
+    this.stopStream = () => {};
+    this.cancelTimer();
+  }
+
+  private onEvent(event: WatchEvent): void {
+    if (event.type === 'lost') {
+      this.reopenLater();
+      return;
+    }
+    this.failures = 0;
+    const record = decodeRevision(event.keyValue);
+    if (record !== undefined) this.options.onRecords([record]);
+  }
+
+  private reopenLater(): void {
+    this.closeStream();
+    const ceiling = Math.min(MAX_REOPEN_MS, MIN_REOPEN_MS * 2 ** this.failures);
+    this.failures += 1;
+    this.schedule((ceiling * (1 + this.options.random.next())) / 2, () => void this.open());
+  }
+
+  private pollLater(opening: number): void {
+    const factor = 0.75 + this.options.random.next() / 2;
+    this.schedule(HEAD_POLL_INTERVAL_MS * factor, () => void this.poll(opening));
+  }
+
+  private async poll(opening: number): Promise<void> {
+    const read = await this.options.platform.range(HEAD_KEY);
+    if (opening !== this.opening) return;
+    if (read.isOk) this.failures = 0;
+    const head = read.isOk ? (read.value.values[0]?.modRevision ?? 0) : 0;
+    if (head > this.options.currentVersion()) await this.open();
+    else this.pollLater(opening);
+  }
+
+  private schedule(delayMs: number, callback: () => void): void {
+    this.cancelTimer();
+    this.cancelTimer = this.options.clock.schedule(delayMs, callback);
+  }
+}
--- /dev/null
+++ b/src/config/rules-startup.ts
@@ -0,0 +1,120 @@
+/**
+ * Loads the rules at the start of a node: from the platform and then, because its answer may
+ * have been slow, from a few ready peers of the own zone; when the platform fails, from all
+ * reachable ready peers of the own zone; when the zone has none, from peers of other zones.
+ *
+ * A node that reaches none of them stays not ready: it cannot know what has been in force.
+ * See docs/design/configuration.md for what this guarantees.
+ */
+import type { Random } from '../core/random.js';
+import type { CancelTimer, Clock } from '../kernel/clock.js';
+import type { Member, Membership } from '../membership/membership.js';
+import type { PeerNetwork } from '../peer/peer-network.js';
+import type { PlatformClient } from '../platform/platform-client.js';
+import type { RevisionRecord } from './config-store.js';
+import { fetchRules } from './rules-fetch.js';
+import { readSnapshot } from './stored-revision.js';
+
+/** Pause between rounds, in milliseconds, before jitter. */
+const ROUND_INTERVAL_MS = 500;
+/** Peers asked at the same time. */
+const BATCH_SIZE = 8;
+/** Peers of the own zone asked after a read of the platform; one answer is enough. */
+const PEERS_ASKED_AFTER_READ = 3;
+/** Peers of other zones asked at most. */
+const MAX_OTHER_ZONE_PEERS = 16;
+/** Time in which membership must have heard of the own zone's peers, in milliseconds. */
+const OTHER_ZONES_AFTER_MS = 3_000;
+
+/** What loading works with. */
+export interface RulesStartupOptions {
+  readonly platform: PlatformClient;
+  readonly membership: Membership;
+  readonly network: PeerNetwork;
+  readonly clock: Clock;
+  readonly random: Random;
+  /** Highest version that the node has. */
+  readonly currentVersion: () => number;
+  readonly onRecords: (records: readonly RevisionRecord[]) => void;
+  /** Called once, when the rules are loaded. */
+  readonly onLoaded: () => void;
+}
+
+/** One node's start; runs rounds until loaded or stopped. */
+export class RulesStartup {
+  private finished = false;
+  private startedAt = 0;
+  private cancelTimer: CancelTimer = () => {};
+
+  constructor(private readonly options: RulesStartupOptions) {}
+
+  start(): void {
+    this.startedAt = this.options.clock.now();
+    void this.runRound();
+  }
+
+  /** Ends the rounds without a result (stop of the node, or rules loaded by another way). */
+  stop(): void {
+    this.finished = true;
+    this.cancelTimer();
+  }
+
+  private async runRound(): Promise<void> {
+    const loaded = (await this.loadFromPlatform()) || (await this.loadFromPeers());
+    if (this.finished) return;
+    if (loaded) {
+      this.stop();
+      this.options.onLoaded();
+      return;
+    }
+    const { clock, random } = this.options;
+    const delayMs = ROUND_INTERVAL_MS * (0.5 + random.next());
+    this.cancelTimer = clock.schedule(delayMs, () => void this.runRound());
+  }
+
+  private async loadFromPlatform(): Promise<boolean> {
+    const read = await readSnapshot(this.options.platform);
+    if (this.finished || read.isErr) return false;
+    this.options.onRecords(read.value.records);
+    // The answer may have been slow: the zone must not have moved on meanwhile.
+    await this.askAll(this.readyPeersInZone().slice(0, PEERS_ASKED_AFTER_READ));
+    return true;
+  }
+
+  private async loadFromPeers(): Promise<boolean> {
+    const { clock } = this.options;
+    const inZone = this.readyPeersInZone();
+    if (inZone.length > 0) return this.askAll(inZone);
+    if (clock.now() - this.startedAt < OTHER_ZONES_AFTER_MS) return false;
+    const newestFirst = [...this.readyPeers()].sort((a, b) => b.configVersion - a.configVersion);
+    return this.askAll(newestFirst.slice(0, MAX_OTHER_ZONE_PEERS));
+  }
+
+  private readyPeers(): readonly Member[] {
+    const { membership } = this.options;
+    const { nodeId } = membership.self();
+    return membership.members().filter((member) => member.nodeId !== nodeId && member.ready);
+  }
+
+  private readyPeersInZone(): readonly Member[] {
+    const { zone } = this.options.membership.self();
+    return this.readyPeers().filter((member) => member.zone === zone);
+  }
+
+  /** Asks every peer; true when at least one has answered. */
+  private async askAll(peers: readonly Member[]): Promise<boolean> {
+    const { network, currentVersion, onRecords } = this.options;
+    let answered = false;
+    for (let start = 0; start < peers.length; start += BATCH_SIZE) {
+      const batch = peers.slice(start, start + BATCH_SIZE);
+      const calls = batch.map(({ nodeId }) => fetchRules(network, nodeId, currentVersion()));
+      for (const reply of await Promise.all(calls)) {
+        if (this.finished) return false;
+        if (reply.isErr) continue;
+        answered = true;
+        onRecords(reply.value);
+      }
+    }
+    return answered;
+  }
+}
--- a/src/config/stored-revision.ts
+++ b/src/config/stored-revision.ts
@@ -57,6 +57,14 @@
   rules: rulesSchema,
 });
 
+/** Schema of a record as it comes from a peer. */
+export const revisionRecordSchema = storedSchema
+  .extend({ version: z.int().min(1) })
+  .transform(({ createdVersion, ...record }): RevisionRecord => ({
+    ...record,
+    ...(createdVersion !== undefined && { createdVersion }),
+  }));
+
 /** Text of a revision as stored; `createdVersion` is absent in a tenant's first one. */
 export function encodeRevision(revision: UnversionedRevision, createdVersion?: number): string {
   return JSON.stringify({ ...revision, createdVersion });
--- /dev/null
+++ b/src/membership/zone-watchers.ts
@@ -0,0 +1,32 @@
+/**
+ * Which nodes of a zone read the platform for it: a few, chosen alike by every node, so that
+ * the platform's load depends on the number of zones and not of nodes.
+ */
+import createXxhash from 'xxhash-wasm';
+import type { Member, Membership } from './membership.js';
+
+const { h32 } = await createXxhash();
+
+/** Watching nodes of one zone; two, so that one may fail without a gap. */
+export const WATCHERS_PER_ZONE = 2;
+
+/** Whether this node is one of its zone's watchers, as far as it sees its zone. */
+export function isZoneWatcher(membership: Membership): boolean {
+  const self = membership.self();
+  const zone = membership.members().filter((member) => isCandidate(member, self));
+  const ready = zone.filter((member) => member.ready);
+  const candidates = ready.length > 0 ? ready : zone;
+  return rank(candidates)
+    .slice(0, WATCHERS_PER_ZONE)
+    .some(({ nodeId }) => nodeId === self.nodeId);
+}
+
+function isCandidate(member: Member, self: Member): boolean {
+  return member.zone === self.zone && member.state === 'alive';
+}
+
+/** Orders by rendezvous rank: a node's arrival or loss moves no other pair of nodes. */
+function rank(members: readonly Member[]): readonly Member[] {
+  const score = ({ zone, nodeId }: Member) => h32(`${zone}\n${nodeId}`);
+  return [...members].sort((a, b) => score(a) - score(b) || (a.nodeId < b.nodeId ? -1 : 1));
+}
--- a/src/testing/in-memory-platform.ts
+++ b/src/testing/in-memory-platform.ts
@@ -30,8 +30,8 @@
   /** Refuses everything and loses all watches while true. */
   down = false;
   machineList: readonly Machine[] = [];
-  /** Reads and writes so far. */
-  exchanges = 0;
+  /** Runs between a read and its answer. */
+  delayAnswer: () => Promise<void> = () => Promise.resolve();
   private readonly late: (() => void)[] = [];
   private readonly watchers = new Set<(event: WatchEvent) => void>();
 
@@ -49,18 +49,18 @@
   }
 
   async range(prefix: string): Promise<Result<RangeResult, Failure>> {
-    this.exchanges += 1;
     await this.plan.step?.();
     if (this.down || this.plan.nextReadFails?.() === true) return unavailable();
     const { values } = this.store.range({ key: prefix, end: `${prefix}\u00ff` });
-    return Result.ok({ values: values.map(toKeyValue), revision: this.store.revision });
+    const { revision } = this.store;
+    await this.delayAnswer();
+    return Result.ok({ values: values.map(toKeyValue), revision });
   }
 
   async transact(
     compares: readonly Compare[],
     puts: readonly Put[],
   ): Promise<Result<TransactionResult, Failure>> {
-    this.exchanges += 1;
     await this.plan.step?.();
     const fate = this.down ? 'refused' : (this.plan.nextWrite?.() ?? 'ok');
     if (fate === 'refused') return unavailable();
--- /dev/null
+++ b/src/testing/simulated-fleet.ts
@@ -0,0 +1,199 @@
+/**
+ * A fleet of nodes that run the real configuration distribution over an in-memory platform,
+ * peers and membership, under virtual time; zones can be cut off, nodes die and are replaced.
+ */
+import { Result } from 'true-myth';
+import { ConfigDistribution } from '../config/config-distribution.js';
+import { InMemoryConfigStore } from '../config/in-memory-config-store.js';
+import { PlatformRulesRepository } from '../config/platform-rules-repository.js';
+import { createFailure, type Failure } from '../core/failure.js';
+import { ResultCode } from '../core/result-code.js';
+import { ManualClock } from '../kernel/clock.js';
+import { silentEventLog } from '../kernel/event.js';
+import type { Member, MemberFacts, Membership, MutableFacts } from '../membership/membership.js';
+import type { BodyValidator, PeerCallHandler, PeerNetwork } from '../peer/peer-network.js';
+import { InMemoryPlatform } from './in-memory-platform.js';
+
+/** Time after which an unheard member counts as failed. */
+const FAILED_AFTER_MS = 2_000;
+/** Interval at which members exchange what they know. */
+const GOSSIP_INTERVAL_MS = 200;
+const STEP_MS = 50;
+/** Turns of the event loop in which the calls of one step settle. */
+const TURNS_PER_STEP = 4;
+
+interface Heard {
+  readonly facts: MemberFacts;
+  readonly at: number;
+}
+
+type ConfigFetchHandler = PeerCallHandler<'configFetch'>;
+
+/** One node of the fleet. */
+export class SimulatedNode implements Membership, PeerNetwork {
+  readonly store = new InMemoryConfigStore();
+  readonly distribution: ConfigDistribution;
+  readonly repository: PlatformRulesRepository;
+  private readonly heard = new Map<string, Heard>();
+  private readonly listeners = new Set<() => void>();
+  private facts: MemberFacts;
+  private handler: ConfigFetchHandler | undefined;
+
+  constructor(
+    private readonly fleet: SimulatedFleet,
+    readonly id: string,
+    readonly zone: string,
+    seed: number,
+  ) {
+    const addresses = { peerAddress: id, entryAddress: id, adminAddress: id };
+    const lists = { fronts: [], leavingTargets: [] };
+    const counters = { incarnation: 1, sequence: 1, configVersion: 0 };
+    const region = 'region';
+    this.facts = { nodeId: id, zone, region, ...addresses, ...lists, ...counters, ready: false };
+    const { platform, clock } = fleet;
+    const shared = { platform, clock, log: silentEventLog, seed };
+    const { store } = this;
+    this.distribution = new ConfigDistribution({
+      ...shared,
+      store,
+      membership: this,
+      network: this,
+    });
+    this.repository = new PlatformRulesRepository({
+      ...shared,
+      onSnapshot: (records) => {
+        this.distribution.acceptSnapshot(records);
+      },
+    });
+  }
+
+  get isReady(): boolean {
+    return this.facts.ready;
+  }
+
+  self(): Member {
+    return { ...this.facts, state: 'alive' };
+  }
+
+  members(): readonly Member[] {
+    const oldest = this.fleet.clock.now() - FAILED_AFTER_MS;
+    const others = [...this.heard.values()].filter(({ at }) => at >= oldest);
+    return [this.self(), ...others.map(({ facts }): Member => ({ ...facts, state: 'alive' }))];
+  }
+
+  find(nodeId: string): Member | undefined {
+    return this.members().find((member) => member.nodeId === nodeId);
+  }
+
+  update(facts: MutableFacts): void {
+    this.facts = { ...this.facts, ...facts, sequence: this.facts.sequence + 1 };
+  }
+
+  addSeeds(): void {}
+
+  leave(): Promise<void> {
+    return Promise.resolve();
+  }
+
+  subscribe(listener: () => void): () => void {
+    this.listeners.add(listener);
+    return () => {
+      this.listeners.delete(listener);
+    };
+  }
+
+  /** Takes another node's facts in. */
+  hear({ facts }: SimulatedNode): void {
+    this.heard.set(facts.nodeId, { facts, at: this.fleet.clock.now() });
+    for (const listener of [...this.listeners]) listener();
+  }
+
+  handle(_name: unknown, _validate: BodyValidator<never>, handler: unknown): void {
+    this.handler = handler as ConfigFetchHandler;
+  }
+
+  async call(node: string, _name: unknown, request: unknown): Promise<Result<never, Failure>> {
+    const peer = this.fleet.nodes.get(node);
+    if (peer === undefined || !this.fleet.canReach(this, peer)) {
+      return Result.err(createFailure(ResultCode.PeerUnreachable, node));
+    }
+    const body = structuredClone(request) as { after: number };
+    const reply = await peer.handler!(this.id, body, new AbortController().signal);
+    return structuredCloneResult(reply) as Result<never, Failure>;
+  }
+
+  setAddress(): void {}
+}
+
+/** The fleet; names of replacements are never used again. */
+export class SimulatedFleet {
+  readonly clock = new ManualClock();
+  readonly platform = new InMemoryPlatform();
+  readonly nodes = new Map<string, SimulatedNode>();
+  /** Virtual time between a read of the platform and its answer. */
+  answerDelayMs = 0;
+  private readonly cutZones = new Set<string>();
+  private created = 0;
+
+  constructor() {
+    this.platform.delayAnswer = () =>
+      new Promise((resolve) => {
+        if (this.answerDelayMs === 0) resolve();
+        else this.clock.schedule(this.answerDelayMs, resolve);
+      });
+  }
+
+  /** Starts a node in a zone. */
+  startNode(zone: string): SimulatedNode {
+    this.created += 1;
+    const node = new SimulatedNode(this, `node-${this.created}`, zone, this.created);
+    this.nodes.set(node.id, node);
+    node.distribution.start();
+    return node;
+  }
+
+  /** Ends a node without a word. */
+  killNode(node: SimulatedNode): void {
+    node.distribution.stop();
+    this.nodes.delete(node.id);
+  }
+
+  /** Cuts a zone off from all others, or lets it back. */
+  setCut(zone: string, isCut: boolean): void {
+    if (isCut) this.cutZones.add(zone);
+    else this.cutZones.delete(zone);
+  }
+
+  canReach(from: SimulatedNode, to: SimulatedNode): boolean {
+    return from.zone === to.zone || !(this.cutZones.has(from.zone) || this.cutZones.has(to.zone));
+  }
+
+  inZone(zone: string): readonly SimulatedNode[] {
+    return [...this.nodes.values()].filter((node) => node.zone === zone);
+  }
+
+  /** Moves virtual time; `onStep` runs after each step of 50 ms. */
+  async advance(durationMs: number, onStep: () => void = () => {}): Promise<void> {
+    for (let passed = 0; passed < durationMs; passed += STEP_MS) {
+      this.clock.advance(STEP_MS);
+      if (this.clock.now() % GOSSIP_INTERVAL_MS === 0) this.gossip();
+      for (let turn = 0; turn < TURNS_PER_STEP; turn += 1) {
+        await new Promise((resolve) => setImmediate(resolve));
+      }
+      onStep();
+    }
+  }
+
+  private gossip(): void {
+    const nodes = [...this.nodes.values()];
+    for (const from of nodes) {
+      for (const to of nodes) {
+        if (from !== to && this.canReach(from, to)) to.hear(from);
+      }
+    }
+  }
+}
+
+function structuredCloneResult<T>(result: Result<T, Failure>): Result<T, Failure> {
+  return result.map((value) => structuredClone(value));
+}
