Write the callers' result whole before the program ends

Cause: in a trial of the demo the JSON line was cut at the pipe's buffer. Ruled out: the driver's reading; the process had ended before its output was written. Change: wait for the write; let tests end the callers early.

--- a/src/stand-ins/callers/commands.ts
+++ b/src/stand-ins/callers/commands.ts
@@ -80,10 +80,15 @@
       });
     }
     const { records, ...summary } = await callers.done;
-    this.print(JSON.stringify(this.journal ? { ...summary, records } : summary));
+    await this.printWhole(JSON.stringify(this.journal ? { ...summary, records } : summary));
     await stopControl();
     return ExitCode.Ok;
   }
+
+  /** Prints and waits until it is written: the program's end would cut a long line in a pipe. */
+  private async printWhole(line: string): Promise<void> {
+    await new Promise((resolve) => this.context.stdout.write(`${line}\n`, resolve));
+  }
 }
 
 /** Commands of this module. */
--- a/src/testing/deployment.ts
+++ b/src/testing/deployment.ts
@@ -55,6 +55,8 @@
 export interface CallersRun {
   readonly process: ManagedProcess;
   setRateFactor(factor: number): Promise<void>;
+  /** Ends the sending early. */
+  stop(): Promise<void>;
   /** Result of the whole run. */
   readonly result: Promise<CallersResult>;
 }
@@ -157,6 +159,9 @@
       setRateFactor: async (rateFactor) => {
         await requestJson(`http://${ready.address}/control`, { rateFactor });
       },
+      stop: async () => {
+        await requestJson(`http://${ready.address}/control`, { stop: true });
+      },
       result: readCallersResult(process, options.durationMs),
     };
   }
