Count the bytes that a node exchanges with other nodes

Cause: the budget of 21 KB/s a node for control cannot be checked without a count of its own; the loopback device counts everybody's traffic. Ruled out: counting in the codec only, which misses links that are refused. Change: TrafficMeter, counted where sockets are read and written, published as sillshore_peer_bytes_total.

--- a/src/kernel/kernel.ts
+++ b/src/kernel/kernel.ts
@@ -6,6 +6,7 @@
 import { Event, type EventLog } from './event.js';
 import type { Plugin } from './plugin.js';
 import { Token } from './token.js';
+import { TrafficMeter } from './traffic-meter.js';
 
 /** What a kernel is made from. */
 export interface KernelOptions {
@@ -34,6 +35,7 @@
     this.container.bind(Token.Clock).toConstantValue(options.clock);
     this.container.bind(Token.EventLog).toConstantValue(options.log);
     this.container.bind(Token.Kernel).toConstantValue(this);
+    this.container.bind(Token.TrafficMeter).toConstantValue(new TrafficMeter());
     for (const plugin of options.plugins) plugin.bind(this.container);
   }
 
--- a/src/kernel/metrics.ts
+++ b/src/kernel/metrics.ts
@@ -1,10 +1,14 @@
 /** Prometheus metrics of one node (prom-client); served as text on the admin address. */
+import type { TrafficMeter } from './traffic-meter.js';
 import { collectDefaultMetrics, Counter, Gauge, Histogram, Registry } from 'prom-client';
 
 const LATENCY_BUCKETS_SECONDS = [
   0.0005, 0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5,
 ];
 
+const TRANSPORTS = ['tcp', 'udp'] as const;
+const DIRECTIONS = ['sent', 'received'] as const;
+
 /** The metrics that plug-ins write. */
 export interface Metrics {
   readonly registry: Registry;
@@ -92,3 +96,21 @@
     }),
   };
 }
+
+/** Publishes the byte counts of the links between nodes as `sillshore_peer_bytes_total`. */
+export function publishTraffic(registry: Registry, traffic: TrafficMeter): void {
+  new Counter({
+    name: 'sillshore_peer_bytes_total',
+    help: 'Bytes exchanged with other nodes by transport and direction',
+    labelNames: ['transport', 'direction'],
+    registers: [registry],
+    collect() {
+      this.reset();
+      for (const transport of TRANSPORTS) {
+        for (const direction of DIRECTIONS) {
+          this.inc({ transport, direction }, traffic.read(transport, direction));
+        }
+      }
+    },
+  });
+}
--- a/src/kernel/token.ts
+++ b/src/kernel/token.ts
@@ -16,6 +16,7 @@
 import type { EventLog } from './event.js';
 import type { Kernel } from './kernel.js';
 import type { Metrics } from './metrics.js';
+import type { TrafficMeter } from './traffic-meter.js';
 
 function token<T>(name: string): ServiceIdentifier<T> {
   return Symbol.for(`sillshore.${name}`);
@@ -27,6 +28,7 @@
   Clock: token<Clock>('Clock'),
   EventLog: token<EventLog>('EventLog'),
   Metrics: token<Metrics>('Metrics'),
+  TrafficMeter: token<TrafficMeter>('TrafficMeter'),
   Kernel: token<Kernel>('Kernel'),
   PeerNetwork: token<PeerNetwork>('PeerNetwork'),
   Membership: token<Membership>('Membership'),
--- a/src/membership/membership-plugin.ts
+++ b/src/membership/membership-plugin.ts
@@ -24,6 +24,7 @@
         network: context.get(Token.PeerNetwork),
         clock,
         log: context.get(Token.EventLog),
+        traffic: context.get(Token.TrafficMeter),
         random: createRandom(combineHashes(hash32(settings.node.id), clock.wallNow())),
       });
     });
--- a/src/membership/membership-task.ts
+++ b/src/membership/membership-task.ts
@@ -16,6 +16,7 @@
 import type { CancelTimer, Clock } from '../kernel/clock.js';
 import { Event, type EventLog } from '../kernel/event.js';
 import { Task } from '../kernel/task.js';
+import type { TrafficMeter } from '../kernel/traffic-meter.js';
 import type { PeerNetwork } from '../peer/peer-network.js';
 import { DatagramCodec } from './datagram-codec.js';
 import { MemberSync } from './member-sync.js';
@@ -44,6 +45,8 @@
   readonly clock: Clock;
   readonly log: EventLog;
   readonly random: Random;
+  /** Counts the bytes of all datagrams, when given. */
+  readonly traffic?: TrafficMeter;
   /** Timing; the defaults when absent. */
   readonly protocol?: MembershipOptions;
 }
@@ -193,6 +196,7 @@
   }
 
   private readDatagram(now: number, datagram: Buffer, from: RemoteInfo) {
+    this.options.traffic?.count('udp', 'received', datagram.length);
     const message = this.codec.decode(datagram);
     const address = formatAddress(from);
     if (message === undefined) {
@@ -210,7 +214,9 @@
         case 'send': {
           const { host, port } = splitAddress(action.to);
           // A datagram that cannot be sent is one that was lost.
-          this.socket?.send(this.codec.encode(action.message), port, host, () => {});
+          const datagram = this.codec.encode(action.message);
+          this.options.traffic?.count('udp', 'sent', datagram.length);
+          this.socket?.send(datagram, port, host, () => {});
           break;
         }
         case 'sync':
--- a/src/observability/observability-plugin.ts
+++ b/src/observability/observability-plugin.ts
@@ -1,5 +1,5 @@
 /** Binds the node's metrics; the administration server publishes them at `GET /metrics`. */
-import { createMetrics } from '../kernel/metrics.js';
+import { createMetrics, publishTraffic } from '../kernel/metrics.js';
 import { registerPlugin, StartOrder } from '../kernel/plugin.js';
 import { Token } from '../kernel/token.js';
 
@@ -7,6 +7,8 @@
   name: 'observability',
   order: StartOrder.Observability,
   bind: (container) => {
-    container.bind(Token.Metrics).toConstantValue(createMetrics());
+    const metrics = createMetrics();
+    publishTraffic(metrics.registry, container.get(Token.TrafficMeter));
+    container.bind(Token.Metrics).toConstantValue(metrics);
   },
 });
--- a/src/peer/peer-link.ts
+++ b/src/peer/peer-link.ts
@@ -6,6 +6,7 @@
 import type { CancelTimer, Clock } from '../kernel/clock.js';
 import { Event, type EventLog } from '../kernel/event.js';
 import { Task } from '../kernel/task.js';
+import type { TrafficMeter } from '../kernel/traffic-meter.js';
 import { decodeFrame, encodeFrame, type Envelope } from './frame-codec.js';
 import { FrameReader } from './frame-reader.js';
 import { MAX_HANDSHAKE_FRAME_BYTES } from './handshake.js';
@@ -33,6 +34,8 @@
   readonly limits: LinkLimits;
   readonly clock: Clock;
   readonly log: EventLog;
+  /** Counts the bytes of all links, when given. */
+  readonly traffic?: TrafficMeter;
 }
 
 /** What the socket tells its link. */
@@ -150,6 +153,7 @@
       return Result.err(createFailure(ResultCode.MailboxFull, `${backlog} bytes wait on the link`));
     }
     this.socket.write(frame.value);
+    this.options.traffic?.count('tcp', 'sent', frame.value.length);
     this.lastActivity = this.options.clock.now();
     return Result.ok(undefined);
   }
@@ -170,6 +174,7 @@
   private readChunk(chunk: Buffer): void {
     if (this.ended) return;
     this.lastActivity = this.options.clock.now();
+    this.options.traffic?.count('tcp', 'received', chunk.length);
     const failure = this.reader.read(chunk, (frame) => this.readFrame(frame));
     if (failure !== undefined && !this.ended) this.rejectFrame(failure);
   }
--- a/src/peer/peer-plugin.ts
+++ b/src/peer/peer-plugin.ts
@@ -26,6 +26,7 @@
         },
         clock,
         log: context.get(Token.EventLog),
+        traffic: context.get(Token.TrafficMeter),
         random: createRandom(combineHashes(hash32(settings.node.id), clock.wallNow())),
       });
     });
