--- a/src/testing/simulated-fleet.ts
+++ b/src/testing/simulated-fleet.ts
@@ -1,199 +1,325 @@
-/**
- * A fleet of nodes that run the real configuration distribution over an in-memory platform,
- * peers and membership, under virtual time; zones can be cut off, nodes die and are replaced.
- */
-import { Result } from 'true-myth';
-import { ConfigDistribution } from '../config/config-distribution.js';
-import { InMemoryConfigStore } from '../config/in-memory-config-store.js';
-import { PlatformRulesRepository } from '../config/platform-rules-repository.js';
-import { createFailure, type Failure } from '../core/failure.js';
-import { ResultCode } from '../core/result-code.js';
-import { ManualClock } from '../kernel/clock.js';
-import { silentEventLog } from '../kernel/event.js';
-import type { Member, MemberFacts, Membership, MutableFacts } from '../membership/membership.js';
-import type { BodyValidator, PeerCallHandler, PeerNetwork } from '../peer/peer-network.js';
-import { InMemoryPlatform } from './in-memory-platform.js';
-
-/** Time after which an unheard member counts as failed. */
-const FAILED_AFTER_MS = 2_000;
-/** Interval at which members exchange what they know. */
-const GOSSIP_INTERVAL_MS = 200;
-const STEP_MS = 50;
-/** Turns of the event loop in which the calls of one step settle. */
-const TURNS_PER_STEP = 4;
-
-interface Heard {
-  readonly facts: MemberFacts;
+/** A fleet of membership protocols under virtual time, with a network that can fail. */
+import { calculateObjectSize } from 'bson';
+import type { MemberFacts } from '../core/member.js';
+import { MembershipProtocol } from '../core/membership/membership-protocol.js';
+import type {
+  MembershipAction,
+  MembershipMessage,
+  MemberSyncRequest,
+} from '../core/membership/membership-message.js';
+import { createRandom, type Random } from '../core/random.js';
+import { DatagramCodec } from '../membership/datagram-codec.js';
+
+/** Bytes of an IPv4 and a UDP header. */
+const PACKET_HEADER_BYTES = 28;
+
+/** A protocol instance with its place in the network. */
+export interface SimulatedNode {
+  readonly id: string;
+  readonly zone: string;
+  readonly address: string;
+  readonly protocol: MembershipProtocol;
+  /** The process runs. */
+  running: boolean;
+  /** The process stands still (SIGSTOP); its datagrams wait. */
+  paused: boolean;
+  readonly waiting: (() => void)[];
+  timerAt: number;
+  /** Bytes sent and received, packet headers included. */
+  bytes: number;
+  /** Names of events, as `failed node-3`. */
+  readonly events: string[];
+}
+
+/** What makes a node. */
+export interface NodeSpec {
+  readonly id: string;
+  readonly zone?: string;
+  readonly address?: string;
+  readonly incarnation?: number;
+  readonly seeds?: readonly string[];
+}
+
+interface ScheduledEvent {
   readonly at: number;
+  readonly order: number;
+  readonly run: () => void;
 }
 
-type ConfigFetchHandler = PeerCallHandler<'configFetch'>;
-
-/** One node of the fleet. */
-export class SimulatedNode implements Membership, PeerNetwork {
-  readonly store = new InMemoryConfigStore();
-  readonly distribution: ConfigDistribution;
-  readonly repository: PlatformRulesRepository;
-  private readonly heard = new Map<string, Heard>();
-  private readonly listeners = new Set<() => void>();
-  private facts: MemberFacts;
-  private handler: ConfigFetchHandler | undefined;
-
-  constructor(
-    private readonly fleet: SimulatedFleet,
-    readonly id: string,
-    readonly zone: string,
-    seed: number,
-  ) {
-    const addresses = { peerAddress: id, entryAddress: id, adminAddress: id };
-    const lists = { fronts: [], leavingTargets: [] };
-    const counters = { incarnation: 1, sequence: 1, configVersion: 0 };
-    const region = 'region';
-    this.facts = { nodeId: id, zone, region, ...addresses, ...lists, ...counters, ready: false };
-    const { platform, clock } = fleet;
-    const shared = { platform, clock, log: silentEventLog, seed };
-    const { store } = this;
-    this.distribution = new ConfigDistribution({
-      ...shared,
-      store,
-      membership: this,
-      network: this,
-    });
-    this.repository = new PlatformRulesRepository({
-      ...shared,
-      onSnapshot: (records) => {
-        this.distribution.acceptSnapshot(records);
-      },
-    });
-  }
+/** The fleet and its network. Deterministic for a seed. */
+export class SimulatedFleet {
+  now = 0;
+  readonly nodes = new Map<string, SimulatedNode>();
+  /** Share of datagrams that are lost. */
+  lossRate = 0;
+  /** Whether packets from one node to another are dropped. */
+  isCut: (from: SimulatedNode, to: SimulatedNode) => boolean = () => false;
+  /** Count bytes with the real codec; slower. */
+  countBytes = false;
+  /** Largest datagram sent while counting. */
+  largestDatagram = 0;
+  private readonly heap: ScheduledEvent[] = [];
+  private readonly random: Random;
+  private readonly codec = new DatagramCodec('a key of the simulated fleet');
+  private created = 0;
 
-  get isReady(): boolean {
-    return this.facts.ready;
+  constructor(seed: number) {
+    this.random = createRandom(seed);
   }
 
-  self(): Member {
-    return { ...this.facts, state: 'alive' };
+  /** Starts nodes `node-1` and up over three zones, each joining by the first two. */
+  addNodes(count: number): void {
+    for (let index = 1; index <= count; index += 1) this.addNode({ id: `node-${index}` });
   }
 
-  members(): readonly Member[] {
-    const oldest = this.fleet.clock.now() - FAILED_AFTER_MS;
-    const others = [...this.heard.values()].filter(({ at }) => at >= oldest);
-    return [this.self(), ...others.map(({ facts }): Member => ({ ...facts, state: 'alive' }))];
+  /** Starts one node; one of the same id replaces the earlier process. */
+  addNode(spec: NodeSpec): SimulatedNode {
+    const index = this.nodes.size;
+    const zone = spec.zone ?? `zone-${index % 3}`;
+    const address = spec.address ?? `10.0.${Math.floor(index / 250)}.${(index % 250) + 1}:7000`;
+    const facts: MemberFacts = {
+      nodeId: spec.id,
+      incarnation: spec.incarnation ?? 1_700_000_000_000 + Math.floor(this.now),
+      sequence: 0,
+      zone,
+      region: 'region-a',
+      peerAddress: address,
+      entryAddress: address.replace(':7000', ':8000'),
+      adminAddress: address.replace(':7000', ':9000'),
+      fronts: [],
+      leavingTargets: [],
+      configVersion: 0,
+      ready: true,
+    };
+    const protocol = new MembershipProtocol(facts, createRandom(this.random.nextInt(2 ** 30)));
+    const node: SimulatedNode = {
+      id: spec.id,
+      zone,
+      address,
+      protocol,
+      running: true,
+      paused: false,
+      waiting: [],
+      timerAt: Infinity,
+      bytes: 0,
+      events: [],
+    };
+    this.nodes.set(spec.id, node);
+    const seeds = spec.seeds ?? ['10.0.0.1:7000', '10.0.0.2:7000'];
+    this.act(node, (now) => [...protocol.start(now), ...protocol.addSeeds(now, seeds)]);
+    return node;
   }
 
-  find(nodeId: string): Member | undefined {
-    return this.members().find((member) => member.nodeId === nodeId);
+  node(id: string): SimulatedNode {
+    return this.nodes.get(id)!;
   }
 
-  update(facts: MutableFacts): void {
-    this.facts = { ...this.facts, ...facts, sequence: this.facts.sequence + 1 };
+  /** Nodes whose process runs. */
+  running(): SimulatedNode[] {
+    return [...this.nodes.values()].filter((node) => node.running);
   }
 
-  addSeeds(): void {}
+  /** Ends a process without a word. */
+  kill(...ids: string[]): void {
+    for (const id of ids) this.node(id).running = false;
+  }
 
-  leave(): Promise<void> {
-    return Promise.resolve();
+  /** Stops a process for a while; its datagrams wait for it. */
+  pause(id: string): void {
+    this.node(id).paused = true;
   }
 
-  subscribe(listener: () => void): () => void {
-    this.listeners.add(listener);
-    return () => {
-      this.listeners.delete(listener);
-    };
+  resume(id: string): void {
+    const node = this.node(id);
+    node.paused = false;
+    for (const deliver of node.waiting.splice(0)) deliver();
+    this.arm(node);
   }
 
-  /** Takes another node's facts in. */
-  hear({ facts }: SimulatedNode): void {
-    this.heard.set(facts.nodeId, { facts, at: this.fleet.clock.now() });
-    for (const listener of [...this.listeners]) listener();
+  /** Runs an input of a node's protocol and what follows from it. */
+  act(node: SimulatedNode, input: (now: number) => readonly MembershipAction[]): void {
+    for (const action of input(this.now)) this.perform(node, action);
+    this.arm(node);
   }
 
-  handle(_name: unknown, _validate: BodyValidator<never>, handler: unknown): void {
-    this.handler = handler as ConfigFetchHandler;
+  /** Moves virtual time forward. */
+  run(milliseconds: number): void {
+    const end = this.now + milliseconds;
+    while (this.heap.length > 0 && this.heap[0]!.at <= end) {
+      const event = this.pop();
+      this.now = event.at;
+      event.run();
+    }
+    this.now = end;
   }
 
-  async call(node: string, _name: unknown, request: unknown): Promise<Result<never, Failure>> {
-    const peer = this.fleet.nodes.get(node);
-    if (peer === undefined || !this.fleet.canReach(this, peer)) {
-      return Result.err(createFailure(ResultCode.PeerUnreachable, node));
+  /**
+   * Runs until a condition holds.
+   *
+   * @returns milliseconds that it took, or Infinity when it did not hold within the limit
+   */
+  runUntil(condition: () => boolean, limitMs: number, stepMs = 50): number {
+    for (let waited = 0; waited <= limitMs; waited += stepMs) {
+      if (condition()) return waited;
+      this.run(stepMs);
     }
-    const body = structuredClone(request) as { after: number };
-    const reply = await peer.handler!(this.id, body, new AbortController().signal);
-    return structuredCloneResult(reply) as Result<never, Failure>;
+    return Infinity;
   }
 
-  setAddress(): void {}
-}
+  /** Whether every running node sees exactly the running nodes, none of them suspected. */
+  hasConverged(): boolean {
+    const running = this.running();
+    const expected = running.map(({ id }) => id).sort();
+    return running.every(({ protocol }) => {
+      const members = protocol.members();
+      if (members.length !== expected.length) return false;
+      return members.every(
+        ({ nodeId, state }, index) => nodeId === expected[index] && state !== 'suspect',
+      );
+    });
+  }
 
-/** The fleet; names of replacements are never used again. */
-export class SimulatedFleet {
-  readonly clock = new ManualClock();
-  readonly platform = new InMemoryPlatform();
-  readonly nodes = new Map<string, SimulatedNode>();
-  /** Virtual time between a read of the platform and its answer. */
-  answerDelayMs = 0;
-  private readonly cutZones = new Set<string>();
-  private created = 0;
+  /** Events of a name over all nodes. */
+  countEvents(name: string): number {
+    let count = 0;
+    for (const { events } of this.nodes.values()) {
+      count += events.filter((event) => event.startsWith(name)).length;
+    }
+    return count;
+  }
 
-  constructor() {
-    this.platform.delayAnswer = () =>
-      new Promise((resolve) => {
-        if (this.answerDelayMs === 0) resolve();
-        else this.clock.schedule(this.answerDelayMs, resolve);
+  private perform(node: SimulatedNode, action: MembershipAction): void {
+    if (action.type === 'send') this.send(node, action.to, action.message);
+    if (action.type === 'event') node.events.push(`${action.event} ${action.nodeId}`);
+    if (action.type === 'sync') this.exchange(node, action.nodeId);
+    if (action.type === 'fetch') this.fetch(node, action.source, action.nodeIds);
+  }
+
+  private send(from: SimulatedNode, address: string, message: MembershipMessage): void {
+    const bytes = this.countBytes ? this.measure(message) : 0;
+    from.bytes += bytes;
+    this.largestDatagram = Math.max(this.largestDatagram, bytes - PACKET_HEADER_BYTES);
+    if (this.random.next() < this.lossRate) return;
+    this.schedule(this.latency(), () => {
+      const to = this.findByAddress(address);
+      if (to === undefined || this.isCut(from, to)) return;
+      to.bytes += bytes;
+      this.deliver(to, () => {
+        this.act(to, (now) => to.protocol.onMessage(now, from.address, message));
       });
+    });
   }
 
-  /** Starts a node in a zone. */
-  startNode(zone: string): SimulatedNode {
-    this.created += 1;
-    const node = new SimulatedNode(this, `node-${this.created}`, zone, this.created);
-    this.nodes.set(node.id, node);
-    node.distribution.start();
-    return node;
+  private deliver(to: SimulatedNode, handle: () => void): void {
+    if (!to.running) return;
+    if (to.paused) to.waiting.push(handle);
+    else handle();
+  }
+
+  /** The exchange of MemberSync, in one step after a round trip. */
+  private exchange(from: SimulatedNode, nodeId: string): void {
+    this.schedule(2 * this.latency(), () => {
+      const to = this.nodes.get(nodeId);
+      if (to === undefined || !this.canCall(from, to)) return;
+      const request = from.protocol.createSyncRequest();
+      let handOvers: readonly MemberSyncRequest[] | undefined;
+      let after = '';
+      do {
+        const reply = this.call(from, to, { ...request, after });
+        handOvers ??= from.protocol.createHandOvers(reply.buckets);
+        this.act(from, (now) => from.protocol.onSyncReply(now, to.id, reply.updates));
+        after = reply.next;
+      } while (after !== '');
+      for (const handOver of handOvers) this.call(from, to, handOver);
+    });
   }
 
-  /** Ends a node without a word. */
-  killNode(node: SimulatedNode): void {
-    node.distribution.stop();
-    this.nodes.delete(node.id);
+  private call(from: SimulatedNode, to: SimulatedNode, request: MemberSyncRequest) {
+    const { reply, actions } = to.protocol.onSyncRequest(this.now, from.id, request);
+    this.act(to, () => actions);
+    const bytes = this.countBytes ? calculateObjectSize(request) + calculateObjectSize(reply) : 0;
+    from.bytes += bytes;
+    to.bytes += bytes;
+    return reply;
   }
 
-  /** Cuts a zone off from all others, or lets it back. */
-  setCut(zone: string, isCut: boolean): void {
-    if (isCut) this.cutZones.add(zone);
-    else this.cutZones.delete(zone);
+  private fetch(from: SimulatedNode, source: string, nodeIds: readonly string[]): void {
+    this.schedule(2 * this.latency(), () => {
+      const to = this.nodes.get(source);
+      if (to === undefined || !this.canCall(from, to)) return;
+      const updates = to.protocol.listFacts(nodeIds);
+      this.act(from, (now) => from.protocol.onSyncReply(now, source, updates));
+    });
+  }
+
+  private canCall(from: SimulatedNode, to: SimulatedNode): boolean {
+    const bothRun = from.running && to.running && !from.paused && !to.paused;
+    return bothRun && !this.isCut(from, to) && !this.isCut(to, from);
+  }
+
+  private findByAddress(address: string): SimulatedNode | undefined {
+    for (const node of this.nodes.values()) {
+      if (node.address === address && node.running) return node;
+    }
+    return undefined;
   }
 
-  canReach(from: SimulatedNode, to: SimulatedNode): boolean {
-    return from.zone === to.zone || !(this.cutZones.has(from.zone) || this.cutZones.has(to.zone));
+  private measure(message: MembershipMessage): number {
+    return this.codec.encode(message).length + PACKET_HEADER_BYTES;
   }
 
-  inZone(zone: string): readonly SimulatedNode[] {
-    return [...this.nodes.values()].filter((node) => node.zone === zone);
+  /** One way: 0.5 to 1.5 ms. */
+  private latency(): number {
+    return 0.5 + this.random.next();
   }
 
-  /** Moves virtual time; `onStep` runs after each step of 50 ms. */
-  async advance(durationMs: number, onStep: () => void = () => {}): Promise<void> {
-    for (let passed = 0; passed < durationMs; passed += STEP_MS) {
-      this.clock.advance(STEP_MS);
-      if (this.clock.now() % GOSSIP_INTERVAL_MS === 0) this.gossip();
-      for (let turn = 0; turn < TURNS_PER_STEP; turn += 1) {
-        await new Promise((resolve) => setImmediate(resolve));
-      }
-      onStep();
+  private arm(node: SimulatedNode): void {
+    const next = node.protocol.nextTimer();
+    if (next === node.timerAt || next === Infinity) return;
+    node.timerAt = next;
+    this.schedule(Math.max(0, next - this.now), () => {
+      if (node.timerAt !== next || !node.running || this.nodes.get(node.id) !== node) return;
+      node.timerAt = Infinity;
+      this.deliver(node, () => {
+        this.act(node, (now) => node.protocol.onTimer(now));
+      });
+    });
+  }
+
+  private schedule(delayMs: number, run: () => void): void {
+    this.created += 1;
+    const event = { at: this.now + delayMs, order: this.created, run };
+    const { heap } = this;
+    let index = heap.length;
+    heap.push(event);
+    while (index > 0) {
+      const parent = (index - 1) >> 1;
+      if (!isBefore(event, heap[parent]!)) break;
+      heap[index] = heap[parent]!;
+      index = parent;
     }
+    heap[index] = event;
   }
 
-  private gossip(): void {
-    const nodes = [...this.nodes.values()];
-    for (const from of nodes) {
-      for (const to of nodes) {
-        if (from !== to && this.canReach(from, to)) to.hear(from);
-      }
+  private pop(): ScheduledEvent {
+    const { heap } = this;
+    const first = heap[0]!;
+    const last = heap.pop()!;
+    if (heap.length === 0) return first;
+    let index = 0;
+    for (;;) {
+      let child = 2 * index + 1;
+      if (child >= heap.length) break;
+      if (child + 1 < heap.length && isBefore(heap[child + 1]!, heap[child]!)) child += 1;
+      if (!isBefore(heap[child]!, last)) break;
+      heap[index] = heap[child]!;
+      index = child;
     }
+    heap[index] = last;
+    return first;
   }
 }
 
-function structuredCloneResult<T>(result: Result<T, Failure>): Result<T, Failure> {
-  return result.map((value) => structuredClone(value));
+function isBefore(a: ScheduledEvent, b: ScheduledEvent): boolean {
+  return a.at < b.at || (a.at === b.at && a.order < b.order);
 }
