Run the whole path: platform command, overload policies in a node, hollow fleet benchmark

Cause: the demo could not start: no command ran the platform stand-in, and a node found no overload policy by name because nothing imported the module that registers them. Ruled out: registering policies from the entry plug-in; the target side needs them as well. Change: emulate platform; the node's list of plug-ins imports the policies; hollow nodes (control parts only, real sockets, many in a process) and bench fleet, which measures processor time, memory, bytes, time of a change and of a lost rack at each size. Array options had defaults to which clipanion appends; they are filled in afterwards.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -16,6 +16,9 @@
   'membership',
   'claims',
   'testing',
+  'hollow',
+  'node',
+  'observability',
   'gen',
 ];
 
--- a/src/cli/registered-commands.ts
+++ b/src/cli/registered-commands.ts
@@ -1,8 +1,11 @@
 /** The areas that bring commands; see the convention in command.ts. */
 import { Builtins } from 'clipanion';
+import { commands as experimentCommands } from '../emulator/commands.js';
+import { commands as fleetCommands } from '../hollow/commands.js';
 import { commands as backendCommands } from '../stand-ins/backend/commands.js';
 import { commands as callersCommands } from '../stand-ins/callers/commands.js';
 import { commands as linkCommands } from '../stand-ins/link/commands.js';
+import { commands as platformCommands } from '../stand-ins/platform/commands.js';
 import type { CommandClass } from './command.js';
 import { commands as benchmarkCommands } from '../testing/commands.js';
 import { ConfigApplyCommand } from './config-apply-command.js';
@@ -34,5 +37,8 @@
   ...backendCommands,
   ...callersCommands,
   ...linkCommands,
+  ...platformCommands,
+  ...experimentCommands,
+  ...fleetCommands,
   ...benchmarkCommands,
 ];
--- a/src/node/plugins.ts
+++ b/src/node/plugins.ts
@@ -1,4 +1,5 @@
-/** The plug-ins of a node: importing a plug-in's module registers it. */
+/** The plug-ins of a node: importing a plug-in's module registers it, and so do the overload policies. */
+import '../core/overload-policies.js';
 import '../observability/observability-plugin.js';
 import '../peer/peer-plugin.js';
 import '../membership/membership-plugin.js';
--- a/src/stand-ins/platform/platform-stand-in.ts
+++ b/src/stand-ins/platform/platform-stand-in.ts
@@ -38,6 +38,8 @@
   readonly store: KeyValueStore;
   /** Open watch streams. */
   readonly watchCount: number;
+  /** Requests so far at the key-value service and the list of machines. */
+  readonly requestCount: number;
   /** The same as `POST /control`, for use in one process. */
   control(request: ControlRequest): Promise<void>;
   close(): Promise<void>;
@@ -77,6 +79,10 @@
     return this.mainPort;
   }
 
+  get requestCount(): number {
+    return [...this.requests.values()].reduce((sum, count) => sum + count, 0);
+  }
+
   get controlPort(): number {
     return portOf(this.controlServer);
   }
@@ -128,13 +134,14 @@
     const app = express().disable('x-powered-by');
     app.use('/control', this.controlRouter(true));
     app.use(this.delay());
-    app.get('/machines', this.outage('machinesOutage'), (_request, response) => {
+    const count = (path: string) => this.requests.set(path, (this.requests.get(path) ?? 0) + 1);
+    app.get('/machines', this.outage('machinesOutage'), (request, response) => {
+      count(request.path);
       const { machineListLagMs } = this.injector.faults;
       response.json({ machines: this.machines.read(this.clock.now(), machineListLagMs) });
     });
     app.use(this.outage('outage'), parseBody);
     const { store, injector, watches, clock } = this;
-    const count = (path: string) => this.requests.set(path, (this.requests.get(path) ?? 0) + 1);
     app.use(createGateway({ store, injector, watches, clock, count }));
     app.use(answerError);
     return app;
--- a/src/testing/commands.ts
+++ b/src/testing/commands.ts
@@ -26,15 +26,15 @@
     ],
   });
 
-  rates = Option.Array('--rate', DEFAULT_RATES, {
-    description: 'Calls a second on each path; repeat for more runs',
+  rates = Option.Array('--rate', {
+    description: 'Calls a second on each path; repeat for more runs; 77 and 770 when absent',
   });
   durationMs = Option.String('--duration-ms', '15000', { validator: positiveInteger });
   seed = Option.String('--seed', '1', { validator: t.isNumber() });
   json = Option.Boolean('--json', false, { description: 'Print JSON' });
 
   protected async run(): Promise<ExitCode> {
-    const rates = this.rates.map(Number);
+    const rates = (this.rates ?? DEFAULT_RATES).map(Number);
     if (!rates.every((rate) => rate > 0)) {
       this.context.stderr.write('--rate must be a positive number\n');
       return ExitCode.InvalidInput;
