--- a/src/core/membership/gossip-queue.ts
+++ b/src/core/membership/gossip-queue.ts
@@ -1,61 +1,51 @@
 /** Updates waiting to be spread, each sent a limited number of times. */
-import {
-  measureUpdate,
-  subjectOf,
-  type MemberUpdate,
-  type VersionUpdate,
-} from './member-update.js';
+import { measureUpdate, subjectOf, type MemberUpdate } from './member-update.js';
 
-/** Key of the newest rules version among the urgent updates; no node id looks like it. */
+/** Key of the newest rules version; no node id looks like it. */
 const NEWEST_VERSION = '#version';
 
+/** No update is smaller; ends the search for one that fits. */
+const MIN_UPDATE_BYTES = 40;
+
 interface QueuedUpdate {
   readonly update: MemberUpdate;
   readonly bytes: number;
   transmits: number;
 }
 
-type UpdateMap = Map<string, QueuedUpdate>;
-
 /**
- * At most one update per member and class; a newer one replaces an older one. Updates that
- * were sent least often go first. Rules versions form a class of their own that fills
- * what room the others leave, because a change of the rules moves all members at once.
+ * At most one claim per member, and one rules version; a newer one replaces an older one.
+ * Updates that were sent least often go first.
  */
 export class GossipQueue {
-  private readonly urgent: UpdateMap = new Map();
-  private readonly versions: UpdateMap = new Map();
+  private readonly entries = new Map<string, QueuedUpdate>();
+  /** Keys by times sent, so that nothing is sorted for a datagram. */
+  private readonly tiers: Set<string>[] = [];
 
-  /** Whether state changes wait. */
-  get hasUrgent(): boolean {
-    return this.urgent.size > 0;
-  }
-
-  /** Whether anything waits. */
+  /** Whether nothing waits. */
   get isEmpty(): boolean {
-    return this.urgent.size === 0 && this.versions.size === 0;
+    return this.entries.size === 0;
   }
 
-  /** Whether an update about a member still waits to be sent for the first time or again. */
+  /** Whether a claim about a member still waits to be sent for the first time or again. */
   has(nodeId: string): boolean {
-    return this.urgent.has(nodeId);
-  }
-
-  /** Adds a claim other than a rules version. */
-  push(update: Exclude<MemberUpdate, VersionUpdate>): void {
-    put(this.urgent, subjectOf(update), update);
+    return this.entries.has(nodeId);
   }
 
-  /** Adds a rules version; `isNews` when it is higher than any that this node knew. */
-  pushVersion(update: VersionUpdate, isNews: boolean): void {
-    if (isNews) put(this.urgent, NEWEST_VERSION, update);
-    else put(this.versions, update.nodeId, update);
+  /** Adds an update. */
+  push(update: MemberUpdate): void {
+    const key = keyOf(update);
+    this.remove(key);
+    this.entries.set(key, { update, bytes: measureUpdate(update), transmits: 0 });
+    this.tier(0).add(key);
   }
 
   /** Drops what waits about a member. */
   remove(nodeId: string): void {
-    this.urgent.delete(nodeId);
-    this.versions.delete(nodeId);
+    const entry = this.entries.get(nodeId);
+    if (entry === undefined) return;
+    this.entries.delete(nodeId);
+    this.tier(entry.transmits).delete(nodeId);
   }
 
   /**
@@ -66,24 +56,36 @@
    * @param first updates that must lead, not counted as sendings
    */
   select(room: number, limit: number, first: readonly MemberUpdate[] = []): MemberUpdate[] {
-    const selected = [...first];
-    const taken = new Set(first.map(subjectOf));
+    const leading = new Set(first.map(keyOf));
+    const keys: string[] = [];
     let left = room - first.reduce((sum, update) => sum + measureUpdate(update), 0);
-    for (const queue of [this.urgent, this.versions]) {
-      const ordered = [...queue].sort(([, a], [, b]) => a.transmits - b.transmits);
-      for (const [nodeId, entry] of ordered) {
-        if (entry.bytes > left || (queue === this.urgent && taken.has(nodeId))) continue;
-        selected.push(entry.update);
-        left -= entry.bytes;
-        entry.transmits += 1;
-        if (entry.transmits >= limit) queue.delete(nodeId);
+    for (const tier of this.tiers) {
+      for (const key of tier) {
+        if (left < MIN_UPDATE_BYTES) break;
+        const { bytes } = this.entries.get(key)!;
+        if (bytes > left || leading.has(key)) continue;
+        keys.push(key);
+        left -= bytes;
       }
     }
-    return selected;
+    return [...first, ...keys.map((key) => this.countTransmit(key, limit))];
+  }
+
+  private countTransmit(key: string, limit: number): MemberUpdate {
+    const entry = this.entries.get(key)!;
+    this.tier(entry.transmits).delete(key);
+    entry.transmits += 1;
+    if (entry.transmits >= limit) this.entries.delete(key);
+    else this.tier(entry.transmits).add(key);
+    return entry.update;
+  }
+
+  private tier(transmits: number): Set<string> {
+    this.tiers[transmits] ??= new Set();
+    return this.tiers[transmits];
   }
 }
 
-function put(queue: UpdateMap, key: string, update: MemberUpdate): void {
-  queue.delete(key);
-  queue.set(key, { update, bytes: measureUpdate(update), transmits: 0 });
+function keyOf(update: MemberUpdate): string {
+  return update.type === 'version' ? NEWEST_VERSION : subjectOf(update);
 }
--- a/src/core/membership/member-table.ts
+++ b/src/core/membership/member-table.ts
@@ -31,6 +31,8 @@
   private readonly liveByAddress = new Map<string, string>();
   private readonly suspects = new Set<MemberEntry>();
   private live: MemberEntry[] | undefined;
+  /** Counts changes of who has not failed, restarts included. */
+  viewChanges = 0;
 
   constructor(private readonly options: MembershipOptions) {}
 
@@ -72,6 +74,8 @@
       confrontedAt: -Infinity,
       view: undefined,
     };
+    const { failedAt } = entry;
+    const isNew = existing?.facts.incarnation !== facts.incarnation;
     this.unindexAddress(entry);
     entry.facts = facts;
     entry.leaving = leaving;
@@ -80,6 +84,7 @@
       entry.suspicion = undefined;
       entry.failedAt = undefined;
     }
+    if (isNew || failedAt !== entry.failedAt) this.viewChanges += 1;
     this.tombstones.delete(facts.nodeId);
     this.entries.set(facts.nodeId, entry);
     this.touch(entry);
@@ -99,6 +104,7 @@
     entry.claim = claim;
     entry.suspicion = undefined;
     entry.failedAt = now;
+    this.viewChanges += 1;
     this.touch(entry);
   }
 
--- a/src/core/membership/member-update.ts
+++ b/src/core/membership/member-update.ts
@@ -57,8 +57,8 @@
   return update.type === 'facts' ? update.facts.nodeId : update.nodeId;
 }
 
-/** Bytes of one BSON element without its content: type, key of up to 4 digits, zero byte. */
-const ELEMENT_BYTES = 6;
+/** Bytes of one BSON element without its content: type, key of up to 3 digits, zero byte. */
+const ELEMENT_BYTES = 5;
 const DOCUMENT_BYTES = 5;
 const STRING_BYTES = 5;
 const NUMBER_BYTES = 8;
--- /dev/null
+++ b/src/core/membership/membership-faults.test.ts
@@ -0,0 +1,252 @@
+/** Faults of nodes and network against the whole protocol, under virtual time. */
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { SimulatedFleet, type SimulatedNode } from '../../testing/simulated-fleet.js';
+
+const SECOND = 1_000;
+const LATER_START = 1_800_000_000_000;
+const EARLIER_START = 1_600_000_000_000;
+
+type FaultCase = (fleet: SimulatedFleet, size: number) => void;
+
+function createFleet(size: number, seed: number): SimulatedFleet {
+  const fleet = new SimulatedFleet(seed);
+  fleet.addNodes(size);
+  fleet.run(20 * SECOND);
+  assert.ok(fleet.hasConverged(), 'the fleet has formed');
+  assert.equal(fleet.countEvents('suspected'), 0);
+  return fleet;
+}
+
+function assertConverges(fleet: SimulatedFleet, limitMs: number, what: string): void {
+  const tookMs = fleet.runUntil(() => fleet.hasConverged(), limitMs);
+  assert.ok(tookMs <= limitMs, `${what}: views agree within ${limitMs} ms`);
+}
+
+function others(fleet: SimulatedFleet, id: string): SimulatedNode[] {
+  return fleet.running().filter((node) => node.id !== id);
+}
+
+function isFailedEverywhere(fleet: SimulatedFleet, id: string): boolean {
+  return others(fleet, id).every(({ protocol }) => protocol.find(id)?.state === 'failed');
+}
+
+function assertFailsEverywhere(fleet: SimulatedFleet, id: string, limitMs: number): void {
+  const tookMs = fleet.runUntil(() => isFailedEverywhere(fleet, id), limitMs);
+  assert.ok(tookMs <= limitMs, `${id} is failed everywhere within ${limitMs} ms`);
+}
+
+/** Whether every node sees its side of a cut as live and the other side as failed. */
+function isSplit(fleet: SimulatedFleet, isCutOff: (node: SimulatedNode) => boolean): boolean {
+  return fleet.running().every((viewer) =>
+    fleet.running().every((node) => {
+      const isFailed = viewer.protocol.find(node.id)?.state === 'failed';
+      return isFailed === (isCutOff(viewer) !== isCutOff(node));
+    }),
+  );
+}
+
+const CASES: Record<string, FaultCase> = {
+  'a killed node is failed everywhere within 10 s': (fleet) => {
+    fleet.kill('node-2');
+    assertFailsEverywhere(fleet, 'node-2', 10 * SECOND);
+    assertConverges(fleet, SECOND, 'the rest');
+  },
+  'a short pause is suspected at most, and refuted': (fleet) => {
+    fleet.pause('node-2');
+    fleet.run(2.5 * SECOND);
+    fleet.resume('node-2');
+    assertConverges(fleet, 2 * SECOND, 'after the pause');
+    assert.equal(fleet.countEvents('failed'), 0);
+  },
+  'a node paused past its failure comes back by itself': (fleet, size) => {
+    fleet.pause('node-2');
+    assertFailsEverywhere(fleet, 'node-2', 10 * SECOND);
+    fleet.run(60 * SECOND);
+    fleet.resume('node-2');
+    assertConverges(fleet, 5 * SECOND, 'after the pause');
+    fleet.run(30 * SECOND);
+    assert.ok(fleet.hasConverged());
+    // The paused node itself suspects nobody for what it has missed.
+    assert.equal(fleet.countEvents('failed'), size - 1);
+  },
+  'loss in one direction between two nodes raises no suspicion': (fleet) => {
+    fleet.isCut = (from, to) => from.id === 'node-2' && to.id === 'node-1';
+    fleet.run(60 * SECOND);
+    assert.ok(fleet.hasConverged());
+    assert.equal(fleet.countEvents('suspected'), 0);
+  },
+  'a node that is not heard is failed, and comes back': (fleet) => {
+    fleet.isCut = (from) => from.id === 'node-2';
+    assertFailsEverywhere(fleet, 'node-2', 30 * SECOND);
+    fleet.isCut = () => false;
+    assertConverges(fleet, 30 * SECOND, 'after the loss');
+  },
+  'a node that hears nothing is failed, and comes back': (fleet) => {
+    fleet.isCut = (_from, to) => to.id === 'node-2';
+    assertFailsEverywhere(fleet, 'node-2', 30 * SECOND);
+    fleet.isCut = () => false;
+    assertConverges(fleet, 30 * SECOND, 'after the loss');
+  },
+  'a zone that is cut off goes on by itself and rejoins': (fleet) => {
+    const isCutOff = ({ zone }: SimulatedNode): boolean => zone === 'zone-2';
+    fleet.isCut = (from, to) => isCutOff(from) !== isCutOff(to);
+    const splitMs = fleet.runUntil(() => isSplit(fleet, isCutOff), 60 * SECOND);
+    assert.ok(splitMs <= 60 * SECOND, 'each side has given up the other');
+    fleet.run(10 * 60 * SECOND);
+    assert.ok(isSplit(fleet, isCutOff), 'each side stays whole');
+    const failed = fleet.countEvents('failed');
+    fleet.isCut = () => false;
+    assertConverges(fleet, 30 * SECOND, 'after the cut');
+    fleet.run(30 * SECOND);
+    assert.ok(fleet.hasConverged(), 'and stays so');
+    assert.equal(fleet.countEvents('failed'), failed, 'rejoining fails nobody');
+  },
+  '30% loss leaves no lasting false failure': (fleet) => {
+    fleet.lossRate = 0.3;
+    for (let round = 0; round < 4; round += 1) {
+      fleet.run(30 * SECOND);
+      const tookMs = fleet.runUntil(
+        () =>
+          fleet.running().every(({ protocol }) => protocol.members().length === fleet.nodes.size),
+        40 * SECOND,
+      );
+      assert.ok(tookMs <= 40 * SECOND, `round ${round}: no node stays failed`);
+    }
+    fleet.lossRate = 0;
+    assertConverges(fleet, 40 * SECOND, 'after the loss');
+  },
+  'a restarted process replaces its earlier incarnation': (fleet) => {
+    fleet.kill('node-2');
+    fleet.addNode({ id: 'node-2', address: '10.0.0.2:7000', incarnation: LATER_START });
+    const isKnown = (): boolean =>
+      fleet.running().every(({ protocol }) => protocol.find('node-2')?.incarnation === LATER_START);
+    assert.ok(fleet.runUntil(isKnown, 3 * SECOND) <= 3 * SECOND);
+    assertConverges(fleet, SECOND, 'after the restart');
+    assert.equal(fleet.countEvents('failed'), 0);
+  },
+  'a restarted process whose clock is behind goes above its earlier incarnation': (fleet) => {
+    const earlier = fleet.node('node-2').protocol.self().incarnation;
+    fleet.kill('node-2');
+    fleet.addNode({ id: 'node-2', address: '10.0.0.2:7000', incarnation: EARLIER_START });
+    const isKnown = (): boolean =>
+      fleet.running().every(({ protocol }) => {
+        const { incarnation } = protocol.find('node-2')!;
+        return incarnation > earlier;
+      });
+    assert.ok(fleet.runUntil(isKnown, 10 * SECOND) <= 10 * SECOND);
+    assertConverges(fleet, SECOND, 'after the restart');
+  },
+  'a machine under a new name takes over its address at once': (fleet) => {
+    fleet.kill('node-2');
+    fleet.addNode({ id: 'new-2', address: '10.0.0.2:7000', incarnation: LATER_START });
+    assertConverges(fleet, 3 * SECOND, 'after the replacement');
+    assert.ok(
+      isFailedEverywhere(fleet, 'node-2') ||
+        fleet.node('new-2').protocol.find('node-2') === undefined,
+    );
+  },
+  'a machine under a new name whose clock is behind takes over once the old one has failed': (
+    fleet,
+  ) => {
+    fleet.kill('node-2');
+    fleet.addNode({ id: 'new-2', address: '10.0.0.2:7000', incarnation: EARLIER_START });
+    assertConverges(fleet, 30 * SECOND, 'after the replacement');
+  },
+  'a planned stop is known everywhere within 3 s and is no failure': (fleet) => {
+    const leaver = fleet.node('node-2');
+    fleet.act(leaver, (now) => leaver.protocol.leave(now));
+    const isKnown = (): boolean =>
+      others(fleet, 'node-2').every(({ protocol }) => {
+        const member = protocol.find('node-2');
+        return member?.state === 'leaving' && !member.ready;
+      });
+    assert.ok(fleet.runUntil(isKnown, 3 * SECOND) <= 3 * SECOND);
+    assert.ok(fleet.runUntil(() => leaver.protocol.isLeaveSpread, 3 * SECOND) <= 3 * SECOND);
+    fleet.kill('node-2');
+    assertConverges(fleet, 10 * SECOND, 'after the stop');
+    assert.equal(fleet.countEvents('failed'), 0);
+  },
+  'leaving targets and rules versions are known everywhere within 3 s': (fleet) => {
+    const node = fleet.node('node-2');
+    const facts = { leavingTargets: ['target-1'], configVersion: 5 };
+    fleet.act(node, (now) => node.protocol.update(now, facts));
+    const isKnown = (): boolean =>
+      others(fleet, 'node-2').every(({ protocol }) => {
+        const member = protocol.find('node-2');
+        return member?.configVersion === 5 && member.leavingTargets[0] === 'target-1';
+      });
+    assert.ok(fleet.runUntil(isKnown, 3 * SECOND) <= 3 * SECOND);
+  },
+  'the rules version in force at each node is known everywhere within 8 s': (fleet) => {
+    for (const node of fleet.running()) {
+      fleet.act(node, (now) => node.protocol.update(now, { configVersion: 6 }));
+    }
+    const isKnown = (): boolean =>
+      fleet
+        .running()
+        .every(({ protocol }) =>
+          protocol.members().every(({ configVersion }) => configVersion === 6),
+        );
+    assert.ok(fleet.runUntil(isKnown, 8 * SECOND) <= 8 * SECOND);
+  },
+  'stale gossip does not raise a forgotten member': (fleet) => {
+    const stale = fleet.node('node-2').protocol.self();
+    const viewer = fleet.node('node-1');
+    fleet.kill('node-2');
+    fleet.run(3 * 3_600 * SECOND);
+    assert.equal(viewer.protocol.find('node-2'), undefined);
+    fleet.act(viewer, (now) =>
+      viewer.protocol.onMessage(now, '10.0.0.3:7000', {
+        type: 'gossip',
+        from: 'node-3',
+        incarnation: fleet.node('node-3').protocol.self().incarnation,
+        configVersion: 0,
+        updates: [{ type: 'facts', facts: stale, leaving: false }],
+      }),
+    );
+    assert.equal(viewer.protocol.find('node-2'), undefined);
+  },
+};
+
+const LARGE_FLEET_CASES: Record<string, FaultCase> = {
+  'a rack of nodes lost at once is failed everywhere': (fleet, size) => {
+    const rack = fleet
+      .running()
+      .map(({ id }) => id)
+      .slice(2, 2 + Math.floor(size / 3));
+    fleet.kill(...rack);
+    assertConverges(fleet, 30 * SECOND, 'after the loss');
+    assert.equal(fleet.countEvents('failed'), rack.length * (size - rack.length));
+  },
+  'the same rack lost, replaced and lost again': (fleet, size) => {
+    const rack = fleet
+      .running()
+      .map(({ id }) => id)
+      .slice(2, 2 + Math.floor(size / 4));
+    for (const round of [1, 2]) {
+      fleet.kill(...rack);
+      assertConverges(fleet, 30 * SECOND, `loss ${round}`);
+      for (const id of rack) {
+        const { address, zone } = fleet.node(id);
+        fleet.addNode({ id, address, zone, incarnation: LATER_START + round });
+      }
+      assertConverges(fleet, 30 * SECOND, `return ${round}`);
+    }
+  },
+};
+
+for (const [size, seed] of [
+  [3, 11],
+  [12, 12],
+  [60, 13],
+] as const) {
+  const cases = size < 10 ? CASES : { ...CASES, ...LARGE_FLEET_CASES };
+  for (const [name, run] of Object.entries(cases)) {
+    // Hours of virtual time; a small fleet shows the same.
+    if (size === 60 && name.startsWith('stale gossip')) continue;
+    test(`${size} nodes: ${name}`, () => {
+      run(createFleet(size, seed), size);
+    });
+  }
+}
--- a/src/core/membership/membership-message.ts
+++ b/src/core/membership/membership-message.ts
@@ -1,5 +1,6 @@
 /** Datagrams of the membership protocol; see docs/design/membership.md. */
 import type { MemberUpdate } from './member-update.js';
+import type { VersionDigest } from './version-map.js';
 
 interface MessageBase {
   /** The sending node. */
@@ -7,6 +8,8 @@
   readonly incarnation: number;
   /** The sender's rules version: known at once to whoever hears from it. */
   readonly configVersion: number;
+  /** Who has the newest rules version; absent in a very large fleet. */
+  readonly versions?: VersionDigest;
   readonly updates: readonly MemberUpdate[];
 }
 
--- a/src/core/membership/membership-options.ts
+++ b/src/core/membership/membership-options.ts
@@ -20,6 +20,8 @@
   readonly gossipIntervalMs: number;
   /** Members that one gossip round goes to. */
   readonly gossipFanOut: number;
+  /** Bytes a second that gossip rounds may use in the long run, and at once after a rest. */
+  readonly gossipBytesPerSecond: number;
   /** An update is sent this times log10 of the fleet's size + 1 times, rounded up. */
   readonly retransmitMultiplier: number;
   /** Pause between state exchanges, on average. */
@@ -50,6 +52,7 @@
   maxLocalHealth: 8,
   gossipIntervalMs: 200,
   gossipFanOut: 3,
+  gossipBytesPerSecond: 6_000,
   retransmitMultiplier: 4,
   syncIntervalMs: 30_000,
   rejoinIntervalMs: 10_000,
@@ -57,6 +60,6 @@
   forgetLeftMs: 60_000,
   tombstoneMs: 24 * 3_600_000,
   maxTombstones: 8_192,
-  maxUpdateBytes: 1_150,
+  maxUpdateBytes: 1_050,
   pauseThresholdMs: 1_000,
 };
--- a/src/core/membership/membership-protocol.ts
+++ b/src/core/membership/membership-protocol.ts
@@ -12,7 +12,7 @@
   listUpdates,
 } from './anti-entropy.js';
 import { viewOf, type MemberEntry } from './member-table.js';
-import type { FactsUpdate, MemberUpdate, NoticeUpdate } from './member-update.js';
+import type { FactsUpdate, MemberUpdate } from './member-update.js';
 import type {
   AckMessage,
   MemberSyncReply,
@@ -51,6 +51,8 @@
   private forgetAt = Infinity;
   private lastReturnSyncAt = -Infinity;
   private joined = false;
+  /** Bytes that gossip rounds may use now. */
+  private gossipCredit = 0;
 
   /**
    * @param self this node's facts at start
@@ -118,9 +120,8 @@
     const { self } = state;
     if (configVersion !== undefined && configVersion > self.configVersion) {
       const { nodeId, incarnation } = self;
-      state.self = { ...self, configVersion };
-      state.spreadVersion({ type: 'version', nodeId, incarnation, configVersion });
-      state.markChanged();
+      state.setSelf({ ...self, configVersion });
+      state.noteVersion(nodeId, incarnation, configVersion);
     }
     if (hasChange(self, facts)) this.announce(facts);
     return this.finish(now);
@@ -131,7 +132,6 @@
     if (!this.state.leaving) {
       this.state.leaving = true;
       this.announce({ ready: false });
-      this.lastGossipAt = -Infinity;
     }
     return this.finish(now);
   }
@@ -165,6 +165,7 @@
     if (nodeId === this.state.self.nodeId) return [];
     this.merger.apply(now, message.updates, { nodeId, isSync: false });
     this.merger.applyVersion({ type: 'version', nodeId, incarnation, configVersion });
+    if (message.versions !== undefined) this.state.applyVersions(message.versions);
     switch (message.type) {
       case 'ping':
         this.onPing(address, message);
@@ -197,7 +198,8 @@
     request: MemberSyncRequest,
   ): { reply: MemberSyncReply; actions: Actions } {
     const reply = answerSync(this.state, request);
-    return { reply, actions: this.applyUpdates(now, nodeId, request.updates) };
+    const source = { nodeId, isSync: true };
+    return { reply, actions: this.applyUpdates(now, source, request.updates) };
   }
 
   /** This node's side of the buckets that differ, as requests that hand it over. */
@@ -207,8 +209,9 @@
 
   /** The peer's page of a state exchange, or facts that were fetched. */
   onSyncReply(now: number, nodeId: string, updates: readonly MemberUpdate[]): Actions {
+    const isJoin = !this.joined;
     this.joined = true;
-    return this.applyUpdates(now, nodeId, updates);
+    return this.applyUpdates(now, { nodeId, isSync: true, isJoin }, updates);
   }
 
   /** Facts of some members, for a peer that asks. */
@@ -216,8 +219,11 @@
     return listFacts(this.state, nodeIds);
   }
 
-  private applyUpdates(now: number, nodeId: string, updates: readonly MemberUpdate[]): Actions {
-    const source: UpdateSource = { nodeId, isSync: true };
+  private applyUpdates(
+    now: number,
+    source: UpdateSource,
+    updates: readonly MemberUpdate[],
+  ): Actions {
     this.merger.apply(now, updates, source);
     return this.finish(now);
   }
@@ -268,19 +274,22 @@
   /** Spreads new facts of this node. */
   private announce(facts: MutableFacts): void {
     const { state } = this;
-    state.self = { ...state.self, ...facts, sequence: state.self.sequence + 1 };
-    state.queue.push(state.describeSelf() as FactsUpdate | NoticeUpdate);
-    state.markChanged();
+    state.setSelf({ ...state.self, ...facts, sequence: state.self.sequence + 1 });
+    state.queue.push(state.describeSelf());
   }
 
   private gossip(now: number): void {
     const { state, options } = this;
+    const { gossipBytesPerSecond } = options;
+    const earned = ((now - this.lastGossipAt) / 1_000) * gossipBytesPerSecond;
+    this.gossipCredit = Math.min(gossipBytesPerSecond, this.gossipCredit + earned);
     this.lastGossipAt = now;
     this.gossipAt = Infinity;
-    const fanOut = state.queue.hasUrgent ? options.gossipFanOut : 1;
-    for (const { facts } of sample(state.table.listLive(), fanOut, state.random)) {
+    if (this.gossipCredit <= 0) return;
+    const targets = sample(state.table.listLive(), options.gossipFanOut, state.random);
+    for (const { facts } of targets) {
       if (state.queue.isEmpty) return;
-      state.send(facts.peerAddress, { type: 'gossip' });
+      this.gossipCredit -= state.send(facts.peerAddress, { type: 'gossip' });
     }
   }
 
--- a/src/core/membership/protocol-state.ts
+++ b/src/core/membership/protocol-state.ts
@@ -3,12 +3,7 @@
 import type { Random } from '../random.js';
 import { GossipQueue } from './gossip-queue.js';
 import { stateOf, MemberTable, type MemberEntry } from './member-table.js';
-import {
-  measureUpdate,
-  type ClaimPosition,
-  type MemberUpdate,
-  type VersionUpdate,
-} from './member-update.js';
+import { measureUpdate, type ClaimPosition, type MemberUpdate } from './member-update.js';
 import type {
   AckMessage,
   GossipMessage,
@@ -19,8 +14,9 @@
   PingRequestMessage,
 } from './membership-message.js';
 import type { MembershipOptions } from './membership-options.js';
+import { VersionMap, type VersionDigest } from './version-map.js';
 
-type Header = 'from' | 'incarnation' | 'configVersion' | 'updates';
+type Header = 'from' | 'incarnation' | 'configVersion' | 'versions' | 'updates';
 
 /** A datagram without its header. */
 export type MessageContent =
@@ -30,6 +26,9 @@
   | Omit<NackMessage, Header>
   | Omit<GossipMessage, Header>;
 
+/** About the bytes of a datagram without updates, packet headers included. */
+const HEADER_BYTES = 130;
+
 /** What the parts of the protocol work on. */
 export class ProtocolState {
   readonly table: MemberTable;
@@ -38,10 +37,16 @@
   leaving = false;
   /** Lifeguard's local health score: 0 is healthy. */
   localHealth = 0;
-  private highestVersion = 0;
+  /** Highest rules version that this node knows of. */
+  highestVersion = 0;
+  /** Counts changes of what is known of rules versions. */
+  versionChanges = 0;
+  private readonly versionMap = new VersionMap(this);
   private actions: MembershipAction[] = [];
   private changed = false;
 
+  private selfChanges = 0;
+
   constructor(
     public self: MemberFacts,
     readonly options: MembershipOptions,
@@ -60,6 +65,11 @@
     return Math.ceil(this.options.retransmitMultiplier * Math.log10(this.fleetSize + 1));
   }
 
+  /** Counts changes of who is in the list of members. */
+  get viewChanges(): number {
+    return this.table.viewChanges + this.selfChanges;
+  }
+
   emit(action: MembershipAction): void {
     this.actions.push(action);
   }
@@ -73,6 +83,18 @@
     this.changed = true;
   }
 
+  /** Takes in what a datagram says about rules versions. */
+  applyVersions(digest: VersionDigest): void {
+    this.versionMap.apply(digest);
+  }
+
+  /** Replaces this node's own facts. */
+  setSelf(facts: MemberFacts): void {
+    if (facts.incarnation !== this.self.incarnation) this.selfChanges += 1;
+    this.self = facts;
+    this.markChanged();
+  }
+
   /** Ends the handling of one input. */
   takeActions(): readonly MembershipAction[] {
     if (this.changed) this.actions.push({ type: 'changed' });
@@ -82,12 +104,19 @@
     return taken;
   }
 
-  /** Sends a datagram with as many waiting updates as fit after those of `first`. */
-  send(to: string, content: MessageContent, first: readonly MemberUpdate[] = []): void {
+  /**
+   * Sends a datagram with as many waiting updates as fit after those of `first`.
+   *
+   * @returns about the bytes that it takes
+   */
+  send(to: string, content: MessageContent, first: readonly MemberUpdate[] = []): number {
     const { nodeId, incarnation, configVersion } = this.self;
+    const versions = this.versionMap.describe();
     const updates = this.queue.select(this.options.maxUpdateBytes, this.retransmitLimit, first);
-    const message = { ...content, from: nodeId, incarnation, configVersion, updates };
+    const header = { from: nodeId, incarnation, configVersion, updates };
+    const message = { ...content, ...header, ...(versions !== undefined && { versions }) };
     this.emit({ type: 'send', to, message });
+    return updates.reduce((sum, update) => sum + measureUpdate(update), HEADER_BYTES);
   }
 
   /** This node's facts as an update that fits a datagram. */
@@ -111,11 +140,24 @@
       : { type: 'failed', nodeId, ...position };
   }
 
-  /** Spreads a rules version; the first news of a new one goes ahead of everything else. */
-  spreadVersion(update: VersionUpdate): void {
-    const isNews = update.configVersion > this.highestVersion;
-    if (isNews) this.highestVersion = update.configVersion;
-    this.queue.pushVersion(update, isNews);
+  /**
+   * Raises what is known of a member's rules version. The first news of a new version is
+   * spread ahead of everything else; who else has it travels as {@link VersionMap} bits.
+   */
+  raiseVersion(nodeId: string, configVersion: number): void {
+    const entry = this.table.find(nodeId);
+    if (entry === undefined || configVersion <= entry.facts.configVersion) return;
+    this.table.setVersion(entry, configVersion);
+    this.noteVersion(nodeId, entry.facts.incarnation, configVersion);
+  }
+
+  /** Takes note of a version that some node, perhaps this one, has in force. */
+  noteVersion(nodeId: string, incarnation: number, configVersion: number): void {
+    this.versionChanges += 1;
+    this.markChanged();
+    if (configVersion <= this.highestVersion) return;
+    this.highestVersion = configVersion;
+    this.queue.push({ type: 'version', nodeId, incarnation, configVersion });
   }
 
   /** Whether an entry takes part in probing and gossip. */
--- a/src/core/membership/update-merger.ts
+++ b/src/core/membership/update-merger.ts
@@ -17,11 +17,16 @@
 /** Time for which facts are not asked for again, in milliseconds. */
 const FETCH_PAUSE_MS = 2_000;
 
+/** Refutations that one datagram brings back to the sender of stale claims. */
+const MAX_CORRECTIONS = 3;
+
 /** Where updates came from. */
 export interface UpdateSource {
   readonly nodeId: string;
   /** From a state exchange: what the other side holds failed may just have been cut off. */
   readonly isSync: boolean;
+  /** This node is just joining: what it learns is no news to the others. */
+  readonly isJoin?: boolean;
 }
 
 /** Applies updates. */
@@ -37,19 +42,22 @@
   /** Applies updates in order. */
   apply(now: number, updates: readonly MemberUpdate[], source: UpdateSource): void {
     const wanted: string[] = [];
+    const corrections: MemberUpdate[] = [];
     for (const update of updates) {
       switch (update.type) {
         case 'facts':
-          this.applyFacts(now, update);
+          this.applyFacts(now, update, source);
           break;
         case 'notice':
           if (this.isWanted(now, update)) wanted.push(update.nodeId);
           break;
         case 'suspect':
           this.applySuspect(now, update);
+          this.noteStale(update, source, corrections);
           break;
         case 'failed':
           this.applyFailed(now, update, source);
+          this.noteStale(update, source, corrections);
           break;
         case 'version':
           this.applyVersion(update);
@@ -59,6 +67,27 @@
     if (wanted.length > 0) {
       this.state.emit({ type: 'fetch', source: source.nodeId, nodeIds: wanted });
     }
+    if (corrections.length > 0) this.correct(source.nodeId, corrections);
+  }
+
+  /** A datagram's claim that has been refuted since: its sender has missed the refutation. */
+  private noteStale(
+    update: SuspectUpdate | FailedUpdate,
+    source: UpdateSource,
+    corrections: MemberUpdate[],
+  ): void {
+    if (source.isSync || corrections.length >= MAX_CORRECTIONS) return;
+    const { self, table } = this.state;
+    const entry = table.find(update.nodeId);
+    if (update.nodeId !== self.nodeId && entry !== undefined && entry.failedAt === undefined) {
+      const isStale = comparePositions(update, entry.facts) < 0;
+      if (isStale) corrections.push(this.state.describeEntry(entry));
+    }
+  }
+
+  private correct(nodeId: string, corrections: readonly MemberUpdate[]): void {
+    const address = this.state.table.find(nodeId)?.facts.peerAddress;
+    if (address !== undefined) this.state.send(address, { type: 'gossip' }, corrections);
   }
 
   /** Suspects a member that did not answer this node. */
@@ -80,14 +109,11 @@
   /** Takes in a rules version heard from the member itself or about it. */
   applyVersion({ nodeId, incarnation, configVersion }: VersionUpdate): void {
     const entry = this.state.table.find(nodeId);
-    if (entry?.facts.incarnation !== incarnation) return;
-    if (configVersion <= entry.facts.configVersion) return;
-    this.state.table.setVersion(entry, configVersion);
-    this.state.spreadVersion({ type: 'version', nodeId, incarnation, configVersion });
-    this.state.markChanged();
+    if (entry?.facts.incarnation === incarnation) this.state.raiseVersion(nodeId, configVersion);
   }
 
-  private applyFacts(now: number, { facts, leaving }: FactsUpdate): void {
+  private applyFacts(now: number, update: FactsUpdate, source: UpdateSource): void {
+    const { facts } = update;
     const { table, self } = this.state;
     if (facts.nodeId === self.nodeId) {
       if (comparePositions(facts, self) > 0) this.refute(facts);
@@ -101,14 +127,16 @@
     const tombstone = table.findTombstone(facts.nodeId);
     if (tombstone !== undefined && comparePositions(facts, tombstone) <= 0) return;
     if (!this.claimAddress(now, facts)) return;
-    this.accept(now, entry, facts, leaving);
+    this.accept(now, entry, update);
+    if (source.isJoin !== true) {
+      this.state.queue.push(this.state.describeEntry(table.find(facts.nodeId)!));
+    }
   }
 
   private accept(
     now: number,
     previous: MemberEntry | undefined,
-    facts: MemberFacts,
-    leaving: boolean,
+    { facts, leaving }: FactsUpdate,
   ): void {
     const { state } = this;
     const before = previous?.facts;
@@ -118,7 +146,7 @@
     const known = restarted ? 0 : (before?.configVersion ?? 0);
     const configVersion = Math.max(known, facts.configVersion);
     const entry = state.table.put({ ...facts, configVersion }, leaving);
-    state.queue.push(state.describeEntry(entry) as FactsUpdate | NoticeUpdate);
+    state.noteVersion(facts.nodeId, facts.incarnation, configVersion);
     state.markChanged();
     if (entry.failedAt !== undefined) return;
     // A restarted node has lost its ends of the links, and may not have closed them.
@@ -238,8 +266,7 @@
     const isForeign = claim.incarnation > self.incarnation;
     const incarnation = isForeign ? claim.incarnation + 1 : self.incarnation;
     const sequence = isForeign ? 0 : Math.max(self.sequence, claim.sequence) + 1;
-    state.self = { ...self, incarnation, sequence };
-    state.queue.push(state.describeSelf() as FactsUpdate | NoticeUpdate);
-    state.markChanged();
+    state.setSelf({ ...self, incarnation, sequence });
+    state.queue.push(state.describeSelf());
   }
 }
--- a/src/membership/datagram-codec.ts
+++ b/src/membership/datagram-codec.ts
@@ -6,6 +6,7 @@
 import { deserialize, serialize } from 'bson';
 import type { MemberUpdate } from '../core/membership/member-update.js';
 import type { MembershipMessage } from '../core/membership/membership-message.js';
+import { MAX_VERSION_BITS_BYTES, type VersionDigest } from '../core/membership/version-map.js';
 import { isCount, isMemberUpdate, isText } from './membership-calls.js';
 
 /** Largest datagram: fits an Ethernet frame with room for tunnels. */
@@ -22,6 +23,8 @@
   readonly i: number;
   readonly v: number;
   readonly u: readonly (readonly unknown[])[];
+  /** View, version and bits of the digest of rules versions. */
+  readonly d?: readonly [number, number, Uint8Array];
   readonly p?: number;
   /** `to` or `subject`. */
   readonly s?: string;
@@ -49,7 +52,7 @@
     const body = datagram.subarray(TAG_BYTES);
     if (!timingSafeEqual(this.sign(body), datagram.subarray(0, TAG_BYTES))) return undefined;
     try {
-      return fromWire(deserialize(body));
+      return fromWire(deserialize(body, { promoteBuffers: true }));
     } catch {
       return undefined;
     }
@@ -61,12 +64,14 @@
 }
 
 function toWire(message: MembershipMessage): WireMessage {
+  const { versions } = message;
   const header = {
     k: MESSAGE_TYPES.indexOf(message.type),
     f: message.from,
     i: message.incarnation,
     v: message.configVersion,
     u: message.updates.map(updateToWire),
+    ...(versions !== undefined && { d: [versions.view, versions.version, versions.bits] as const }),
   };
   switch (message.type) {
     case 'ping':
@@ -83,12 +88,14 @@
 }
 
 function fromWire(wire: Record<string, unknown>): MembershipMessage | undefined {
-  const { k, f: from, i: incarnation, v: configVersion, u, p: probe, s, a: address, w } = wire;
+  const { k, f: from, i: incarnation, v: configVersion, u, d, p: probe, s, a: address, w } = wire;
   if (!isText(from) || from === '' || !isCount(incarnation) || !isCount(configVersion)) return;
   if (!Array.isArray(u)) return undefined;
   const updates = u.map(updateFromWire);
   if (!updates.every(isMemberUpdate)) return undefined;
-  const header = { from, incarnation, configVersion, updates };
+  const versions = d === undefined ? undefined : versionsFromWire(d);
+  if (d !== undefined && versions === undefined) return undefined;
+  const header = { from, incarnation, configVersion, updates, ...(versions && { versions }) };
   const type = MESSAGE_TYPES[k as number];
   if (type === 'gossip') return { type, ...header };
   if (type === undefined || !isCount(probe)) return undefined;
@@ -99,6 +106,12 @@
   return isText(address) ? { type, ...header, probe, subject: s, address } : undefined;
 }
 
+function versionsFromWire(value: unknown): VersionDigest | undefined {
+  const [view, version, bits] = Array.isArray(value) ? (value as unknown[]) : [];
+  if (!isCount(view) || !isCount(version) || !Buffer.isBuffer(bits)) return undefined;
+  return bits.length <= MAX_VERSION_BITS_BYTES ? { view, version, bits } : undefined;
+}
+
 function updateToWire(update: MemberUpdate): unknown[] {
   const kind = UPDATE_TYPES.indexOf(update.type);
   switch (update.type) {
--- a/src/testing/simulated-fleet.ts
+++ b/src/testing/simulated-fleet.ts
@@ -72,6 +72,15 @@
     for (let index = 1; index <= count; index += 1) this.addNode({ id: `node-${index}` });
   }
 
+  /** Starts nodes that know each other from the beginning, as a fleet that has long run. */
+  addFormedNodes(count: number): void {
+    this.addNodes(count);
+    const updates = this.running().flatMap(({ id, protocol }) => protocol.listFacts([id]));
+    for (const node of this.running()) {
+      this.act(node, (now) => node.protocol.onSyncReply(now, 'node-1', updates));
+    }
+  }
+
   /** Starts one node; one of the same id replaces the earlier process. */
   addNode(spec: NodeSpec): SimulatedNode {
     const index = this.nodes.size;
