Add emulate platform to the command line

Cause: the demo and the process tests start the platform as a process, and there was no command. Ruled out: starting it inside the driver; a killed or paused platform needs its own process. Change: src/stand-ins/platform/commands.ts, registered.

--- a/src/cli/registered-commands.ts
+++ b/src/cli/registered-commands.ts
@@ -3,6 +3,7 @@
 import { commands as backendCommands } from '../stand-ins/backend/commands.js';
 import { commands as callersCommands } from '../stand-ins/callers/commands.js';
 import { commands as linkCommands } from '../stand-ins/link/commands.js';
+import { commands as platformCommands } from '../stand-ins/platform/commands.js';
 import type { CommandClass } from './command.js';
 import { commands as benchmarkCommands } from '../testing/commands.js';
 import { ConfigApplyCommand } from './config-apply-command.js';
@@ -34,5 +35,6 @@
   ...backendCommands,
   ...callersCommands,
   ...linkCommands,
+  ...platformCommands,
   ...benchmarkCommands,
 ];
