--- a/src/node/plugins.ts
+++ b/src/node/plugins.ts
@@ -6,3 +6,5 @@
 import '../target/target-plugin.js';
 import '../entry/entry-plugin.js';
 import '../admin/admin-plugin.js';
+import '../platform/platform-plugin.js';
+import '../config/config-plugin.js';
