Register the overload policies at the start of a node

Cause: a node of the demo ended with 'no overload policy is named adaptive'. Ruled out: a wrong name in the settings; the registry was empty. Change: src/node/plugins.ts imports src/core/overload-policies.ts.

--- a/src/node/plugins.ts
+++ b/src/node/plugins.ts
@@ -3,6 +3,7 @@
 import '../peer/peer-plugin.js';
 import '../membership/membership-plugin.js';
 import '../claims/claim-plugin.js';
+import '../core/overload-policies.js';
 import '../target/target-plugin.js';
 import '../entry/entry-plugin.js';
 import '../admin/admin-plugin.js';
