Run the demo whole; give up at once when a process ends during the start

Cause: a node that ended during the start was waited for until the limit. Ruled out: a slow start; the process had ended. Change: poll passes fatal errors on.

--- a/src/testing/deployment.ts
+++ b/src/testing/deployment.ts
@@ -15,7 +15,7 @@
   type PlanOptions,
 } from './deployment-plan.js';
 import { checkGuarantees, type GuaranteeReport } from './guarantees.js';
-import { poll, requestJson } from './http-json.js';
+import { FatalError, poll, requestJson } from './http-json.js';
 import { ManagedProcess, type ProcessEnd } from './managed-process.js';
 
 const START_TIMEOUT_MS = 20_000;
@@ -285,7 +285,8 @@
   }
 
   private expectRunning(process: ManagedProcess): void {
-    if (!process.running) throw new Error(`${process.name} ended: ${process.stderr.slice(-4_000)}`);
+    if (process.running) return;
+    throw new FatalError(`${process.name} ended: ${process.stderr.slice(-4_000)}`);
   }
 }
 
--- a/src/testing/http-json.ts
+++ b/src/testing/http-json.ts
@@ -21,6 +21,9 @@
 const REQUEST_TIMEOUT_MS = 5_000;
 const POLL_INTERVAL_MS = 50;
 
+/** An error that no repeat can mend; {@link poll} passes it on at once. */
+export class FatalError extends Error {}
+
 /** Repeats `check` until it gives true; rejects with the last reason after `timeoutMs`. */
 export async function poll(
   what: string,
@@ -33,6 +36,7 @@
     try {
       if (await check()) return;
     } catch (error) {
+      if (error instanceof FatalError) throw error;
       reason = String(error);
     }
     if (performance.now() > giveUpAt) throw new Error(`${what}: ${reason}`);
