--- a/src/core/limit/aimd-limit.ts
+++ b/src/core/limit/aimd-limit.ts
@@ -8,7 +8,7 @@
 export interface AimdLimitOptions {
   readonly initialLimit: number;
   readonly maxLimit: number;
-  /** A latency above this multiple of the lowest seen counts as congestion. Default 2. */
+  /** A mean latency above this multiple of the lowest mean counts as congestion. Default 2. */
   readonly congestionRatio?: number;
   /** Factor on congestion. Default 0.9. */
   readonly decrease?: number;
@@ -19,11 +19,17 @@
 const DEFAULT_CONGESTION_RATIO = 2;
 const DEFAULT_DECREASE = 0.9;
 const DEFAULT_DECREASE_INTERVAL_MS = 100;
+/** Weight of one sample in the mean latency. */
+const LATENCY_WEIGHT = 0.02;
+/** Samples before the mean counts. */
+const WARM_UP_SAMPLES = 50;
 
 /** AIMD limit: one more per limit's worth of good answers, a tenth less on congestion. */
 export class AimdLimit implements ConcurrencyLimit {
   private limit: number;
-  private lowestLatencyMs = Infinity;
+  private samples = 0;
+  private meanLatencyMs = 0;
+  private lowestMeanMs = Infinity;
   private decreasedAt = -Infinity;
 
   constructor(private readonly options: AimdLimitOptions) {
@@ -36,9 +42,7 @@
 
   onComplete(sample: LimitSample): void {
     if (sample.outcome === 'cancelled' || sample.outcome === 'draining') return;
-    if (sample.outcome === 'success') {
-      this.lowestLatencyMs = Math.min(this.lowestLatencyMs, sample.latencyMs);
-    }
+    if (sample.outcome === 'success') this.noteLatency(sample.latencyMs);
     if (this.isCongested(sample)) {
       this.decrease(sample.now);
     } else if (sample.inFlight >= this.current()) {
@@ -46,10 +50,18 @@
     }
   }
 
+  private noteLatency(latencyMs: number): void {
+    this.samples += 1;
+    const weight = Math.max(LATENCY_WEIGHT, 1 / this.samples);
+    this.meanLatencyMs += weight * (latencyMs - this.meanLatencyMs);
+    if (this.samples < WARM_UP_SAMPLES) return;
+    this.lowestMeanMs = Math.min(this.lowestMeanMs, this.meanLatencyMs);
+  }
+
   private isCongested(sample: LimitSample): boolean {
     if (sample.outcome !== 'success') return true;
     const ratio = this.options.congestionRatio ?? DEFAULT_CONGESTION_RATIO;
-    return sample.latencyMs > ratio * this.lowestLatencyMs;
+    return this.meanLatencyMs > ratio * this.lowestMeanMs;
   }
 
   private decrease(now: number): void {
