--- /dev/null
+++ b/src/core/limit/refusal-ceiling.ts
@@ -0,0 +1,43 @@
+/**
+ * Upper bound of a limit by the refusals of the target itself. A target that refuses while
+ * `n` requests are in flight, the refused one included, holds at most `n - 1`. The bound
+ * rises again in steps of one; a step that is refused makes the next pause longer.
+ */
+
+/** Pause before the first step, in milliseconds. */
+const FIRST_PAUSE_MS = 100;
+const MAX_PAUSE_MS = 3_200;
+
+/** What a refusing target holds. */
+export class RefusalCeiling {
+  private ceiling = Infinity;
+  private pauseMs = FIRST_PAUSE_MS;
+  private nextStepAt = -Infinity;
+  private successesLeft = 0;
+
+  /** The limit, bounded. */
+  apply(limit: number): number {
+    if (limit < this.ceiling) this.ceiling = Infinity;
+    return Math.min(limit, this.ceiling);
+  }
+
+  /** The target refused a request for load. */
+  onRefused(now: number, inFlight: number): void {
+    const holds = Math.max(1, inFlight - 1);
+    if (holds >= this.ceiling && now < this.nextStepAt) return;
+    const isNew = now >= this.nextStepAt;
+    this.ceiling = Math.min(this.ceiling, holds);
+    if (isNew) this.pauseMs = Math.min(MAX_PAUSE_MS, 2 * this.pauseMs);
+    this.nextStepAt = now + this.pauseMs;
+  }
+
+  /** The target answered; a step that holds for a limit's worth of answers permits the next. */
+  onSuccess(now: number): void {
+    if (this.ceiling === Infinity || now < this.nextStepAt) return;
+    this.successesLeft -= 1;
+    if (this.successesLeft > 0) return;
+    this.ceiling += 1;
+    this.successesLeft = this.ceiling;
+    this.pauseMs = Math.max(FIRST_PAUSE_MS, this.pauseMs / 2);
+  }
+}
--- a/src/core/policies/adaptive.ts
+++ b/src/core/policies/adaptive.ts
@@ -5,7 +5,7 @@
 } from '../admission/offered-load-controller.js';
 import type { ThresholdController } from '../admission/threshold-controller.js';
 import type { ConcurrencyLimit } from '../limit/concurrency-limit.js';
-import { createFixedLimit } from '../limit/fixed-limit.js';
+import { ThroughputLimit } from '../limit/throughput-limit.js';
 import type { OverloadPolicy, TargetGateOptions } from '../overload.js';
 import { registerOverloadPolicy } from '../overload-policy-registry.js';
 import { CriticalityQueue } from '../queue/criticality-queue.js';
@@ -27,7 +27,7 @@
 
 /** The parts of policy `adaptive`. */
 export const ADAPTIVE_PARTS: AdaptiveParts = {
-  createLimit: ({ initialLimit }) => createFixedLimit(initialLimit),
+  createLimit: (options) => new ThroughputLimit(options),
   createQueue: () => new CriticalityQueue(),
   createController: () => new OfferedLoadController(DEFAULT_OFFERED_LOAD_OPTIONS),
   choose: chooseByTwoChoices,
