Variants of the adaptive policy for measurements in the same run

Change: policies/adaptive-variants.ts registers one variant per replaced part (limits, DAGOR steps, adaptive LIFO, FIFO, routing rules); a router's stale threshold counts no more than the lowest that fresh answers to other kinds carry. Conclusion: kept; not imported by nodes.

--- /dev/null
+++ b/src/core/policies/adaptive-variants.ts
@@ -0,0 +1,38 @@
+/**
+ * Variants of policy `adaptive` with one part replaced by another published way, so that
+ * both are measured in the same run. Not meant for production.
+ *
+ * @see docs/design/overload-control.md
+ */
+import { DagorController } from '../admission/dagor-controller.js';
+import { AimdLimit } from '../limit/aimd-limit.js';
+import { createFixedLimit } from '../limit/fixed-limit.js';
+import { GradientLimit } from '../limit/gradient-limit.js';
+import { registerOverloadPolicy } from '../overload-policy-registry.js';
+import { AdaptiveLifoQueue } from '../queue/adaptive-lifo-queue.js';
+import { FifoQueue } from '../queue/fifo-queue.js';
+import {
+  chooseByHotCold,
+  chooseLeastLoaded,
+  chooseLeastOutstanding,
+} from '../routing/target-choice.js';
+import { ADAPTIVE_PARTS, type AdaptiveParts, createAdaptivePolicy } from './adaptive.js';
+
+/** Waiting requests from which the adaptive LIFO queue turns round. */
+const LIFO_ABOVE = 4;
+
+const VARIANTS: Readonly<Record<string, Partial<AdaptiveParts>>> = {
+  'adaptive-fixed-limit': { createLimit: ({ initialLimit }) => createFixedLimit(initialLimit) },
+  'adaptive-aimd-limit': { createLimit: (options) => new AimdLimit(options) },
+  'adaptive-gradient-limit': { createLimit: (options) => new GradientLimit(options) },
+  'adaptive-dagor': { createController: () => new DagorController() },
+  'adaptive-lifo': { createQueue: () => new AdaptiveLifoQueue(LIFO_ABOVE) },
+  'adaptive-fifo': { createQueue: () => new FifoQueue() },
+  'adaptive-least-loaded': { choose: chooseLeastLoaded },
+  'adaptive-least-outstanding': { choose: chooseLeastOutstanding },
+  'adaptive-hot-cold': { choose: chooseByHotCold },
+};
+
+for (const [name, parts] of Object.entries(VARIANTS)) {
+  registerOverloadPolicy(createAdaptivePolicy(name, { ...ADAPTIVE_PARTS, ...parts }));
+}
--- a/src/core/routing/target-choice.ts
+++ b/src/core/routing/target-choice.ts
@@ -26,6 +26,31 @@
 export const chooseLeastLoaded: TargetChoice = (now, candidates, locality) =>
   findBest(now, candidates, candidates, locality);
 
+/** The fewest attempts of this router in progress; for comparison. */
+export const chooseLeastOutstanding: TargetChoice = (_now, candidates, _locality, random) => {
+  const start = random.nextInt(candidates.length);
+  const rotated = [...candidates.slice(start), ...candidates.slice(0, start)];
+  return rotated.reduce((best, target) => (target.outstanding < best.outstanding ? target : best));
+};
+
+/** Share of its limit from which a target counts as hot. */
+const HOT_SHARE = 0.8;
+
+/**
+ * The cold target with the lowest latency, else the hot one with the fewest requests (the
+ * hot-cold rule of Prequal, NSDI 2024, on the load that answers carry); for comparison.
+ */
+export const chooseByHotCold: TargetChoice = (now, candidates, _locality, random) => {
+  const sample = sampleTwo(candidates, random);
+  const { limit, latencyMs } = computeDefaults(candidates);
+  const share = (target: TargetState) => target.load(now) / (target.lastReport()?.limit ?? limit);
+  const latency = (target: TargetState) => target.lastReport()?.latencyMs ?? latencyMs;
+  const cold = sample.filter((target) => share(target) < HOT_SHARE);
+  const least = (targets: readonly TargetState[], measure: (target: TargetState) => number) =>
+    targets.reduce((best, target) => (measure(target) < measure(best) ? target : best));
+  return cold.length > 0 ? least(cold, latency) : least(sample, share);
+};
+
 function findBest(
   now: number,
   sample: readonly TargetState[],
--- a/src/core/routing/target-state.ts
+++ b/src/core/routing/target-state.ts
@@ -48,15 +48,19 @@
     return this.report;
   }
 
-  /** Admission threshold for a kind; what a fresh report of another kind excludes is left out. */
+  /**
+   * Admission threshold for a kind. A stale one counts no more than the lowest that answers
+   * to other kinds carry, because the gate's own part is the same for all.
+   */
   threshold(now: number, kind: string): number {
     const own = this.thresholds.get(kind);
-    if (own?.isFresh(now)) return own.at(now);
-    let fallback: number | undefined;
+    if (own === undefined) return 0;
+    let threshold = own.at(now);
+    if (own.isFresh(now)) return threshold;
     for (const other of this.thresholds.values()) {
-      if (other.isFresh(now)) fallback = Math.min(fallback ?? 1, other.at(now));
+      if (other.isFresh(now)) threshold = Math.min(threshold, other.at(now));
     }
-    return Math.max(own?.at(now) ?? 0, fallback ?? 0);
+    return threshold;
   }
 
   private noteLoad(now: number, load: LoadReport, kind: string): void {
