--- a/src/kernel/kernel.ts
+++ b/src/kernel/kernel.ts
@@ -6,6 +6,7 @@
 import { Event, type EventLog } from './event.js';
 import type { Plugin } from './plugin.js';
 import { Token } from './token.js';
+import { TrafficMeter } from './traffic-meter.js';
 
 /** What a kernel is made from. */
 export interface KernelOptions {
@@ -18,18 +19,37 @@
 /** Runs the plug-ins of one node. */
 export class Kernel {
   readonly container = new Container({ defaultScope: 'Singleton' });
+  /** Resolves when a planned stop was asked for from inside the node. */
+  readonly stopRequested: Promise<void>;
+  private resolveStopRequested: () => void = () => {};
+  private stopping = false;
   private started: Plugin[] = [];
   private readonly log: EventLog;
 
   constructor(private readonly options: KernelOptions) {
     this.log = options.log;
+    this.stopRequested = new Promise((resolve) => {
+      this.resolveStopRequested = resolve;
+    });
     this.container.bind(Token.Settings).toConstantValue(options.settings);
     this.container.bind(Token.Clock).toConstantValue(options.clock);
     this.container.bind(Token.EventLog).toConstantValue(options.log);
     this.container.bind(Token.Kernel).toConstantValue(this);
+    this.container.bind(Token.TrafficMeter).toConstantValue(new TrafficMeter());
     for (const plugin of options.plugins) plugin.bind(this.container);
   }
 
+  /** Whether a planned stop was asked for or has begun. */
+  get draining(): boolean {
+    return this.stopping;
+  }
+
+  /** Asks whoever runs the node for a planned stop; see src/node/run-node.ts. */
+  requestStop(): void {
+    this.stopping = true;
+    this.resolveStopRequested();
+  }
+
   /** Starts every plug-in in order; on failure stops those already started and rejects. */
   async start(): Promise<void> {
     for (const plugin of this.options.plugins) {
@@ -41,28 +61,34 @@
         throw error;
       }
     }
-    this.log.emit(Event.NodeStarted, { node: this.options.settings.node.id });
+    this.log.emit(Event.NodeStarted);
   }
 
-  /** Planned stop: drains in reverse start order, then stops. */
+  /** Planned stop: drains in reverse start order, then stops. A failed drain keeps no other. */
   async drainAndStop(): Promise<void> {
-    this.log.emit(Event.NodeDraining, { node: this.options.settings.node.id });
+    this.stopping = true;
+    this.log.emit(Event.NodeDraining);
     for (const plugin of [...this.started].reverse()) {
-      await plugin.drain?.(this.container);
+      await this.attempt(plugin, () => plugin.drain?.(this.container));
     }
     await this.stop();
   }
 
   /** Stops in reverse start order; a plug-in that fails to stop does not keep the others. */
   async stop(): Promise<void> {
-    for (const plugin of [...this.started].reverse()) {
-      try {
-        await plugin.stop?.(this.container);
-      } catch (error) {
-        this.log.emit(Event.InternalError, { plugin: plugin.name, error: String(error) });
-      }
-    }
+    const started = [...this.started].reverse();
     this.started = [];
-    this.log.emit(Event.NodeStopped, { node: this.options.settings.node.id });
+    for (const plugin of started) {
+      await this.attempt(plugin, () => plugin.stop?.(this.container));
+    }
+    this.log.emit(Event.NodeStopped);
+  }
+
+  private async attempt(plugin: Plugin, step: () => Promise<void> | undefined): Promise<void> {
+    try {
+      await step();
+    } catch (error) {
+      this.log.emit(Event.InternalError, { plugin: plugin.name, error: String(error) });
+    }
   }
 }
