Build the emulated deployments from the examples' rules and workload

Cause: the emulator's own tables of Recife and Trondheim would drift from the examples. Ruled out: kinds inherited unchanged by all hops; the data path takes the kind, deadline and attempts of each service and the importance of the caller's request, so the model does too. Change: call trees and service times from rules.yaml and workload.yaml, a mix of kinds in the scenario, waits in the gates by place, queues split into gate and target, the data path's own checks before a retry, and scenarios for every case.

--- a/src/emulator/back-end.ts
+++ b/src/emulator/back-end.ts
@@ -4,7 +4,7 @@
  * back end waits for the calls that it makes.
  */
 import type { Random } from '../core/random.js';
-import type { ServiceModel } from './deployment.js';
+import type { ServiceKind } from './deployment.js';
 import type { EventQueue, ScheduledEvent } from './event-queue.js';
 import { sampleExponential, sampleLognormal } from './sampling.js';
 
@@ -13,6 +13,7 @@
 
 /** One request inside a back end. */
 export interface BackEndJob {
+  readonly kind: ServiceKind;
   /** Starts the downstream calls; `done` tells whether all succeeded. */
   startCalls(done: (succeeded: boolean) => void): void;
   /** Cancels the downstream calls that are running. */
@@ -58,7 +59,7 @@
 
   constructor(
     private readonly queue: EventQueue,
-    private readonly service: ServiceModel,
+    private readonly slots: number,
     private readonly random: Random,
   ) {}
 
@@ -82,7 +83,7 @@
       this.queue.schedule(RESET_DELAY_MS, () => {
         job.onReset();
       });
-    } else if (this.running.size < this.service.slots) {
+    } else if (this.running.size < this.slots) {
       this.startWork(job);
     } else if (this.waiting.size >= this.shedAbove) {
       job.onRefused('overloaded');
@@ -131,18 +132,16 @@
     return 1 + (this.coldFactor - 1) * (left / this.warmUpMs);
   }
 
-  private sampleServiceTime(): number {
-    const mean = this.service.serviceTimeMs * this.slowdown * this.warmUpFactor();
-    if (this.service.serviceTimeShape === 'exponential') {
-      return sampleExponential(this.random, mean);
-    }
-    return sampleLognormal(this.random, mean, this.service.serviceTimeSigma);
+  private sampleServiceTime(kind: ServiceKind): number {
+    const mean = kind.serviceTimeMs * this.slowdown * this.warmUpFactor();
+    if (kind.serviceTimeShape === 'exponential') return sampleExponential(this.random, mean);
+    return sampleLognormal(this.random, mean, kind.serviceTimeSigma);
   }
 
   private startWork(job: BackEndJob): void {
     const running: RunningJob = { job, startedAt: this.queue.now(), work: undefined };
     this.running.set(job, running);
-    running.work = this.queue.schedule(this.sampleServiceTime(), () => {
+    running.work = this.queue.schedule(this.sampleServiceTime(job.kind), () => {
       running.work = undefined;
       job.startCalls((succeeded) => {
         this.finish(running, succeeded);
--- a/src/emulator/caller-request.ts
+++ b/src/emulator/caller-request.ts
@@ -20,7 +20,8 @@
 export class CallerRequest {
   private tries = 0;
   private current: Try | undefined;
-  private readonly patience: ScheduledEvent;
+  /** End of the caller's patience, in virtual milliseconds. */
+  private readonly patienceEnd: number;
 
   constructor(
     private readonly world: World,
@@ -30,23 +31,20 @@
     /** In [0, 1): picks one of the zone's nodes. */
     private readonly choice: number,
   ) {
-    this.patience = world.queue.schedule(record.kind.deadlineMs, () => {
-      this.abandonTry();
-      this.end('timeout');
-    });
+    this.patienceEnd = record.sentAt + record.kind.root.kind.deadlineMs;
   }
 
   /** Sends the request, now or again. */
   startTry(): void {
     if (this.record.end !== undefined) return;
     const { queue, deployment } = this.world;
-    const waitMs = this.record.kind.deadlineMs * this.options.behaviour.tryTimeoutShare;
-    const timer = queue.schedule(waitMs, () => {
+    const waitMs = this.record.kind.root.kind.deadlineMs * this.options.behaviour.tryTimeoutShare;
+    const deadline = Math.min(queue.now() + waitMs, this.patienceEnd);
+    const timer = queue.scheduleAt(deadline, () => {
       this.onTryTimeout();
     });
-    const patienceEnd = this.record.sentAt + this.record.kind.deadlineMs;
     const current: Try = {
-      deadline: Math.min(queue.now() + waitMs, patienceEnd),
+      deadline,
       timer,
       granted: 0,
       call: undefined,
@@ -69,12 +67,11 @@
     if (world.profile.sharesAttempts) record.attemptsLeft = 0;
     current.call = new EmulatedCall(world, node, {
       site: record.kind.root,
-      kind: record.kind,
       record,
       attempts: current.granted,
       deadline: current.deadline,
       onEnd: (end) => {
-        this.settleAttempts(current, end.attemptsUsed);
+        this.settleAttempts(current);
         world.queue.schedule(world.deployment.clientDelayMs, () => {
           if (!current.abandoned) this.onTryEnd(end);
         });
@@ -83,11 +80,16 @@
     current.call.start();
   }
 
-  /** Gives back what a try was granted and has not used, once. */
-  private settleAttempts(ended: Try, used: number): void {
+  /**
+   * Gives back what a try was granted and was not charged, once. Repeats of a request that may
+   * take effect once only do not share a budget; the claim of its key bounds them.
+   */
+  private settleAttempts(ended: Try): void {
     if (ended.settled || !this.world.profile.sharesAttempts) return;
     ended.settled = true;
-    this.record.attemptsLeft += Math.max(0, ended.granted - used);
+    const { idempotent } = this.record.kind.root.kind;
+    const charged = idempotent ? (ended.call?.attemptsCharged ?? 0) : 0;
+    this.record.attemptsLeft += Math.max(0, ended.granted - charged);
   }
 
   private onTryEnd(end: CallEnd): void {
@@ -118,26 +120,26 @@
       const { call } = abandoned;
       if (call === undefined) return;
       call.cancel();
-      this.settleAttempts(abandoned, call.attemptsUsed);
+      this.settleAttempts(abandoned);
     });
   }
 
   private repeatOrEnd(end: RequestEnd, retryAfterMs: number | undefined): void {
     const { behaviour } = this.options;
-    const repeatable = this.record.kind.idempotent || !this.record.mayHaveRun;
-    if (this.tries >= behaviour.tries || !repeatable) {
+    const repeatable = this.record.kind.root.kind.idempotent || !this.record.mayHaveRun;
+    const told = behaviour.honoursRetryAfter ? (retryAfterMs ?? 0) : 0;
+    const at = this.world.queue.now() + Math.max(behaviour.backoffMs, told);
+    if (this.tries >= behaviour.tries || !repeatable || at >= this.patienceEnd) {
       this.end(end);
       return;
     }
-    const told = behaviour.honoursRetryAfter ? (retryAfterMs ?? 0) : 0;
-    this.world.queue.schedule(Math.max(behaviour.backoffMs, told), () => {
+    this.world.queue.scheduleAt(at, () => {
       this.startTry();
     });
   }
 
   private end(end: RequestEnd): void {
     if (this.record.end !== undefined) return;
-    this.patience.cancelled = true;
     if (this.current !== undefined) this.current.timer.cancelled = true;
     this.record.end = end;
     this.world.recorder.onEnd(this.record, end);
--- a/src/emulator/capacity-bound.ts
+++ b/src/emulator/capacity-bound.ts
@@ -7,7 +7,7 @@
  * no kind above its demand. Classes are weighted so that the more important come first.
  */
 import { rankOf } from '../core/request.js';
-import { type CallSite, type Deployment, findService } from './deployment.js';
+import type { CallSite, Deployment } from './deployment.js';
 import { solveLinearProgram } from './linear-program.js';
 
 const MS_PER_SECOND = 1_000;
@@ -44,8 +44,7 @@
 ): ReadonlyMap<string, number> {
   const times = new Map<string, number>();
   const visit = (site: CallSite): number => {
-    const { serviceTimeMs } = findService(deployment, site.service);
-    const own = serviceTimeMs * (conditions.get(site.service)?.slowdown ?? 1);
+    const own = site.kind.serviceTimeMs * (conditions.get(site.service)?.slowdown ?? 1);
     const below = site.calls.map((call) => visit(call) + callOverheadMs(deployment));
     const waited = site.parallel ? Math.max(0, ...below) : below.reduce((sum, ms) => sum + ms, 0);
     const held = own + waited;
--- a/src/emulator/deployment.ts
+++ b/src/emulator/deployment.ts
@@ -17,11 +17,8 @@
   readonly slots: number;
   /** Connections that one target accepts. */
   readonly connections: number;
-  /** Mean of a target's own work per request, in milliseconds, downstream calls not included. */
-  readonly serviceTimeMs: number;
-  /** Deviation of the logarithm of the service time (lognormal). */
-  readonly serviceTimeSigma: number;
-  readonly serviceTimeShape: ServiceTimeShape;
+  /** Services that its targets call. */
+  readonly calls: readonly string[];
   readonly targets: readonly TargetModel[];
 }
 
@@ -31,10 +28,27 @@
   readonly zone: string;
 }
 
+/** A kind of request at one service. */
+export interface ServiceKind {
+  readonly name: string;
+  /** Milliseconds that a caller may wait. */
+  readonly deadlineMs: number;
+  /** Bound on attempts at and below the service. */
+  readonly attempts: number;
+  readonly idempotent: boolean;
+  /** Mean of a target's own work, in milliseconds, downstream calls not included. */
+  readonly serviceTimeMs: number;
+  /** Deviation of the logarithm of the service time (lognormal). */
+  readonly serviceTimeSigma: number;
+  readonly serviceTimeShape: ServiceTimeShape;
+}
+
 /** One call of a request's tree: a service and the calls that its target makes. */
 export interface CallSite {
   readonly service: string;
-  /** Position in the tree of its kind, unique; 0 is the caller's own call. */
+  /** Kind of the call at the service. */
+  readonly kind: ServiceKind;
+  /** Position in the tree, unique; 0 is the caller's own call. */
   readonly index: number;
   /** Hops above this call; 0 for the caller's own. */
   readonly depth: number;
@@ -46,15 +60,10 @@
 }
 
 /** A kind of caller's request. */
-export interface KindModel {
+export interface CallerKind {
   readonly name: string;
   readonly criticality: Criticality;
-  /** Milliseconds that a caller may wait. */
-  readonly deadlineMs: number;
-  /** Bound on attempts for the whole chain. */
-  readonly attempts: number;
-  readonly idempotent: boolean;
-  /** Share of the callers' requests, relative to the other kinds. */
+  /** Rate of the callers' requests, relative to the other kinds. */
   readonly share: number;
   readonly root: CallSite;
 }
@@ -76,14 +85,15 @@
   readonly connectMs: number;
   readonly nodesPerZone: number;
   readonly services: readonly ServiceModel[];
-  readonly kinds: readonly KindModel[];
+  readonly kinds: readonly CallerKind[];
 }
 
 /** A call tree before its sites are numbered. */
 export interface CallTree {
   readonly service: string;
-  readonly calls?: readonly CallTree[];
-  readonly parallel?: boolean;
+  readonly kind: ServiceKind;
+  readonly calls: readonly CallTree[];
+  readonly parallel: boolean;
 }
 
 /** Numbers the sites of a call tree. */
@@ -92,9 +102,10 @@
   const build = (node: CallTree, depth: number): CallSite => {
     const index = created;
     created += 1;
-    const calls = (node.calls ?? []).map((child) => build(child, depth + 1));
+    const calls = node.calls.map((child) => build(child, depth + 1));
     const size = calls.reduce((sum, child) => sum + child.size, 1);
-    return { service: node.service, index, depth, calls, parallel: node.parallel ?? false, size };
+    const { service, kind, parallel } = node;
+    return { service, kind, index, depth, calls, parallel, size };
   };
   return build(tree, 0);
 }
--- a/src/emulator/dispatched-job.ts
+++ b/src/emulator/dispatched-job.ts
@@ -2,6 +2,7 @@
 import type { AttemptLedger } from '../core/attempt-ledger.js';
 import { ResultCode } from '../core/result-code.js';
 import type { BackEndJob, BackEndRefusal } from './back-end.js';
+import type { ServiceKind } from './deployment.js';
 import { DownstreamCalls } from './downstream-calls.js';
 import type { TargetSide } from './target-side.js';
 import type { IncomingAttempt, World } from './world.js';
@@ -26,6 +27,10 @@
     private readonly listener: JobEndListener,
   ) {}
 
+  get kind(): ServiceKind {
+    return this.attempt.site.kind;
+  }
+
   startCalls(done: (succeeded: boolean) => void): void {
     if (this.attempt.site.calls.length === 0) {
       done(true);
--- a/src/emulator/downstream-calls.ts
+++ b/src/emulator/downstream-calls.ts
@@ -49,19 +49,18 @@
   }
 
   private route(site: CallSite): void {
-    const { kind, context, record, id } = this.attempt;
+    const { context, record, id } = this.attempt;
     const granted = this.reserve(site);
     const call: EmulatedCall = new EmulatedCall(this.world, this.parent.node, {
       site,
-      kind,
       record,
       attempts: granted,
       deadline: context.deadline,
       onEnd: (end) => {
         const now = this.world.queue.now();
         this.ledger.giveBack(id, granted - end.attemptsUsed);
-        const threshold = this.parent.node.threshold(site.service, kind.name, now);
-        this.parent.noteDownstream(site.service, threshold, kind.name);
+        const threshold = this.parent.node.threshold(site.service, site.kind.name, now);
+        this.parent.noteDownstream(site.service, threshold, this.attempt.site.kind.name);
         this.world.queue.schedule(this.world.deployment.localDelayMs, () => {
           this.onCallEnd(call, site, end);
         });
@@ -73,12 +72,16 @@
 
   private reserve(site: CallSite): number {
     if (!this.world.profile.sharesAttempts) return site.size;
-    const { calls } = this.attempt.site;
-    const others = calls
-      .filter((other) => other.index > site.index)
-      .reduce((sum, other) => sum + other.size, 0);
-    const remaining = this.ledger.remaining(this.attempt.id);
-    const wanted = wantedAttempts(remaining, this.attempt.kind.attempts, site.size, others);
+    const others = this.world
+      .callsOf(this.attempt.site.service)
+      .filter((name) => name !== site.service);
+    const needOfOthers = others.reduce((sum, name) => sum + this.world.needOf(name), 0);
+    const wanted = wantedAttempts(
+      this.ledger.remaining(this.attempt.id),
+      site.kind.attempts,
+      this.world.needOf(site.service),
+      needOfOthers,
+    );
     return this.ledger.reserve(this.attempt.id, wanted);
   }
 
--- a/src/emulator/emulated-call.ts
+++ b/src/emulator/emulated-call.ts
@@ -6,7 +6,7 @@
 import type { Refusal, RetryState, ServiceRouter } from '../core/overload.js';
 import type { RequestContext } from '../core/request.js';
 import { ResultCode } from '../core/result-code.js';
-import type { CallSite, KindModel } from './deployment.js';
+import type { CallSite } from './deployment.js';
 import type { EmulatedNode } from './emulated-node.js';
 import type { ScheduledEvent } from './event-queue.js';
 import type { CallEnd, RequestRecord } from './request-record.js';
@@ -14,10 +14,12 @@
 import type { TargetSide } from './target-side.js';
 import type { AttemptEnd, IncomingAttempt, World } from './world.js';
 
+/** Bound on tries of one call at one hop, as in `src/entry/routed-call.ts`. */
+const MAX_TRIES = 16;
+
 /** One call to make. */
 export interface CallOptions {
   readonly site: CallSite;
-  readonly kind: KindModel;
   readonly record: RequestRecord;
   /** Attempts for the call and everything below it. */
   readonly attempts: number;
@@ -43,6 +45,7 @@
   private current: CurrentAttempt | undefined;
   private readonly tried: string[] = [];
   private mayHaveRun = false;
+  private charged = 0;
   private ended = false;
 
   constructor(
@@ -53,7 +56,7 @@
     const { site, attempts } = options;
     this.router = node.router(site.service, this.now());
     this.budget = world.profile.sharesAttempts
-      ? new AttemptBudget(attempts, site.size)
+      ? new AttemptBudget(attempts, world.needOf(site.service))
       : new UnsharedAttempts();
     this.context = this.createContext();
   }
@@ -63,6 +66,11 @@
     return this.budget.used;
   }
 
+  /** Most attempts that were granted at a time: what a budget shared by repeats was charged. */
+  get attemptsCharged(): number {
+    return this.charged;
+  }
+
   /** Begins with entry admission. */
   start(): void {
     const { record, site } = this.options;
@@ -103,15 +111,17 @@
   }
 
   private createContext(): RequestContext {
-    const { site, kind, record, deadline } = this.options;
+    const { site, record, deadline } = this.options;
+    const { kind } = site;
     const layered = this.now() + kind.deadlineMs;
     return {
       requestId: record.id,
       tenant: this.world.deployment.tenant,
       service: site.service,
       kind: kind.name,
-      criticality: kind.criticality,
-      deadline: this.world.profile.propagatesDeadline ? deadline : layered,
+      // A call of a back end is as important as the caller's request.
+      criticality: record.kind.criticality,
+      deadline: this.world.profile.propagatesDeadline ? Math.min(deadline, layered) : layered,
       idempotent: kind.idempotent,
       depth: site.depth,
     };
@@ -130,18 +140,18 @@
       this.endRefused(pick.refusal, 'routing');
       return;
     }
+    this.charged = Math.max(this.charged, this.budget.used);
     this.sendAttempt(pick.target, granted);
   }
 
   private sendAttempt(target: string, granted: number): void {
     // Without a common deadline each attempt has a timeout of its own.
     if (!this.world.profile.propagatesDeadline) this.context = this.createContext();
-    const { site, kind, record } = this.options;
+    const { site, record } = this.options;
     const side = this.world.targetSide(target);
     const incoming: IncomingAttempt = {
       id: this.world.nextAttemptId(),
       site,
-      kind,
       record,
       context: this.context,
       granted,
@@ -217,18 +227,31 @@
       mayHaveRun: this.mayHaveRun,
       ...(end.retryAfterMs === undefined ? {} : { retryAfterMs: end.retryAfterMs }),
     };
+    if (this.world.profile.sharesAttempts && this.isOver(end)) {
+      this.giveUp(end, end.retryAfterMs);
+      return;
+    }
     const decision = this.router.decideRetry(this.now(), this.context, state);
     if (decision.type === 'retry') {
       this.retryAfter(decision.delayMs);
-    } else if (end.outcome === 'timeout') {
-      this.finish('timeout', end.code);
-    } else if (this.mayHaveRun) {
-      this.finish('failed', end.code);
     } else {
-      this.finish('refused', end.code, decision.refusal.retryAfterMs);
+      const { retryAfterMs } = decision.refusal;
+      this.giveUp(end, Math.max(end.retryAfterMs ?? 0, retryAfterMs));
     }
   }
 
+  /** Whether the data path allows no further attempt, whatever the policy says. */
+  private isOver(end: AttemptEnd): boolean {
+    const mayRepeat = this.context.idempotent || !end.mayHaveRun;
+    return !mayRepeat || this.budget.remaining < 1 || this.tried.length >= MAX_TRIES;
+  }
+
+  private giveUp(end: AttemptEnd, retryAfterMs: number | undefined): void {
+    if (end.outcome === 'timeout') this.finish('timeout', end.code);
+    else if (this.mayHaveRun) this.finish('failed', end.code);
+    else this.finish('refused', end.code, retryAfterMs);
+  }
+
   private retryAfter(delayMs: number): void {
     if (this.world.profile.propagatesDeadline && this.now() + delayMs >= this.context.deadline) {
       this.finish('timeout', ResultCode.DeadlineExceeded);
--- a/src/emulator/experiment.ts
+++ b/src/emulator/experiment.ts
@@ -2,7 +2,7 @@
 import type { KindResult, RunResult } from './run-result.js';
 import { runScenario } from './run-scenario.js';
 import type { Scenario } from './scenario.js';
-import { type Spread, spreadOf } from './statistics.js';
+import { median, type Spread, spreadOf } from './statistics.js';
 
 /** Summary of one kind under one policy. */
 export interface KindSummary {
@@ -47,6 +47,8 @@
   }[];
   /** Median count by `place code service depth`. */
   readonly refusals: Readonly<Record<string, number>>;
+  /** Median of the mean wait in the gate by `kind at service depth`, in milliseconds. */
+  readonly gateWaitMs: Readonly<Record<string, number>>;
 }
 
 /** All runs of an experiment and their summary by policy. */
@@ -102,7 +104,8 @@
       wasted: over((run) => run.services[index]!.wasted).median,
       late: over((run) => run.services[index]!.late).median,
     })),
-    refusals: summariseRefusals(runs),
+    refusals: medianByKey(runs.map(({ refusals }) => refusals)),
+    gateWaitMs: medianByKey(runs.map(({ gateWaitMs }) => gateWaitMs)),
   };
 }
 
@@ -127,10 +130,11 @@
   };
 }
 
-function summariseRefusals(runs: readonly RunResult[]): Record<string, number> {
-  const keys = [...new Set(runs.flatMap(({ refusals }) => Object.keys(refusals)))].sort();
+/** Median of each key's values; a run without the key counts as 0. */
+function medianByKey(records: readonly Readonly<Record<string, number>>[]): Record<string, number> {
+  const keys = [...new Set(records.flatMap((record) => Object.keys(record)))].sort();
   return Object.fromEntries(
-    keys.map((key) => [key, spreadOf(runs.map(({ refusals }) => refusals[key] ?? 0)).median]),
+    keys.map((key) => [key, median(records.map((record) => record[key] ?? 0))]),
   );
 }
 
--- a/src/emulator/phases.ts
+++ b/src/emulator/phases.ts
@@ -29,14 +29,18 @@
   return phases;
 }
 
-/** First start and last end of everything out of the ordinary; `undefined` without any. */
+/**
+ * First start and last end of everything out of the ordinary; `undefined` without any. The
+ * warm-up of targets that come back cold belongs to the cause.
+ */
 export function causePeriod(
   scenario: Scenario,
 ): { readonly fromMs: number; readonly toMs: number } | undefined {
   // An outage of the platform by itself loads nothing.
+  const faults = scenario.faults.filter(({ type }) => type !== 'platform-outage');
   const periods = [
     ...scenario.load.surges,
-    ...scenario.faults.filter(({ type }) => type !== 'platform-outage'),
+    ...faults.map((fault) => ({ fromMs: fault.fromMs, toMs: fault.toMs + warmUpOf(fault) })),
   ];
   if (periods.length === 0) return undefined;
   return {
--- a/src/emulator/plots.ts
+++ b/src/emulator/plots.ts
@@ -135,7 +135,7 @@
       perSecond,
     ),
     joinWindows(
-      services.map(({ queued }) => queued),
+      services.flatMap(({ queued, queuedInTargets }) => [queued, queuedInTargets]),
       1 / WINDOWS_PER_POINT,
     ),
   ];
--- a/src/emulator/recorder.ts
+++ b/src/emulator/recorder.ts
@@ -1,7 +1,7 @@
 /** What a run measures: ends by kind, refusals by place, attempts, slot time, time series. */
 import { build, type Histogram } from 'hdr-histogram-js';
 import { ResultCode } from '../core/result-code.js';
-import type { CallSite, Deployment, KindModel } from './deployment.js';
+import type { CallSite, Deployment, CallerKind } from './deployment.js';
 import type { RequestEnd, RequestRecord } from './request-record.js';
 
 /** Length of one window of the time series, in milliseconds. */
@@ -37,6 +37,12 @@
   late: number;
 }
 
+/** Time that attempts waited in gates before they were dispatched. */
+export interface GateWait {
+  count: number;
+  totalMs: number;
+}
+
 /** One counter per window. */
 export interface KindSeries {
   readonly sent: number[];
@@ -48,10 +54,20 @@
 export interface ServiceSeries {
   readonly attempts: number[];
   readonly refusals: number[];
+  /** Waiting in the gates of the service's targets. */
   readonly queued: number[];
+  /** Waiting for a connection or in the back ends. */
+  readonly queuedInTargets: number[];
   readonly inFlight: number[];
 }
 
+/** State of a service at one moment, over its targets. */
+export interface ServiceSample {
+  readonly queued: number;
+  readonly queuedInTargets: number;
+  readonly inFlight: number;
+}
+
 /** Records one run. */
 export class Recorder {
   readonly kinds: readonly KindTotals[];
@@ -60,6 +76,8 @@
   readonly serviceSeries: readonly ServiceSeries[];
   /** Refusals by `place code service depth`. */
   readonly refusals = new Map<string, number>();
+  /** Waits of dispatched attempts in the gates, by `kind at service depth`. */
+  readonly gateWaits = new Map<string, GateWait>();
   private readonly serviceIndex: ReadonlyMap<string, number>;
 
   constructor(
@@ -81,6 +99,7 @@
       attempts: zeros(),
       refusals: zeros(),
       queued: zeros(),
+      queuedInTargets: zeros(),
       inFlight: zeros(),
     }));
     this.serviceIndex = new Map(deployment.services.map(({ name }, index) => [name, index]));
@@ -93,8 +112,9 @@
   }
 
   /** A back end gets an attempt. */
-  onDispatch(record: RequestRecord, site: CallSite): void {
+  onDispatch(record: RequestRecord, site: CallSite, waitedMs: number): void {
     record.attempts += 1;
+    if (this.isMeasured(record)) this.addWait(record, site, waitedMs);
     this.count(this.seriesOf(site).attempts);
   }
 
@@ -123,12 +143,24 @@
   }
 
   /** Samples the queue of a service for the current window. */
-  sampleService(serviceIndex: number, queued: number, inFlight: number): void {
+  sampleService(serviceIndex: number, sample: ServiceSample): void {
     const series = this.serviceSeries[serviceIndex]!;
     const window = this.window();
     if (window >= series.queued.length) return;
-    series.queued[window] = queued;
-    series.inFlight[window] = inFlight;
+    series.queued[window] = sample.queued;
+    series.queuedInTargets[window] = sample.queuedInTargets;
+    series.inFlight[window] = sample.inFlight;
+  }
+
+  private addWait(record: RequestRecord, site: CallSite, waitedMs: number): void {
+    const key = `${record.kind.name} at ${site.service} depth ${site.depth}`;
+    const wait = this.gateWaits.get(key);
+    if (wait === undefined) {
+      this.gateWaits.set(key, { count: 1, totalMs: waitedMs });
+    } else {
+      wait.count += 1;
+      wait.totalMs += waitedMs;
+    }
   }
 
   private addToTotals(totals: KindTotals, record: RequestRecord, end: RequestEnd): void {
@@ -174,7 +206,7 @@
 /** Creates a record for a new request. */
 export function createRecord(
   id: string,
-  kind: KindModel,
+  kind: CallerKind,
   kindIndex: number,
   sentAt: number,
 ): RequestRecord {
@@ -185,7 +217,7 @@
     sentAt,
     end: undefined,
     attempts: 0,
-    attemptsLeft: kind.attempts,
+    attemptsLeft: kind.root.kind.attempts,
     reachedSites: new Uint8Array(kind.root.size),
     mayHaveRun: false,
     slotUse: [],
--- a/src/emulator/report.ts
+++ b/src/emulator/report.ts
@@ -19,6 +19,8 @@
     ),
     'Slot time by service (shares of all slot time): in complete requests, in others, after the end',
     formatTable(SLOT_HEAD, summary.flatMap(slotRows)),
+    'Wait in the gate before the dispatch (median over seeds of the mean, ms)',
+    formatTable(WAIT_HEAD, summary.flatMap(waitRows)),
     'Refusals, most frequent first (median count)',
     formatTable(REFUSAL_HEAD, summary.flatMap(refusalRows)),
   ];
@@ -104,6 +106,12 @@
     .map(([key, count]) => [policy, key, count.toFixed(0)]);
 }
 
+const WAIT_HEAD = ['policy', 'kind, service, depth', 'wait ms'];
+
+function waitRows({ policy, gateWaitMs }: PolicySummary): string[][] {
+  return Object.entries(gateWaitMs).map(([key, waitMs]) => [policy, key, waitMs.toFixed(1)]);
+}
+
 /** Median with its range. */
 function formatSpread({ median, min, max }: Spread, digits: number): string {
   return `${median.toFixed(digits)} [${min.toFixed(digits)}..${max.toFixed(digits)}]`;
--- a/src/emulator/request-record.ts
+++ b/src/emulator/request-record.ts
@@ -1,6 +1,6 @@
 /** One caller's request as the emulator follows it, over all its tries and hops. */
 import type { ResultCode } from '../core/result-code.js';
-import type { KindModel } from './deployment.js';
+import type { CallerKind } from './deployment.js';
 
 /** How a caller's request ended; each has exactly one end. */
 export const REQUEST_ENDS = ['complete', 'refused', 'failed', 'timeout'] as const;
@@ -11,7 +11,7 @@
 /** A caller's request. */
 export interface RequestRecord {
   readonly id: string;
-  readonly kind: KindModel;
+  readonly kind: CallerKind;
   readonly kindIndex: number;
   readonly sentAt: number;
   end: RequestEnd | undefined;
--- a/src/emulator/run-result.ts
+++ b/src/emulator/run-result.ts
@@ -55,6 +55,8 @@
   readonly recoveryMs?: number | null;
   /** Count by `place code service depth`. */
   readonly refusals: Readonly<Record<string, number>>;
+  /** Mean wait in the gate by `kind at service depth`, in milliseconds. */
+  readonly gateWaitMs: Readonly<Record<string, number>>;
   readonly series: {
     readonly windowMs: number;
     readonly kinds: Readonly<Record<string, KindSeries>>;
@@ -95,6 +97,9 @@
     maxAttemptsPerCall: Math.max(...recorder.kinds.map((kind) => kind.maxAttemptsPerCall)),
     ...(recovery === undefined ? {} : { recoveryMs: recovery }),
     refusals: Object.fromEntries([...recorder.refusals].sort()),
+    gateWaitMs: Object.fromEntries(
+      [...recorder.gateWaits].sort().map(([key, { count, totalMs }]) => [key, totalMs / count]),
+    ),
     series: {
       windowMs: WINDOW_MS,
       kinds: byName(deployment.kinds, recorder.kindSeries),
@@ -141,7 +146,7 @@
     attempts: totals.attempts,
     calls: totals.calls,
     maxAttempts: totals.maxAttempts,
-    attemptsBound: kind.attempts,
+    attemptsBound: kind.root.kind.attempts,
     bound,
     latencyMs: { p50: quantile(50), p99: quantile(99) },
   };
--- a/src/emulator/scenario.ts
+++ b/src/emulator/scenario.ts
@@ -6,8 +6,8 @@
 import '../core/overload-policies.js';
 import type { Failure } from '../core/failure.js';
 import { ResultCode } from '../core/result-code.js';
-import { BUILT_IN_DEPLOYMENTS } from './built-in-deployments.js';
 import type { Deployment } from './deployment.js';
+import { EXAMPLE_NAMES, readExampleDeployment } from './example-deployments.js';
 import { createSyntheticFleet } from './synthetic-fleet.js';
 
 const MAX_DURATION_MS = 600_000;
@@ -32,13 +32,15 @@
 export type SyntheticFleetOptions = z.infer<typeof syntheticSchema>;
 
 const deploymentSchema = z.union([
-  z.enum([...BUILT_IN_DEPLOYMENTS.keys()] as [string, ...string[]]),
+  z.enum(EXAMPLE_NAMES as [string, ...string[]]),
   z.strictObject({ synthetic: syntheticSchema }),
 ]);
 
 const loadSchema = z.strictObject({
   /** Multiple of the deployment's capacity at the kinds' own mix. */
   multiple: z.number().min(0).max(100).default(0.7),
+  /** Relative rates of the kinds, in place of the deployment's own; others are not sent. */
+  mix: z.record(named, z.number().min(0).max(1_000_000)).optional(),
   /** Requests per second by kind, in place of the multiple. */
   ratesPerSecond: z.record(named, z.number().min(0).max(200_000)).optional(),
   /** Periods with another load; `multiple` counts as a factor when rates are given. */
@@ -156,13 +158,15 @@
 
 /** The deployment that a scenario names. */
 export function resolveDeployment(
-  scenario: Pick<Scenario, 'deployment' | 'nodesPerZone'>,
+  scenario: Pick<Scenario, 'deployment' | 'nodesPerZone' | 'load'>,
 ): Deployment {
   const base =
     typeof scenario.deployment === 'string'
-      ? BUILT_IN_DEPLOYMENTS.get(scenario.deployment)!
+      ? readExampleDeployment(scenario.deployment)
       : createSyntheticFleet(scenario.deployment.synthetic);
-  return { ...base, nodesPerZone: scenario.nodesPerZone };
+  const { mix } = scenario.load;
+  const kinds = base.kinds.map((kind) => (mix ? { ...kind, share: mix[kind.name] ?? 0 } : kind));
+  return { ...base, kinds, nodesPerZone: scenario.nodesPerZone };
 }
 
 interface Issue {
@@ -197,15 +201,11 @@
 
 function checkRates(scenario: Scenario, deployment: Deployment): Issue[] {
   const kinds = deployment.kinds.map(({ name }) => name);
-  return Object.keys(scenario.load.ratesPerSecond ?? {}).flatMap((name) =>
-    kinds.includes(name)
-      ? []
-      : [
-          {
-            path: ['load', 'ratesPerSecond', name],
-            message: `unknown kind; known: ${kinds.join(', ')}`,
-          },
-        ],
+  const message = `unknown kind; known: ${kinds.join(', ')}`;
+  return (['mix', 'ratesPerSecond'] as const).flatMap((member) =>
+    Object.keys(scenario.load[member] ?? {})
+      .filter((name) => !kinds.includes(name))
+      .map((name) => ({ path: ['load', member, name], message })),
   );
 }
 
--- a/src/emulator/simulation.test.ts
+++ b/src/emulator/simulation.test.ts
@@ -28,7 +28,7 @@
   - { type: slow, service: recording-archive, fromMs: 1000, toMs: 2000, factor: 4 }
   - { type: death, service: objection-answers, target: objection-answers-1, fromMs: 1200, toMs: 2200 }
   - { type: drain, service: promise-ledger, target: promise-ledger-2, fromMs: 1200, toMs: 3000, graceMs: 200 }
-  - { type: zone-loss, zone: recife-c, fromMs: 1500, toMs: 2500 }
+  - { type: zone-loss, zone: olinda, fromMs: 1500, toMs: 2500 }
   - { type: platform-outage, fromMs: 1000, toMs: 3000 }
   - { type: shedding, service: script-guide, fromMs: 500, toMs: 3500, queueAbove: 5 }
   - { type: misleading-health, service: objection-answers, target: objection-answers-2, fromMs: 2000, toMs: 3000, mode: looks-healthy }
--- a/src/emulator/simulation.ts
+++ b/src/emulator/simulation.ts
@@ -1,4 +1,5 @@
 /** One emulated run: a deployment under one policy, load, faults and seed. */
+import { minimalNeed } from '../core/attempt-budget.js';
 import { AttemptLedger } from '../core/attempt-ledger.js';
 import type { OverloadPolicy } from '../core/overload.js';
 import { EmulatedBackEnd } from './back-end.js';
@@ -50,6 +51,8 @@
   private readonly delays = new Map<string, ReadonlyMap<string, number>>();
   /** Time at which a zone was lost, while it is lost. */
   private readonly lostZones = new Map<string, number>();
+  private readonly calls: ReadonlyMap<string, readonly string[]>;
+  private readonly needs = new Map<string, number>();
   private attempts = 0;
   private incarnations = 0;
 
@@ -60,6 +63,7 @@
     this.directory = new TargetDirectory(deployment);
     const windows = Math.ceil(durationMs / WINDOW_MS);
     this.recorder = new Recorder(deployment, () => this.queue.now(), warmUpMs, windows);
+    this.calls = new Map(deployment.services.map(({ name, calls }) => [name, calls]));
     this.nodes = this.createNodes();
     this.createDelays();
     for (const service of deployment.services) this.createSides(service);
@@ -86,7 +90,7 @@
 
   /** Runs until every request has its end. */
   finish(): void {
-    const longest = Math.max(...this.deployment.kinds.map(({ deadlineMs }) => deadlineMs));
+    const longest = Math.max(...this.deployment.kinds.map(({ root }) => root.kind.deadlineMs));
     this.queue.runUntil(this.options.durationMs + longest + SETTLE_MS);
   }
 
@@ -101,6 +105,17 @@
     return this.sides.get(target)!;
   }
 
+  readonly callsOf = (service: string): readonly string[] => this.calls.get(service) ?? [];
+
+  needOf(service: string): number {
+    let need = this.needs.get(service);
+    if (need === undefined) {
+      need = minimalNeed(service, this.callsOf);
+      this.needs.set(service, need);
+    }
+    return need;
+  }
+
   nextAttemptId(): string {
     this.attempts += 1;
     return `a${this.attempts}`;
@@ -198,7 +213,7 @@
       target: target.id,
       serviceIndex: deployment.services.indexOf(service),
       gate,
-      backEnd: new EmulatedBackEnd(this.queue, service, random),
+      backEnd: new EmulatedBackEnd(this.queue, service.slots, random),
       pool: new ConnectionPool(this.queue, service.connections, deployment.connectMs),
       ledger: new AttemptLedger(),
     });
@@ -230,14 +245,16 @@
 
   private sample(): void {
     for (const [index, service] of this.deployment.services.entries()) {
-      let queued = 0;
-      let inFlight = 0;
-      for (const { id } of service.targets) {
-        const side = this.targetSide(id);
-        queued += side.queued;
-        inFlight += side.backEnd.inFlight;
-      }
-      this.recorder.sampleService(index, queued, inFlight);
+      const sides = service.targets.map(({ id }) => this.targetSide(id));
+      this.recorder.sampleService(index, {
+        queued: sum(sides.map((side) => side.queued)),
+        queuedInTargets: sum(sides.map((side) => side.queuedInTarget)),
+        inFlight: sum(sides.map((side) => side.backEnd.inFlight)),
+      });
     }
   }
 }
+
+function sum(values: readonly number[]): number {
+  return values.reduce((total, value) => total + value, 0);
+}
--- a/src/emulator/synthetic-fleet.ts
+++ b/src/emulator/synthetic-fleet.ts
@@ -2,9 +2,11 @@
 import { CRITICALITIES } from '../core/request.js';
 import {
   createCallSites,
+  type CallerKind,
+  type CallSite,
   type CallTree,
   type Deployment,
-  type KindModel,
+  type ServiceKind,
   type ServiceModel,
 } from './deployment.js';
 import { createStream } from './sampling.js';
@@ -30,6 +32,7 @@
 const MAX_SERVICE_TIME_MS = 25;
 const SERVICE_TIME_SIGMA = 0.5;
 const DEADLINE_PER_HOP_MS = 300;
+const ATTEMPTS_PER_HOP = 2;
 /** Sites of one call tree; larger trees are cut. */
 const MAX_SITES = 24;
 
@@ -40,6 +43,7 @@
     region: `region-${(index % shape.regions) + 1}`,
   }));
   const serviceCount = Math.min(shape.services, shape.targets);
+  const kinds = createKinds(shape, serviceCount);
   return {
     name: `synthetic-${shape.targets}`,
     tenant: 'synthetic',
@@ -54,8 +58,9 @@
       shape,
       serviceCount,
       zones.map(({ name }) => name),
+      collectCalls(kinds),
     ),
-    kinds: createKinds(shape, serviceCount),
+    kinds,
   };
 }
 
@@ -63,6 +68,7 @@
   shape: FleetShape,
   serviceCount: number,
   zones: readonly string[],
+  calls: ReadonlyMap<string, readonly string[]>,
 ): ServiceModel[] {
   const random = createStream(shape.seed, 'fleet services');
   return Array.from({ length: serviceCount }, (_, index) => {
@@ -73,10 +79,7 @@
       name,
       slots: MIN_SLOTS + random.nextInt(MAX_SLOTS - MIN_SLOTS + 1),
       connections: CONNECTIONS,
-      serviceTimeMs:
-        MIN_SERVICE_TIME_MS + random.next() * (MAX_SERVICE_TIME_MS - MIN_SERVICE_TIME_MS),
-      serviceTimeSigma: SERVICE_TIME_SIGMA,
-      serviceTimeShape: 'lognormal' as const,
+      calls: calls.get(name) ?? [],
       targets: Array.from({ length: targets }, (__, target) => ({
         id: `${name}-${target + 1}`,
         zone: zones[(index + target) % zones.length]!,
@@ -85,38 +88,74 @@
   });
 }
 
-function createKinds(shape: FleetShape, serviceCount: number): KindModel[] {
+function createKinds(shape: FleetShape, serviceCount: number): CallerKind[] {
+  const random = createStream(shape.seed, 'fleet kinds');
+  const serviceTimes = Array.from(
+    { length: serviceCount },
+    () => MIN_SERVICE_TIME_MS + random.next() * (MAX_SERVICE_TIME_MS - MIN_SERVICE_TIME_MS),
+  );
   return Array.from({ length: shape.kinds }, (_, index) => {
     const first = Math.floor((index * serviceCount) / shape.kinds);
-    const root = createCallSites(createTree(shape, serviceCount, first));
     return {
-      name: `kind-${index + 1}`,
+      name: kindName(index),
       criticality: CRITICALITIES[index % CRITICALITIES.length]!,
-      deadlineMs: DEADLINE_PER_HOP_MS * (shape.depth + 1),
-      attempts: 2 * root.size,
-      idempotent: index % 4 !== 1,
       share: 1,
-      root,
+      root: createCallSites(createTree(shape, index, first, serviceTimes)),
     };
   });
 }
 
 /** A chain of services in a row; the extra calls of a fan-out are leaves beside it. */
-function createTree(shape: FleetShape, serviceCount: number, first: number): CallTree {
+function createTree(
+  shape: FleetShape,
+  kindIndex: number,
+  first: number,
+  serviceTimes: readonly number[],
+): CallTree {
+  const serviceCount = serviceTimes.length;
   let sites = shape.depth;
+  const node = (position: number, calls: readonly CallTree[]): CallTree => {
+    const index = position % serviceCount;
+    const kind: ServiceKind = {
+      name: kindName(kindIndex),
+      deadlineMs: DEADLINE_PER_HOP_MS * (shape.depth + 1),
+      attempts: ATTEMPTS_PER_HOP * MAX_SITES,
+      idempotent: calls.length > 0 || kindIndex % CRITICALITIES.length !== 1,
+      serviceTimeMs: serviceTimes[index]!,
+      serviceTimeSigma: SERVICE_TIME_SIGMA,
+      serviceTimeShape: 'lognormal',
+    };
+    return { service: serviceName(index), kind, calls, parallel: shape.fanOut > 1 };
+  };
   const build = (position: number, depth: number): CallTree => {
-    const service = serviceName(position % serviceCount);
-    if (depth === shape.depth) return { service };
-    const calls: CallTree[] = [build(position + 1, depth + 1)];
+    if (depth === shape.depth) return node(position, []);
+    const calls = [build(position + 1, depth + 1)];
     for (let extra = 1; extra < shape.fanOut && sites < MAX_SITES; extra += 1) {
       sites += 1;
-      calls.push({ service: serviceName((position + shape.depth + extra) % serviceCount) });
+      calls.push(node(position + shape.depth + extra, []));
     }
-    return { service, calls, parallel: shape.fanOut > 1 };
+    return node(position, calls);
   };
   return build(first, 1);
 }
 
+/** The services that each service calls, over all kinds. */
+function collectCalls(kinds: readonly CallerKind[]): Map<string, string[]> {
+  const calls = new Map<string, string[]>();
+  const visit = (site: CallSite): void => {
+    const known = calls.get(site.service) ?? [];
+    const callees = site.calls.map(({ service }) => service);
+    calls.set(site.service, [...new Set([...known, ...callees])]);
+    for (const call of site.calls) visit(call);
+  };
+  for (const { root } of kinds) visit(root);
+  return calls;
+}
+
 function serviceName(index: number): string {
   return `service-${index + 1}`;
 }
+
+function kindName(index: number): string {
+  return `kind-${index + 1}`;
+}
--- a/src/emulator/target-side.ts
+++ b/src/emulator/target-side.ts
@@ -21,6 +21,7 @@
 interface Entry {
   readonly ticket: number;
   readonly attempt: IncomingAttempt;
+  readonly offeredAt: number;
   state: EntryState;
   /** Set once dispatched. */
   waiter: ConnectionWaiter | undefined;
@@ -60,10 +61,14 @@
     return this.options.gate;
   }
 
-  /** Requests waiting in the gate, for a connection and in the back end. */
+  /** Requests waiting in the gate. */
   get queued(): number {
-    const { gate, pool, backEnd } = this.options;
-    return gate.report(this.world.queue.now()).queued + pool.waiting + backEnd.queued;
+    return this.options.gate.report(this.world.queue.now()).queued;
+  }
+
+  /** Requests waiting for a connection or in the back end. */
+  get queuedInTarget(): number {
+    return this.options.pool.waiting + this.options.backEnd.queued;
   }
 
   /** An attempt arrives at the node. */
@@ -76,10 +81,17 @@
     }
     this.lastTicket += 1;
     const ticket = this.lastTicket;
-    const entry: Entry = { ticket, attempt, state: 'waiting', waiter: undefined, job: undefined };
+    const now = this.world.queue.now();
+    const entry: Entry = {
+      ticket,
+      attempt,
+      offeredAt: now,
+      state: 'waiting',
+      waiter: undefined,
+      job: undefined,
+    };
     this.byTicket.set(entry.ticket, entry);
     this.byAttempt.set(attempt, entry);
-    const now = this.world.queue.now();
     this.apply(this.options.gate.offer(now, entry.ticket, attempt.context));
   }
 
@@ -135,7 +147,8 @@
       this.onConnection(entry);
     };
     ledger.open(attempt.id, attempt.granted);
-    this.world.recorder.onDispatch(attempt.record, attempt.site);
+    const waitedMs = this.world.queue.now() - entry.offeredAt;
+    this.world.recorder.onDispatch(attempt.record, attempt.site, waitedMs);
     pool.acquire(entry.waiter);
   }
 
--- a/src/emulator/world.ts
+++ b/src/emulator/world.ts
@@ -1,7 +1,8 @@
 /** What all parts of one emulated run share. */
+import type { CallGraph } from '../core/attempt-budget.js';
 import type { AttemptOutcome, LoadReport, RequestContext } from '../core/request.js';
 import type { ResultCode } from '../core/result-code.js';
-import type { CallSite, Deployment, KindModel } from './deployment.js';
+import type { CallSite, Deployment } from './deployment.js';
 import type { EmulatedNode } from './emulated-node.js';
 import type { EventQueue } from './event-queue.js';
 import type { PolicyProfile } from './policy-profile.js';
@@ -25,7 +26,6 @@
 export interface IncomingAttempt {
   readonly id: string;
   readonly site: CallSite;
-  readonly kind: KindModel;
   readonly record: RequestRecord;
   readonly context: RequestContext;
   readonly granted: number;
@@ -43,6 +43,10 @@
   send(fromZone: string, toZone: string, deliver: () => void): void;
   /** The target side of a target on the node that fronts it. */
   targetSide(target: string): TargetSide;
+  /** The services that a service calls. */
+  readonly callsOf: CallGraph;
+  /** Fewest attempts with which a call of a service can succeed. */
+  needOf(service: string): number;
   /** Makes an attempt id. */
   nextAttemptId(): string;
   /** Called when a target's node saw a sign that the target is leaving. */
