Spread the runs of an experiment over worker threads

Cause: 20 runs of a scenario took up to a minute one after another. Ruled out: processes (the product starts none) and a changed order (results keep theirs).

--- a/src/emulator/commands.ts
+++ b/src/emulator/commands.ts
@@ -1,5 +1,6 @@
 /** Commands of the experiment tool. */
 import { readFile } from 'node:fs/promises';
+import { availableParallelism } from 'node:os';
 import { Command, Option } from 'clipanion';
 import { isInInclusiveRange, isInteger, isNumber, applyCascade } from 'typanion';
 import { Result } from 'true-myth';
@@ -11,6 +12,8 @@
 const EXIT_OK = 0;
 const EXIT_INVALID_INPUT = 2;
 const MAX_SEEDS = 100;
+const MAX_JOBS = 64;
+const MAX_DEFAULT_JOBS = 4;
 
 /** Runs the policies of a scenario file in virtual time. */
 export class ExperimentRunCommand extends Command {
@@ -37,13 +40,18 @@
     description: 'Number of seeds, counted from 1, in place of the file’s',
     validator: applyCascade(isNumber(), [isInteger(), isInInclusiveRange(1, MAX_SEEDS)]),
   });
+  jobs = Option.String('--jobs', {
+    description: 'Runs at a time; half of the processors, four at most, when absent',
+    validator: applyCascade(isNumber(), [isInteger(), isInInclusiveRange(1, MAX_JOBS)]),
+  });
   policies = Option.Array('--policy', { description: 'Policy in place of the file’s; repeatable' });
 
   override async execute(): Promise<number> {
     const scenario = await this.readScenario();
     if (scenario.isErr) return this.fail(scenario.error);
     const { runExperiment } = await import('./experiment.js');
-    const result = runExperiment(scenario.value, (done, total, run) => {
+    const jobs = this.jobs ?? defaultJobs();
+    const result = await runExperiment(scenario.value, jobs, (done, total, run) => {
       this.context.stderr.write(`${formatProgress(done, total, run)}\n`);
     });
     if (this.json) this.context.stdout.write(`${JSON.stringify(result.summary, undefined, 2)}\n`);
@@ -89,6 +97,10 @@
   }
 }
 
+function defaultJobs(): number {
+  return Math.max(1, Math.min(MAX_DEFAULT_JOBS, Math.floor(availableParallelism() / 2)));
+}
+
 function countFromOne(count: number): number[] {
   return Array.from({ length: count }, (_, index) => index + 1);
 }
--- a/src/emulator/experiment.ts
+++ b/src/emulator/experiment.ts
@@ -1,6 +1,6 @@
 /** An experiment: every policy with every seed of a scenario, and the summary over the seeds. */
+import { type ProgressListener, runAll } from './run-pool.js';
 import type { KindResult, RunResult } from './run-result.js';
-import { runScenario } from './run-scenario.js';
 import type { Scenario } from './scenario.js';
 import { median, type Spread, spreadOf } from './statistics.js';
 
@@ -58,20 +58,21 @@
   readonly summary: readonly PolicySummary[];
 }
 
-/** Told after each run. */
-export type ProgressListener = (done: number, total: number, run: RunResult) => void;
-
-/** Runs an experiment; the same scenario gives the same result. */
-export function runExperiment(scenario: Scenario, onProgress: ProgressListener): ExperimentResult {
-  const total = scenario.policies.length * scenario.seeds.length;
-  const runs: RunResult[] = [];
-  for (const policy of scenario.policies) {
-    for (const seed of scenario.seeds) {
-      const run = runScenario(scenario, policy, seed);
-      runs.push(run);
-      onProgress(runs.length, total, run);
-    }
-  }
+/**
+ * Runs an experiment; the same scenario gives the same result, whatever the number of jobs.
+ *
+ * @param jobs runs at a time
+ */
+export async function runExperiment(
+  scenario: Scenario,
+  jobs: number,
+  onProgress: ProgressListener,
+): Promise<ExperimentResult> {
+  const pairs = scenario.policies.flatMap((policy) =>
+    scenario.seeds.map((seed) => ({ policy, seed })),
+  );
+  const requests = pairs.map((pair, index) => ({ index, ...pair }));
+  const runs = await runAll(scenario, requests, jobs, onProgress);
   const summary = scenario.policies.map((policy) =>
     summarise(
       policy,
