Use the command line's base class and exit codes for the experiment tool

Ruled out: an exit code of its own; an invalid scenario is invalid input (2). Change: ExperimentRunCommand extends SillshoreCommand; ScenarioInvalid ends with 2.

--- a/src/cli/exit-code.ts
+++ b/src/cli/exit-code.ts
@@ -20,6 +20,7 @@
 const EXIT_CODES: Partial<Record<ResultCode, ExitCode>> = {
   [ResultCode.RulesInvalid]: ExitCode.InvalidInput,
   [ResultCode.SettingsInvalid]: ExitCode.InvalidInput,
+  [ResultCode.ScenarioInvalid]: ExitCode.InvalidInput,
   [ResultCode.InvalidField]: ExitCode.InvalidInput,
   [ResultCode.BodyTooLarge]: ExitCode.InvalidInput,
   [ResultCode.MalformedRequest]: ExitCode.InvalidInput,
--- a/src/emulator/commands.ts
+++ b/src/emulator/commands.ts
@@ -2,21 +2,21 @@
 import { readFile } from 'node:fs/promises';
 import { availableParallelism } from 'node:os';
 import { Command, Option } from 'clipanion';
-import { isInInclusiveRange, isInteger, isNumber, applyCascade } from 'typanion';
+import { applyCascade, isInInclusiveRange, isInteger, isNumber } from 'typanion';
 import { Result } from 'true-myth';
+import { SillshoreCommand } from '../cli/command.js';
+import { ExitCode } from '../cli/exit-code.js';
 import { createFailure, type Failure } from '../core/failure.js';
-import { describeResultCode, ResultCode } from '../core/result-code.js';
+import { ResultCode } from '../core/result-code.js';
 import type { RunResult } from './run-result.js';
 import type { Scenario } from './scenario.js';
 
-const EXIT_OK = 0;
-const EXIT_INVALID_INPUT = 2;
 const MAX_SEEDS = 100;
 const MAX_JOBS = 64;
 const MAX_DEFAULT_JOBS = 4;
 
 /** Runs the policies of a scenario file in virtual time. */
-export class ExperimentRunCommand extends Command {
+export class ExperimentRunCommand extends SillshoreCommand {
   static override paths = [['experiment', 'run']];
   static override usage = Command.Usage({
     description: 'run a scenario file in virtual time and compare policies',
@@ -46,7 +46,7 @@
   });
   policies = Option.Array('--policy', { description: 'Policy in place of the file’s; repeatable' });
 
-  override async execute(): Promise<number> {
+  protected async run(): Promise<ExitCode> {
     const scenario = await this.readScenario();
     if (scenario.isErr) return this.fail(scenario.error);
     const { runExperiment } = await import('./experiment.js');
@@ -54,17 +54,18 @@
     const result = await runExperiment(scenario.value, jobs, (done, total, run) => {
       this.context.stderr.write(`${formatProgress(done, total, run)}\n`);
     });
-    if (this.json) this.context.stdout.write(`${JSON.stringify(result.summary, undefined, 2)}\n`);
-    else {
+    if (this.json) {
+      this.printJson(result.summary);
+    } else {
       const { formatReport } = await import('./report.js');
-      this.context.stdout.write(`${formatReport(result)}\n`);
+      this.print(formatReport(result));
     }
     if (this.out !== undefined) {
       const { writeExperimentFiles } = await import('./experiment-files.js');
       const paths = await writeExperimentFiles(result, this.out);
       for (const path of paths) this.context.stderr.write(`wrote ${path}\n`);
     }
-    return EXIT_OK;
+    return ExitCode.Ok;
   }
 
   private async readScenario(): Promise<Result<Scenario, Failure>> {
@@ -86,15 +87,6 @@
       }),
     );
   }
-
-  private fail(failure: Failure): number {
-    const { title } = describeResultCode(failure.code);
-    this.context.stderr.write(`error ${failure.code}: ${title}: ${failure.detail}\n`);
-    for (const { path, message } of failure.violations ?? []) {
-      this.context.stderr.write(`  ${path === '' ? '(document)' : path}: ${message}\n`);
-    }
-    return EXIT_INVALID_INPUT;
-  }
 }
 
 function defaultJobs(): number {
