--- a/src/emulator/experiment.ts
+++ b/src/emulator/experiment.ts
@@ -1,8 +1,8 @@
 /** An experiment: every policy with every seed of a scenario, and the summary over the seeds. */
+import { type ProgressListener, runAll } from './run-pool.js';
 import type { KindResult, RunResult } from './run-result.js';
-import { runScenario } from './run-scenario.js';
 import type { Scenario } from './scenario.js';
-import { type Spread, spreadOf } from './statistics.js';
+import { median, type Spread, spreadOf } from './statistics.js';
 
 /** Summary of one kind under one policy. */
 export interface KindSummary {
@@ -47,6 +47,8 @@
   }[];
   /** Median count by `place code service depth`. */
   readonly refusals: Readonly<Record<string, number>>;
+  /** Median of the mean wait in the gate by `kind at service depth`, in milliseconds. */
+  readonly gateWaitMs: Readonly<Record<string, number>>;
 }
 
 /** All runs of an experiment and their summary by policy. */
@@ -56,20 +58,21 @@
   readonly summary: readonly PolicySummary[];
 }
 
-/** Told after each run. */
-export type ProgressListener = (done: number, total: number, run: RunResult) => void;
-
-/** Runs an experiment; the same scenario gives the same result. */
-export function runExperiment(scenario: Scenario, onProgress: ProgressListener): ExperimentResult {
-  const total = scenario.policies.length * scenario.seeds.length;
-  const runs: RunResult[] = [];
-  for (const policy of scenario.policies) {
-    for (const seed of scenario.seeds) {
-      const run = runScenario(scenario, policy, seed);
-      runs.push(run);
-      onProgress(runs.length, total, run);
-    }
-  }
+/**
+ * Runs an experiment; the same scenario gives the same result, whatever the number of jobs.
+ *
+ * @param jobs runs at a time
+ */
+export async function runExperiment(
+  scenario: Scenario,
+  jobs: number,
+  onProgress: ProgressListener,
+): Promise<ExperimentResult> {
+  const pairs = scenario.policies.flatMap((policy) =>
+    scenario.seeds.map((seed) => ({ policy, seed })),
+  );
+  const requests = pairs.map((pair, index) => ({ index, ...pair }));
+  const runs = await runAll(scenario, requests, jobs, onProgress);
   const summary = scenario.policies.map((policy) =>
     summarise(
       policy,
@@ -102,7 +105,8 @@
       wasted: over((run) => run.services[index]!.wasted).median,
       late: over((run) => run.services[index]!.late).median,
     })),
-    refusals: summariseRefusals(runs),
+    refusals: medianByKey(runs.map(({ refusals }) => refusals)),
+    gateWaitMs: medianByKey(runs.map(({ gateWaitMs }) => gateWaitMs)),
   };
 }
 
@@ -127,10 +131,11 @@
   };
 }
 
-function summariseRefusals(runs: readonly RunResult[]): Record<string, number> {
-  const keys = [...new Set(runs.flatMap(({ refusals }) => Object.keys(refusals)))].sort();
+/** Median of each key's values; a run without the key counts as 0. */
+function medianByKey(records: readonly Readonly<Record<string, number>>[]): Record<string, number> {
+  const keys = [...new Set(records.flatMap((record) => Object.keys(record)))].sort();
   return Object.fromEntries(
-    keys.map((key) => [key, spreadOf(runs.map(({ refusals }) => refusals[key] ?? 0)).median]),
+    keys.map((key) => [key, median(records.map((record) => record[key] ?? 0))]),
   );
 }
 
