--- a/src/config/config-distribution.test.ts
+++ b/src/config/config-distribution.test.ts
@@ -4,15 +4,18 @@
 import { createSampleRules } from '../testing/sample-rules.js';
 import type { RevisionRecord } from './config-store.js';
 import { parseRules } from './rules.js';
-import { SimulatedFleet, type SimulatedNode } from '../testing/simulated-config-fleet.js';
+import {
+  SimulatedConfigFleet,
+  type SimulatedConfigNode,
+} from '../testing/simulated-config-fleet.js';
 
 const ZONES = ['zone-a', 'zone-b', 'zone-c'];
 const TENANT = 'recife';
 /** Time in which a change is in force everywhere (docs/DEVELOPERS.md). */
 const IN_FORCE_WITHIN_MS = 8_000;
 
-async function startFleet(nodesPerZone: number): Promise<SimulatedFleet> {
-  const fleet = new SimulatedFleet();
+async function startFleet(nodesPerZone: number): Promise<SimulatedConfigFleet> {
+  const fleet = new SimulatedConfigFleet();
   for (const zone of ZONES) {
     for (let count = 0; count < nodesPerZone; count += 1) fleet.startNode(zone);
   }
@@ -20,16 +23,20 @@
   return fleet;
 }
 
-function revisionOf(node: SimulatedNode): number {
+function revisionOf(node: SimulatedConfigNode): number {
   return node.store.find(TENANT)?.revision ?? 0;
 }
 
-function revisions(fleet: SimulatedFleet): number[] {
+function revisions(fleet: SimulatedConfigFleet): number[] {
   return [...fleet.nodes.values()].map(revisionOf);
 }
 
 /** Accepts one more revision at a node; virtual time passes meanwhile. */
-async function accept(fleet: SimulatedFleet, node: SimulatedNode, revision: number): Promise<void> {
+async function accept(
+  fleet: SimulatedConfigFleet,
+  node: SimulatedConfigNode,
+  revision: number,
+): Promise<void> {
   const document = createSampleRules({ tenant: TENANT, slots: revision });
   const base = { tenant: TENANT, document, author: 'ana', operationId: `op-${revision}` };
   let isSettled = false;
@@ -209,7 +216,7 @@
   private readonly byNode = new Map<string, number>();
   private readonly byZone = new Map<string, { revision: number; readers: ReadonlySet<string> }>();
 
-  constructor(private readonly fleet: SimulatedFleet) {}
+  constructor(private readonly fleet: SimulatedConfigFleet) {}
 
   readonly run = (): void => {
     for (const node of this.fleet.nodes.values()) {
@@ -231,7 +238,7 @@
   }
 }
 
-async function runStep(fleet: SimulatedFleet, step: Step, accepted: number): Promise<number> {
+async function runStep(fleet: SimulatedConfigFleet, step: Step, accepted: number): Promise<number> {
   const nodes = [...fleet.nodes.values()];
   switch (step.type) {
     case 'accept':
--- a/src/config/config-distribution.ts
+++ b/src/config/config-distribution.ts
@@ -21,6 +21,9 @@
 /** Interval at which roles and peers are looked at also without a change of the members. */
 const CHECK_INTERVAL_MS = 1_000;
 
+/** Delay of the check after a change of the members. */
+const CHECK_DELAY_MS = 50;
+
 /** What the distribution works with. */
 export interface ConfigDistributionOptions {
   readonly store: ConfigStore;
@@ -41,6 +44,7 @@
   private readonly pull: PeerRulesPull;
   private unsubscribe: () => void = () => {};
   private cancelTimer: CancelTimer = () => {};
+  private nextCheckAt = Number.POSITIVE_INFINITY;
 
   constructor(private readonly options: ConfigDistributionOptions) {
     const parts = {
@@ -68,9 +72,9 @@
     const { network, store, membership } = this.options;
     answerRulesFetch(network, store, () => this.loaded);
     this.unsubscribe = membership.subscribe(() => {
-      this.check();
+      this.checkWithin(CHECK_DELAY_MS);
     });
-    this.checkLater();
+    this.checkWithin(CHECK_INTERVAL_MS);
     this.startup.start();
   }
 
@@ -117,10 +121,17 @@
     this.pull.check();
   }
 
-  private checkLater(): void {
-    this.cancelTimer = this.options.clock.schedule(CHECK_INTERVAL_MS, () => {
+  /** Many changes of the members at once cost one check. */
+  private checkWithin(delayMs: number): void {
+    const { clock } = this.options;
+    const at = clock.now() + delayMs;
+    if (at >= this.nextCheckAt) return;
+    this.nextCheckAt = at;
+    this.cancelTimer();
+    this.cancelTimer = clock.schedule(delayMs, () => {
+      this.nextCheckAt = Number.POSITIVE_INFINITY;
       this.check();
-      this.checkLater();
+      this.checkWithin(CHECK_INTERVAL_MS);
     });
   }
 }
--- a/src/membership/zone-watchers.ts
+++ b/src/membership/zone-watchers.ts
@@ -2,11 +2,9 @@
  * Which nodes of a zone read the platform for it: a few, chosen alike by every node, so that
  * the platform's load depends on the number of zones and not of nodes.
  */
-import createXxhash from 'xxhash-wasm';
+import { combineHashes, hash32 } from '../core/hash.js';
 import type { Member, Membership } from './membership.js';
 
-const { h32 } = await createXxhash();
-
 /** Watching nodes of one zone; two, so that one may fail without a gap. */
 export const WATCHERS_PER_ZONE = 2;
 
@@ -27,6 +25,6 @@
 
 /** Orders by rendezvous rank: a node's arrival or loss moves no other pair of nodes. */
 function rank(members: readonly Member[]): readonly Member[] {
-  const score = ({ zone, nodeId }: Member) => h32(`${zone}\n${nodeId}`);
+  const score = ({ zone, nodeId }: Member) => combineHashes(hash32(zone), hash32(nodeId));
   return [...members].sort((a, b) => score(a) - score(b) || (a.nodeId < b.nodeId ? -1 : 1));
 }
--- a/src/testing/simulated-config-fleet.ts
+++ b/src/testing/simulated-config-fleet.ts
@@ -30,17 +30,19 @@
 type ConfigFetchHandler = PeerCallHandler<'configFetch'>;
 
 /** One node of the fleet. */
-export class SimulatedNode implements Membership, PeerNetwork {
+export class SimulatedConfigNode implements Membership, PeerNetwork {
   readonly store = new InMemoryConfigStore();
   readonly distribution: ConfigDistribution;
   readonly repository: PlatformRulesRepository;
+  /** Arguments of {@link addSeeds} so far. */
+  readonly seeds: (readonly string[])[] = [];
   private readonly heard = new Map<string, Heard>();
   private readonly listeners = new Set<() => void>();
   private facts: MemberFacts;
   private handler: ConfigFetchHandler | undefined;
 
   constructor(
-    private readonly fleet: SimulatedFleet,
+    private readonly fleet: SimulatedConfigFleet,
     readonly id: string,
     readonly zone: string,
     seed: number,
@@ -89,7 +91,9 @@
     this.facts = { ...this.facts, ...facts, sequence: this.facts.sequence + 1 };
   }
 
-  addSeeds(): void {}
+  addSeeds(addresses: readonly string[]): void {
+    this.seeds.push(addresses);
+  }
 
   leave(): Promise<void> {
     return Promise.resolve();
@@ -103,7 +107,7 @@
   }
 
   /** Takes another node's facts in. */
-  hear({ facts }: SimulatedNode): void {
+  hear({ facts }: SimulatedConfigNode): void {
     this.heard.set(facts.nodeId, { facts, at: this.fleet.clock.now() });
     for (const listener of [...this.listeners]) listener();
   }
@@ -126,10 +130,10 @@
 }
 
 /** The fleet; names of replacements are never used again. */
-export class SimulatedFleet {
+export class SimulatedConfigFleet {
   readonly clock = new ManualClock();
   readonly platform = new InMemoryPlatform();
-  readonly nodes = new Map<string, SimulatedNode>();
+  readonly nodes = new Map<string, SimulatedConfigNode>();
   /** Virtual time between a read of the platform and its answer. */
   answerDelayMs = 0;
   private readonly cutZones = new Set<string>();
@@ -144,16 +148,16 @@
   }
 
   /** Starts a node in a zone. */
-  startNode(zone: string): SimulatedNode {
+  startNode(zone: string): SimulatedConfigNode {
     this.created += 1;
-    const node = new SimulatedNode(this, `node-${this.created}`, zone, this.created);
+    const node = new SimulatedConfigNode(this, `node-${this.created}`, zone, this.created);
     this.nodes.set(node.id, node);
     node.distribution.start();
     return node;
   }
 
   /** Ends a node without a word. */
-  killNode(node: SimulatedNode): void {
+  killNode(node: SimulatedConfigNode): void {
     node.distribution.stop();
     this.nodes.delete(node.id);
   }
@@ -164,11 +168,11 @@
     else this.cutZones.delete(zone);
   }
 
-  canReach(from: SimulatedNode, to: SimulatedNode): boolean {
+  canReach(from: SimulatedConfigNode, to: SimulatedConfigNode): boolean {
     return from.zone === to.zone || !(this.cutZones.has(from.zone) || this.cutZones.has(to.zone));
   }
 
-  inZone(zone: string): readonly SimulatedNode[] {
+  inZone(zone: string): readonly SimulatedConfigNode[] {
     return [...this.nodes.values()].filter((node) => node.zone === zone);
   }
 
