Take part in the shared list of leaving targets; coalesce the reading of members and rules

Cause: the target side overwrote what the poll of the list of machines had published; each change of one member made each node place all targets again. Ruled out: nothing. Change: own signs go through Token.LeavingTargets; all members' facts stop work here; readings are at least 50 ms apart, the first one at once.

--- a/src/entry/entry-plugin.ts
+++ b/src/entry/entry-plugin.ts
@@ -9,7 +9,8 @@
 import { StartOrder, registerPlugin } from '../kernel/plugin.js';
 import { Token } from '../kernel/token.js';
 import { TargetPlacement } from '../target/target-placement.js';
-import { requirePolicy } from '../target/target-plugin.js';
+import { CoalescedCall } from '../target/coalesced-call.js';
+import { REFRESH_INTERVAL_MS, requirePolicy } from '../target/target-plugin.js';
 import { CallFactory } from './call-factory.js';
 import { KEEP_ALIVE_TIMEOUT_MS, startEntryServer, type EntryServer } from './entry-server.js';
 import { EntryTask } from './entry-task.js';
@@ -30,6 +31,7 @@
 /** State of one node's plug-in. */
 class EntrySide {
   private readonly task: EntryTask;
+  private readonly refreshing: CoalescedCall;
   private server: EntryServer | undefined;
   private draining = false;
   private unsubscribe: (() => void)[] = [];
@@ -39,12 +41,15 @@
     private readonly router: ServiceCallRouter,
   ) {
     this.task = createTask(container, router);
+    this.refreshing = new CoalescedCall(container.get(Token.Clock), REFRESH_INTERVAL_MS, () => {
+      this.refresh();
+    });
   }
 
   async start(): Promise<void> {
     const { listen, limits } = this.container.get(Token.Settings);
     const refresh = (): void => {
-      this.refresh();
+      this.refreshing.request();
     };
     this.unsubscribe = [
       this.container.get(Token.Membership).subscribe(refresh),
@@ -84,6 +89,7 @@
 
   async stop(): Promise<void> {
     for (const unsubscribe of this.unsubscribe) unsubscribe();
+    this.refreshing.cancel();
     await this.server?.close();
     this.task.close();
   }
--- /dev/null
+++ b/src/target/coalesced-call.ts
@@ -0,0 +1,40 @@
+/** Calls of a function that may be asked for often: at once, and then once per interval. */
+import type { CancelTimer, Clock } from '../kernel/clock.js';
+
+/** See the module comment. */
+export class CoalescedCall {
+  private lastRun = Number.NEGATIVE_INFINITY;
+  private pending: CancelTimer | undefined;
+
+  /** @param intervalMs shortest time between two runs */
+  constructor(
+    private readonly clock: Clock,
+    private readonly intervalMs: number,
+    private readonly run: () => void,
+  ) {}
+
+  /** Asks for a run, now or at the end of the interval that is under way. */
+  request(): void {
+    if (this.pending !== undefined) return;
+    const wait = this.lastRun + this.intervalMs - this.clock.now();
+    if (wait <= 0) {
+      this.runNow();
+      return;
+    }
+    this.pending = this.clock.schedule(wait, () => {
+      this.pending = undefined;
+      this.runNow();
+    });
+  }
+
+  /** Drops a run that was asked for. */
+  cancel(): void {
+    this.pending?.();
+    this.pending = undefined;
+  }
+
+  private runNow(): void {
+    this.lastRun = this.clock.now();
+    this.run();
+  }
+}
--- a/src/target/local-target-dispatcher.ts
+++ b/src/target/local-target-dispatcher.ts
@@ -48,8 +48,7 @@
   private readonly ledger = new AttemptLedger();
   private readonly running = new Map<string, TargetAttempt>();
   private placed: ReadonlySet<string> = new Set();
-  private listedAsLeaving: ReadonlySet<string> = new Set();
-  private reportedByOthers: ReadonlySet<string> = new Set();
+  private reportedLeaving: ReadonlySet<string> = new Set();
   private cancelRetirement: CancelTimer = () => {};
   private created = 0;
 
@@ -127,24 +126,16 @@
     return this.fronted.get(target)?.task.post({ type: 'operator-drain', drained }) ?? false;
   }
 
-  /** Takes the targets that the platform's list of machines shows as leaving, and spreads them. */
-  noteListedAsLeaving(targets: readonly string[]): void {
-    this.listedAsLeaving = new Set(targets);
-    this.tellTasks();
-    this.publishLeaving();
-  }
-
-  /** Takes the targets that other nodes have seen leaving. */
-  noteReportedByOthers(targets: readonly string[]): void {
-    this.reportedByOthers = new Set(targets);
-    this.tellTasks();
+  /** Takes the targets that the members' facts show as leaving, whoever saw it. */
+  noteReportedLeaving(targets: readonly string[]): void {
+    this.reportedLeaving = new Set(targets);
+    for (const [target, { task }] of this.fronted) this.tellTask(target, task);
   }
 
-  /** Targets that this node itself knows to be leaving, sorted. */
+  /** Targets that this node's target side itself has seen leaving. */
   leavingTargets(): readonly string[] {
     const seen = [...this.fronted].filter(([, { task }]) => task.seenLeavingHere);
-    const ids = new Set([...seen.map(([target]) => target), ...this.listedAsLeaving]);
-    return [...ids].sort();
+    return seen.map(([target]) => target);
   }
 
   /** Retires all tasks. */
@@ -213,12 +204,8 @@
     task.post({ type: 'retire' });
   }
 
-  private tellTasks(): void {
-    for (const [target, { task }] of this.fronted) this.tellTask(target, task);
-  }
-
   private tellTask(target: string, task: TargetTask): void {
-    const leaving = this.listedAsLeaving.has(target) || this.reportedByOthers.has(target);
+    const leaving = this.reportedLeaving.has(target);
     task.post({ type: 'reported-leaving', leaving });
   }
 
--- a/src/target/target-plugin.ts
+++ b/src/target/target-plugin.ts
@@ -9,17 +9,21 @@
 import { decodeAttempt, encodeResult, validateAttemptMessage } from './attempt-codec.js';
 import { reserveForCall, returnFromCall } from './attempt-reservation.js';
 import { validateReserveMessage, validateReturnMessage } from './attempt-ledger-codec.js';
+import { CoalescedCall } from './coalesced-call.js';
 import { HealthPoller, httpHealthProbe } from './health-poller.js';
 import { LocalTargetDispatcher } from './local-target-dispatcher.js';
 import { createNodeBackendClient } from './node-backend-client.js';
 import { TargetPlacement } from './target-placement.js';
 
 const IDLE_CHECK_MS = 20;
+/** Shortest time between two readings of members and rules, which take a while in a large fleet. */
+export const REFRESH_INTERVAL_MS = 50;
 
 /** State of one node's plug-in, kept in its container so that hollow nodes can share a process. */
 class TargetSide {
   private readonly poller: HealthPoller;
   private readonly placement: TargetPlacement;
+  private readonly refreshing: CoalescedCall;
   private unsubscribe: (() => void)[] = [];
 
   constructor(
@@ -30,6 +34,9 @@
       container.get(Token.Membership),
       container.get(Token.ConfigStore),
     );
+    this.refreshing = new CoalescedCall(container.get(Token.Clock), REFRESH_INTERVAL_MS, () => {
+      this.refresh();
+    });
     this.poller = new HealthPoller(
       container.get(Token.Clock),
       httpHealthProbe,
@@ -43,7 +50,7 @@
   start(): void {
     this.handlePeerCalls();
     const refresh = (): void => {
-      this.refresh();
+      this.refreshing.request();
     };
     this.unsubscribe = [
       this.container.get(Token.Membership).subscribe(refresh),
@@ -64,6 +71,7 @@
 
   stop(): void {
     for (const unsubscribe of this.unsubscribe) unsubscribe();
+    this.refreshing.cancel();
     this.poller.stop();
     this.dispatcher.close();
   }
@@ -73,8 +81,7 @@
     const { id } = this.container.get(Token.Settings).node;
     this.dispatcher.setPlaced(this.placement.placedAt(id));
     const members = this.container.get(Token.Membership).members();
-    const others = members.filter(({ nodeId }) => nodeId !== id);
-    this.dispatcher.noteReportedByOthers(others.flatMap((member) => member.leavingTargets));
+    this.dispatcher.noteReportedLeaving(members.flatMap((member) => member.leavingTargets));
   }
 
   private handlePeerCalls(): void {
@@ -100,7 +107,7 @@
 
 function createDispatcher(container: Container): LocalTargetDispatcher {
   const clock = container.get(Token.Clock);
-  const membership = container.get(Token.Membership);
+  const leavingTargets = container.get(Token.LeavingTargets);
   return new LocalTargetDispatcher({
     settings: container.get(Token.Settings),
     config: container.get(Token.ConfigStore),
@@ -110,9 +117,8 @@
     clock,
     log: container.get(Token.EventLog),
     metrics: container.get(Token.Metrics),
-    onLeavingChanged: (leavingTargets) => {
-      const known = membership.self().leavingTargets;
-      if (leavingTargets.join() !== known.join()) membership.update({ leavingTargets });
+    onLeavingChanged: (targets) => {
+      leavingTargets.set('target-side', targets);
     },
   });
 }
