Answer what comes in between drain and stop; keep idle connections a little longer than told

Cause: calls of back ends that came in after the entry's drain could be cut by the stop; a request sent at the very end of the told keep-alive time could meet a closed connection. Ruled out: nothing. Change: the stop waits up to 2 s for running requests; idle connections live 5.9 s while callers are told 5; changes of a target's limit are logged.

--- a/src/entry/entry-plugin.ts
+++ b/src/entry/entry-plugin.ts
@@ -22,6 +22,8 @@
 
 /** Time for peers and callers to learn of a planned stop while the node still serves. */
 const LEAVING_PHASE_MS = 1_500;
+/** Longest wait at the stop for requests that came in after the drain. */
+const LAST_ANSWERS_MS = 2_000;
 const IDLE_CHECK_MS = 20;
 /** Longest wait for idle connections: callers were told the keep-alive time. */
 const IDLE_CONNECTIONS_WAIT_MS = KEEP_ALIVE_TIMEOUT_MS + 1_000;
@@ -90,10 +92,18 @@
   async stop(): Promise<void> {
     for (const unsubscribe of this.unsubscribe) unsubscribe();
     this.refreshing.cancel();
+    if (this.draining) await this.finishRunning();
     await this.server?.close();
     this.task.close();
   }
 
+  /** What came in since the drain, calls of back ends above all, is still answered. */
+  private async finishRunning(): Promise<void> {
+    this.server?.stopListening();
+    const end = this.container.get(Token.Clock).now() + LAST_ANSWERS_MS;
+    await this.waitUntil(end, () => this.task.inProgress === 0);
+  }
+
   private accept(exchange: HttpExchange): void {
     if (this.task.post({ type: 'exchange', exchange })) return;
     const { node } = this.container.get(Token.Settings);
--- a/src/entry/entry-server.ts
+++ b/src/entry/entry-server.ts
@@ -9,8 +9,11 @@
 import type { Clock } from '../kernel/clock.js';
 import { HttpExchange } from './http-exchange.js';
 
-/** Idle time after which a keep-alive connection is closed; told to callers in `Keep-Alive`. */
-export const KEEP_ALIVE_TIMEOUT_MS = 5_000;
+/**
+ * Idle time after which a keep-alive connection is closed. Callers are told whole seconds, 5, in
+ * `Keep-Alive`; the rest lets a request that was sent at the last moment still be served.
+ */
+export const KEEP_ALIVE_TIMEOUT_MS = 5_900;
 const CONNECTION_CHECK_INTERVAL_MS = 250;
 const MAX_HEADER_BYTES = 16_384;
 
--- a/src/target/target-task.ts
+++ b/src/target/target-task.ts
@@ -71,6 +71,7 @@
   private lastTicket = 0;
   private wasLeaving = false;
   private wasSeenHere = false;
+  private loggedLimit: number | undefined;
   private retiring = false;
   private retired = false;
   private armedFor: number | undefined;
@@ -342,6 +343,10 @@
     this.gauges.inFlight.set(load.inFlight);
     this.gauges.queued.set(load.queued);
     this.gauges.limit.set(load.limit);
+    const limit = Math.round(load.limit);
+    if (limit === this.loggedLimit) return;
+    this.loggedLimit = limit;
+    this.options.log.emit(Event.LimitChanged, { target: this.options.target, limit });
   }
 
   /** Posts a message of the task's own timers and calls, which may not get lost. */
