--- a/src/core/membership/anti-entropy.ts
+++ b/src/core/membership/anti-entropy.ts
@@ -3,8 +3,8 @@
  * nodes compare one hash a bucket, so that an exchange between equal views costs the same
  * at any fleet size, and send only the members of buckets that differ.
  */
-import { combineHashes, hash32 } from '../hash.js';
-import type { MemberFacts } from '../member.js';
+import { hash32 } from '../hash.js';
+import { hashMember } from './member-hash.js';
 import { measureUpdate, subjectOf, type FactsUpdate, type MemberUpdate } from './member-update.js';
 import type { MemberSyncReply, MemberSyncRequest } from './membership-message.js';
 import type { ProtocolState } from './protocol-state.js';
@@ -21,21 +21,16 @@
   return hash32(nodeId) % SYNC_BUCKETS;
 }
 
-/**
- * Hash of each bucket over the members that have not failed. Suspicions and rules versions
- * are left out: they change all the time and travel by gossip.
- */
+/** Hash of each bucket over the members that have not failed. */
 export function hashBuckets(state: ProtocolState): number[] {
   const hashes = new Array<number>(SYNC_BUCKETS).fill(0);
-  const add = (facts: MemberFacts, leaving: boolean): void => {
-    const bucket = bucketOf(facts.nodeId);
-    const position = `${facts.incarnation}/${facts.sequence}/${leaving}`;
-    const hash = combineHashes(hash32(facts.nodeId), hash32(position));
-    // XOR, so that the order does not matter; kept within int32, BSON's small integer.
+  const add = (nodeId: string, hash: number): void => {
+    const bucket = bucketOf(nodeId);
+    // Kept within int32, BSON's small integer.
     hashes[bucket] = (hashes[bucket]! ^ hash) | 0;
   };
-  add(state.self, state.leaving);
-  for (const { facts, leaving } of state.table.listLive()) add(facts, leaving);
+  add(state.self.nodeId, hashMember(state.self, state.leaving));
+  for (const { facts, hash } of state.table.listLive()) add(facts.nodeId, hash);
   return hashes;
 }
 
--- a/src/core/membership/member-table.ts
+++ b/src/core/membership/member-table.ts
@@ -1,5 +1,6 @@
 /** The members that this node knows, other than itself, and what it remembers of forgotten ones. */
 import type { Member, MemberFacts, MemberState } from '../member.js';
+import { hashMember } from './member-hash.js';
 import { comparePositions, type ClaimPosition } from './member-update.js';
 import type { MembershipOptions } from './membership-options.js';
 import type { Suspicion } from './suspicion.js';
@@ -16,6 +17,8 @@
   failedAt: number | undefined;
   /** When this node last told it of the claim against it. */
   confrontedAt: number;
+  /** {@link hashMember}, 0 when it has failed. */
+  hash: number;
   /** Cached view; undefined after a change. */
   view: Member | undefined;
 }
@@ -33,6 +36,8 @@
   private live: MemberEntry[] | undefined;
   /** Counts changes of who has not failed, restarts included. */
   viewChanges = 0;
+  /** XOR of the hashes of all members that have not failed. */
+  stateHash = 0;
 
   constructor(private readonly options: MembershipOptions) {}
 
@@ -72,6 +77,7 @@
       suspicion: undefined,
       failedAt: undefined,
       confrontedAt: -Infinity,
+      hash: 0,
       view: undefined,
     };
     const { failedAt } = entry;
@@ -148,6 +154,9 @@
   private touch(entry: MemberEntry): void {
     entry.view = undefined;
     this.live = undefined;
+    const hash = entry.failedAt === undefined ? hashMember(entry.facts, entry.leaving) : 0;
+    this.stateHash = (this.stateHash ^ entry.hash ^ hash) >>> 0;
+    entry.hash = hash;
     if (entry.failedAt === undefined) {
       this.liveByAddress.set(entry.facts.peerAddress, entry.facts.nodeId);
     }
--- a/src/core/membership/membership-faults.test.ts
+++ b/src/core/membership/membership-faults.test.ts
@@ -70,6 +70,18 @@
     // The paused node itself suspects nobody for what it has missed.
     assert.equal(fleet.countEvents('failed'), size - 1);
   },
+  'a paused node fails nobody whose refutation waits for it': (fleet) => {
+    const suspecting = fleet.node('node-2');
+    fleet.pause('node-3');
+    const isSuspected = (): boolean => suspecting.protocol.find('node-3')?.state === 'suspect';
+    assert.ok(fleet.runUntil(isSuspected, 10 * SECOND) <= 10 * SECOND);
+    fleet.pause('node-2');
+    fleet.resume('node-3');
+    fleet.run(30 * SECOND);
+    fleet.resume('node-2');
+    assertConverges(fleet, 5 * SECOND, 'after both pauses');
+    assert.equal(suspecting.events.includes('failed node-3'), false);
+  },
   'loss in one direction between two nodes raises no suspicion': (fleet) => {
     fleet.isCut = (from, to) => from.id === 'node-2' && to.id === 'node-1';
     fleet.run(60 * SECOND);
@@ -202,6 +214,7 @@
         from: 'node-3',
         incarnation: fleet.node('node-3').protocol.self().incarnation,
         configVersion: 0,
+        stateHash: 0,
         updates: [{ type: 'facts', facts: stale, leaving: false }],
       }),
     );
--- a/src/core/membership/membership-message.ts
+++ b/src/core/membership/membership-message.ts
@@ -8,6 +8,8 @@
   readonly incarnation: number;
   /** The sender's rules version: known at once to whoever hears from it. */
   readonly configVersion: number;
+  /** Hash of the sender's view; one that stays different calls for a state exchange. */
+  readonly stateHash: number;
   /** Who has the newest rules version; absent in a very large fleet. */
   readonly versions?: VersionDigest;
   readonly updates: readonly MemberUpdate[];
--- a/src/core/membership/membership-protocol.ts
+++ b/src/core/membership/membership-protocol.ts
@@ -36,6 +36,11 @@
 /** Pause between state exchanges that members coming back give rise to. */
 const RETURN_SYNC_PAUSE_MS = 2_000;
 
+/** Time for which a view must stand before a different one calls for an exchange. */
+const STABLE_VIEW_MS = 800;
+/** Pause between exchanges that different views give rise to. */
+const REPAIR_PAUSE_MS = 2_000;
+
 type Actions = readonly MembershipAction[];
 
 /** The membership protocol of one node. */
@@ -50,6 +55,10 @@
   private rejoinAt = Infinity;
   private forgetAt = Infinity;
   private lastReturnSyncAt = -Infinity;
+  private lastRepairAt = -Infinity;
+  /** This node's view and since when it has stood. */
+  private stableHash = 0;
+  private stableSince = 0;
   private joined = false;
   /** Bytes that gossip rounds may use now. */
   private gossipCredit = 0;
@@ -183,6 +192,7 @@
         break;
     }
     if (message.type !== 'ping') this.confront(now, address, message);
+    this.compareViews(now, message);
     return this.finish(now);
   }
 
@@ -263,6 +273,16 @@
     state.send(address, { type: 'gossip' }, [claim]);
   }
 
+  /** A view that stays different has missed something: no need to wait for the next exchange. */
+  private compareViews(now: number, { from, stateHash }: MembershipMessage): void {
+    if (stateHash === this.state.stateHash || !this.state.isReachable(from)) return;
+    if (this.state.stateHash !== this.stableHash) return;
+    if (now - this.stableSince < STABLE_VIEW_MS) return;
+    if (now - this.lastRepairAt < REPAIR_PAUSE_MS) return;
+    this.lastRepairAt = now;
+    this.state.emit({ type: 'sync', nodeId: from });
+  }
+
   private onJoined(now: number, { facts }: MemberEntry): void {
     this.prober.add(facts.nodeId);
     if (!this.joined || now - this.lastReturnSyncAt >= RETURN_SYNC_PAUSE_MS) {
@@ -335,6 +355,11 @@
   }
 
   private finish(now: number): Actions {
+    const { stateHash } = this.state;
+    if (stateHash !== this.stableHash) {
+      this.stableHash = stateHash;
+      this.stableSince = now;
+    }
     const { queue, table } = this.state;
     if (this.gossipAt === Infinity && !queue.isEmpty && table.listLive().length > 0) {
       const next = this.lastGossipAt + this.options.gossipIntervalMs;
--- a/src/core/membership/protocol-state.ts
+++ b/src/core/membership/protocol-state.ts
@@ -2,6 +2,7 @@
 import type { MemberFacts } from '../member.js';
 import type { Random } from '../random.js';
 import { GossipQueue } from './gossip-queue.js';
+import { hashMember } from './member-hash.js';
 import { stateOf, MemberTable, type MemberEntry } from './member-table.js';
 import { measureUpdate, type ClaimPosition, type MemberUpdate } from './member-update.js';
 import type {
@@ -16,7 +17,7 @@
 import type { MembershipOptions } from './membership-options.js';
 import { VersionMap, type VersionDigest } from './version-map.js';
 
-type Header = 'from' | 'incarnation' | 'configVersion' | 'versions' | 'updates';
+type Header = 'from' | 'incarnation' | 'configVersion' | 'stateHash' | 'versions' | 'updates';
 
 /** A datagram without its header. */
 export type MessageContent =
@@ -65,6 +66,11 @@
     return Math.ceil(this.options.retransmitMultiplier * Math.log10(this.fleetSize + 1));
   }
 
+  /** Hash of this node's view, itself included. */
+  get stateHash(): number {
+    return (this.table.stateHash ^ hashMember(this.self, this.leaving)) >>> 0;
+  }
+
   /** Counts changes of who is in the list of members. */
   get viewChanges(): number {
     return this.table.viewChanges + this.selfChanges;
@@ -113,7 +119,8 @@
     const { nodeId, incarnation, configVersion } = this.self;
     const versions = this.versionMap.describe();
     const updates = this.queue.select(this.options.maxUpdateBytes, this.retransmitLimit, first);
-    const header = { from: nodeId, incarnation, configVersion, updates };
+    const { stateHash } = this;
+    const header = { from: nodeId, incarnation, configVersion, stateHash, updates };
     const message = { ...content, ...header, ...(versions !== undefined && { versions }) };
     this.emit({ type: 'send', to, message });
     return updates.reduce((sum, update) => sum + measureUpdate(update), HEADER_BYTES);
--- a/src/membership/datagram-codec.test.ts
+++ b/src/membership/datagram-codec.test.ts
@@ -33,7 +33,7 @@
   { type: 'version', nodeId: 'node-2', incarnation: 1_764_000_000_001, configVersion: 2 ** 40 },
 ];
 
-const HEADER = { from: 'node-1', incarnation: 1_764_000_000_000, configVersion: 5 };
+const HEADER = { from: 'node-1', incarnation: 1_764_000_000_000, configVersion: 5, stateHash: 6 };
 const PING: MembershipMessage = {
   type: 'ping',
   ...HEADER,
@@ -79,7 +79,7 @@
   return Buffer.concat([signer.sign(body), body]);
 }
 
-const WIRE = { k: 0, f: 'node-1', i: 1, v: 1, u: [], p: 1, s: 'node-2' };
+const WIRE = { k: 0, f: 'node-1', i: 1, v: 1, h: 1, u: [], p: 1, s: 'node-2' };
 const MALFORMED: Record<string, Buffer> = {
   'an empty datagram': Buffer.alloc(0),
   'a tag alone': Buffer.alloc(16),
--- a/src/membership/datagram-codec.ts
+++ b/src/membership/datagram-codec.ts
@@ -22,6 +22,7 @@
   readonly f: string;
   readonly i: number;
   readonly v: number;
+  readonly h: number;
   readonly u: readonly (readonly unknown[])[];
   /** View, version and bits of the digest of rules versions. */
   readonly d?: readonly [number, number, Uint8Array];
@@ -70,6 +71,7 @@
     f: message.from,
     i: message.incarnation,
     v: message.configVersion,
+    h: message.stateHash,
     u: message.updates.map(updateToWire),
     ...(versions !== undefined && { d: [versions.view, versions.version, versions.bits] as const }),
   };
@@ -88,14 +90,33 @@
 }
 
 function fromWire(wire: Record<string, unknown>): MembershipMessage | undefined {
-  const { k, f: from, i: incarnation, v: configVersion, u, d, p: probe, s, a: address, w } = wire;
+  const {
+    k,
+    f: from,
+    i: incarnation,
+    v: configVersion,
+    h: stateHash,
+    u,
+    d,
+    p: probe,
+    s,
+    a: address,
+    w,
+  } = wire;
   if (!isText(from) || from === '' || !isCount(incarnation) || !isCount(configVersion)) return;
-  if (!Array.isArray(u)) return undefined;
+  if (!isCount(stateHash) || !Array.isArray(u)) return undefined;
   const updates = u.map(updateFromWire);
   if (!updates.every(isMemberUpdate)) return undefined;
   const versions = d === undefined ? undefined : versionsFromWire(d);
   if (d !== undefined && versions === undefined) return undefined;
-  const header = { from, incarnation, configVersion, updates, ...(versions && { versions }) };
+  const header = {
+    from,
+    incarnation,
+    configVersion,
+    stateHash,
+    updates,
+    ...(versions && { versions }),
+  };
   const type = MESSAGE_TYPES[k as number];
   if (type === 'gossip') return { type, ...header };
   if (type === undefined || !isCount(probe)) return undefined;
--- a/src/membership/membership-task.test.ts
+++ b/src/membership/membership-task.test.ts
@@ -148,6 +148,7 @@
     from: 'stranger',
     incarnation: 1,
     configVersion: 1,
+    stateHash: 1,
     updates: [{ type: 'failed', nodeId: 'node-2', incarnation: 1, sequence: 9 }],
   }),
 };
