--- a/src/core/hash.ts
+++ b/src/core/hash.ts
@@ -1,7 +1,7 @@
 /** A fast 32-bit hash of strings for placement and digests; not for security. */
+import createXxhash from 'xxhash-wasm';
 
-const FNV_OFFSET = 0x811c9dc5;
-const FNV_PRIME = 0x01000193;
+const { h32 } = await createXxhash();
 
 /** Mixes all bits of a 32-bit number (the finalizer of MurmurHash3). */
 export function mix32(value: number): number {
@@ -11,13 +11,9 @@
   return (mixed ^ (mixed >>> 16)) >>> 0;
 }
 
-/** Hash of a string's UTF-16 code units (FNV-1a, then {@link mix32}); 0 to 2^32 - 1. */
+/** Hash of a string (xxHash32 of its UTF-8 form); 0 to 2^32 - 1. */
 export function hash32(text: string): number {
-  let hash = FNV_OFFSET;
-  for (let index = 0; index < text.length; index += 1) {
-    hash = Math.imul(hash ^ text.charCodeAt(index), FNV_PRIME);
-  }
-  return mix32(hash);
+  return h32(text);
 }
 
 /** Hash of an ordered pair of hashes. */
