Membership: split the protocol's schedule, pace notifications and log lines

Ruled out: dropping the listeners' own work (placement must be rebuilt for a new view). Change: GossipRounds, ExchangeSchedule and Rejoin hold their timers; PacedNotifier tells the first change at once and later ones every 100 ms; foreign datagrams are logged once a second with their count; a full mailbox answers a memberSync instead of leaving it.

--- a/src/core/membership/membership-protocol.ts
+++ b/src/core/membership/membership-protocol.ts
@@ -22,25 +22,14 @@
   PingMessage,
 } from './membership-message.js';
 import { DEFAULT_MEMBERSHIP_OPTIONS, type MembershipOptions } from './membership-options.js';
-import { sample } from './probe-order.js';
+import { ExchangeSchedule } from './exchange-schedule.js';
+import { GossipRounds } from './gossip-rounds.js';
+import { Rejoin } from './rejoin.js';
 import { Prober } from './prober.js';
 import { ProtocolState } from './protocol-state.js';
 import { UpdateMerger, type UpdateSource } from './update-merger.js';
 
-/** Pause in which updates that arrive together are gathered into one datagram. */
-const GATHER_MS = 10;
-/** Seeds pinged at once while this node knows nobody. */
-const JOIN_SEEDS = 3;
-const JOIN_INTERVAL_MS = 1_000;
 const FORGET_INTERVAL_MS = 10_000;
-/** Pause between state exchanges that members coming back give rise to. */
-const RETURN_SYNC_PAUSE_MS = 2_000;
-
-/** Time for which a view must stand before a different one calls for an exchange. */
-const STABLE_VIEW_MS = 800;
-/** Pause between exchanges that different views give rise to. */
-const REPAIR_PAUSE_MS = 2_000;
-
 type Actions = readonly MembershipAction[];
 
 /** The membership protocol of one node. */
@@ -48,20 +37,10 @@
   private readonly state: ProtocolState;
   private readonly merger: UpdateMerger;
   private readonly prober: Prober;
-  private readonly seeds = new Set<string>();
-  private gossipAt = Infinity;
-  private lastGossipAt = -Infinity;
-  private syncAt = Infinity;
-  private rejoinAt = Infinity;
+  private readonly rounds: GossipRounds;
+  private readonly exchanges: ExchangeSchedule;
+  private readonly rejoin: Rejoin;
   private forgetAt = Infinity;
-  private lastReturnSyncAt = -Infinity;
-  private lastRepairAt = -Infinity;
-  /** This node's view and since when it has stood. */
-  private stableHash = 0;
-  private stableSince = 0;
-  private joined = false;
-  /** Bytes that gossip rounds may use now. */
-  private gossipCredit = 0;
 
   /**
    * @param self this node's facts at start
@@ -79,6 +58,9 @@
     this.prober = new Prober(this.state, (now, entry) => {
       this.merger.suspectUnanswered(now, entry);
     });
+    this.rounds = new GossipRounds(this.state);
+    this.exchanges = new ExchangeSchedule(this.state);
+    this.rejoin = new Rejoin(this.state, () => this.prober.nextNumber());
   }
 
   /** This node as a member. */
@@ -108,18 +90,15 @@
   /** Starts the protocol. */
   start(now: number): Actions {
     this.prober.start(now);
-    this.scheduleSync(now);
-    this.rejoinAt = now;
+    this.exchanges.plan(now);
+    this.rejoin.start(now);
     this.forgetAt = now + FORGET_INTERVAL_MS;
     return this.finish(now);
   }
 
   /** Adds addresses to join by. */
   addSeeds(now: number, addresses: readonly string[]): Actions {
-    for (const address of addresses) {
-      if (address !== this.state.self.peerAddress) this.seeds.add(address);
-    }
-    if (!this.joined && this.rejoinAt !== Infinity) this.rejoinAt = now;
+    this.rejoin.addSeeds(now, addresses);
     return this.finish(now);
   }
 
@@ -147,8 +126,9 @@
 
   /** Time of the next needed {@link onTimer}. */
   nextTimer(): number {
-    const { gossipAt, syncAt, rejoinAt, forgetAt } = this;
-    let next = Math.min(gossipAt, syncAt, rejoinAt, forgetAt, this.prober.nextTimer());
+    const { prober, rounds, exchanges, rejoin } = this;
+    const parts = [prober, rounds, exchanges, rejoin].map((part) => part.nextTimer());
+    let next = Math.min(this.forgetAt, ...parts);
     for (const { suspicion } of this.state.table.listSuspects()) {
       if (suspicion !== undefined) next = Math.min(next, suspicion.deadline);
     }
@@ -161,9 +141,9 @@
     if (lateMs > this.options.pauseThresholdMs) this.recoverFromPause(now, lateMs);
     this.merger.expireSuspicions(now);
     this.prober.onTimer(now);
-    if (now >= this.gossipAt) this.gossip(now);
-    if (now >= this.syncAt) this.syncWithRandom(now);
-    if (now >= this.rejoinAt) this.rejoin(now);
+    this.rounds.onTimer(now);
+    this.exchanges.onTimer(now);
+    this.rejoin.onTimer(now);
     if (now >= this.forgetAt) this.forget(now);
     return this.finish(now);
   }
@@ -192,7 +172,7 @@
         break;
     }
     if (message.type !== 'ping') this.confront(now, address, message);
-    this.compareViews(now, message);
+    this.exchanges.compareViews(now, message);
     return this.finish(now);
   }
 
@@ -219,8 +199,8 @@
 
   /** The peer's page of a state exchange, or facts that were fetched. */
   onSyncReply(now: number, nodeId: string, updates: readonly MemberUpdate[]): Actions {
-    const isJoin = !this.joined;
-    this.joined = true;
+    const isJoin = !this.exchanges.hasJoined;
+    this.exchanges.hasJoined = true;
     return this.applyUpdates(now, { nodeId, isSync: true, isJoin }, updates);
   }
 
@@ -273,22 +253,9 @@
     state.send(address, { type: 'gossip' }, [claim]);
   }
 
-  /** A view that stays different has missed something: no need to wait for the next exchange. */
-  private compareViews(now: number, { from, stateHash }: MembershipMessage): void {
-    if (stateHash === this.state.stateHash || !this.state.isReachable(from)) return;
-    if (this.state.stateHash !== this.stableHash) return;
-    if (now - this.stableSince < STABLE_VIEW_MS) return;
-    if (now - this.lastRepairAt < REPAIR_PAUSE_MS) return;
-    this.lastRepairAt = now;
-    this.state.emit({ type: 'sync', nodeId: from });
-  }
-
   private onJoined(now: number, { facts }: MemberEntry): void {
     this.prober.add(facts.nodeId);
-    if (!this.joined || now - this.lastReturnSyncAt >= RETURN_SYNC_PAUSE_MS) {
-      this.lastReturnSyncAt = now;
-      this.state.emit({ type: 'sync', nodeId: facts.nodeId });
-    }
+    this.exchanges.onJoined(now, facts.nodeId);
   }
 
   /** Spreads new facts of this node. */
@@ -298,52 +265,6 @@
     state.queue.push(state.describeSelf());
   }
 
-  private gossip(now: number): void {
-    const { state, options } = this;
-    const { gossipBytesPerSecond } = options;
-    const earned = ((now - this.lastGossipAt) / 1_000) * gossipBytesPerSecond;
-    this.gossipCredit = Math.min(gossipBytesPerSecond, this.gossipCredit + earned);
-    this.lastGossipAt = now;
-    this.gossipAt = Infinity;
-    if (this.gossipCredit <= 0) return;
-    const targets = sample(state.table.listLive(), options.gossipFanOut, state.random);
-    for (const { facts } of targets) {
-      if (state.queue.isEmpty) return;
-      this.gossipCredit -= state.send(facts.peerAddress, { type: 'gossip' });
-    }
-  }
-
-  private syncWithRandom(now: number): void {
-    this.scheduleSync(now);
-    const [entry] = sample(this.state.table.listLive(), 1, this.state.random);
-    if (entry !== undefined) this.state.emit({ type: 'sync', nodeId: entry.facts.nodeId });
-  }
-
-  /** Exchanges are quick to repeat until the first one has worked. */
-  private scheduleSync(now: number): void {
-    const interval = this.joined ? this.options.syncIntervalMs : JOIN_INTERVAL_MS;
-    this.syncAt = now + interval * (0.5 + this.state.random.next());
-  }
-
-  /** Pings addresses where a member may have come up or come back. */
-  private rejoin(now: number): void {
-    const { state, options } = this;
-    const isAlone = state.table.listLive().length === 0;
-    const interval = isAlone ? JOIN_INTERVAL_MS : options.rejoinIntervalMs;
-    this.rejoinAt = now + interval * (0.75 + 0.5 * state.random.next());
-    const candidates = new Set(this.seeds);
-    for (const { facts, failedAt, leaving } of state.table.all()) {
-      if (failedAt !== undefined && !leaving) candidates.add(facts.peerAddress);
-    }
-    const absent = [...candidates].filter(
-      (address) => state.table.findLiveByAddress(address) === undefined,
-    );
-    for (const address of sample(absent, isAlone ? JOIN_SEEDS : 1, state.random)) {
-      const probe = this.prober.nextNumber();
-      state.send(address, { type: 'ping', probe, to: '' }, [state.describeSelf()]);
-    }
-  }
-
   private forget(now: number): void {
     this.forgetAt = now + FORGET_INTERVAL_MS;
     for (const nodeId of this.state.table.forgetOld(now)) this.state.queue.remove(nodeId);
@@ -355,16 +276,8 @@
   }
 
   private finish(now: number): Actions {
-    const { stateHash } = this.state;
-    if (stateHash !== this.stableHash) {
-      this.stableHash = stateHash;
-      this.stableSince = now;
-    }
-    const { queue, table } = this.state;
-    if (this.gossipAt === Infinity && !queue.isEmpty && table.listLive().length > 0) {
-      const next = this.lastGossipAt + this.options.gossipIntervalMs;
-      this.gossipAt = Math.max(now + GATHER_MS, next);
-    }
+    this.exchanges.observeView(now);
+    this.rounds.plan(now);
     return this.state.takeActions();
   }
 }
--- a/src/membership/membership-task.ts
+++ b/src/membership/membership-task.ts
@@ -12,7 +12,9 @@
   MemberSyncRequest,
 } from '../core/membership/membership-message.js';
 import type { MembershipOptions } from '../core/membership/membership-options.js';
+import { createFailure } from '../core/failure.js';
 import type { Random } from '../core/random.js';
+import { ResultCode } from '../core/result-code.js';
 import type { CancelTimer, Clock } from '../kernel/clock.js';
 import { Event, type EventLog } from '../kernel/event.js';
 import { Task } from '../kernel/task.js';
@@ -22,10 +24,14 @@
 import { MemberSync } from './member-sync.js';
 import { validateFetchRequest, validateSyncRequest } from './membership-calls.js';
 import type { Membership } from './membership.js';
+import { PacedNotifier } from './paced-notifier.js';
 
 /** Longest wait of {@link MembershipTask.leave}, in milliseconds. */
 const LEAVE_LIMIT_MS = 1_500;
 
+/** Least pause between two log lines about foreign datagrams, in milliseconds. */
+const FOREIGN_LOG_PAUSE_MS = 1_000;
+
 const EVENTS: Readonly<Record<MembershipEvent, Event>> = {
   joined: Event.MemberJoined,
   suspected: Event.MemberSuspected,
@@ -71,17 +77,20 @@
   private readonly protocol: MembershipProtocol;
   private readonly codec: DatagramCodec;
   private readonly sync: MemberSync;
-  private readonly listeners = new Set<() => void>();
+  private readonly notifier: PacedNotifier;
   private readonly leaveWaiters = new Set<() => void>();
   private socket: Socket | undefined;
   private view: readonly Member[] | undefined;
   private cancelTimer: CancelTimer | undefined;
   private timerAt = Infinity;
+  private foreignCount = 0;
+  private foreignLoggedAt = -Infinity;
 
   constructor(private readonly options: MembershipTaskOptions) {
     super('membership', options.maxMailboxLength);
     this.protocol = new MembershipProtocol(options.facts, options.random, options.protocol);
     this.codec = new DatagramCodec(options.sharedKey);
+    this.notifier = new PacedNotifier(options.clock);
     this.sync = new MemberSync(options.network, {
       createSyncRequest: () => this.protocol.createSyncRequest(),
       createHandOvers: (buckets) => this.protocol.createHandOvers(buckets),
@@ -112,6 +121,7 @@
   /** Closes the socket and the timer; says nothing to the others. */
   stop(): void {
     this.cancelTimer?.();
+    this.notifier.stop();
     this.socket?.close();
     this.socket = undefined;
     for (const wake of this.leaveWaiters) wake();
@@ -156,10 +166,7 @@
   }
 
   subscribe(listener: () => void): () => void {
-    this.listeners.add(listener);
-    return () => {
-      this.listeners.delete(listener);
-    };
+    return this.notifier.subscribe(listener);
   }
 
   protected handle(message: TaskMessage): void {
@@ -200,13 +207,22 @@
     const message = this.codec.decode(datagram);
     const address = formatAddress(from);
     if (message === undefined) {
-      const detail = `datagram of ${datagram.length} bytes`;
-      this.options.log.emit(Event.FrameRejected, { link: `datagram from ${address}`, detail });
+      this.reportForeign(now, address, datagram.length);
       return [];
     }
     return this.protocol.onMessage(now, address, message);
   }
 
+  /** Logs at a bounded rate, so that a flood of datagrams is not one of log lines. */
+  private reportForeign(now: number, address: string, bytes: number): void {
+    this.foreignCount += 1;
+    if (now - this.foreignLoggedAt < FOREIGN_LOG_PAUSE_MS) return;
+    this.foreignLoggedAt = now;
+    const detail = `${this.foreignCount} foreign datagram(s), the last of ${bytes} bytes`;
+    this.foreignCount = 0;
+    this.options.log.emit(Event.FrameRejected, { link: `datagram from ${address}`, detail });
+  }
+
   private perform(actions: readonly MembershipAction[]): void {
     const { network, log } = this.options;
     for (const action of actions) {
@@ -233,7 +249,7 @@
           break;
         case 'changed':
           this.view = undefined;
-          for (const listener of [...this.listeners]) listener();
+          this.notifier.notify();
           break;
       }
     }
@@ -257,7 +273,9 @@
           const reply = (value: MemberSyncReply): void => {
             resolve(Result.ok(value));
           };
-          this.post({ type: 'sync-request', nodeId, request, resolve: reply });
+          if (!this.post({ type: 'sync-request', nodeId, request, resolve: reply })) {
+            resolve(Result.err(createFailure(ResultCode.MailboxFull, 'membership is busy')));
+          }
         }),
     );
     network.handle('memberFetch', validateFetchRequest, (_nodeId, { nodeIds }) =>
