--- a/src/config/config-distribution.test.ts
+++ b/src/config/config-distribution.test.ts
@@ -3,6 +3,7 @@
 import fc from 'fast-check';
 import { createSampleRules } from '../testing/sample-rules.js';
 import type { RevisionRecord } from './config-store.js';
+import { HEAD_POLL_INTERVAL_MS } from './platform-rules-watch.js';
 import { parseRules } from './rules.js';
 import {
   SimulatedConfigFleet,
@@ -14,6 +15,10 @@
 /** Time in which a change is in force everywhere (docs/DEVELOPERS.md). */
 const IN_FORCE_WITHIN_MS = 8_000;
 
+/** Time over which reads of the platform are counted, and the most that one watcher makes in it. */
+const COUNTED_MS = 60_000;
+const MAX_READS_PER_WATCHER = COUNTED_MS / (HEAD_POLL_INTERVAL_MS * 0.75);
+
 async function startFleet(nodesPerZone: number): Promise<SimulatedConfigFleet> {
   const fleet = new SimulatedConfigFleet();
   for (const zone of ZONES) {
@@ -59,6 +64,18 @@
   assert.deepEqual(new Set(revisions(fleet)), new Set([1]));
 });
 
+test("the platform's load follows the number of zones, not of nodes", async () => {
+  for (const nodesPerZone of [2, 3, 12]) {
+    const fleet = await startFleet(nodesPerZone);
+    await fleet.advance(2_000);
+    fleet.platform.reads = 0;
+    await fleet.advance(COUNTED_MS);
+    const { reads } = fleet.platform;
+    const most = 2 * ZONES.length * MAX_READS_PER_WATCHER;
+    assert.ok(reads > most / 2 && reads <= most, `${nodesPerZone} a zone: ${reads} reads`);
+  }
+});
+
 test('a zone that loses a watcher gets another one', async () => {
   const fleet = await startFleet(4);
   await fleet.advance(1_000);
--- a/src/config/rules-startup.ts
+++ b/src/config/rules-startup.ts
@@ -15,8 +15,9 @@
 import { fetchRules } from './rules-fetch.js';
 import { readSnapshot } from './stored-revision.js';
 
-/** Pause between rounds, in milliseconds, before jitter. */
-const ROUND_INTERVAL_MS = 500;
+/** Pause between rounds, in milliseconds, before jitter; doubles up to the maximum. */
+const MIN_ROUND_INTERVAL_MS = 500;
+const MAX_ROUND_INTERVAL_MS = 2_000;
 /** Peers asked at the same time. */
 const BATCH_SIZE = 8;
 /** Peers of the own zone asked after a read of the platform; one answer is enough. */
@@ -44,6 +45,7 @@
 export class RulesStartup {
   private finished = false;
   private startedAt = 0;
+  private rounds = 0;
   private cancelTimer: CancelTimer = () => {};
 
   constructor(private readonly options: RulesStartupOptions) {}
@@ -68,7 +70,9 @@
       return;
     }
     const { clock, random } = this.options;
-    const delayMs = ROUND_INTERVAL_MS * (0.5 + random.next());
+    const intervalMs = Math.min(MAX_ROUND_INTERVAL_MS, MIN_ROUND_INTERVAL_MS * 2 ** this.rounds);
+    this.rounds += 1;
+    const delayMs = intervalMs * (0.5 + random.next());
     this.cancelTimer = clock.schedule(delayMs, () => void this.runRound());
   }
 
--- a/src/testing/in-memory-platform.ts
+++ b/src/testing/in-memory-platform.ts
@@ -30,6 +30,8 @@
   /** Refuses everything and loses all watches while true. */
   down = false;
   machineList: readonly Machine[] = [];
+  /** Reads so far. */
+  reads = 0;
   /** Runs between a read and its answer. */
   delayAnswer: () => Promise<void> = () => Promise.resolve();
   private readonly late: (() => void)[] = [];
@@ -49,6 +51,7 @@
   }
 
   async range(prefix: string): Promise<Result<RangeResult, Failure>> {
+    this.reads += 1;
     await this.plan.step?.();
     if (this.down || this.plan.nextReadFails?.() === true) return unavailable();
     const { values } = this.store.range({ key: prefix, end: `${prefix}\u00ff` });
