--- a/src/kernel/token.ts
+++ b/src/kernel/token.ts
@@ -2,6 +2,7 @@
 import type { ServiceIdentifier } from 'inversify';
 import type { AdminServer } from '../admin/admin-server.js';
 import type { ClaimService } from '../claims/claim-service.js';
+import type { ByteBudget } from '../core/byte-budget.js';
 import type { ConfigStore } from '../config/config-store.js';
 import type { RulesRepository } from '../config/rules-repository.js';
 import type { Settings } from '../config/settings.js';
@@ -16,6 +17,7 @@
 import type { EventLog } from './event.js';
 import type { Kernel } from './kernel.js';
 import type { Metrics } from './metrics.js';
+import type { TrafficMeter } from './traffic-meter.js';
 
 /** Makes a typed identifier; plug-ins make their own for services that only they use. */
 export function createToken<T>(name: string): ServiceIdentifier<T> {
@@ -28,10 +30,10 @@
   Clock: createToken<Clock>('Clock'),
   EventLog: createToken<EventLog>('EventLog'),
   Metrics: createToken<Metrics>('Metrics'),
+  TrafficMeter: createToken<TrafficMeter>('TrafficMeter'),
   Kernel: createToken<Kernel>('Kernel'),
   PeerNetwork: createToken<PeerNetwork>('PeerNetwork'),
   Membership: createToken<Membership>('Membership'),
-  LeavingTargets: createToken<LeavingTargets>('LeavingTargets'),
   PlatformClient: createToken<PlatformClient>('PlatformClient'),
   ConfigStore: createToken<ConfigStore>('ConfigStore'),
   RulesRepository: createToken<RulesRepository>('RulesRepository'),
@@ -40,4 +42,6 @@
   TargetAdministration: createToken<TargetAdministration>('TargetAdministration'),
   CallRouter: createToken<CallRouter>('CallRouter'),
   AdminServer: createToken<AdminServer>('AdminServer'),
+  ByteBudget: createToken<ByteBudget>('ByteBudget'),
+  LeavingTargets: createToken<LeavingTargets>('LeavingTargets'),
 } as const;
