Bring rules into force at a starting node only when all of them are loaded; test with processes

Cause: the first process test did not get a node ready on a platform without rules, and showed that the entry sets `ready` by itself as soon as the store holds any record. A starting node whose platform read was slow was therefore ready before it had asked its zone's peers. Ruled out: a change in the entry. Its condition is right once nothing reaches the store early. Change: RulesStartup collects and hands over once; a node is told ready with its first rules.

--- a/src/config/config-distribution.ts
+++ b/src/config/config-distribution.ts
@@ -55,8 +55,8 @@
         this.takeIn(records);
       },
     };
-    const onLoaded = () => {
-      this.markLoaded();
+    const onLoaded = (records: readonly RevisionRecord[]) => {
+      this.load(records);
     };
     this.startup = new RulesStartup({ ...parts, onLoaded });
     this.watch = new PlatformRulesWatch(parts);
@@ -88,13 +88,18 @@
 
   /** Takes in a complete read of the platform made by the repository, with the accepted change. */
   acceptSnapshot(records: readonly RevisionRecord[]): void {
-    this.takeIn(records);
     this.startup.stop();
-    this.markLoaded();
+    this.load(records);
+  }
+
+  private load(records: readonly RevisionRecord[]): void {
+    this.loaded = true;
+    this.takeIn(records);
+    this.check();
   }
 
   private takeIn(records: readonly RevisionRecord[]): void {
-    const { store, log, membership } = this.options;
+    const { store, log } = this.options;
     const before = store.version;
     for (const record of [...records].sort((a, b) => a.version - b.version)) {
       const { tenant, revision, version } = record;
@@ -102,16 +107,15 @@
       if (store.offer(record)) log.emit(Event.RulesInForce, { tenant, revision, version });
       else if (known > revision) log.emit(Event.OlderRevisionIgnored, { tenant, revision, known });
     }
-    // Peers may ask once they hear of the version, so it is told only after the last record.
-    if (this.loaded && store.version > before) membership.update({ configVersion: store.version });
+    if (store.version > before) this.publish(before === 0);
   }
 
-  private markLoaded(): void {
-    if (this.loaded) return;
-    this.loaded = true;
+  /** Peers may ask once they hear of the version, so it is told only after the last record. */
+  private publish(isFirst: boolean): void {
     const { membership, store } = this.options;
-    membership.update({ ready: true, configVersion: store.version });
-    this.check();
+    const facts = { configVersion: store.version };
+    // Later the entry decides: a node that is stopping is not made ready again.
+    membership.update(isFirst ? { ...facts, ready: true } : facts);
   }
 
   private check(): void {
--- a/src/config/rules-startup.ts
+++ b/src/config/rules-startup.ts
@@ -34,11 +34,8 @@
   readonly network: PeerNetwork;
   readonly clock: Clock;
   readonly random: Random;
-  /** Highest version that the node has. */
-  readonly currentVersion: () => number;
-  readonly onRecords: (records: readonly RevisionRecord[]) => void;
-  /** Called once, when the rules are loaded. */
-  readonly onLoaded: () => void;
+  /** Called once, with all that was read; nothing comes into force before. */
+  readonly onLoaded: (records: readonly RevisionRecord[]) => void;
 }
 
 /** One node's start; runs rounds until loaded or stopped. */
@@ -46,6 +43,7 @@
   private finished = false;
   private startedAt = 0;
   private rounds = 0;
+  private collected: RevisionRecord[] = [];
   private cancelTimer: CancelTimer = () => {};
 
   constructor(private readonly options: RulesStartupOptions) {}
@@ -66,7 +64,7 @@
     if (this.finished) return;
     if (loaded) {
       this.stop();
-      this.options.onLoaded();
+      this.options.onLoaded(this.collected);
       return;
     }
     const { clock, random } = this.options;
@@ -79,7 +77,7 @@
   private async loadFromPlatform(): Promise<boolean> {
     const read = await readSnapshot(this.options.platform);
     if (this.finished || read.isErr) return false;
-    this.options.onRecords(read.value.records);
+    this.collected.push(...read.value.records);
     // The answer may have been slow: the zone must not have moved on meanwhile.
     await this.askAll(this.readyPeersInZone().slice(0, PEERS_ASKED_AFTER_READ));
     return true;
@@ -107,16 +105,17 @@
 
   /** Asks every peer; true when at least one has answered. */
   private async askAll(peers: readonly Member[]): Promise<boolean> {
-    const { network, currentVersion, onRecords } = this.options;
+    const { network } = this.options;
     let answered = false;
     for (let start = 0; start < peers.length; start += BATCH_SIZE) {
       const batch = peers.slice(start, start + BATCH_SIZE);
-      const calls = batch.map(({ nodeId }) => fetchRules(network, nodeId, currentVersion()));
+      const after = Math.max(0, ...this.collected.map(({ version }) => version));
+      const calls = batch.map(({ nodeId }) => fetchRules(network, nodeId, after));
       for (const reply of await Promise.all(calls)) {
         if (this.finished) return false;
         if (reply.isErr) continue;
         answered = true;
-        onRecords(reply.value);
+        this.collected.push(...reply.value);
       }
     }
     return answered;
--- a/src/testing/admin-client.ts
+++ b/src/testing/admin-client.ts
@@ -9,6 +9,8 @@
 }
 
 interface InForceAnswer {
+  /** 64-bit numbers are text in JSON. */
+  readonly revision?: { readonly revision?: string };
   readonly nodes?: readonly { readonly node: string; readonly inForce?: boolean }[];
 }
 
@@ -39,6 +41,12 @@
     return (answer.nodes ?? []).filter(({ inForce }) => inForce === true).map(({ node }) => node);
   }
 
+  /** The tenant's revision in force at this node; 0 when it has none. */
+  async revisionInForce(tenant: string): Promise<number> {
+    const answer = await this.call<InForceAnswer>('GetInForce', { tenant });
+    return Number(answer.revision?.revision ?? 0);
+  }
+
   async applyRules(
     tenant: string,
     document: string,
--- /dev/null
+++ b/src/testing/node-fleet.ts
@@ -0,0 +1,126 @@
+/** Nodes as separate processes over one platform stand-in, without back ends; for tests. */
+import { mkdtempSync, rmSync, writeFileSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { HEAD_KEY } from '../config/stored-revision.js';
+import { validateSettings, type Settings } from '../config/settings.js';
+import {
+  startPlatformStandIn,
+  type PlatformStandIn,
+} from '../stand-ins/platform/platform-stand-in.js';
+import { AdminClient } from './admin-client.js';
+import { findFreePorts } from './free-ports.js';
+import { FatalError, poll } from './http-json.js';
+import { ManagedProcess } from './managed-process.js';
+
+const HOST = '127.0.0.1';
+const START_TIMEOUT_MS = 20_000;
+const WATCH_INTERVAL_MS = 50;
+
+/** A node process. */
+export interface FleetNode {
+  readonly id: string;
+  readonly zone: string;
+  readonly admin: AdminClient;
+  readonly process: ManagedProcess;
+}
+
+/** The processes and the platform. */
+export class NodeFleet {
+  readonly nodes: FleetNode[] = [];
+  /** Every fall of a revision in force that was seen; stays empty when the product is right. */
+  readonly falls: string[] = [];
+  private readonly highest = new Map<FleetNode, number>();
+  private readonly peers: string[] = [];
+  private readonly directory = mkdtempSync(join(tmpdir(), 'sillshore-'));
+  private watching = true;
+
+  private constructor(
+    readonly platform: PlatformStandIn,
+    readonly tenant: string,
+  ) {}
+
+  /** Starts the platform and no node. */
+  static async start(tenant: string): Promise<NodeFleet> {
+    const platform = await startPlatformStandIn({ host: HOST, port: 0, seed: 1 });
+    const fleet = new NodeFleet(platform, tenant);
+    void fleet.watchRevisions();
+    return fleet;
+  }
+
+  get running(): readonly FleetNode[] {
+    return this.nodes.filter(({ process }) => process.running);
+  }
+
+  /** Starts a node and waits until it answers operators and, when there are rules, is ready. */
+  async startNode(id: string, zone: string): Promise<FleetNode> {
+    const settings = await this.createSettings(id, zone);
+    const file = join(this.directory, `${id}.json`);
+    writeFileSync(file, JSON.stringify(settings));
+    const process = new ManagedProcess(id, ['node', '--settings', file]);
+    const hasRules = this.platform.store.range({ key: HEAD_KEY }).count > 0;
+    const node: FleetNode = { id, zone, admin: new AdminClient(settings), process };
+    this.nodes.push(node);
+    this.peers.push(settings.listen.peer);
+    await poll(`${id} ready`, START_TIMEOUT_MS, () => {
+      if (!process.running) throw new FatalError(`${id} ended: ${process.stderr}`);
+      // Without rules there is nothing to serve, and no node gets ready.
+      return hasRules ? node.admin.isReady() : node.admin.listMembers().then(() => true);
+    });
+    return node;
+  }
+
+  /** Waits until a revision is in force at all running nodes; returns the milliseconds taken. */
+  async untilInForce(revision: number): Promise<number> {
+    const startedAt = performance.now();
+    await poll(`revision ${revision} everywhere`, START_TIMEOUT_MS, async () => {
+      const revisions = await Promise.all(
+        this.running.map(({ admin }) => admin.revisionInForce(this.tenant)),
+      );
+      return revisions.every((found) => found >= revision);
+    });
+    return performance.now() - startedAt;
+  }
+
+  async stop(): Promise<void> {
+    this.watching = false;
+    await Promise.all(this.nodes.map(({ process }) => process.stop()));
+    await this.platform.close();
+    rmSync(this.directory, { recursive: true, force: true });
+  }
+
+  private async createSettings(id: string, zone: string): Promise<Settings> {
+    const [entry, admin, peer] = await findFreePorts(3);
+    const url = `http://${HOST}:${this.platform.port}`;
+    const validated = validateSettings({
+      node: { id, zone, region: 'region' },
+      listen: { entry: `${HOST}:${entry}`, admin: `${HOST}:${admin}`, peer: `${HOST}:${peer}` },
+      platform: { keyValue: [url], machines: `${url}/machines` },
+      peers: { sharedKey: 'shared-key-of-this-test', seeds: [...this.peers] },
+      admin: { token: 'operator-token' },
+      log: { level: 'error' },
+    });
+    return validated.unwrapOrElse((failure) => {
+      throw new Error(JSON.stringify(failure));
+    });
+  }
+
+  /** Reads the revision in force at each node again and again; a process may not go back. */
+  private async watchRevisions(): Promise<void> {
+    while (this.watching) {
+      await Promise.all(this.running.map((node) => this.watchNode(node)));
+      await new Promise((resolve) => setTimeout(resolve, WATCH_INTERVAL_MS));
+    }
+  }
+
+  private async watchNode(node: FleetNode): Promise<void> {
+    try {
+      const revision = await node.admin.revisionInForce(this.tenant);
+      const before = this.highest.get(node) ?? 0;
+      if (revision < before) this.falls.push(`${node.id} fell from ${before} to ${revision}`);
+      this.highest.set(node, Math.max(before, revision));
+    } catch {
+      // The node starts, stops or stands still.
+    }
+  }
+}
