Send drain commands to the node that fronts the target; bind the target side

Cause: a drain went to every node of the target's zone, and no plug-in bound Token.TargetAdministration. Ruled out: a broadcast for nodes with an older view: such a node answers that it does not front the target, and the command is repeated by the operator.

--- a/src/admin/admin-test-support.ts
+++ b/src/admin/admin-test-support.ts
@@ -183,15 +183,18 @@
   readonly stops: { count: number };
 }
 
-/** Starts an administration server; `parts` replaces parts of its node. */
-export async function startTestAdmin(parts: Partial<AdminNode> = {}): Promise<TestAdmin> {
+/** An administration node over parts in memory, and what it did. */
+export type TestNode = Omit<TestAdmin, 'url' | 'port' | 'server'> & { readonly node: AdminNode };
+
+/** Creates the node behind an administration server; `parts` replaces parts of it. */
+export function createTestNode(parts: Partial<AdminNode> = {}): TestNode {
   const store = new InMemoryConfigStore();
   const repository = new FakeRulesRepository(store);
   const membership = new FakeMembership(store);
   const metrics = createMetrics(false);
   const drained: string[] = [];
   const stops = { count: 0 };
-  const server = new AdminServer({
+  const node: AdminNode = {
     settings: createTestSettings(),
     clock: systemClock,
     log: silentEventLog,
@@ -207,9 +210,15 @@
       },
     },
     ...parts,
-  });
+  };
+  return { node, store, repository, membership, metrics, drained, stops };
+}
+
+/** Starts an administration server; `parts` replaces parts of its node. */
+export async function startTestAdmin(parts: Partial<AdminNode> = {}): Promise<TestAdmin> {
+  const { node, ...rest } = createTestNode(parts);
+  const server = new AdminServer(node);
   await server.start();
   const { port } = server;
-  const url = `http://127.0.0.1:${port}`;
-  return { url, port, server, store, repository, membership, metrics, drained, stops };
+  return { url: `http://127.0.0.1:${port}`, port, server, ...rest };
 }
--- a/src/admin/drain-commands.ts
+++ b/src/admin/drain-commands.ts
@@ -3,6 +3,7 @@
 import { z } from 'zod';
 import { validateValue } from '../config/document.js';
 import { createFailure, type Failure } from '../core/failure.js';
+import { selectFrontingNode } from '../core/placement.js';
 import { ResultCode } from '../core/result-code.js';
 import type { Member } from '../membership/membership.js';
 import type { AdminNode } from './admin-node.js';
@@ -50,10 +51,8 @@
       const detail = `no target ${message.target} in the rules in force at this node`;
       return Result.err(createFailure(ResultCode.InvalidField, detail));
     }
-    const appliedHere = this.drainHere(message);
-    const others = this.findFrontingNodes(message.target, located.target.zone);
-    const applied = await Promise.all(others.map((member) => this.drainAt(member, message)));
-    if (appliedHere || applied.includes(true)) return Result.ok(Unit);
+    const fronting = selectFrontingNode(located.target, this.node.membership?.members() ?? []);
+    if (await this.drainAt(fronting, message)) return Result.ok(Unit);
     const detail = `no node that fronts target ${message.target} took the command`;
     return Result.err(createFailure(ResultCode.PeerUnreachable, detail));
   }
@@ -83,19 +82,16 @@
     return this.node.targets?.drainTarget(target, drained) ?? false;
   }
 
-  private async drainAt(member: Member, message: DrainTargetMessage): Promise<boolean> {
-    const reply = await this.node.peers?.call(member.nodeId, 'drainTarget', message, {
+  /** Sends the command to the node that fronts the target; false when it did not take it. */
+  private async drainAt(
+    fronting: Member | undefined,
+    message: DrainTargetMessage,
+  ): Promise<boolean> {
+    if (fronting === undefined) return false;
+    if (fronting.nodeId === this.node.settings.node.id) return this.drainHere(message);
+    const reply = await this.node.peers?.call(fronting.nodeId, 'drainTarget', message, {
       timeoutMs: FORWARD_TIMEOUT_MS,
     });
     return reply?.map(({ applied }) => applied).unwrapOr(false) ?? false;
   }
-
-  /** The nodes set to front the target, else all of its zone: one of them fronts it. */
-  private findFrontingNodes(target: string, zone: string): readonly Member[] {
-    const others = (this.node.membership?.members() ?? []).filter(
-      ({ nodeId }) => nodeId !== this.node.settings.node.id,
-    );
-    const fronting = others.filter(({ fronts }) => fronts.includes(target));
-    return fronting.length > 0 ? fronting : others.filter((member) => member.zone === zone);
-  }
 }
--- a/src/cli/registered-commands.ts
+++ b/src/cli/registered-commands.ts
@@ -1,10 +1,11 @@
 /** The areas that bring commands; see the convention in command.ts. */
 import { Builtins } from 'clipanion';
+import { commands as experimentCommands } from '../emulator/commands.js';
 import { commands as backendCommands } from '../stand-ins/backend/commands.js';
 import { commands as callersCommands } from '../stand-ins/callers/commands.js';
 import { commands as linkCommands } from '../stand-ins/link/commands.js';
-import type { CommandClass } from './command.js';
 import { commands as benchmarkCommands } from '../testing/commands.js';
+import type { CommandClass } from './command.js';
 import { ConfigApplyCommand } from './config-apply-command.js';
 import { ConfigCheckCommand } from './config-check-command.js';
 import {
@@ -34,5 +35,6 @@
   ...backendCommands,
   ...callersCommands,
   ...linkCommands,
+  ...experimentCommands,
   ...benchmarkCommands,
 ];
--- a/src/target/target-plugin.ts
+++ b/src/target/target-plugin.ts
@@ -132,6 +132,9 @@
       .bind(Token.ByteBudget)
       .toDynamicValue(() => new ByteBudget(container.get(Token.Settings).limits.maxBufferedBytes));
     container.bind(Token.TargetDispatcher).toDynamicValue(() => createDispatcher(container));
+    container
+      .bind(Token.TargetAdministration)
+      .toDynamicValue(() => container.get(Token.TargetDispatcher) as LocalTargetDispatcher);
   },
   start(container) {
     const dispatcher = container.get(Token.TargetDispatcher) as LocalTargetDispatcher;
