Show in the status which node fronts a target, and its figures there only

Ruled out: wrong placement; routing used one node a target. Change: TargetStatus.node tells the fronting node by placement; figures come only from it. The gauges of retired targets stay in /metrics; the target side should remove them.

--- a/src/admin/admin-api.test.ts
+++ b/src/admin/admin-api.test.ts
@@ -20,6 +20,8 @@
   admin.metrics.limit.labels({ target: 'guide-1' }).set(11.5);
   admin.metrics.inFlight.labels({ target: 'guide-1' }).set(3);
   admin.metrics.queued.labels({ target: 'guide-1' }).set(2);
+  // Left from a time when a1 fronted guide-2 as well.
+  admin.metrics.limit.labels({ target: 'guide-2' }).set(12);
 });
 after(() => admin.server.stop());
 
@@ -246,6 +248,7 @@
       zone: 'zone-a',
       address: '127.0.0.1:7001',
       state: 'serving',
+      node: 'a1',
       measured: true,
       limit: 11.5,
       inFlight: 3,
--- a/src/admin/node-status.ts
+++ b/src/admin/node-status.ts
@@ -2,19 +2,25 @@
 import type { MessageInitShape } from '@bufbuild/protobuf';
 import type { Gauge } from 'prom-client';
 import type { RevisionRecord } from '../config/config-store.js';
+import type { TargetRules } from '../config/rules.js';
 import type {
   GetStatusResponseSchema,
   MemberStatusSchema,
   NodeStatusSchema,
   TargetStatusSchema,
 } from '../gen/sillshore/admin/v1/admin_pb.js';
+import { Placement } from '../core/placement.js';
 import type { Member } from '../membership/membership.js';
 import { readVersion } from '../node/version.js';
 import type { AdminNode } from './admin-node.js';
 import { toRevision } from './revision-codec.js';
 
-/** The figures of a target at this node, by target id. */
-interface TargetFigures {
+/** What the targets of all tenants are described from. */
+interface TargetSource {
+  readonly self: string;
+  readonly placement: Placement;
+  readonly leaving: ReadonlySet<string>;
+  /** The figures of this node's targets, by target id. */
   readonly limit: ReadonlyMap<string, number>;
   readonly inFlight: ReadonlyMap<string, number>;
   readonly queued: ReadonlyMap<string, number>;
@@ -31,12 +37,11 @@
 ): Promise<MessageInitShape<typeof GetStatusResponseSchema>> {
   const members = node.membership?.members() ?? [];
   const records = node.configStore?.records() ?? [];
-  const figures = await readFigures(node);
-  const leaving = new Set(members.flatMap((member) => member.leavingTargets));
+  const source = await readTargetSource(node, members);
   return {
     node: describeNode(node, startedAt),
     members: members.map(describeMember),
-    targets: records.flatMap((record) => describeTargets(record, figures, leaving)),
+    targets: records.flatMap((record) => describeTargets(record, source)),
     revisions: records.map(toRevision),
   };
 }
@@ -83,27 +88,45 @@
 
 function describeTargets(
   record: RevisionRecord,
-  figures: TargetFigures,
-  leaving: ReadonlySet<string>,
+  source: TargetSource,
 ): MessageInitShape<typeof TargetStatusSchema>[] {
-  return record.rules.services.flatMap((service) =>
-    service.targets.map(({ id, zone, address }) => ({
-      id,
-      tenant: record.tenant,
+  const { tenant, rules } = record;
+  return rules.services.flatMap((service) =>
+    service.targets.map((target) => ({
+      ...target,
+      tenant,
       service: service.name,
-      zone,
-      address,
-      state: leaving.has(id) ? 'leaving' : 'serving',
-      measured: figures.limit.has(id),
-      limit: figures.limit.get(id) ?? 0,
-      inFlight: figures.inFlight.get(id) ?? 0,
-      queued: figures.queued.get(id) ?? 0,
+      state: source.leaving.has(target.id) ? 'leaving' : 'serving',
+      ...describeLoad(target, source),
     })),
   );
 }
 
-async function readFigures({ metrics }: AdminNode): Promise<TargetFigures> {
+/** Figures of a target that this node fronted before are out of date and left out. */
+function describeLoad(
+  target: TargetRules,
+  { self, placement, limit, inFlight, queued }: TargetSource,
+): MessageInitShape<typeof TargetStatusSchema> {
+  const { id } = target;
+  const node = placement.selectFrontingNode(target)?.nodeId ?? '';
+  if (node !== self || !limit.has(id)) return { node, measured: false };
   return {
+    node,
+    measured: true,
+    limit: limit.get(id) ?? 0,
+    inFlight: inFlight.get(id) ?? 0,
+    queued: queued.get(id) ?? 0,
+  };
+}
+
+async function readTargetSource(
+  { metrics, settings }: AdminNode,
+  members: readonly Member[],
+): Promise<TargetSource> {
+  return {
+    self: settings.node.id,
+    placement: new Placement(members),
+    leaving: new Set(members.flatMap((member) => member.leavingTargets)),
     limit: await readByTarget(metrics.limit),
     inFlight: await readByTarget(metrics.inFlight),
     queued: await readByTarget(metrics.queued),
--- a/src/cli/status-command.ts
+++ b/src/cli/status-command.ts
@@ -21,7 +21,7 @@
     description: 'show a node, the members that it sees, and its targets',
     details: `
       Limit, running and waiting requests of a target are known at the node that fronts it; the
-      table shows the targets that the asked node has figures for. \`--all\` asks every member.
+      table shows the targets that the asked node fronts. \`--all\` asks every member.
 
       ${CONNECTION_HELP}
     `,
@@ -66,14 +66,10 @@
 
   private printTables(first: GetStatusResponse, asked: readonly GetStatusResponse[]): void {
     const nodes = asked.flatMap(({ node }) => (node === undefined ? [] : [node]));
-    const targets = asked.flatMap((status) =>
-      status.targets.filter(({ measured }) => measured).map((target) => ({ target, status })),
-    );
+    const targets = asked.flatMap((status) => status.targets.filter(({ measured }) => measured));
     this.print(formatNodes(nodes));
     this.print(`\n${formatMembers(first.members)}`);
-    this.print(
-      `\n${formatTargets(targets.map(({ target, status }) => [status.node?.id ?? '', target]))}`,
-    );
+    this.print(`\n${formatTargets(targets)}`);
   }
 }
 
@@ -108,12 +104,12 @@
   );
 }
 
-function formatTargets(targets: readonly (readonly [string, TargetStatus])[]): string {
+function formatTargets(targets: readonly TargetStatus[]): string {
   return formatTable(
     ['TARGET', 'NODE', 'SERVICE', 'ZONE', 'STATE', 'LIMIT', 'IN FLIGHT', 'QUEUED'],
-    targets.map(([node, target]) => [
+    targets.map((target) => [
       target.id,
-      node,
+      target.node,
       target.service,
       target.zone,
       target.state,
