Refuse new connections during a planned stop; let error answers name the failed call

Cause: in runs with a planned stop of each node in turn a few requests and calls of back ends were cut at the moment the node closed its listener, although nothing ran in the instant before. Ruled out: the deadline (stretched tenfold); the back ends' own connections (their journals show no cancelled attempt). Change: the listener closes at the start of the refusing phase and open connections are served on; the end of the stop waits for the task's exchanges too. Error answers of the back-end stand-in carry the failed call down the chain.

--- a/src/entry/entry-plugin.ts
+++ b/src/entry/entry-plugin.ts
@@ -65,8 +65,9 @@
 
   /**
    * Planned stop: peers are told first, while callers are still served and asked to close
-   * their connections; then new requests are refused, not run, until all that runs has ended.
-   * Calls of back ends are served all the time: attempts that run here need them.
+   * their connections; then new connections are refused, and new requests on open ones too (not
+   * run), until all that runs has ended. Calls of back ends are served on open connections:
+   * attempts that run here need them.
    */
   async drain(): Promise<void> {
     const clock = this.container.get(Token.Clock);
@@ -76,10 +77,14 @@
     this.task.post({ type: 'phase', phase: 'leaving' });
     await this.sleep(Math.min(LEAVING_PHASE_MS, end - clock.now()));
     this.task.post({ type: 'phase', phase: 'refusing' });
+    this.server?.stopListening();
     const dispatcher = this.container.get(Token.TargetDispatcher);
-    await this.waitUntil(end, () => this.router.inProgress === 0 && dispatcher.inProgress === 0);
+    const running = (): number =>
+      this.task.inProgress + this.router.inProgress + dispatcher.inProgress;
+    await this.waitUntil(end, () => running() === 0);
     const idleEnd = Math.min(end, clock.now() + IDLE_CONNECTIONS_WAIT_MS);
-    await this.waitUntil(idleEnd, () => (this.server?.connections ?? 0) === 0);
+    await this.waitUntil(idleEnd, () => (this.server?.connections ?? 0) + running() === 0);
+    await this.waitUntil(end, () => running() === 0);
   }
 
   async stop(): Promise<void> {
--- a/src/entry/entry-server.ts
+++ b/src/entry/entry-server.ts
@@ -1,6 +1,6 @@
 /** The listener of the callers' interface. The HTTP library hides behind {@link EntryServer}. */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
-import type { AddressInfo, Socket } from 'node:net';
+import { Server as NetServer, type AddressInfo, type Socket } from 'node:net';
 import type { Duplex } from 'node:stream';
 import express from 'express';
 import { createFailure, type Failure } from '../core/failure.js';
@@ -35,7 +35,7 @@
   readonly port: number;
   /** Open connections. */
   readonly connections: number;
-  /** Takes no new connections and closes all that are idle. */
+  /** Refuses new connections; open ones are served on, idle ones until their time is over. */
   stopListening(): void;
   /** Closes everything. */
   close(): Promise<void>;
@@ -66,8 +66,9 @@
       return sockets.size;
     },
     stopListening: () => {
-      server.close();
-      server.closeIdleConnections();
+      // The HTTP server's own close also closes idle connections, on which a caller may be
+      // sending at that moment.
+      NetServer.prototype.close.call(server);
     },
     close: () => closeServer(server, sockets),
   };
--- a/src/stand-ins/backend/backend-work.ts
+++ b/src/stand-ins/backend/backend-work.ts
@@ -102,6 +102,7 @@
     if (failure !== undefined) {
       send(response, failure.status === 503 ? 503 : 502, Buffer.from(JSON.stringify(failure)), {
         'content-type': 'application/json',
+        'x-failed-call': failure.failedCall,
       });
       return;
     }
@@ -115,9 +116,9 @@
 
 /** A failed call below, as the back end's own answer tells it. */
 interface DependencyFailure {
-  readonly failedService: string;
   readonly status: number;
-  readonly resultCode?: string;
+  /** `service cause`, and so on down the chain. */
+  readonly failedCall: string;
 }
 
 async function callOn(
@@ -140,10 +141,11 @@
       signal,
     });
     if (outcome.type === 'wrong-answer') context.counters.wrongAnswersBelow += 1;
-    if (outcome.type !== 'ok') {
-      const { status = 502, resultCode } = outcome.type === 'failed' ? outcome : {};
-      const failure = { failedService: call.service, status };
-      return resultCode === undefined ? failure : { ...failure, resultCode };
+    if (outcome.type === 'failed') {
+      return { status: outcome.status, failedCall: `${call.service} ${outcome.cause}` };
+    }
+    if (outcome.type === 'wrong-answer') {
+      return { status: 502, failedCall: `${call.service} wrong answer` };
     }
   }
   return undefined;
--- a/src/stand-ins/backend/downstream-caller.ts
+++ b/src/stand-ins/backend/downstream-caller.ts
@@ -22,7 +22,8 @@
 export type CallOutcome =
   | { readonly type: 'ok' }
   | { readonly type: 'wrong-answer' }
-  | { readonly type: 'failed'; readonly status: number; readonly resultCode?: string };
+  /** `cause` is the result code, how the exchange ended, or the failed call further below. */
+  | { readonly type: 'failed'; readonly status: number; readonly cause: string };
 
 /** Makes calls with keep-alive connections. */
 export class DownstreamCaller {
@@ -67,7 +68,7 @@
       if (result.type === 'not-sent') continue;
       return judge(result, digestRequest(call.method, path, body));
     }
-    return { type: 'failed', status: 0 };
+    return { type: 'failed', status: 0, cause: 'not-sent' };
   }
 
   private headers(call: DownstreamCall, parent: CallParent): Record<string, string> {
@@ -85,14 +86,10 @@
 }
 
 function judge(result: ExchangeResult, digest: string): CallOutcome {
-  if (result.type !== 'answer') return { type: 'failed', status: 0 };
-  const resultCode = result.headers['sillshore-result'];
+  if (result.type !== 'answer') return { type: 'failed', status: 0, cause: result.type };
   if (result.status !== 200) {
-    return {
-      type: 'failed',
-      status: result.status,
-      ...(typeof resultCode === 'string' ? { resultCode } : {}),
-    };
+    const code = result.headers['sillshore-result'] ?? result.headers['x-failed-call'];
+    return { type: 'failed', status: result.status, cause: `${code ?? result.status}` };
   }
   return result.headers['x-request-digest'] === digest ? { type: 'ok' } : { type: 'wrong-answer' };
 }
--- a/src/stand-ins/callers/caller-journal.ts
+++ b/src/stand-ins/callers/caller-journal.ts
@@ -25,6 +25,8 @@
   readonly code?: string;
   /** `Sillshore-Execution` of the answer. */
   readonly execution?: string;
+  /** Failed call below, as the service's answer tells: `service cause`, down the chain. */
+  readonly below?: string;
   readonly latencyMs: number;
   /** Milliseconds that the back end spent, by its own account. */
   readonly backendMs?: number;
--- a/src/stand-ins/callers/caller.ts
+++ b/src/stand-ins/callers/caller.ts
@@ -99,9 +99,11 @@
   if (result.type !== 'answer') return {};
   const code = result.headers['sillshore-result'];
   const execution = result.headers['sillshore-execution'];
+  const below = result.headers['x-failed-call'];
   const [, duration] = /dur=([\d.]+)/.exec(`${result.headers['server-timing'] ?? ''}`) ?? [];
   return {
     status: result.status,
+    ...(typeof below === 'string' ? { below } : {}),
     ...(duration === undefined ? {} : { backendMs: Number(duration) }),
     ...(typeof code === 'string' ? { code } : {}),
     ...(typeof execution === 'string' ? { execution } : {}),
--- a/src/stand-ins/callers/summary.ts
+++ b/src/stand-ins/callers/summary.ts
@@ -67,7 +67,8 @@
       tries += 1;
       if (one.ended === 'cut') cut += 1;
       if (one.verdict === 'complete') continue;
-      const code = one.code ?? (one.status === undefined ? one.ended : `status ${one.status}`);
+      const answered = one.status === undefined ? one.ended : `status ${one.status}`;
+      const code = one.code ?? one.below ?? answered;
       codes[code] = (codes[code] ?? 0) + 1;
     }
   }
--- a/src/testing/demo.ts
+++ b/src/testing/demo.ts
@@ -123,7 +123,7 @@
     for (const violation of report.violations) print(`broken: ${violation}`);
     const succeeded = holds(report) && report.sent > 0;
     if (!succeeded || report.complete === 0) print(deployment.logs());
-    await deployment.stop();
+    await deployment.stop('SIGTERM');
     const { sent, complete, doubled, wrongAnswer, maxAttempts, notRunButRan, aboveBound } = report;
     print(
       JSON.stringify({
--- a/src/testing/deployment.ts
+++ b/src/testing/deployment.ts
@@ -19,6 +19,8 @@
 import { ManagedProcess, type ProcessEnd } from './managed-process.js';
 
 const START_TIMEOUT_MS = 20_000;
+/** Longest planned stop that is waited for. */
+const STOP_TIMEOUT_MS = 20_000;
 /** Callers get this long after the end of their run before they are given up. */
 const CALLERS_GRACE_MS = 30_000;
 
@@ -204,7 +206,7 @@
 
   /** Planned stop of a node. */
   async stopNode(id: string): Promise<ProcessEnd> {
-    return await this.findNode(id).process.stop('SIGTERM', START_TIMEOUT_MS);
+    return await this.findNode(id).process.stop('SIGTERM', STOP_TIMEOUT_MS);
   }
 
   /** Standard error of every process that has written some, for a failed run. */
@@ -215,13 +217,17 @@
       .join('\n');
   }
 
-  /** Stops every process, nodes first. */
-  async stop(): Promise<void> {
+  /**
+   * Ends every process, nodes first.
+   *
+   * @param signal SIGTERM makes the nodes stop as planned, which takes some seconds
+   */
+  async stop(signal: NodeJS.Signals = 'SIGKILL'): Promise<void> {
     const isNode = (process: ManagedProcess): boolean =>
       this.nodes.some((node) => node.process === process);
     const nodes = this.started.filter(isNode);
-    await Promise.all(nodes.map((process) => process.stop()));
-    await Promise.all(this.started.map((process) => process.stop()));
+    await Promise.all(nodes.map((process) => process.stop(signal, STOP_TIMEOUT_MS)));
+    await Promise.all(this.started.map((process) => process.stop(signal)));
     rmSync(this.plan.directory, { recursive: true, force: true });
   }
 
