Ask again for a charge while the replicas change their epoch

Cause: during a planned stop script steps failed with 2005: a charge without a majority fell back to one attempt at once, which no chain of three services can use. Ruled out: the ledger below; its grants were right for the one attempt charged (trial print-outs). Change: rounds without a majority are repeated until the charge's own deadline.

--- a/src/claims/charge-requester.ts
+++ b/src/claims/charge-requester.ts
@@ -8,8 +8,8 @@
 import type { AttemptCharge } from './claim-service.js';
 import { pause, settleRound, type RequesterOptions } from './requester.js';
 
-/** Rounds of one charge when concurrent charges split the slots. */
-const MAX_ROUNDS = 4;
+/** Rounds of one charge in which concurrent charges split the slots. */
+const MAX_SPLITS = 4;
 
 /** Largest bound that the replicas keep slots for. */
 const MAX_BOUND = 255;
@@ -37,17 +37,21 @@
   /** Charges attempts; see `ClaimService.charge`. */
   async charge(charge: AttemptCharge): Promise<Result<number, Failure>> {
     const key = `${charge.tenant}/${charge.requestId}`;
-    for (let round = 0; round < MAX_ROUNDS; round += 1) {
+    let splits = 0;
+    while (this.options.clock.now() < charge.deadline && splits < MAX_SPLITS) {
       const outcome = await this.runRound(key, charge);
       if (outcome === undefined) break;
       if (outcome.slots.length > 0) return Result.ok(outcome.slots.length);
-      if (!outcome.heardMajority) break;
-      if (!outcome.split) return exhausted('all attempts of this request id are spent');
+      if (outcome.heardMajority) {
+        if (!outcome.split) return exhausted('all attempts of this request id are spent');
+        splits += 1;
+      }
+      // Without a majority the replicas may just be changing their epoch, which takes less time
+      // than a charge may wait.
       await pause(
         this.options.clock,
         1 + this.options.random.next() * this.options.timing.retryJitterMs,
       );
-      if (this.options.clock.now() >= charge.deadline) break;
     }
     return this.grantLocally(key);
   }
