Let the callers and back ends of the stand-ins heed Connection: close

Cause: callers that pick entries at random opened connections to a node in the instant in which it closed its listener, and one was reset. Ruled out: a cut request in progress; the connection had not been accepted.

--- a/src/stand-ins/backend/downstream-caller.ts
+++ b/src/stand-ins/backend/downstream-caller.ts
@@ -1,5 +1,6 @@
 /** Calls of a back end to the next service of its chain, by HTTP through a node. */
 import { Agent } from 'node:http';
+import { EntryChooser } from '../entry-chooser.js';
 import { exchange, type ExchangeResult } from '../http-exchange.js';
 import { CALLER_REQUEST_MEMBER, digestRequest, parseBaggage } from '../request-digest.js';
 import { deriveRequestKey } from '../request-key.js';
@@ -28,6 +29,7 @@
 /** Makes calls with keep-alive connections. */
 export class DownstreamCaller {
   private readonly agent = new Agent({ keepAlive: true });
+  private readonly choosers = new Map<DownstreamCall, EntryChooser>();
 
   constructor(private readonly faults: () => BackendFaults) {}
 
@@ -52,11 +54,12 @@
   ): Promise<CallOutcome> {
     const path = `${call.path}?request=${parent.requestKey}`;
     const body = call.method === 'GET' ? Buffer.alloc(0) : Buffer.from(parent.requestKey);
+    const chooser = this.chooserFor(call);
     // A node that refuses connections is passed over; anything else is final for this attempt.
     for (let offset = 0; offset < call.nodes.length; offset += 1) {
-      const base = call.nodes[(repeat + offset) % call.nodes.length]!;
+      const node = chooser.choose(performance.now(), repeat + offset);
       const result = await exchange({
-        base,
+        base: call.nodes[node]!,
         method: call.method,
         path,
         headers: this.headers(call, parent),
@@ -65,12 +68,19 @@
         timeoutMs: parent.deadlineMs ?? DEFAULT_TIMEOUT_MS,
         signal: parent.signal,
       });
+      chooser.note(performance.now(), node, result);
       if (result.type === 'not-sent') continue;
       return judge(result, digestRequest(call.method, path, body));
     }
     return { type: 'failed', status: 0, cause: 'not-sent' };
   }
 
+  private chooserFor(call: DownstreamCall): EntryChooser {
+    const known = this.choosers.get(call) ?? new EntryChooser(call.nodes);
+    this.choosers.set(call, known);
+    return known;
+  }
+
   private headers(call: DownstreamCall, parent: CallParent): Record<string, string> {
     const headers: Record<string, string> = { host: call.host };
     const baggage = this.faults().dropContext
--- a/src/stand-ins/callers/caller.ts
+++ b/src/stand-ins/callers/caller.ts
@@ -2,6 +2,7 @@
 import { randomBytes } from 'node:crypto';
 import type { Agent } from 'node:http';
 import type { Random } from '../../core/random.js';
+import type { EntryChooser } from '../entry-chooser.js';
 import { exchange, type ExchangeResult } from '../http-exchange.js';
 import { CALLER_REQUEST_MEMBER, digestRequest } from '../request-digest.js';
 import { createRequestKey } from '../request-key.js';
@@ -35,7 +36,7 @@
 
 /** What a caller works with. */
 export interface CallerContext {
-  readonly entries: readonly string[];
+  readonly entries: EntryChooser;
   readonly agent: Agent;
   readonly random: Random;
   readonly retries: RetryBehaviour;
@@ -60,14 +61,14 @@
   const headers = createHeaders(stream, key);
   const giveUpAt = performance.now() + stream.patienceMs;
   const tries: TryRecord[] = [];
-  let entry = random.nextInt(entries.length);
+  let entry = entries.choose(performance.now(), random.nextInt(entries.entries.length));
 
   while (tries.length < retries.maxTries) {
     const left = giveUpAt - performance.now();
     if (left <= 0) break;
     const startedAt = performance.now();
     const result = await exchange({
-      base: entries[entry]!,
+      base: entries.entries[entry]!,
       method: stream.method,
       path,
       headers,
@@ -75,11 +76,13 @@
       agent: context.agent,
       timeoutMs: Math.min(left, stream.patienceMs * retries.tryPatience),
     });
-    const latencyMs = performance.now() - startedAt;
+    const endedAt = performance.now();
+    const latencyMs = endedAt - startedAt;
+    entries.note(endedAt, entry, result);
     const verdict = judgeExchange(result, digest, key);
     tries.push({ entry, verdict, ended: result.type, latencyMs, ...describeAnswer(result) });
     if (verdict === 'complete' || verdict === 'wrong') break;
-    if (retries.otherEntry) entry = (entry + 1) % entries.length;
+    if (retries.otherEntry) entry = entries.choose(endedAt, entry + 1);
     if (retries.delayMs > 0) await wait(retries.delayMs);
   }
   return concludeRequest(key, stream.kind, sentAt, tries, performance.now() - plannedAt);
--- a/src/stand-ins/callers/start-callers.ts
+++ b/src/stand-ins/callers/start-callers.ts
@@ -1,6 +1,7 @@
 /** The callers stand-in: open-loop streams of requests against the nodes' entries. */
 import { Agent } from 'node:http';
 import { createRandom } from '../../core/random.js';
+import { EntryChooser } from '../entry-chooser.js';
 import type { Stream } from '../workload.js';
 import { startArrivals, type ArrivalProcess } from './arrivals.js';
 import { makeRequest, type CallerContext, type RetryBehaviour } from './caller.js';
@@ -41,6 +42,7 @@
 /** Starts sending. */
 export function startCallers(options: CallersOptions): Callers {
   const agent = new Agent({ keepAlive: true });
+  const entries = new EntryChooser(options.entries);
   const records: RequestRecord[] = [];
   const lag = new DurationHistogram();
   const running = new Set<Promise<void>>();
@@ -55,7 +57,7 @@
   };
   const arrivals: ArrivalProcess[] = options.streams.map((stream, index) => {
     const random = createRandom(options.seed * 1_000 + index);
-    const context = { entries: options.entries, agent, random, retries: options.retries };
+    const context = { entries, agent, random, retries: options.retries };
     const rate = stream.ratePerSecond;
     const process = startArrivals(random, rate, options.durationMs, (plannedAt) => {
       send(context, stream, plannedAt);
--- a/src/testing/latency-paths.ts
+++ b/src/testing/latency-paths.ts
@@ -7,6 +7,7 @@
  */
 import { Agent } from 'node:http';
 import { createRandom } from '../core/random.js';
+import { EntryChooser } from '../stand-ins/entry-chooser.js';
 import { startArrivals } from '../stand-ins/callers/arrivals.js';
 import { makeRequest, NO_RETRIES, type CallerContext } from '../stand-ins/callers/caller.js';
 import type { RequestRecord } from '../stand-ins/callers/caller-journal.js';
@@ -67,7 +68,7 @@
   const states = options.paths.map((path): PathState => ({
     path,
     stream: { ...options.stream, ...path.stream },
-    context: { entries: path.entries, agent, random, retries: NO_RETRIES },
+    context: { entries: new EntryChooser(path.entries), agent, random, retries: NO_RETRIES },
     latency: new DurationHistogram(),
     backend: new DurationHistogram(),
     failed: 0,
