--- a/src/stand-ins/backend/downstream-caller.ts
+++ b/src/stand-ins/backend/downstream-caller.ts
@@ -1,7 +1,6 @@
 /** Calls of a back end to the next service of its chain, by HTTP through a node. */
-import { Agent } from 'node:http';
 import { EntryChooser } from '../entry-chooser.js';
-import { exchange, type ExchangeResult } from '../http-exchange.js';
+import { createAgent, exchange, type ExchangeResult } from '../http-exchange.js';
 import { CALLER_REQUEST_MEMBER, digestRequest, parseBaggage } from '../request-digest.js';
 import { deriveRequestKey } from '../request-key.js';
 import type { BackendFaults } from './backend-faults.js';
@@ -28,7 +27,7 @@
 
 /** Makes calls with keep-alive connections. */
 export class DownstreamCaller {
-  private readonly agent = new Agent({ keepAlive: true });
+  private readonly agent = createAgent();
   private readonly choosers = new Map<DownstreamCall, EntryChooser>();
 
   constructor(private readonly faults: () => BackendFaults) {}
--- a/src/stand-ins/callers/start-callers.ts
+++ b/src/stand-ins/callers/start-callers.ts
@@ -1,6 +1,6 @@
 /** The callers stand-in: open-loop streams of requests against the nodes' entries. */
-import { Agent } from 'node:http';
 import { createRandom } from '../../core/random.js';
+import { createAgent } from '../http-exchange.js';
 import { EntryChooser } from '../entry-chooser.js';
 import type { Stream } from '../workload.js';
 import { startArrivals, type ArrivalProcess } from './arrivals.js';
@@ -41,7 +41,7 @@
 
 /** Starts sending. */
 export function startCallers(options: CallersOptions): Callers {
-  const agent = new Agent({ keepAlive: true });
+  const agent = createAgent();
   const entries = new EntryChooser(options.entries);
   const records: RequestRecord[] = [];
   const lag = new DurationHistogram();
--- a/src/stand-ins/http-exchange.ts
+++ b/src/stand-ins/http-exchange.ts
@@ -1,5 +1,13 @@
 /** One HTTP exchange over a keep-alive agent, with a time limit and cancellation. */
-import { request as startRequest, type Agent, type IncomingHttpHeaders } from 'node:http';
+import { Agent, request as startRequest, type IncomingHttpHeaders } from 'node:http';
+
+/** Idle connections of the stand-ins are closed after this time, before a node closes them. */
+const IDLE_TIMEOUT_MS = 1_500;
+
+/** Creates the keep-alive pool of one stand-in. */
+export function createAgent(): Agent {
+  return new Agent({ keepAlive: true, timeout: IDLE_TIMEOUT_MS });
+}
 
 /** What is sent. */
 export interface ExchangeRequest {
--- a/src/testing/deployment.process.test.ts
+++ b/src/testing/deployment.process.test.ts
@@ -106,7 +106,7 @@
       retryDelayMs: 100,
     });
     for (const { id } of deployment.nodes) {
-      await delay(500);
+      await delay(200);
       const end = await deployment.stopNode(id);
       assert.equal(end.code, 0, `${id} ended with ${JSON.stringify(end)}`);
       await deployment.restartNode(id);
--- a/src/testing/latency-paths.ts
+++ b/src/testing/latency-paths.ts
@@ -5,11 +5,11 @@
  * same quantile of the direct ones. It is not a quantile of differences, since no request goes
  * both ways.
  */
-import { Agent } from 'node:http';
 import { createRandom } from '../core/random.js';
 import { EntryChooser } from '../stand-ins/entry-chooser.js';
 import { startArrivals } from '../stand-ins/callers/arrivals.js';
 import { makeRequest, NO_RETRIES, type CallerContext } from '../stand-ins/callers/caller.js';
+import { createAgent } from '../stand-ins/http-exchange.js';
 import type { RequestRecord } from '../stand-ins/callers/caller-journal.js';
 import { DurationHistogram, type Quantiles } from '../stand-ins/callers/summary.js';
 import type { Stream } from '../stand-ins/workload.js';
@@ -63,7 +63,7 @@
 
 /** Sends requests over all paths in turn at Poisson times. */
 export async function measurePaths(options: LatencyRunOptions): Promise<PathLatencies> {
-  const agent = new Agent({ keepAlive: true });
+  const agent = createAgent();
   const random = createRandom(options.seed);
   const states = options.paths.map((path): PathState => ({
     path,
