Throughput limit: rise on one clear or two weak successes, long pauses after failures

Ruled out: admission; the variant with the fixed limit differs in the limit only. Change: confirmation, pauses 2 s to 30 s after failed trials, no trials below the known slots.

--- a/src/core/limit/throughput-limit.ts
+++ b/src/core/limit/throughput-limit.ts
@@ -4,10 +4,11 @@
  *
  * While requests wait for slots, a trial runs with a higher limit for a number of
  * completions. A target with free slots answers more requests per second then; one without
- * answers as many as before, only later. A trial with a lower limit runs the other way
- * round, above the known slots or when latency has grown with the load. Latency alone
- * changes nothing: a target that slows down keeps its slots. (Hill climbing at the
- * throughput knee; compare the `Gradient2` limit of Netflix's concurrency-limits.)
+ * answers as many as before, only later. The limit rises after one clear or two weak
+ * successes; above the known slots a trial with a lower limit runs after each failed one.
+ * Latency changes nothing: a target that slows down, or waits for others, keeps its slots.
+ * (Hill climbing at the throughput knee; compare the `Gradient2` limit of Netflix's
+ * concurrency-limits.)
  *
  * A target that refuses for load is believed at once.
  *
@@ -28,13 +29,14 @@
 const COMPLETIONS_PER_SLOT = 10;
 /** A trial succeeds when throughput follows the limit by at least this share. */
 const FOLLOWS_SHARE = 0.3;
-/** Pause after a failed trial, in milliseconds; doubled with each further one. */
-const FIRST_PAUSE_MS = 250;
-const MAX_PAUSE_MS = 4_000;
-/** Latency under load over latency without from which queueing at the target is suspected. */
-const SUSPECT_RATIO = 1.5;
-/** Weight of one sample in the two latencies. */
-const LATENCY_WEIGHT = 0.05;
+/** Pause after a failed trial, in milliseconds; it grows with each further one. */
+const FIRST_PAUSE_MS = 500;
+const MAX_PAUSE_MS = 30_000;
+const PAUSE_GROWTH = 4;
+/** The same from which a single trial convinces. */
+const CONVINCING_SHARE = 0.8;
+/** Trials in a row that must succeed before the limit rises otherwise. */
+const CONFIRMATIONS = 2;
 /** Share of the completions of a measurement at which the queue may be empty. */
 const MAX_UNSATURATED_SHARE = 0.1;
 
@@ -54,8 +56,7 @@
   private pauseMs = FIRST_PAUSE_MS;
   private nextTrialAt = -Infinity;
   private lastUpFailed = false;
-  private idleLatencyMs: number | undefined;
-  private busyLatencyMs = 0;
+  private confirmations = 0;
   private readonly ceiling = new RefusalCeiling();
 
   constructor(private readonly options: ThroughputLimitOptions) {
@@ -73,19 +74,9 @@
     }
     if (sample.outcome !== 'success') return;
     this.ceiling.onSuccess(sample.now);
-    this.noteLatency(sample);
     this.measure(sample);
   }
 
-  private noteLatency({ latencyMs, inFlight, queued }: LimitSample): void {
-    if (queued) {
-      this.busyLatencyMs += LATENCY_WEIGHT * (latencyMs - this.busyLatencyMs);
-    } else if (inFlight <= this.limit / 2) {
-      this.idleLatencyMs ??= latencyMs;
-      this.idleLatencyMs += LATENCY_WEIGHT * (latencyMs - this.idleLatencyMs);
-    }
-  }
-
   private measure({ now, queued }: LimitSample): void {
     this.measurement ??= {
       skip: this.current(),
@@ -118,29 +109,43 @@
       return;
     }
     const change = this.trialLimit / this.limit - 1;
-    const followed = (rate / this.baseRate - 1) / change >= FOLLOWS_SHARE;
-    const isBetter = change > 0 ? followed : !followed;
-    if (isBetter) this.limit = this.trialLimit;
-    this.lastUpFailed = change > 0 && !isBetter;
-    this.pauseMs = isBetter ? FIRST_PAUSE_MS : Math.min(MAX_PAUSE_MS, 2 * this.pauseMs);
-    this.nextTrialAt = isBetter ? now : now + this.pauseMs;
+    const share = (rate / this.baseRate - 1) / change;
+    if (change > 0) this.endUpTrial(now, share, this.trialLimit);
+    else this.endDownTrial(now, share, this.trialLimit);
     this.trialLimit = undefined;
   }
 
+  private endUpTrial(now: number, share: number, tried: number): void {
+    this.confirmations = share >= FOLLOWS_SHARE ? this.confirmations + 1 : 0;
+    this.lastUpFailed = this.confirmations === 0;
+    if (this.lastUpFailed) {
+      this.pause(now);
+    } else if (this.confirmations === CONFIRMATIONS || share >= CONVINCING_SHARE) {
+      this.confirmations = 0;
+      this.limit = tried;
+      this.pauseMs = FIRST_PAUSE_MS;
+    }
+  }
+
+  private endDownTrial(now: number, share: number, tried: number): void {
+    this.lastUpFailed = false;
+    if (share >= FOLLOWS_SHARE) this.pause(now);
+    else this.limit = Math.max(this.options.initialLimit, tried);
+  }
+
+  private pause(now: number): void {
+    this.pauseMs = Math.min(MAX_PAUSE_MS, PAUSE_GROWTH * this.pauseMs);
+    this.nextTrialAt = now + this.pauseMs;
+  }
+
   private startTrial(): void {
+    const { initialLimit, maxLimit } = this.options;
     const step = Math.max(1, Math.round(TRIAL_SHARE * this.limit));
-    const up = Math.min(this.options.maxLimit, this.limit + step);
-    const down = Math.max(1, this.limit - step);
-    const goesDown = this.mayGoDown() && (this.lastUpFailed || up === this.limit);
-    const wanted = goesDown ? down : up;
+    const goesDown = this.limit > initialLimit && (this.lastUpFailed || this.limit === maxLimit);
+    const wanted = goesDown ? this.limit - step : Math.min(maxLimit, this.limit + step);
     if (wanted !== this.limit) this.trialLimit = wanted;
   }
 
-  private mayGoDown(): boolean {
-    if (this.limit > this.options.initialLimit) return true;
-    return this.busyLatencyMs > SUSPECT_RATIO * (this.idleLatencyMs ?? Infinity);
-  }
-
   private abandonTrial(): void {
     this.measurement = undefined;
     this.trialLimit = undefined;
