--- a/src/emulator/run-scenario.ts
+++ b/src/emulator/run-scenario.ts
@@ -1,5 +1,5 @@
 /** Runs a validated scenario: one policy and one seed at a time. */
-import '../core/overload-policies.js';
+import './policies.js';
 import { findOverloadPolicy } from '../core/overload-policy-registry.js';
 import { scheduleFaults } from './faults.js';
 import { createLoadProfile } from './load-profile.js';
--- a/src/emulator/scenario.ts
+++ b/src/emulator/scenario.ts
@@ -3,7 +3,7 @@
 import { z } from 'zod';
 import { parseAndValidate, validateValue } from '../config/document.js';
 import { listOverloadPolicies } from '../core/overload-policy-registry.js';
-import '../core/overload-policies.js';
+import './policies.js';
 import type { Failure } from '../core/failure.js';
 import { ResultCode } from '../core/result-code.js';
 import type { Deployment } from './deployment.js';
