--- a/src/config/rules-startup.ts
+++ b/src/config/rules-startup.ts
@@ -15,8 +15,9 @@
 import { fetchRules } from './rules-fetch.js';
 import { readSnapshot } from './stored-revision.js';
 
-/** Pause between rounds, in milliseconds, before jitter. */
-const ROUND_INTERVAL_MS = 500;
+/** Pause between rounds, in milliseconds, before jitter; doubles up to the maximum. */
+const MIN_ROUND_INTERVAL_MS = 500;
+const MAX_ROUND_INTERVAL_MS = 2_000;
 /** Peers asked at the same time. */
 const BATCH_SIZE = 8;
 /** Peers of the own zone asked after a read of the platform; one answer is enough. */
@@ -33,17 +34,16 @@
   readonly network: PeerNetwork;
   readonly clock: Clock;
   readonly random: Random;
-  /** Highest version that the node has. */
-  readonly currentVersion: () => number;
-  readonly onRecords: (records: readonly RevisionRecord[]) => void;
-  /** Called once, when the rules are loaded. */
-  readonly onLoaded: () => void;
+  /** Called once, with all that was read; nothing comes into force before. */
+  readonly onLoaded: (records: readonly RevisionRecord[]) => void;
 }
 
 /** One node's start; runs rounds until loaded or stopped. */
 export class RulesStartup {
   private finished = false;
   private startedAt = 0;
+  private rounds = 0;
+  private collected: RevisionRecord[] = [];
   private cancelTimer: CancelTimer = () => {};
 
   constructor(private readonly options: RulesStartupOptions) {}
@@ -64,18 +64,20 @@
     if (this.finished) return;
     if (loaded) {
       this.stop();
-      this.options.onLoaded();
+      this.options.onLoaded(this.collected);
       return;
     }
     const { clock, random } = this.options;
-    const delayMs = ROUND_INTERVAL_MS * (0.5 + random.next());
+    const intervalMs = Math.min(MAX_ROUND_INTERVAL_MS, MIN_ROUND_INTERVAL_MS * 2 ** this.rounds);
+    this.rounds += 1;
+    const delayMs = intervalMs * (0.5 + random.next());
     this.cancelTimer = clock.schedule(delayMs, () => void this.runRound());
   }
 
   private async loadFromPlatform(): Promise<boolean> {
     const read = await readSnapshot(this.options.platform);
     if (this.finished || read.isErr) return false;
-    this.options.onRecords(read.value.records);
+    this.collected.push(...read.value.records);
     // The answer may have been slow: the zone must not have moved on meanwhile.
     await this.askAll(this.readyPeersInZone().slice(0, PEERS_ASKED_AFTER_READ));
     return true;
@@ -103,16 +105,17 @@
 
   /** Asks every peer; true when at least one has answered. */
   private async askAll(peers: readonly Member[]): Promise<boolean> {
-    const { network, currentVersion, onRecords } = this.options;
+    const { network } = this.options;
     let answered = false;
     for (let start = 0; start < peers.length; start += BATCH_SIZE) {
       const batch = peers.slice(start, start + BATCH_SIZE);
-      const calls = batch.map(({ nodeId }) => fetchRules(network, nodeId, currentVersion()));
+      const after = Math.max(0, ...this.collected.map(({ version }) => version));
+      const calls = batch.map(({ nodeId }) => fetchRules(network, nodeId, after));
       for (const reply of await Promise.all(calls)) {
         if (this.finished) return false;
         if (reply.isErr) continue;
         answered = true;
-        onRecords(reply.value);
+        this.collected.push(...reply.value);
       }
     }
     return answered;
