Keep the listener open while attempts run on a stopping node; mend the need of cyclic services

Cause: with the listener closed at the start of the refusing phase a back end whose attempt still ran here could open no new connection for its next call (new test, failed). A service that calls itself was granted one attempt only. Change: the listener closes once no attempt runs on the node, right after a round of accepts; open connections are served as before.

--- a/src/core/attempt-budget.ts
+++ b/src/core/attempt-budget.ts
@@ -11,14 +11,14 @@
 
 /**
  * Fewest attempts with which a call of `service` can succeed: one for itself, and the need of
- * every service that it calls. A cycle counts once.
+ * every service that it calls. A service that stands above itself counts without its calls.
  */
 export function minimalNeed(service: string, callsOf: CallGraph): number {
   return Math.min(MAX_NEED, needOf(service, callsOf, new Set()));
 }
 
 function needOf(service: string, callsOf: CallGraph, above: ReadonlySet<string>): number {
-  if (above.has(service)) return 0;
+  if (above.has(service)) return 1;
   const path = new Set(above).add(service);
   let need = 1;
   for (const callee of callsOf(service)) {
--- a/src/core/attempt-ledger.test.ts
+++ b/src/core/attempt-ledger.test.ts
@@ -117,6 +117,26 @@
   assert.equal(ledger.reserve('a', 1), 0);
 });
 
+test('the need of a subtree: itself and what it calls, cycles cut', () => {
+  const calls: Record<string, readonly string[]> = {
+    leaf: [],
+    chain: ['middle'],
+    middle: ['leaf'],
+    fan: ['leaf', 'middle', 'leaf'],
+    self: ['self'],
+    ping: ['pong'],
+    pong: ['ping'],
+  };
+  const needs = { leaf: 1, middle: 2, chain: 3, fan: 5, self: 2, ping: 3 };
+  for (const [service, need] of Object.entries(needs)) {
+    assert.equal(
+      minimalNeed(service, (name) => calls[name] ?? []),
+      need,
+      service,
+    );
+  }
+});
+
 test('parallel callees each get what they need at the least', () => {
   const cases = [
     { remaining: 2, kind: 5, need: 1, others: 1, wanted: 1 },
--- a/src/entry/entry-plugin.ts
+++ b/src/entry/entry-plugin.ts
@@ -72,9 +72,9 @@
 
   /**
    * Planned stop: peers are told first, while callers are still served and asked to close
-   * their connections; then new connections are refused, and new requests on open ones too (not
-   * run), until all that runs has ended. Calls of back ends are served on open connections:
-   * attempts that run here need them.
+   * their connections; then new requests are refused, not run. Calls of back ends are served all
+   * the time, on new connections too until no attempt runs here: those attempts need them. After
+   * that new connections are refused, and open ones end with what runs on them.
    */
   async drain(): Promise<void> {
     const clock = this.container.get(Token.Clock);
@@ -84,8 +84,9 @@
     this.task.post({ type: 'phase', phase: 'leaving' });
     await this.sleep(Math.min(LEAVING_PHASE_MS, end - clock.now()));
     this.task.post({ type: 'phase', phase: 'refusing' });
-    this.server?.stopListening();
     const dispatcher = this.container.get(Token.TargetDispatcher);
+    await this.waitUntil(end, () => dispatcher.inProgress === 0);
+    this.server?.stopListening();
     const running = (): number =>
       this.task.inProgress + this.router.inProgress + dispatcher.inProgress;
     await this.waitUntil(end, () => running() === 0);
@@ -104,7 +105,6 @@
 
   /** What came in since the drain, calls of back ends above all, is still answered. */
   private async finishRunning(): Promise<void> {
-    this.server?.stopListening();
     const end = this.container.get(Token.Clock).now() + LAST_ANSWERS_MS;
     await this.waitUntil(end, () => this.task.inProgress === 0);
   }
--- a/src/entry/entry-server.ts
+++ b/src/entry/entry-server.ts
@@ -69,9 +69,13 @@
       return sockets.size;
     },
     stopListening: () => {
-      // The HTTP server's own close also closes idle connections, on which a caller may be
-      // sending at that moment.
-      NetServer.prototype.close.call(server);
+      // Right after the event loop has accepted what waited: a connection that the machine has
+      // taken and the server has not is reset when the listener closes.
+      setImmediate(() => {
+        // The HTTP server's own close also closes idle connections, on which a caller may be
+        // sending at that moment.
+        NetServer.prototype.close.call(server);
+      });
     },
     close: () => closeServer(server, sockets),
   };
