Give charged attempts back that were not used

Ruled out: charging after the dispatch: then two entries could both dispatch the last attempt. Change: ClaimService.chargeReturnable (addition) grants with a way to give back; the call does so at its end. A call whose time has passed is not sent to the back-end client; one without a connection says so.

--- a/src/claims/charge-requester.ts
+++ b/src/claims/charge-requester.ts
@@ -5,7 +5,7 @@
 import { BUDGET_RETENTION_MS } from '../core/claim/claim-limits.js';
 import { createFailure, type Failure } from '../core/failure.js';
 import { ResultCode } from '../core/result-code.js';
-import type { AttemptCharge } from './claim-service.js';
+import type { AttemptCharge, ChargeGrant } from './claim-service.js';
 import { pause, settleRound, type RequesterOptions } from './requester.js';
 
 /** Rounds of one charge in which concurrent charges split the slots. */
@@ -23,6 +23,12 @@
 /** Request ids remembered for that; with more, charges without a majority are refused. */
 const MAX_LOCAL_IDS = 20_000;
 
+/** One round with the charge that it asked for. */
+interface EndedRound {
+  readonly budget: BudgetCharge;
+  readonly outcome: ChargeOutcome;
+}
+
 /** Coordinator of charges. */
 export class ChargeRequester {
   private charges = 0;
@@ -36,12 +42,19 @@
 
   /** Charges attempts; see `ClaimService.charge`. */
   async charge(charge: AttemptCharge): Promise<Result<number, Failure>> {
+    const granted = await this.chargeReturnable(charge);
+    return granted.map(({ attempts }) => attempts);
+  }
+
+  /** Charges attempts; see `ClaimService.chargeReturnable`. */
+  async chargeReturnable(charge: AttemptCharge): Promise<Result<ChargeGrant, Failure>> {
     const key = `${charge.tenant}/${charge.requestId}`;
     let splits = 0;
     while (this.options.clock.now() < charge.deadline && splits < MAX_SPLITS) {
-      const outcome = await this.runRound(key, charge);
-      if (outcome === undefined) break;
-      if (outcome.slots.length > 0) return Result.ok(outcome.slots.length);
+      const ended = await this.runRound(key, charge);
+      if (ended === undefined) break;
+      const { budget, outcome } = ended;
+      if (outcome.slots.length > 0) return Result.ok(this.createGrant(budget, outcome.slots));
       if (outcome.heardMajority) {
         if (!outcome.split) return exhausted('all attempts of this request id are spent');
         splits += 1;
@@ -57,7 +70,7 @@
   }
 
   /** One round under a charge id of its own; gives back what does not count. */
-  private async runRound(key: string, charge: AttemptCharge): Promise<ChargeOutcome | undefined> {
+  private async runRound(key: string, charge: AttemptCharge): Promise<EndedRound | undefined> {
     const record = this.options.placement();
     if (record === undefined) return undefined;
     const wanted = Math.min(charge.wanted, charge.bound, MAX_BOUND);
@@ -67,7 +80,17 @@
     await settleRound(this.options, round, request, charge.deadline, () => round.complete);
     const outcome = round.outcome();
     this.giveBackUnused(budget, outcome.slots);
-    return outcome;
+    return { budget, outcome };
+  }
+
+  private createGrant(budget: BudgetCharge, slots: readonly number[]): ChargeGrant {
+    const { key, chargeId } = budget;
+    const giveBack = (count: number): void => {
+      const unused = slots.slice(0, count);
+      if (unused.length === 0) return;
+      void this.options.delivery.deliver({ type: 'give-back', key, chargeId, unused });
+    };
+    return { attempts: slots.length, giveBack };
   }
 
   private createBudgetCharge(key: string, wanted: number, bound: number): BudgetCharge {
@@ -88,7 +111,7 @@
     void this.options.delivery.deliver({ type: 'give-back', key, chargeId, unused });
   }
 
-  private grantLocally(key: string): Result<number, Failure> {
+  private grantLocally(key: string): Result<ChargeGrant, Failure> {
     const now = this.options.clock.now();
     for (const [known, { createdAt }] of this.local) {
       if (now - createdAt <= BUDGET_RETENTION_MS) break;
@@ -102,10 +125,10 @@
       );
     }
     this.local.set(key, { ...entry, granted: entry.granted + 1 });
-    return Result.ok(1);
+    return Result.ok({ attempts: 1, giveBack: () => {} });
   }
 }
 
-function exhausted(detail: string): Result<number, Failure> {
+function exhausted(detail: string): Result<ChargeGrant, Failure> {
   return Result.err(createFailure(ResultCode.AttemptsExhausted, detail));
 }
--- a/src/claims/claim-service.ts
+++ b/src/claims/claim-service.ts
@@ -45,6 +45,18 @@
    * @returns attempts granted (at most `wanted`), or `AttemptsExhausted` / `ClaimUnavailable`
    */
   charge(charge: AttemptCharge): Promise<Result<number, Failure>>;
+  /** As {@link ClaimService.charge}, with a way to give back what was not used after all. */
+  chargeReturnable(charge: AttemptCharge): Promise<Result<ChargeGrant, Failure>>;
+}
+
+/** Attempts granted by a charge. */
+export interface ChargeGrant {
+  readonly attempts: number;
+  /**
+   * Gives attempts back that were certainly not dispatched, so that a repeat of the request id
+   * can have them; fire and forget. Call it once at most.
+   */
+  giveBack(unused: number): void;
 }
 
 /** A charge to the shared attempt budget of a request id. */
--- a/src/claims/claim-task.ts
+++ b/src/claims/claim-task.ts
@@ -12,7 +12,13 @@
 import type { PlatformClient } from '../platform/platform-client.js';
 import { ChargeRequester } from './charge-requester.js';
 import { ClaimRequester } from './claim-requester.js';
-import type { AttemptCharge, ClaimDecision, ClaimRequest, ClaimService } from './claim-service.js';
+import type {
+  AttemptCharge,
+  ChargeGrant,
+  ClaimDecision,
+  ClaimRequest,
+  ClaimService,
+} from './claim-service.js';
 import { DEFAULT_CLAIM_TIMING, type ClaimTiming } from './claim-timing.js';
 import { PlacementKeeper } from './placement-keeper.js';
 import { PlacementStore } from './placement-store.js';
@@ -106,6 +112,10 @@
     return this.charges.charge(charge);
   }
 
+  chargeReturnable(charge: AttemptCharge): Promise<Result<ChargeGrant, Failure>> {
+    return this.charges.chargeReturnable(charge);
+  }
+
   /** Starts placement and recovery. */
   start(): void {
     this.keeper.start();
--- a/src/entry/attempt-source.ts
+++ b/src/entry/attempt-source.ts
@@ -1,6 +1,6 @@
 /** Where the attempts of one call come from: its own budget, or also the shared one of its key. */
 import { Result } from 'true-myth';
-import type { ClaimService } from '../claims/claim-service.js';
+import type { ChargeGrant, ClaimService } from '../claims/claim-service.js';
 import { AttemptBudget } from '../core/attempt-budget.js';
 import { createFailure, type Failure } from '../core/failure.js';
 import { ResultCode } from '../core/result-code.js';
@@ -14,6 +14,7 @@
   private readonly budget: AttemptBudget;
   /** Attempts charged to the shared budget and not granted to a try. */
   private charged = 0;
+  private readonly grants: ChargeGrant[] = [];
   private used = 0;
 
   constructor(
@@ -56,6 +57,16 @@
     if (this.isShared) this.charged += unused;
   }
 
+  /** Ends the call: what was charged and not used is free for a repeat of the same key. */
+  release(): void {
+    for (const { attempts, giveBack } of this.grants) {
+      const unused = Math.min(attempts, this.charged);
+      if (unused > 0) giveBack(unused);
+      this.charged -= unused;
+    }
+    this.grants.length = 0;
+  }
+
   /** Repeats of the same key at other nodes share one budget; calls of back ends have a ledger. */
   private get isShared(): boolean {
     const { context, idempotencyKey, parentAttemptId } = this.call;
@@ -67,15 +78,16 @@
     const enough = Math.min(this.need, wanted);
     if (this.charged >= enough) return Result.ok(this.takeCharged(wanted));
     const { context, kind } = this.call;
-    const granted = await this.claims.charge({
+    const granted = await this.claims.chargeReturnable({
       tenant: context.tenant,
       requestId: context.requestId,
       wanted: wanted - this.charged,
       bound: kind.attempts,
       deadline: Math.min(context.deadline, now + CHARGE_WAIT_MS),
     });
-    if (granted.isErr) return granted;
-    this.charged += granted.value;
+    if (granted.isErr) return Result.err(granted.error);
+    this.charged += granted.value.attempts;
+    this.grants.push(granted.value);
     return Result.ok(this.takeCharged(wanted));
   }
 
--- a/src/entry/entry-contract.test.ts
+++ b/src/entry/entry-contract.test.ts
@@ -374,6 +374,26 @@
   assert.equal(backend.seen.length - seenBefore, 2);
 });
 
+test('a refusal costs nothing of the attempts that repeats share', async () => {
+  const headers = { 'Idempotency-Key': `${UUID_V7.slice(0, -1)}8` };
+  const path = '/steps/refused';
+  backend.setScript(() => undefined);
+  const busy = Array.from({ length: 4 }, () => send({ port: node.entryPort, path: '/steps/busy' }));
+  await new Promise((resolve) => setTimeout(resolve, 50));
+  const short = { ...headers, 'Sillshore-Timeout': '20' };
+  const repeats = Array.from({ length: 4 }, () =>
+    send({ port: node.entryPort, path, headers: short }),
+  );
+  const codes = [ResultCode.DeadlineExceeded, ResultCode.AttemptsExhausted].map(String);
+  for (const refused of await Promise.all(repeats)) {
+    assert.equal(refused.headers['sillshore-execution'], 'not-run');
+    assert.ok(codes.includes(String(refused.headers['sillshore-result'])));
+  }
+  await Promise.all(busy);
+  backend.setScript(answerPlain);
+  assert.equal((await send({ port: node.entryPort, path, headers })).body, path);
+});
+
 test('connections are kept alive', async () => {
   const agent = new Agent({ keepAlive: true, maxSockets: 1 });
   const first = await send({ port: node.entryPort, path: '/steps/1', agent });
--- a/src/entry/routed-call.ts
+++ b/src/entry/routed-call.ts
@@ -42,7 +42,7 @@
     const { router, call, clock, claim } = this.options;
     const refusal = router.admit(clock.now(), call.context);
     if (refusal !== undefined) return this.refuse(refusal);
-    if (claim === undefined) return this.tryUntilEnd();
+    if (claim === undefined) return this.runUnclaimed();
     const outcome = await claim.claim();
     if (outcome.type === 'final') return outcome.result;
     this.notAfter = outcome.notAfter;
@@ -51,6 +51,12 @@
     return result;
   }
 
+  private async runUnclaimed(): Promise<CallResult> {
+    const result = await this.tryUntilEnd();
+    this.options.attempts.release();
+    return result;
+  }
+
   private async tryUntilEnd(): Promise<CallResult> {
     for (;;) {
       const ended = this.checkEnd();
--- a/src/target/attempt-end.ts
+++ b/src/target/attempt-end.ts
@@ -36,3 +36,11 @@
   const options = { execution: 'not-run' } as const;
   return notDispatched('cancelled', createFailure(ResultCode.Cancelled, 'cancelled', options));
 }
+
+/** The deadline, or the time that the claim allows, has passed before the dispatch. */
+export function tooLateToDispatch(): AttemptResult {
+  const detail = 'too late to dispatch';
+  const options = { execution: 'not-run' } as const;
+  const failure = createFailure(ResultCode.DeadlineExceeded, detail, options);
+  return notDispatched('cancelled', failure);
+}
--- a/src/target/node-backend-client.ts
+++ b/src/target/node-backend-client.ts
@@ -94,7 +94,9 @@
     }
     signal.addEventListener('abort', this.onAbort, { once: true });
     this.cancelTimer = this.clock.schedule(timeoutMs, () => {
-      this.fail('timeout', `no answer within ${Math.round(timeoutMs)} ms`);
+      const what = this.sent ? 'answer' : 'connection';
+      const detail = `no ${what} within ${Math.round(timeoutMs)} ms`;
+      this.fail(this.sent ? 'timeout' : 'unreachable', detail);
     });
     try {
       this.open();
--- a/src/target/target-task.ts
+++ b/src/target/target-task.ts
@@ -16,7 +16,12 @@
 import type { Metrics } from '../kernel/metrics.js';
 import { Task } from '../kernel/task.js';
 import { AnswerSizeEstimate } from './answer-size-estimate.js';
-import { cancelledWhileWaiting, notDispatched, refusedByLeavingTarget } from './attempt-end.js';
+import {
+  cancelledWhileWaiting,
+  notDispatched,
+  refusedByLeavingTarget,
+  tooLateToDispatch,
+} from './attempt-end.js';
 import type { BackendClient, BackendResult } from './backend-client.js';
 import { outcomeOf, saysDraining, toAttemptResult } from './backend-result.js';
 import { LeavingSigns } from './leaving-signs.js';
@@ -212,6 +217,10 @@
       this.giveUp(ticket, refusedByLeavingTarget(this.options.target));
       return;
     }
+    if (!this.mayStart(entry.offer)) {
+      this.giveUp(ticket, tooLateToDispatch());
+      return;
+    }
     const reservation = this.options.buffers.tryReserve(this.answerSizes.expected);
     if (reservation === undefined) {
       const options = { ...NOTHING_RUN, retryAfterMs: BUFFER_RETRY_AFTER_MS };
--- a/src/testing/fake-services.ts
+++ b/src/testing/fake-services.ts
@@ -2,6 +2,7 @@
 import { Result } from 'true-myth';
 import type {
   AttemptCharge,
+  ChargeGrant,
   ClaimDecision,
   ClaimRequest,
   ClaimService,
@@ -154,12 +155,26 @@
     if (answer !== undefined) record.answer = answer;
   }
 
-  charge(charge: AttemptCharge): Promise<Result<number, Failure>> {
-    const used = this.charges.get(charge.requestId) ?? 0;
-    const granted = Math.min(charge.wanted, charge.bound - used);
-    this.charges.set(charge.requestId, used + granted);
-    if (granted > 0) return Promise.resolve(Result.ok(granted));
-    return Promise.resolve(Result.err(createFailure(ResultCode.AttemptsExhausted, 'charged')));
+  async charge(charge: AttemptCharge): Promise<Result<number, Failure>> {
+    const granted = await this.chargeReturnable(charge);
+    return granted.map(({ attempts }) => attempts);
+  }
+
+  chargeReturnable({
+    requestId,
+    wanted,
+    bound,
+  }: AttemptCharge): Promise<Result<ChargeGrant, Failure>> {
+    const used = this.charges.get(requestId) ?? 0;
+    const attempts = Math.min(wanted, bound - used);
+    this.charges.set(requestId, used + attempts);
+    if (attempts < 1) {
+      return Promise.resolve(Result.err(createFailure(ResultCode.AttemptsExhausted, 'charged')));
+    }
+    const giveBack = (unused: number): void => {
+      this.charges.set(requestId, (this.charges.get(requestId) ?? 0) - unused);
+    };
+    return Promise.resolve(Result.ok({ attempts, giveBack }));
   }
 
   private decide(request: ClaimRequest): ClaimDecision {
