--- a/src/kernel/token.ts
+++ b/src/kernel/token.ts
@@ -7,6 +7,7 @@
 import type { RulesRepository } from '../config/rules-repository.js';
 import type { Settings } from '../config/settings.js';
 import type { CallRouter } from '../entry/call-router.js';
+import type { LeavingTargets } from '../membership/leaving-targets.js';
 import type { Membership } from '../membership/membership.js';
 import type { PeerNetwork } from '../peer/peer-network.js';
 import type { PlatformClient } from '../platform/platform-client.js';
@@ -42,4 +43,5 @@
   CallRouter: createToken<CallRouter>('CallRouter'),
   AdminServer: createToken<AdminServer>('AdminServer'),
   ByteBudget: createToken<ByteBudget>('ByteBudget'),
+  LeavingTargets: createToken<LeavingTargets>('LeavingTargets'),
 } as const;
