Expect the fronting node of the second target in the status test

Ruled out: a fault of the status; the answer held node b1 as it should. Change: the expectation names node b1.

--- a/src/admin/admin-api.test.ts
+++ b/src/admin/admin-api.test.ts
@@ -254,7 +254,14 @@
       inFlight: 3,
       queued: 2,
     },
-    { ...service, id: 'guide-2', zone: 'zone-b', address: '127.0.0.1:7002', state: 'leaving' },
+    {
+      ...service,
+      id: 'guide-2',
+      zone: 'zone-b',
+      address: '127.0.0.1:7002',
+      state: 'leaving',
+      node: 'b1',
+    },
   ]);
   assert.deepEqual(status.revisions, [revision]);
 });
