--- a/src/stand-ins/backend/downstream-caller.ts
+++ b/src/stand-ins/backend/downstream-caller.ts
@@ -1,6 +1,6 @@
 /** Calls of a back end to the next service of its chain, by HTTP through a node. */
-import { Agent } from 'node:http';
-import { exchange, type ExchangeResult } from '../http-exchange.js';
+import { EntryChooser } from '../entry-chooser.js';
+import { createAgent, exchange, type ExchangeResult } from '../http-exchange.js';
 import { CALLER_REQUEST_MEMBER, digestRequest, parseBaggage } from '../request-digest.js';
 import { deriveRequestKey } from '../request-key.js';
 import type { BackendFaults } from './backend-faults.js';
@@ -22,11 +22,13 @@
 export type CallOutcome =
   | { readonly type: 'ok' }
   | { readonly type: 'wrong-answer' }
-  | { readonly type: 'failed'; readonly status: number; readonly resultCode?: string };
+  /** `cause` is the result code, how the exchange ended, or the failed call further below. */
+  | { readonly type: 'failed'; readonly status: number; readonly cause: string };
 
 /** Makes calls with keep-alive connections. */
 export class DownstreamCaller {
-  private readonly agent = new Agent({ keepAlive: true });
+  private readonly agent = createAgent();
+  private readonly choosers = new Map<DownstreamCall, EntryChooser>();
 
   constructor(private readonly faults: () => BackendFaults) {}
 
@@ -51,11 +53,12 @@
   ): Promise<CallOutcome> {
     const path = `${call.path}?request=${parent.requestKey}`;
     const body = call.method === 'GET' ? Buffer.alloc(0) : Buffer.from(parent.requestKey);
+    const chooser = this.chooserFor(call);
     // A node that refuses connections is passed over; anything else is final for this attempt.
     for (let offset = 0; offset < call.nodes.length; offset += 1) {
-      const base = call.nodes[(repeat + offset) % call.nodes.length]!;
+      const node = chooser.choose(performance.now(), repeat + offset);
       const result = await exchange({
-        base,
+        base: call.nodes[node]!,
         method: call.method,
         path,
         headers: this.headers(call, parent),
@@ -64,10 +67,17 @@
         timeoutMs: parent.deadlineMs ?? DEFAULT_TIMEOUT_MS,
         signal: parent.signal,
       });
+      chooser.note(performance.now(), node, result);
       if (result.type === 'not-sent') continue;
       return judge(result, digestRequest(call.method, path, body));
     }
-    return { type: 'failed', status: 0 };
+    return { type: 'failed', status: 0, cause: 'not-sent' };
+  }
+
+  private chooserFor(call: DownstreamCall): EntryChooser {
+    const known = this.choosers.get(call) ?? new EntryChooser(call.nodes);
+    this.choosers.set(call, known);
+    return known;
   }
 
   private headers(call: DownstreamCall, parent: CallParent): Record<string, string> {
@@ -85,14 +95,10 @@
 }
 
 function judge(result: ExchangeResult, digest: string): CallOutcome {
-  if (result.type !== 'answer') return { type: 'failed', status: 0 };
-  const resultCode = result.headers['sillshore-result'];
+  if (result.type !== 'answer') return { type: 'failed', status: 0, cause: result.type };
   if (result.status !== 200) {
-    return {
-      type: 'failed',
-      status: result.status,
-      ...(typeof resultCode === 'string' ? { resultCode } : {}),
-    };
+    const code = result.headers['sillshore-result'] ?? result.headers['x-failed-call'];
+    return { type: 'failed', status: result.status, cause: `${code ?? result.status}` };
   }
   return result.headers['x-request-digest'] === digest ? { type: 'ok' } : { type: 'wrong-answer' };
 }
