Count only ready nodes where a revision is in force

Cause: a starting node has version 0 and would have shown its zone as lacking the revision, though it serves nobody; docs/design/configuration.md counts ready nodes. Ruled out: nothing else; found by reading the design note against the code. Change: zones and nodes of GetInForce count ready nodes; a zone without one shows 0 nodes.

--- a/src/admin/in-force.test.ts
+++ b/src/admin/in-force.test.ts
@@ -16,6 +16,23 @@
   ]);
 });
 
+test('a node that is not ready does not count, and a zone with only such nodes has none', () => {
+  const members = [
+    createMember('a1', 'zone-a', { configVersion: 7 }),
+    createMember('a2', 'zone-a', { configVersion: 0, ready: false }),
+    createMember('b1', 'zone-b', { configVersion: 9, ready: false }),
+  ];
+  const { zones, nodes } = computeInForce(7, members);
+  assert.deepEqual(zones, [
+    { zone: 'zone-a', nodes: 1, nodesInForce: 1, lowestVersion: 7 },
+    { zone: 'zone-b', nodes: 0, nodesInForce: 0, lowestVersion: 0 },
+  ]);
+  assert.deepEqual(
+    nodes.map(({ node }) => node),
+    ['a1'],
+  );
+});
+
 test('without members nothing is claimed', () => {
   assert.deepEqual(computeInForce(1, []), { zones: [], nodes: [] });
 });
--- a/src/admin/in-force.ts
+++ b/src/admin/in-force.ts
@@ -4,12 +4,14 @@
 /** One zone's share of {@link InForce}. */
 export interface ZoneInForce {
   readonly zone: string;
+  /** Ready nodes; the others serve nobody and do not count. */
   readonly nodes: number;
   readonly nodesInForce: number;
+  /** Lowest version over the ready nodes; 0 when the zone has none. */
   readonly lowestVersion: number;
 }
 
-/** One node's share of {@link InForce}. */
+/** One ready node's share of {@link InForce}. */
 export interface NodeInForce {
   readonly node: string;
   readonly zone: string;
@@ -30,13 +32,15 @@
  * @param version the revision's place in the order of all changes
  */
 export function computeInForce(version: number, members: readonly Member[]): InForce {
-  const nodes = members.map((member) => ({
-    node: member.nodeId,
-    zone: member.zone,
-    version: member.configVersion,
-    inForce: member.configVersion >= version,
-  }));
-  const names = [...new Set(nodes.map(({ zone }) => zone))].sort();
+  const nodes = members
+    .filter(({ ready }) => ready)
+    .map((member) => ({
+      node: member.nodeId,
+      zone: member.zone,
+      version: member.configVersion,
+      inForce: member.configVersion >= version,
+    }));
+  const names = [...new Set(members.map(({ zone }) => zone))].sort();
   const zones = names.map((zone) => summarize(zone, nodes));
   return { zones, nodes };
 }
@@ -47,6 +51,6 @@
     zone,
     nodes: nodes.length,
     nodesInForce: nodes.filter(({ inForce }) => inForce).length,
-    lowestVersion: Math.min(...nodes.map(({ version }) => version)),
+    lowestVersion: nodes.length === 0 ? 0 : Math.min(...nodes.map(({ version }) => version)),
   };
 }
