--- a/src/admin/admin-port.test.ts
+++ b/src/admin/admin-port.test.ts
@@ -121,10 +121,10 @@
 }
 
 /** Sends raw bytes and reads until the server closes. */
-async function exchange(bytes: Uint8Array): Promise<string> {
+async function exchange(bytes: Uint8Array, port = admin.port): Promise<string> {
   const chunks: Buffer[] = [];
   await new Promise<void>((resolve, reject) => {
-    const socket = connect(admin.port, '127.0.0.1', () => socket.write(bytes));
+    const socket = connect(port, '127.0.0.1', () => socket.write(bytes));
     socket.on('data', (chunk) => chunks.push(chunk));
     socket.on('close', () => {
       resolve();
@@ -160,6 +160,23 @@
   });
 }
 
+const HEAD = `POST ${STATUS} HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer ${TEST_TOKEN}\r\n`;
+const SLOW: readonly (readonly [string, string])[] = [
+  ['a head that does not end', HEAD],
+  ['a body that does not end', `${HEAD}Content-Type: ${JSON_TYPE}\r\nContent-Length: 9\r\n\r\n{`],
+  ['nothing at all', ''],
+];
+for (const [name, text] of SLOW) {
+  test(`a slow sender gets a numbered answer: ${name}`, async () => {
+    const limits = { requestMs: 40, headersMs: 20, checkMs: 10 };
+    const slow = await startTestAdmin({}, limits);
+    const answer = await exchange(Buffer.from(text), slow.port);
+    await slow.server.stop();
+    assert.match(answer, /^HTTP\/1\.1 408 /);
+    assert.match(answer, new RegExp(`sillshore-result: ${ResultCode.RequestReadTimeout}`));
+  });
+}
+
 test('health, readiness and metrics need no token', async () => {
   await admin.repository.apply({
     tenant: 'roteiro-vivo',
--- a/src/admin/admin-server.ts
+++ b/src/admin/admin-server.ts
@@ -18,10 +18,23 @@
 
 /** Largest request in bytes: a rules document of 4 Mi characters, with room for JSON escapes. */
 export const MAX_REQUEST_BYTES = 8 * 1024 * 1024;
-/** Time in which a client must have sent its request, in milliseconds. */
-const REQUEST_TIMEOUT_MS = 15_000;
-const HEADERS_TIMEOUT_MS = 5_000;
-const TIMEOUT_CHECK_MS = 1_000;
+
+/** Times that a client is given, in milliseconds. */
+export interface AdminTimeLimits {
+  /** For the whole request, body included. */
+  readonly requestMs: number;
+  /** For the head of the request. */
+  readonly headersMs: number;
+  /** How often connections are checked against these limits. */
+  readonly checkMs: number;
+}
+
+const DEFAULT_TIME_LIMITS: AdminTimeLimits = {
+  requestMs: 15_000,
+  headersMs: 5_000,
+  checkMs: 1_000,
+};
+
 /** Time that running calls get when the server stops, in milliseconds. */
 const STOP_GRACE_MS = 2_000;
 
@@ -37,13 +50,16 @@
   private readonly shutdown = new AbortController();
   private readonly server: Server;
 
-  constructor(private readonly node: AdminNode) {
+  constructor(
+    private readonly node: AdminNode,
+    limits: AdminTimeLimits = DEFAULT_TIME_LIMITS,
+  ) {
     const drains = new DrainCommands(node);
     drains.registerHandlers();
     const options = {
-      requestTimeout: REQUEST_TIMEOUT_MS,
-      headersTimeout: HEADERS_TIMEOUT_MS,
-      connectionsCheckingInterval: TIMEOUT_CHECK_MS,
+      requestTimeout: limits.requestMs,
+      headersTimeout: limits.headersMs,
+      connectionsCheckingInterval: limits.checkMs,
     };
     this.server = createServer(options, this.createApp(drains));
     this.server.on('request', (request, response) => {
--- a/src/admin/admin-test-support.ts
+++ b/src/admin/admin-test-support.ts
@@ -12,7 +12,7 @@
 import { createMetrics, type Metrics } from '../kernel/metrics.js';
 import type { Member, Membership } from '../membership/membership.js';
 import type { AdminNode } from './admin-node.js';
-import { AdminServer } from './admin-server.js';
+import { AdminServer, type AdminTimeLimits } from './admin-server.js';
 
 /** Token of the test server. */
 export const TEST_TOKEN = 'operator-token';
@@ -215,9 +215,12 @@
 }
 
 /** Starts an administration server; `parts` replaces parts of its node. */
-export async function startTestAdmin(parts: Partial<AdminNode> = {}): Promise<TestAdmin> {
+export async function startTestAdmin(
+  parts: Partial<AdminNode> = {},
+  limits?: AdminTimeLimits,
+): Promise<TestAdmin> {
   const { node, ...rest } = createTestNode(parts);
-  const server = new AdminServer(node);
+  const server = new AdminServer(node, limits);
   await server.start();
   const { port } = server;
   return { url: `http://127.0.0.1:${port}`, port, server, ...rest };
