--- /dev/null
+++ b/src/core/limit/throughput-limit.ts
@@ -0,0 +1,153 @@
+/**
+ * Limit by throughput: stays at the slots that the operator knows and leaves them only on
+ * evidence from trials.
+ *
+ * While requests wait for slots, a trial runs with a higher limit for a number of
+ * completions. A target with free slots answers more requests per second then; one without
+ * answers as many as before, only later. The limit rises after one clear or two weak
+ * successes; above the known slots a trial with a lower limit runs after each failed one.
+ * Latency changes nothing: a target that slows down, or waits for others, keeps its slots.
+ * (Hill climbing at the throughput knee; compare the `Gradient2` limit of Netflix's
+ * concurrency-limits.)
+ *
+ * A target that refuses for load is believed at once.
+ *
+ * @see docs/design/overload-control.md
+ */
+import type { ConcurrencyLimit, LimitSample } from './concurrency-limit.js';
+import { RefusalCeiling } from './refusal-ceiling.js';
+
+/** Parameters of {@link ThroughputLimit}. */
+export interface ThroughputLimitOptions {
+  readonly initialLimit: number;
+  readonly maxLimit: number;
+}
+
+/** Change of the limit in a trial, as a share. */
+const TRIAL_SHARE = 0.25;
+/** Completions per slot in one measurement. */
+const COMPLETIONS_PER_SLOT = 10;
+/** A trial succeeds when throughput follows the limit by at least this share. */
+const FOLLOWS_SHARE = 0.3;
+/** Pause after a failed trial, in milliseconds; it grows with each further one. */
+const FIRST_PAUSE_MS = 500;
+const MAX_PAUSE_MS = 30_000;
+const PAUSE_GROWTH = 4;
+/** The same from which a single trial convinces. */
+const CONVINCING_SHARE = 0.8;
+/** Trials in a row that must succeed before the limit rises otherwise. */
+const CONFIRMATIONS = 2;
+/** Share of the completions of a measurement at which the queue may be empty. */
+const MAX_UNSATURATED_SHARE = 0.1;
+
+interface Measurement {
+  skip: number;
+  completions: number;
+  unsaturated: number;
+  startedAt: number;
+}
+
+/** Anchored hill climbing on throughput. */
+export class ThroughputLimit implements ConcurrencyLimit {
+  private limit: number;
+  private trialLimit: number | undefined;
+  private measurement: Measurement | undefined;
+  private baseRate = 0;
+  private pauseMs = FIRST_PAUSE_MS;
+  private nextTrialAt = -Infinity;
+  private lastUpFailed = false;
+  private confirmations = 0;
+  private readonly ceiling = new RefusalCeiling();
+
+  constructor(private readonly options: ThroughputLimitOptions) {
+    this.limit = options.initialLimit;
+  }
+
+  current(): number {
+    return this.ceiling.apply(this.trialLimit ?? this.limit);
+  }
+
+  onComplete(sample: LimitSample): void {
+    if (sample.outcome === 'overloaded') {
+      this.ceiling.onRefused(sample.now, sample.inFlight);
+      this.abandonTrial();
+    }
+    if (sample.outcome !== 'success') return;
+    this.ceiling.onSuccess(sample.now);
+    this.measure(sample);
+  }
+
+  private measure({ now, queued }: LimitSample): void {
+    this.measurement ??= {
+      skip: this.current(),
+      completions: 0,
+      unsaturated: 0,
+      startedAt: now,
+    };
+    const { measurement } = this;
+    if (measurement.skip > 0) {
+      measurement.skip -= 1;
+      measurement.startedAt = now;
+      return;
+    }
+    const wanted = COMPLETIONS_PER_SLOT * this.limit;
+    measurement.completions += 1;
+    if (!queued) measurement.unsaturated += 1;
+    if (measurement.unsaturated > MAX_UNSATURATED_SHARE * wanted) this.abandonTrial();
+    else if (measurement.completions >= wanted) this.endMeasurement(now, measurement);
+  }
+
+  private endMeasurement(now: number, { completions, startedAt }: Measurement): void {
+    this.measurement = undefined;
+    if (now > startedAt) this.onRate(now, completions / (now - startedAt));
+  }
+
+  private onRate(now: number, rate: number): void {
+    if (this.trialLimit === undefined) {
+      this.baseRate = rate;
+      if (now >= this.nextTrialAt) this.startTrial();
+      return;
+    }
+    const change = this.trialLimit / this.limit - 1;
+    const share = (rate / this.baseRate - 1) / change;
+    if (change > 0) this.endUpTrial(now, share, this.trialLimit);
+    else this.endDownTrial(now, share, this.trialLimit);
+    this.trialLimit = undefined;
+  }
+
+  private endUpTrial(now: number, share: number, tried: number): void {
+    this.confirmations = share >= FOLLOWS_SHARE ? this.confirmations + 1 : 0;
+    this.lastUpFailed = this.confirmations === 0;
+    if (this.lastUpFailed) {
+      this.pause(now);
+    } else if (this.confirmations === CONFIRMATIONS || share >= CONVINCING_SHARE) {
+      this.confirmations = 0;
+      this.limit = tried;
+      this.pauseMs = FIRST_PAUSE_MS;
+    }
+  }
+
+  private endDownTrial(now: number, share: number, tried: number): void {
+    this.lastUpFailed = false;
+    if (share >= FOLLOWS_SHARE) this.pause(now);
+    else this.limit = Math.max(this.options.initialLimit, tried);
+  }
+
+  private pause(now: number): void {
+    this.pauseMs = Math.min(MAX_PAUSE_MS, PAUSE_GROWTH * this.pauseMs);
+    this.nextTrialAt = now + this.pauseMs;
+  }
+
+  private startTrial(): void {
+    const { initialLimit, maxLimit } = this.options;
+    const step = Math.max(1, Math.round(TRIAL_SHARE * this.limit));
+    const goesDown = this.limit > initialLimit && (this.lastUpFailed || this.limit === maxLimit);
+    const wanted = goesDown ? this.limit - step : Math.min(maxLimit, this.limit + step);
+    if (wanted !== this.limit) this.trialLimit = wanted;
+  }
+
+  private abandonTrial(): void {
+    this.measurement = undefined;
+    this.trialLimit = undefined;
+  }
+}
