--- a/src/config/config-distribution.test.ts
+++ b/src/config/config-distribution.test.ts
@@ -97,6 +97,35 @@
   assert.deepEqual(new Set(revisions(fleet)), new Set([1]));
 });
 
+test('a watch that stalls without an error is noticed by the poll', async () => {
+  const fleet = await startFleet(2);
+  await fleet.advance(1_000);
+  fleet.platform.watchesStall = true;
+  const gone = fleet.startNode('zone-a');
+  await accept(fleet, gone, 1);
+  fleet.killNode(gone);
+  await fleet.advance(IN_FORCE_WITHIN_MS);
+  assert.deepEqual(new Set(revisions(fleet)), new Set([1]));
+});
+
+test('a node that stops in an outage first hands its newest rules over', async () => {
+  const fleet = await startFleet(2);
+  await fleet.advance(1_000);
+  fleet.platform.watchesStall = true;
+  const [first] = fleet.inZone('zone-a');
+  await accept(fleet, first!, 1);
+  fleet.platform.startOutage();
+  let isHandedOver = false;
+  const handOver = first!.distribution.handOver(3_000).then(() => {
+    isHandedOver = true;
+  });
+  while (!isHandedOver) await fleet.advance(50);
+  await handOver;
+  fleet.killNode(first!);
+  await fleet.advance(IN_FORCE_WITHIN_MS);
+  assert.deepEqual(new Set(revisions(fleet)), new Set([1]));
+});
+
 test('two tenants accepted at two nodes during a watch gap both reach every node', async () => {
   const fleet = await startFleet(3);
   fleet.platform.startOutage();
--- a/src/config/config-distribution.ts
+++ b/src/config/config-distribution.ts
@@ -24,6 +24,9 @@
 /** Delay of the check after a change of the members. */
 const CHECK_DELAY_MS = 50;
 
+/** Interval of the checks during a planned stop. */
+const HAND_OVER_CHECK_MS = 50;
+
 /** What the distribution works with. */
 export interface ConfigDistributionOptions {
   readonly store: ConfigStore;
@@ -86,12 +89,38 @@
     this.pull.stop();
   }
 
+  /**
+   * Planned stop: waits until another node has this node's version, of the own zone when it
+   * has one, so that a change accepted in an outage of the platform is not lost with the node.
+   *
+   * @param limitMs longest wait
+   */
+  async handOver(limitMs: number): Promise<void> {
+    const { clock } = this.options;
+    const end = clock.now() + limitMs;
+    while (!this.isHandedOver() && clock.now() < end) {
+      await new Promise<void>((resolve) => clock.schedule(HAND_OVER_CHECK_MS, resolve));
+    }
+  }
+
   /** Takes in a complete read of the platform made by the repository, with the accepted change. */
   acceptSnapshot(records: readonly RevisionRecord[]): void {
     this.startup.stop();
     this.load(records);
   }
 
+  private isHandedOver(): boolean {
+    const { membership, store } = this.options;
+    const { nodeId, zone } = membership.self();
+    const others = membership
+      .members()
+      .filter((member) => member.nodeId !== nodeId && member.state === 'alive');
+    const inZone = others.filter((member) => member.zone === zone);
+    const successors = inZone.length > 0 ? inZone : others;
+    if (successors.length === 0) return true;
+    return successors.some(({ configVersion }) => configVersion >= store.version);
+  }
+
   private load(records: readonly RevisionRecord[]): void {
     this.loaded = true;
     this.takeIn(records);
--- a/src/config/config-plugin.ts
+++ b/src/config/config-plugin.ts
@@ -10,6 +10,9 @@
 
 const DISTRIBUTION = createToken<ConfigDistribution>('ConfigDistribution');
 
+/** Longest wait for another node to have this node's rules at a planned stop. */
+const HAND_OVER_LIMIT_MS = 3_000;
+
 registerPlugin({
   name: 'config',
   order: StartOrder.Configuration,
@@ -50,6 +53,9 @@
     container.get(DISTRIBUTION).start();
     return Promise.resolve();
   },
+  async drain(container) {
+    await container.get(DISTRIBUTION).handOver(HAND_OVER_LIMIT_MS);
+  },
   stop(container) {
     container.get(DISTRIBUTION).stop();
     return Promise.resolve();
--- a/src/config/platform-rules-watch.ts
+++ b/src/config/platform-rules-watch.ts
@@ -5,6 +5,7 @@
  */
 import type { Random } from '../core/random.js';
 import type { CancelTimer, Clock } from '../kernel/clock.js';
+import { Event, type EventLog } from '../kernel/event.js';
 import type { PlatformClient, WatchEvent } from '../platform/platform-client.js';
 import type { RevisionRecord } from './config-store.js';
 import { CURRENT_PREFIX, decodeRevision, HEAD_KEY, readSnapshot } from './stored-revision.js';
@@ -20,6 +21,7 @@
   readonly platform: PlatformClient;
   readonly clock: Clock;
   readonly random: Random;
+  readonly log: EventLog;
   /** Highest version that the node has. */
   readonly currentVersion: () => number;
   /** Takes records in; every record up to their highest version is among them or known. */
@@ -64,6 +66,7 @@
       return;
     }
     this.options.onRecords(read.value.records);
+    for (const key of read.value.unreadable) this.rejectUnreadable(key);
     const from = read.value.storeRevision + 1;
     this.stopStream = this.options.platform.watch(CURRENT_PREFIX, from, (event) => {
       if (opening === this.opening) this.onEvent(event);
@@ -85,7 +88,13 @@
     }
     this.failures = 0;
     const record = decodeRevision(event.keyValue);
-    if (record !== undefined) this.options.onRecords([record]);
+    if (record === undefined) this.rejectUnreadable(event.keyValue.key);
+    else this.options.onRecords([record]);
+  }
+
+  /** The record in force stays; a newer program may have written this one. */
+  private rejectUnreadable(key: string): void {
+    this.options.log.emit(Event.RulesRejected, { key, detail: 'stored rules cannot be read' });
   }
 
   private reopenLater(): void {
--- a/src/testing/in-memory-platform.ts
+++ b/src/testing/in-memory-platform.ts
@@ -29,6 +29,8 @@
 export class InMemoryPlatform implements PlatformClient {
   /** Refuses everything and loses all watches while true. */
   down = false;
+  /** Watches stay open and deliver nothing while true. */
+  watchesStall = false;
   machineList: readonly Machine[] = [];
   /** Reads so far. */
   reads = 0;
@@ -83,7 +85,7 @@
     }
     const deliver = (events: readonly { keyValue: StoredValue }[]) => {
       for (const { keyValue } of events) {
-        if (this.down || !keyValue.key.startsWith(prefix)) continue;
+        if (this.down || this.watchesStall || !keyValue.key.startsWith(prefix)) continue;
         listener({ type: 'put', keyValue: toKeyValue(keyValue) });
       }
     };
