--- a/src/entry/entry-plugin.ts
+++ b/src/entry/entry-plugin.ts
@@ -9,7 +9,8 @@
 import { StartOrder, registerPlugin } from '../kernel/plugin.js';
 import { Token } from '../kernel/token.js';
 import { TargetPlacement } from '../target/target-placement.js';
-import { requirePolicy } from '../target/target-plugin.js';
+import { CoalescedCall } from '../target/coalesced-call.js';
+import { REFRESH_INTERVAL_MS, requirePolicy } from '../target/target-plugin.js';
 import { CallFactory } from './call-factory.js';
 import { KEEP_ALIVE_TIMEOUT_MS, startEntryServer, type EntryServer } from './entry-server.js';
 import { EntryTask } from './entry-task.js';
@@ -30,6 +31,7 @@
 /** State of one node's plug-in. */
 class EntrySide {
   private readonly task: EntryTask;
+  private readonly refreshing: CoalescedCall;
   private server: EntryServer | undefined;
   private draining = false;
   private unsubscribe: (() => void)[] = [];
@@ -39,12 +41,15 @@
     private readonly router: ServiceCallRouter,
   ) {
     this.task = createTask(container, router);
+    this.refreshing = new CoalescedCall(container.get(Token.Clock), REFRESH_INTERVAL_MS, () => {
+      this.refresh();
+    });
   }
 
   async start(): Promise<void> {
     const { listen, limits } = this.container.get(Token.Settings);
     const refresh = (): void => {
-      this.refresh();
+      this.refreshing.request();
     };
     this.unsubscribe = [
       this.container.get(Token.Membership).subscribe(refresh),
@@ -65,8 +70,9 @@
 
   /**
    * Planned stop: peers are told first, while callers are still served and asked to close
-   * their connections; then new requests are refused, not run, until all that runs has ended.
-   * Calls of back ends are served all the time: attempts that run here need them.
+   * their connections; then new connections are refused, and new requests on open ones too (not
+   * run), until all that runs has ended. Calls of back ends are served on open connections:
+   * attempts that run here need them.
    */
   async drain(): Promise<void> {
     const clock = this.container.get(Token.Clock);
@@ -76,14 +82,19 @@
     this.task.post({ type: 'phase', phase: 'leaving' });
     await this.sleep(Math.min(LEAVING_PHASE_MS, end - clock.now()));
     this.task.post({ type: 'phase', phase: 'refusing' });
+    this.server?.stopListening();
     const dispatcher = this.container.get(Token.TargetDispatcher);
-    await this.waitUntil(end, () => this.router.inProgress === 0 && dispatcher.inProgress === 0);
+    const running = (): number =>
+      this.task.inProgress + this.router.inProgress + dispatcher.inProgress;
+    await this.waitUntil(end, () => running() === 0);
     const idleEnd = Math.min(end, clock.now() + IDLE_CONNECTIONS_WAIT_MS);
-    await this.waitUntil(idleEnd, () => (this.server?.connections ?? 0) === 0);
+    await this.waitUntil(idleEnd, () => (this.server?.connections ?? 0) + running() === 0);
+    await this.waitUntil(end, () => running() === 0);
   }
 
   async stop(): Promise<void> {
     for (const unsubscribe of this.unsubscribe) unsubscribe();
+    this.refreshing.cancel();
     await this.server?.close();
     this.task.close();
   }
