Keep slots free for nested calls while a target is overloaded

Cause: at Trondheim's 5x a nested call waited 24 ms at artefact-storage (held slots above all that time), because less important callers' requests filled every slot that came free. Ruled out: calls of other services first within a class (no change: the classes differ). Change: NestedReserve (12% of the limit for nested calls of the same or a higher class, only while the gate's threshold is above 0), the threshold counts half of it as idle; limit trials only when all slots are taken, and rarer.

--- a/src/core/limit/concurrency-limit.ts
+++ b/src/core/limit/concurrency-limit.ts
@@ -9,7 +9,7 @@
   readonly outcome: AttemptOutcome;
   /** Requests in flight just before this one ended, itself included. */
   readonly inFlight: number;
-  /** Whether requests were waiting for a slot when this one ended. */
+  /** Whether all slots were taken and requests were waiting when this one ended. */
   readonly queued: boolean;
 }
 
--- a/src/core/limit/throughput-limit.ts
+++ b/src/core/limit/throughput-limit.ts
@@ -30,11 +30,11 @@
 /** A trial succeeds when throughput follows the limit by at least this share. */
 const FOLLOWS_SHARE = 0.3;
 /** Pause after a failed trial, in milliseconds; it grows with each further one. */
-const FIRST_PAUSE_MS = 500;
+const FIRST_PAUSE_MS = 1_000;
 const MAX_PAUSE_MS = 30_000;
 const PAUSE_GROWTH = 4;
 /** The same from which a single trial convinces. */
-const CONVINCING_SHARE = 0.8;
+const CONVINCING_SHARE = 0.9;
 /** Trials in a row that must succeed before the limit rises otherwise. */
 const CONFIRMATIONS = 2;
 /** Share of the completions of a measurement at which the queue may be empty. */
--- a/src/core/policies/adaptive-gate.ts
+++ b/src/core/policies/adaptive-gate.ts
@@ -11,6 +11,7 @@
 import type { ConcurrencyLimit } from '../limit/concurrency-limit.js';
 import { ServiceTime } from '../limit/service-time.js';
 import type { GateAction, TargetGate } from '../overload.js';
+import { NestedReserve } from '../queue/nested-reserve.js';
 import type { WaitingQueue, WaitingRequest } from '../queue/waiting-queue.js';
 import type { AttemptOutcome, LoadReport, RequestContext } from '../request.js';
 import { ResultCode } from '../result-code.js';
@@ -40,12 +41,14 @@
   private readonly inFlight = new InFlight();
   private readonly serviceTime = new ServiceTime();
   private readonly downstream = new DownstreamThresholds();
+  private readonly reserve = new NestedReserve();
   private readonly retryAfter = new RetryAfterEstimate();
 
   constructor(private readonly options: AdaptiveGateOptions) {}
 
   offer(now: number, ticket: number, request: RequestContext): readonly GateAction[] {
     this.updateThreshold(now);
+    this.reserve.note(now, request);
     const waiting = this.createWaiting(now, ticket, request);
     const below = this.downstream.highest(now, request.kind);
     if (isBelow(waiting, below.threshold)) {
@@ -55,7 +58,7 @@
     const { controller, queue } = this.options;
     controller.noteOffered(now, waiting.priority, this.estimate(request.kind));
     if (this.isUnreachable(now, waiting)) return [this.refuseLate(now, waiting)];
-    const mustDisplace = !this.hasFreeSlot() && isBelow(waiting, controller.threshold);
+    const mustDisplace = !this.hasFreeSlot(now, request) && isBelow(waiting, controller.threshold);
     queue.add(waiting);
     if (mustDisplace) return [this.refuseLowest(now, ResultCode.AdmissionRefused)];
     return [...this.drain(now), ...this.evictExcess(now)];
@@ -67,8 +70,9 @@
     if (ended === undefined) return [];
     const latencyMs = now - ended.startedAt;
     this.serviceTime.note(now, ended.kind, latencyMs, outcome);
-    const queued = this.options.queue.length > 0;
-    this.options.limit.onComplete({ now, latencyMs, outcome, inFlight, queued });
+    const { limit, queue } = this.options;
+    const queued = queue.length > 0 && inFlight >= limit.current();
+    limit.onComplete({ now, latencyMs, outcome, inFlight, queued });
     this.updateThreshold(now);
     return this.drain(now);
   }
@@ -114,15 +118,18 @@
 
   private isUnreachable(now: number, waiting: WaitingRequest): boolean {
     if (waiting.giveUpAt <= now) return true;
-    if (this.hasFreeSlot()) return false;
+    if (this.hasFreeSlot(now, waiting.request)) return false;
     return now + this.expectedWait(this.options.queue.countAhead(waiting)) > waiting.giveUpAt;
   }
 
   private drain(now: number): GateAction[] {
     const { queue } = this.options;
     const actions = queue.takeExpired(now).map((waiting) => this.refuseLate(now, waiting));
-    while (queue.length > 0 && this.hasFreeSlot()) {
-      const next = queue.takeNext()!;
+    for (let next = queue.takeNext(); next !== undefined; next = queue.takeNext()) {
+      if (!this.hasFreeSlot(now, next.request)) {
+        queue.add(next);
+        break;
+      }
       actions.push(this.isLate(now, next) ? this.refuseLate(now, next) : this.start(now, next));
     }
     return actions;
@@ -170,8 +177,12 @@
     return { type: 'refuse', ticket, refusal: { code, detail, retryAfterMs } };
   }
 
-  private hasFreeSlot(): boolean {
-    return this.inFlight.size < this.options.limit.current();
+  private hasFreeSlot(now: number, request: RequestContext): boolean {
+    const { limit, controller } = this.options;
+    const slots = limit.current();
+    const isOverloaded = controller.threshold > 0;
+    const reserved = isOverloaded ? this.reserve.slots(now, request, slots) : 0;
+    return this.inFlight.size < slots - reserved;
   }
 
   private estimate(kind: string): number {
@@ -192,7 +203,7 @@
     const { limit, queue, controller } = this.options;
     const queued = queue.length;
     controller.update(now, {
-      limit: limit.current(),
+      limit: limit.current() - this.reserve.idleSlots(now, limit.current()),
       inFlight: this.inFlight.size,
       queued,
       expectedWaitMs: queued === 0 ? 0 : this.expectedWait(queued - 1),
