--- a/src/emulator/emulated-call.ts
+++ b/src/emulator/emulated-call.ts
@@ -6,13 +6,14 @@
 import type { Refusal, RetryState, ServiceRouter } from '../core/overload.js';
 import type { RequestContext } from '../core/request.js';
 import { ResultCode } from '../core/result-code.js';
+import { type AttemptEnd, attemptsExhausted, unanswered } from './attempt-end.js';
 import type { CallSite } from './deployment.js';
 import type { EmulatedNode } from './emulated-node.js';
 import type { ScheduledEvent } from './event-queue.js';
 import type { CallEnd, RequestRecord } from './request-record.js';
 import { UnsharedAttempts } from './unshared-attempts.js';
 import type { TargetSide } from './target-side.js';
-import type { AttemptEnd, IncomingAttempt, World } from './world.js';
+import type { IncomingAttempt, World } from './world.js';
 
 /** Bound on tries of one call at one hop, as in `src/entry/routed-call.ts`. */
 const MAX_TRIES = 16;
@@ -131,7 +132,7 @@
     if (this.ended) return;
     const granted = this.budget.grant();
     if (granted === 0) {
-      this.endRefused(exhausted(), 'attempts');
+      this.endRefused(attemptsExhausted(), 'attempts');
       return;
     }
     const pick = this.router.pick(this.now(), this.context, this.tried);
@@ -280,17 +281,3 @@
     this.options.onEnd({ result, code, retryAfterMs, mayHaveRun, attemptsUsed: budget.used });
   }
 }
-
-function unanswered(
-  outcome: 'timeout' | 'failed',
-  code: ResultCode,
-  attemptsUsed: number,
-): AttemptEnd {
-  const load = undefined;
-  const retryAfterMs = undefined;
-  return { outcome, complete: false, code, load, retryAfterMs, mayHaveRun: true, attemptsUsed };
-}
-
-function exhausted(): Refusal {
-  return { code: ResultCode.AttemptsExhausted, detail: 'no attempts left', retryAfterMs: 0 };
-}
--- a/src/emulator/simulation.ts
+++ b/src/emulator/simulation.ts
@@ -5,12 +5,7 @@
 import { EmulatedBackEnd } from './back-end.js';
 import { type CallerBehaviour, Callers } from './callers.js';
 import { ConnectionPool } from './connection-pool.js';
-import {
-  delayBetween,
-  type Deployment,
-  type ServiceModel,
-  type TargetModel,
-} from './deployment.js';
+import type { Deployment, ServiceModel, TargetModel } from './deployment.js';
 import { EmulatedNode } from './emulated-node.js';
 import { EventQueue } from './event-queue.js';
 import type { LoadProfile } from './load-profile.js';
@@ -20,6 +15,7 @@
 import { TargetDirectory } from './target-directory.js';
 import { TargetSide } from './target-side.js';
 import type { World } from './world.js';
+import { ZoneNetwork } from './zone-network.js';
 
 /** Time after the end of sending in which the last requests end, in milliseconds. */
 const SETTLE_MS = 1_000;
@@ -48,10 +44,10 @@
   readonly nodes: readonly EmulatedNode[];
   private readonly nodesByZone = new Map<string, readonly EmulatedNode[]>();
   private readonly sides = new Map<string, TargetSide>();
-  private readonly delays = new Map<string, ReadonlyMap<string, number>>();
-  /** Time at which a zone was lost, while it is lost. */
-  private readonly lostZones = new Map<string, number>();
+  private readonly network: ZoneNetwork;
   private readonly calls: ReadonlyMap<string, readonly string[]>;
+  private readonly places = new Map<string, number>();
+  private readonly targetsInZone = new Map<string, number>();
   private readonly needs = new Map<string, number>();
   private attempts = 0;
   private incarnations = 0;
@@ -65,7 +61,7 @@
     this.recorder = new Recorder(deployment, () => this.queue.now(), warmUpMs, windows);
     this.calls = new Map(deployment.services.map(({ name, calls }) => [name, calls]));
     this.nodes = this.createNodes();
-    this.createDelays();
+    this.network = new ZoneNetwork(deployment, this.queue, options.callers.failoverMs);
     for (const service of deployment.services) this.createSides(service);
   }
 
@@ -95,10 +91,7 @@
   }
 
   send(fromZone: string, toZone: string, deliver: () => void): void {
-    if (this.lostZones.has(fromZone) || this.lostZones.has(toZone)) return;
-    this.queue.schedule(this.delays.get(fromZone)!.get(toZone)!, () => {
-      if (!this.lostZones.has(toZone)) deliver();
-    });
+    this.network.send(fromZone, toZone, deliver);
   }
 
   targetSide(target: string): TargetSide {
@@ -138,11 +131,11 @@
 
   /** All nodes and targets of a zone are gone at once. */
   loseZone(zone: string): void {
-    this.lostZones.set(zone, this.queue.now());
+    this.network.lose(zone);
     for (const target of this.targetsIn(zone)) this.targetSide(target.id).backEnd.kill();
     for (const node of this.nodesByZone.get(zone)!) node.stop();
     this.queue.schedule(this.options.failureDetectionMs, () => {
-      if (!this.lostZones.has(zone)) return;
+      if (!this.network.isLost(zone)) return;
       for (const target of this.targetsIn(zone)) this.exclude(target.id, 'zone-lost', true);
       for (const node of this.nodes) for (const call of [...node.calls]) call.onZoneLost(zone);
     });
@@ -150,7 +143,7 @@
 
   /** New nodes and cold targets take the place of a lost zone's. */
   restoreZone(zone: string, coldFactor: number, warmUpMs: number): void {
-    this.lostZones.delete(zone);
+    this.network.restore(zone);
     for (const service of this.deployment.services) {
       for (const target of service.targets) {
         if (target.zone !== zone) continue;
@@ -185,14 +178,6 @@
     return all;
   }
 
-  private createDelays(): void {
-    const names = this.deployment.zones.map(({ name }) => name);
-    for (const from of names) {
-      const row = names.map((to) => [to, delayBetween(this.deployment, from, to)] as const);
-      this.delays.set(from, new Map(row));
-    }
-  }
-
   private createSides(service: ServiceModel): void {
     for (const target of service.targets) this.createSide(service, target);
   }
@@ -202,7 +187,7 @@
     this.incarnations += 1;
     const purpose = `${target.id} ${this.incarnations}`;
     const nodes = this.nodesByZone.get(target.zone)!;
-    const node = nodes[service.targets.indexOf(target) % nodes.length]!;
+    const node = nodes[this.placeInZone(target) % nodes.length]!;
     const gate = policy.createTargetGate({
       initialLimit: service.slots,
       maxLimit: service.connections,
@@ -220,17 +205,22 @@
     this.sides.set(target.id, side);
   }
 
-  private entryNode(zoneIndex: number, choice: number): EmulatedNode | undefined {
-    const { zones } = this.deployment;
-    for (let step = 0; step < zones.length; step += 1) {
-      const { name } = zones[(zoneIndex + step) % zones.length]!;
-      const lostAt = this.lostZones.get(name);
-      const nodes = this.nodesByZone.get(name)!;
-      if (lostAt === undefined) return nodes[Math.floor(choice * nodes.length)];
-      // Until callers know of the loss they go on sending into it.
-      if (this.queue.now() < lostAt + this.options.callers.failoverMs) return undefined;
+  /** Position of a target among those of its zone; the zone's nodes share them evenly. */
+  private placeInZone(target: TargetModel): number {
+    let place = this.places.get(target.id);
+    if (place === undefined) {
+      place = this.targetsInZone.get(target.zone) ?? 0;
+      this.targetsInZone.set(target.zone, place + 1);
+      this.places.set(target.id, place);
     }
-    return undefined;
+    return place;
+  }
+
+  private entryNode(zoneIndex: number, choice: number): EmulatedNode | undefined {
+    const zone = this.network.entryZone(zoneIndex);
+    if (zone === undefined) return undefined;
+    const nodes = this.nodesByZone.get(zone)!;
+    return nodes[Math.floor(choice * nodes.length)];
   }
 
   private scheduleSample(): void {
--- a/src/emulator/target-side.ts
+++ b/src/emulator/target-side.ts
@@ -6,12 +6,13 @@
 import type { GateAction, Refusal, TargetGate } from '../core/overload.js';
 import type { AttemptOutcome } from '../core/request.js';
 import { ResultCode } from '../core/result-code.js';
+import type { AttemptEnd } from './attempt-end.js';
 import type { BackEndRefusal, EmulatedBackEnd } from './back-end.js';
 import type { ConnectionPool, ConnectionWaiter } from './connection-pool.js';
 import { DispatchedJob, type JobEndListener } from './dispatched-job.js';
 import type { EmulatedNode } from './emulated-node.js';
 import type { ScheduledEvent } from './event-queue.js';
-import type { AttemptEnd, IncomingAttempt, World } from './world.js';
+import type { IncomingAttempt, World } from './world.js';
 
 /** Retry time on refusals for which the policy gave none, in milliseconds. */
 const DEFAULT_RETRY_AFTER_MS = 100;
