--- a/src/cli/registered-commands.ts
+++ b/src/cli/registered-commands.ts
@@ -8,6 +8,7 @@
 import { commands as platformCommands } from '../stand-ins/platform/commands.js';
 import type { CommandClass } from './command.js';
 import { commands as benchmarkCommands } from '../testing/commands.js';
+import { commands as membershipCommands } from '../testing/membership-commands.js';
 import { ConfigApplyCommand } from './config-apply-command.js';
 import { ConfigCheckCommand } from './config-check-command.js';
 import {
@@ -41,4 +42,5 @@
   ...experimentCommands,
   ...fleetCommands,
   ...benchmarkCommands,
+  ...membershipCommands,
 ];
--- /dev/null
+++ b/src/testing/membership-benchmark.ts
@@ -0,0 +1,139 @@
+/** Measures the membership protocol under virtual time, with the real codec. */
+import { SimulatedFleet } from './simulated-fleet.js';
+import { formatTable } from './text-table.js';
+
+const SECOND = 1_000;
+const SETTLE_MS = 10 * SECOND;
+const IDLE_MS = 10 * SECOND;
+const LIMIT_MS = 120 * SECOND;
+const RACK_MS = 15 * SECOND;
+/** Step in which a condition on all views is looked at, in milliseconds. */
+const STEP_MS = 100;
+const CONFIG_VERSION = 5;
+
+/** Figures of one fleet. Times in virtual milliseconds, bytes sent and received a second. */
+export interface MembershipFigures {
+  readonly nodes: number;
+  readonly seed: number;
+  readonly idleBytes: number;
+  /** Until every node has heard of a new rules version. */
+  readonly changeHeardMs: number;
+  /** Until every node knows that all have it in force. */
+  readonly changeKnownMs: number;
+  readonly leaveKnownMs: number;
+  /** Until a killed node is failed in every view. */
+  readonly failureKnownMs: number;
+  readonly rackNodes: number;
+  readonly rackKnownMs: number;
+  /** Of the busiest node, in the seconds after the rack was lost. */
+  readonly rackBytes: number;
+  readonly largestDatagram: number;
+}
+
+/** Runs one fleet through its events. */
+export function measureMembership(nodes: number, seed: number): MembershipFigures {
+  const fleet = new SimulatedFleet(seed);
+  fleet.addFormedNodes(nodes);
+  fleet.run(SETTLE_MS);
+  const idleBytes = countBytes(fleet, IDLE_MS, () => {});
+  const changeHeardMs = changeRules(fleet);
+  const changeKnownMs =
+    changeHeardMs + fleet.runUntil(() => isChangeKnown(fleet), LIMIT_MS, STEP_MS);
+  const leaveKnownMs = leave(fleet, 'node-2');
+  const failureKnownMs = kill(fleet, ['node-3']);
+  fleet.run(SETTLE_MS);
+  const rack = fleet.running().map(({ id }) => id);
+  const lost = rack.slice(3, 3 + Math.min(40, Math.floor(nodes / 5)));
+  let rackKnownMs = 0;
+  const rackBytes = countBytes(fleet, RACK_MS, () => {
+    rackKnownMs = kill(fleet, lost);
+  });
+  return {
+    nodes,
+    seed,
+    idleBytes,
+    changeHeardMs,
+    changeKnownMs,
+    leaveKnownMs,
+    failureKnownMs,
+    rackNodes: lost.length,
+    rackKnownMs,
+    rackBytes,
+    largestDatagram: fleet.largestDatagram,
+  };
+}
+
+/** Lays out figures as a table. */
+export function formatMembership(figures: readonly MembershipFigures[]): string {
+  const heading = ['nodes', 'seed', 'idle B/s', 'change heard', 'known', 'leave', 'failure'];
+  const rackHeading = ['rack', 'rack gone', 'rack B/s', 'datagram'];
+  const rows = figures.map((row) => [
+    String(row.nodes),
+    row.seed,
+    Math.round(row.idleBytes),
+    row.changeHeardMs,
+    row.changeKnownMs,
+    row.leaveKnownMs,
+    row.failureKnownMs,
+    row.rackNodes,
+    row.rackKnownMs,
+    Math.round(row.rackBytes),
+    row.largestDatagram,
+  ]);
+  return formatTable([...heading, ...rackHeading], rows);
+}
+
+/** Bytes a second of the busiest node from `disturb` on, for at least `milliseconds`. */
+function countBytes(fleet: SimulatedFleet, milliseconds: number, disturb: () => void): number {
+  for (const node of fleet.nodes.values()) node.bytes = 0;
+  fleet.countBytes = true;
+  const start = fleet.now;
+  disturb();
+  fleet.run(Math.max(0, start + milliseconds - fleet.now));
+  fleet.countBytes = false;
+  const busiest = Math.max(...fleet.running().map(({ bytes }) => bytes));
+  return (busiest * SECOND) / (fleet.now - start);
+}
+
+/** One node has a new rules version; each other puts it in force when it hears of it. */
+function changeRules(fleet: SimulatedFleet): number {
+  const follow = (): boolean => {
+    let everywhere = true;
+    for (const node of fleet.running()) {
+      const { protocol } = node;
+      if (protocol.self().configVersion === CONFIG_VERSION) continue;
+      const hasHeard =
+        node.id === 'node-1' ||
+        protocol.members().some(({ configVersion }) => configVersion === CONFIG_VERSION);
+      if (!hasHeard) everywhere = false;
+      else fleet.act(node, (now) => protocol.update(now, { configVersion: CONFIG_VERSION }));
+    }
+    return everywhere;
+  };
+  return fleet.runUntil(follow, LIMIT_MS, STEP_MS);
+}
+
+function isChangeKnown(fleet: SimulatedFleet): boolean {
+  return fleet
+    .running()
+    .every(({ protocol }) =>
+      protocol.members().every(({ configVersion }) => configVersion === CONFIG_VERSION),
+    );
+}
+
+function leave(fleet: SimulatedFleet, id: string): number {
+  const leaver = fleet.node(id);
+  fleet.act(leaver, (now) => leaver.protocol.leave(now));
+  const isKnown = (): boolean =>
+    fleet.running().every(({ protocol }) => protocol.find(id)?.state === 'leaving');
+  return fleet.runUntil(isKnown, LIMIT_MS, STEP_MS);
+}
+
+function kill(fleet: SimulatedFleet, ids: readonly string[]): number {
+  fleet.kill(...ids);
+  const isKnown = (): boolean =>
+    fleet
+      .running()
+      .every(({ protocol }) => ids.every((id) => protocol.find(id)?.state === 'failed'));
+  return fleet.runUntil(isKnown, LIMIT_MS, STEP_MS);
+}
