Bring LeavingTargets back as the publisher of leaving targets; split the repository's outcomes

Ruled out: keeping both; two writers of one fact take each other's targets back. Change: LeavingTargets, its token and the poll as before; noteListedAsLeaving is no part of TargetDispatcher. apply-outcome.ts holds how a change may end; names start with verbs.

--- a/src/config/platform-rules-repository.ts
+++ b/src/config/platform-rules-repository.ts
@@ -7,7 +7,6 @@
  *
  * See docs/design/configuration.md and spec/revision.pml.
  */
-import { isDeepStrictEqual } from 'node:util';
 import { Result } from 'true-myth';
 import { createFailure, type Failure } from '../core/failure.js';
 import { createRandom, type Random } from '../core/random.js';
@@ -15,6 +14,16 @@
 import type { Clock } from '../kernel/clock.js';
 import { Event, type EventLog } from '../kernel/event.js';
 import type { PlatformClient, Put } from '../platform/platform-client.js';
+import {
+  checkFields,
+  reportConflict,
+  createContentionFailure,
+  endWith,
+  expectSameChange,
+  toUnknown,
+  type Change,
+  type Round,
+} from './apply-outcome.js';
 import { findClaimConflicts } from './claim-conflicts.js';
 import type { RevisionRecord } from './config-store.js';
 import { parseRules, type Rules } from './rules.js';
@@ -36,8 +45,6 @@
 /** Pause before another round, in milliseconds; the upper bound is drawn with full jitter. */
 const MIN_PAUSE_MS = 20;
 const MAX_PAUSE_MS = 200;
-const OPERATION_ID = /^[A-Za-z0-9._:-]{1,128}$/;
-const MAX_AUTHOR_LENGTH = 256;
 
 /** What the repository works with. */
 export interface PlatformRulesRepositoryOptions {
@@ -50,15 +57,6 @@
   readonly onSnapshot: (records: readonly RevisionRecord[]) => void;
 }
 
-/** How one round of an apply ended; `again` asks for another one. */
-type Round =
-  | { readonly type: 'done'; readonly result: Result<RevisionRecord, ApplyFailure> }
-  | { readonly type: 'again'; readonly failure: Failure };
-
-interface Change extends ApplyRequest {
-  readonly rules: Rules;
-}
-
 /** The repository; see {@link RulesRepository} for the contract. */
 export class PlatformRulesRepository implements RulesRepository {
   private readonly random: Random;
@@ -142,18 +140,21 @@
     const snapshot = read.value;
     this.options.onSnapshot(snapshot.records);
     const current = snapshot.records.find(({ tenant }) => tenant === change.tenant);
-    if (current?.operationId === change.operationId) return done(sameChange(change, current));
+    if (current?.operationId === change.operationId)
+      return endWith(expectSameChange(change, current));
     if (snapshot.unreadable.includes(currentKey(change.tenant))) {
-      return done(Result.err(createFailure(ResultCode.Internal, 'current rules cannot be read')));
+      return endWith(
+        Result.err(createFailure(ResultCode.Internal, 'current rules cannot be read')),
+      );
     }
     const currentRevision = current?.revision ?? 0;
     if (currentRevision !== change.expectedRevision) {
-      return (await this.findEarlierResult(change)) ?? conflict(change, currentRevision);
+      return (await this.findEarlierResult(change)) ?? reportConflict(change, currentRevision);
     }
     const violations = findClaimConflicts(change.rules, snapshot.records);
     if (violations.length > 0) {
       const detail = 'hosts or targets of another tenant';
-      return done(Result.err(createFailure(ResultCode.RulesInvalid, detail, { violations })));
+      return endWith(Result.err(createFailure(ResultCode.RulesInvalid, detail, { violations })));
     }
     return this.write(change, snapshot, current);
   }
@@ -182,12 +183,12 @@
     if (written.isErr) return { type: 'again', failure: written.error };
     if (!written.value.succeeded) {
       const earlier = await this.findEarlierResult(change);
-      return earlier ?? { type: 'again', failure: contended() };
+      return earlier ?? { type: 'again', failure: createContentionFailure() };
     }
     const version = written.value.revision;
     const record = { ...next, version, createdVersion: current?.createdVersion ?? version };
     this.options.onSnapshot([...snapshot.records, record]);
-    return done(Result.ok(record));
+    return endWith(Result.ok(record));
   }
 
   /** Result of the operation when it took effect before the tenant's newest revision. */
@@ -199,7 +200,7 @@
     if (found === undefined) return undefined;
     const first = await this.get(tenant, Number(found.value));
     if (first.isErr) return { type: 'again', failure: first.error };
-    return done(sameChange(change, first.value));
+    return endWith(expectSameChange(change, first.value));
   }
 
   private reject(
@@ -221,44 +222,3 @@
     });
   }
 }
-
-function done(result: Result<RevisionRecord, ApplyFailure>): Round {
-  return { type: 'done', result };
-}
-
-function conflict({ expectedRevision }: Change, currentRevision: number): Round {
-  const detail = `revision ${expectedRevision} was expected, ${currentRevision} is current`;
-  const failure = createFailure(ResultCode.RevisionConflict, detail);
-  return done(Result.err({ ...failure, currentRevision }));
-}
-
-function checkFields({
-  operationId,
-  author,
-  expectedRevision,
-}: ApplyRequest): Result<true, Failure> {
-  const problems = [
-    !OPERATION_ID.test(operationId) && 'operation id: 1 to 128 of A-Z a-z 0-9 . _ : -',
-    author.length > MAX_AUTHOR_LENGTH && `author: at most ${MAX_AUTHOR_LENGTH} characters`,
-    !(Number.isSafeInteger(expectedRevision) && expectedRevision >= 0) &&
-      'expected revision: a whole number from 0',
-  ].filter((problem) => problem !== false);
-  if (problems.length === 0) return Result.ok(true);
-  return Result.err(createFailure(ResultCode.InvalidField, problems.join('; ')));
-}
-
-function sameChange(change: Change, record: RevisionRecord): Result<RevisionRecord, ApplyFailure> {
-  if (isDeepStrictEqual(record.rules, change.rules)) return Result.ok(record);
-  const detail = `operation ${change.operationId} was used for another document`;
-  return Result.err(createFailure(ResultCode.IdempotencyKeyReused, detail));
-}
-
-function contended(): Failure {
-  const detail = 'other changes came first';
-  return createFailure(ResultCode.PlatformRateLimited, detail, { retryAfterMs: MIN_PAUSE_MS });
-}
-
-function toUnknown({ detail }: Failure): Failure {
-  const text = `outcome not settled in time, repeat with the same operation id: ${detail}`;
-  return createFailure(ResultCode.WriteOutcomeUnknown, text, { retryAfterMs: 1_000 });
-}
--- a/src/kernel/token.ts
+++ b/src/kernel/token.ts
@@ -7,6 +7,7 @@
 import type { RulesRepository } from '../config/rules-repository.js';
 import type { Settings } from '../config/settings.js';
 import type { CallRouter } from '../entry/call-router.js';
+import type { LeavingTargets } from '../membership/leaving-targets.js';
 import type { Membership } from '../membership/membership.js';
 import type { PeerNetwork } from '../peer/peer-network.js';
 import type { PlatformClient } from '../platform/platform-client.js';
@@ -33,6 +34,7 @@
   Kernel: createToken<Kernel>('Kernel'),
   PeerNetwork: createToken<PeerNetwork>('PeerNetwork'),
   Membership: createToken<Membership>('Membership'),
+  LeavingTargets: createToken<LeavingTargets>('LeavingTargets'),
   PlatformClient: createToken<PlatformClient>('PlatformClient'),
   ConfigStore: createToken<ConfigStore>('ConfigStore'),
   RulesRepository: createToken<RulesRepository>('RulesRepository'),
--- a/src/platform/machine-list-poller.test.ts
+++ b/src/platform/machine-list-poller.test.ts
@@ -2,6 +2,7 @@
 import { test } from 'node:test';
 import { createRandom } from '../core/random.js';
 import { silentEventLog } from '../kernel/event.js';
+import { LeavingTargets } from '../membership/leaving-targets.js';
 import { SimulatedConfigFleet } from '../testing/simulated-config-fleet.js';
 import { MachineListPoller } from './machine-list-poller.js';
 import type { Machine } from './platform-client.js';
@@ -10,16 +11,14 @@
   return { id, role: 'target', state: 'live', address: `${id}:1`, zone: 'zone-a', ...changes };
 }
 
-test('nodes become seeds; leaving targets are passed on, kept in an outage and taken back', async () => {
+test('nodes become seeds; leaving targets are published, kept in an outage and taken back', async () => {
   const fleet = new SimulatedConfigFleet();
   const node = fleet.startNode('zone-a');
-  let leaving: readonly string[] = [];
-  const onLeavingTargets = (targets: readonly string[]): void => {
-    leaving = targets;
-  };
+  const leavingTargets = new LeavingTargets(node);
+  leavingTargets.set('target-side', ['t9']);
   const { clock, platform } = fleet;
   const random = createRandom(1);
-  const parts = { clock, platform, random, membership: node, onLeavingTargets };
+  const parts = { clock, platform, random, membership: node, leavingTargets };
   const poller = new MachineListPoller({ ...parts, log: silentEventLog });
   platform.machineList = [
     createMachine('n1', { role: 'node' }),
@@ -31,14 +30,14 @@
   poller.start();
   await fleet.advance(100);
   assert.deepEqual(node.seeds, [['n1:1']]);
-  assert.deepEqual(leaving, ['t1']);
+  assert.deepEqual(node.self().leavingTargets, ['t1', 't9']);
   fleet.platform.startOutage();
   await fleet.advance(5_000);
-  assert.deepEqual(leaving, ['t1']);
+  assert.deepEqual(node.self().leavingTargets, ['t1', 't9']);
   fleet.platform.down = false;
   platform.machineList = [];
   await fleet.advance(3_000);
-  assert.deepEqual(leaving, []);
+  assert.deepEqual(node.self().leavingTargets, ['t9']);
   poller.stop();
 });
 
@@ -55,7 +54,8 @@
   const nodes = Array.from({ length: 6 }, () => fleet.startNode('zone-a'));
   await fleet.advance(1_000);
   const pollers = nodes.map((membership, index) => {
-    const parts = { clock, platform, log, membership, onLeavingTargets: () => {} };
+    const leavingTargets = new LeavingTargets(membership);
+    const parts = { clock, platform, log, membership, leavingTargets };
     return new MachineListPoller({ ...parts, random: createRandom(index) });
   });
   for (const poller of pollers) poller.start();
--- a/src/platform/machine-list-poller.ts
+++ b/src/platform/machine-list-poller.ts
@@ -1,11 +1,11 @@
 /**
  * Polls the platform's list of machines while this node is one of its zone's watchers, and
- * once at start. Addresses of nodes go to membership as seeds, leaving targets to the target
- * side.
+ * once at start. Addresses of nodes go to membership as seeds, leaving targets are published.
  */
 import type { Random } from '../core/random.js';
 import type { CancelTimer, Clock } from '../kernel/clock.js';
 import { Event, type EventLog } from '../kernel/event.js';
+import type { LeavingTargets } from '../membership/leaving-targets.js';
 import type { Membership } from '../membership/membership.js';
 import { isZoneWatcher } from '../membership/zone-watchers.js';
 import type { Machine, PlatformClient } from './platform-client.js';
@@ -17,8 +17,7 @@
 export interface MachineListPollerOptions {
   readonly platform: PlatformClient;
   readonly membership: Membership;
-  /** Takes the ids of all targets that the list shows as leaving. */
-  readonly onLeavingTargets: (targets: readonly string[]) => void;
+  readonly leavingTargets: LeavingTargets;
   readonly clock: Clock;
   readonly log: EventLog;
   readonly random: Random;
@@ -50,7 +49,7 @@
   }
 
   private pollLater(): void {
-    const { clock, random, membership, onLeavingTargets } = this.options;
+    const { clock, random, membership, leavingTargets } = this.options;
     const delayMs = MACHINE_POLL_INTERVAL_MS * (0.75 + random.next() / 2);
     this.cancelTimer = clock.schedule(delayMs, () => {
       if (isZoneWatcher(membership)) {
@@ -58,13 +57,13 @@
         return;
       }
       // Another node watches: what this one saw is out of date and must not stand for ever.
-      onLeavingTargets([]);
+      leavingTargets.set('machine-list', []);
       this.pollLater();
     });
   }
 
   private takeIn(machines: readonly Machine[]): void {
-    const { membership, onLeavingTargets, log } = this.options;
+    const { membership, leavingTargets, log } = this.options;
     const own = membership.self().peerAddress;
     const seeds = machines
       .filter(({ role, state, address }) => role === 'node' && state === 'live' && address !== own)
@@ -73,7 +72,7 @@
       .filter(({ role, state }) => role === 'target' && state === 'leaving')
       .map(({ id }) => id);
     membership.addSeeds(seeds);
-    onLeavingTargets(leaving);
+    leavingTargets.set('machine-list', leaving);
     const seen = JSON.stringify(machines);
     if (seen === this.lastSeen) return;
     this.lastSeen = seen;
--- a/src/platform/platform-plugin.ts
+++ b/src/platform/platform-plugin.ts
@@ -3,6 +3,7 @@
 import { createRandom } from '../core/random.js';
 import { registerPlugin, StartOrder } from '../kernel/plugin.js';
 import { createToken, Token } from '../kernel/token.js';
+import { LeavingTargets } from '../membership/leaving-targets.js';
 import { EtcdPlatformClient } from './etcd-platform-client.js';
 import { MachineListPoller } from './machine-list-poller.js';
 
@@ -24,16 +25,16 @@
         seed: combineHashes(hash32(node.id), clock.wallNow()),
       });
     });
+    container
+      .bind(Token.LeavingTargets)
+      .toDynamicValue((context) => new LeavingTargets(context.get(Token.Membership)));
     container.bind(POLLER).toDynamicValue((context) => {
       const { id } = context.get(Token.Settings).node;
       const clock = context.get(Token.Clock);
       return new MachineListPoller({
         platform: context.get(Token.PlatformClient),
         membership: context.get(Token.Membership),
-        onLeavingTargets: (targets) => {
-          if (!container.isBound(Token.TargetDispatcher)) return;
-          container.get(Token.TargetDispatcher).noteListedAsLeaving(targets);
-        },
+        leavingTargets: context.get(Token.LeavingTargets),
         clock,
         log: context.get(Token.EventLog),
         random: createRandom(combineHashes(hash32(`${id} machines`), clock.wallNow())),
--- a/src/target/target-dispatcher.ts
+++ b/src/target/target-dispatcher.ts
@@ -24,8 +24,6 @@
   returnAttempts(parentAttemptId: string, unused: number): void;
   /** Context of a running attempt, for the calls made below it. */
   findParent(parentAttemptId: string): ParentAttempt | undefined;
-  /** Replaces the targets that the platform's list of machines shows as leaving. */
-  noteListedAsLeaving(targets: readonly string[]): void;
   /** Reports the admission threshold seen while calling `service` below a target. */
   noteDownstream(parentAttemptId: string, service: string, threshold: number): void;
 }
