--- a/src/kernel/token.ts
+++ b/src/kernel/token.ts
@@ -44,4 +44,5 @@
   CallRouter: createToken<CallRouter>('CallRouter'),
   AdminServer: createToken<AdminServer>('AdminServer'),
   ByteBudget: createToken<ByteBudget>('ByteBudget'),
+  LeavingTargets: createToken<LeavingTargets>('LeavingTargets'),
 } as const;
