--- a/src/entry/planned-stop.test.ts
+++ b/src/entry/planned-stop.test.ts
@@ -75,14 +75,14 @@
 
 test('a target that the list of machines shows as leaving gets no new work from any node', async () => {
   // The list is read by another node than the one that fronts the target.
-  const dispatcher = far.container.get(Token.TargetDispatcher);
-  dispatcher.noteListedAsLeaving(['guide-1']);
+  const leaving = far.container.get(Token.LeavingTargets);
+  leaving.set('machine-list', ['guide-1']);
   await new Promise((resolve) => setTimeout(resolve, 2 * REFRESH_INTERVAL_MS));
   for (const { entryPort: port } of [near, far]) {
     assert.equal((await send({ port, path: '/x' })).body, '/x');
   }
   assert.deepEqual(first.seen, []);
-  dispatcher.noteListedAsLeaving([]);
+  leaving.set('machine-list', []);
   assert.deepEqual(far.container.get(Token.Membership).self().leavingTargets, []);
 });
 
--- a/src/target/local-target-dispatcher.ts
+++ b/src/target/local-target-dispatcher.ts
@@ -29,7 +29,7 @@
   readonly clock: Clock;
   readonly log: EventLog;
   readonly metrics: Metrics;
-  /** Told the ids of all targets that this node knows to be leaving, after each change. */
+  /** Told the targets that this node's target side has seen leaving, after each change. */
   readonly onLeavingChanged: (leaving: readonly string[]) => void;
 }
 
@@ -48,7 +48,6 @@
   private readonly ledger = new AttemptLedger();
   private readonly running = new Map<string, TargetAttempt>();
   private placed: ReadonlySet<string> = new Set();
-  private listedAsLeaving: readonly string[] = [];
   private reportedLeaving: ReadonlySet<string> = new Set();
   private cancelRetirement: CancelTimer = () => {};
   private created = 0;
@@ -133,16 +132,10 @@
     for (const [target, { task }] of this.fronted) this.tellTask(target, task);
   }
 
-  noteListedAsLeaving(targets: readonly string[]): void {
-    this.listedAsLeaving = targets;
-    this.publishLeaving();
-  }
-
-  /** Targets that this node itself knows to be leaving, by its own signs or the list; sorted. */
+  /** Targets that this node's target side itself has seen leaving. */
   leavingTargets(): readonly string[] {
     const seen = [...this.fronted].filter(([, { task }]) => task.seenLeavingHere);
-    const ids = new Set([...seen.map(([target]) => target), ...this.listedAsLeaving]);
-    return [...ids].sort();
+    return seen.map(([target]) => target);
   }
 
   /** Retires all tasks. */
--- a/src/target/target-plugin.ts
+++ b/src/target/target-plugin.ts
@@ -107,7 +107,7 @@
 
 function createDispatcher(container: Container): LocalTargetDispatcher {
   const clock = container.get(Token.Clock);
-  const membership = container.get(Token.Membership);
+  const leavingTargets = container.get(Token.LeavingTargets);
   return new LocalTargetDispatcher({
     settings: container.get(Token.Settings),
     config: container.get(Token.ConfigStore),
@@ -117,9 +117,8 @@
     clock,
     log: container.get(Token.EventLog),
     metrics: container.get(Token.Metrics),
-    onLeavingChanged: (leavingTargets) => {
-      const published = [...membership.self().leavingTargets].sort();
-      if (leavingTargets.join(' ') !== published.join(' ')) membership.update({ leavingTargets });
+    onLeavingChanged: (targets) => {
+      leavingTargets.set('target-side', targets);
     },
   });
 }
--- a/src/testing/data-path-node.ts
+++ b/src/testing/data-path-node.ts
@@ -10,6 +10,7 @@
 import { createMetrics } from '../kernel/metrics.js';
 import { StartOrder, listPlugins, type Plugin } from '../kernel/plugin.js';
 import { Token } from '../kernel/token.js';
+import { LeavingTargets } from '../membership/leaving-targets.js';
 import type { Member } from '../membership/membership.js';
 import '../target/target-plugin.js';
 import { FakeClaimService, FakeFleet, FakeMembership, FakePeerNetwork } from './fake-services.js';
@@ -62,6 +63,7 @@
         container.bind(Token.Metrics).toConstantValue(createMetrics(false));
         container.bind(Token.PeerNetwork).toConstantValue(peers);
         container.bind(Token.Membership).toConstantValue(membership);
+        container.bind(Token.LeavingTargets).toConstantValue(new LeavingTargets(membership));
         container.bind(Token.ConfigStore).toConstantValue(this.config);
         container.bind(Token.ClaimService).toConstantValue(this.claims);
       },
