Give operators' invalid arguments a result code of their own

Cause: a wrong tenant name or operation id was reported as 1005, "Invalid header field value", which is about callers' requests.

--- a/src/admin/admin-service.ts
+++ b/src/admin/admin-service.ts
@@ -146,7 +146,7 @@
 }
 
 function invalidField(detail: string): Error {
-  return toConnectError(createFailure(ResultCode.InvalidField, detail));
+  return toConnectError(createFailure(ResultCode.InvalidArgument, detail));
 }
 
 function notReady(part: string): Failure {
--- a/src/admin/drain-commands.ts
+++ b/src/admin/drain-commands.ts
@@ -42,14 +42,14 @@
   /**
    * Starts or ends the drain of a target.
    *
-   * Failures: `InvalidField` (no such target in the rules in force), `PeerUnreachable` (no node
+   * Failures: `InvalidArgument` (no such target in the rules in force), `PeerUnreachable` (no node
    * that fronts the target took the command; it can be repeated).
    */
   async drainTarget(message: DrainTargetMessage): Promise<Result<Unit, Failure>> {
     const located = this.node.configStore?.findTarget(message.target);
     if (located === undefined) {
       const detail = `no target ${message.target} in the rules in force at this node`;
-      return Result.err(createFailure(ResultCode.InvalidField, detail));
+      return Result.err(createFailure(ResultCode.InvalidArgument, detail));
     }
     const fronting = selectFrontingNode(located.target, this.node.membership?.members() ?? []);
     if (await this.drainAt(fronting, message)) return Result.ok(Unit);
--- a/src/cli/exit-code.ts
+++ b/src/cli/exit-code.ts
@@ -22,6 +22,7 @@
   [ResultCode.SettingsInvalid]: ExitCode.InvalidInput,
   [ResultCode.ScenarioInvalid]: ExitCode.InvalidInput,
   [ResultCode.InvalidField]: ExitCode.InvalidInput,
+  [ResultCode.InvalidArgument]: ExitCode.InvalidInput,
   [ResultCode.BodyTooLarge]: ExitCode.InvalidInput,
   [ResultCode.MalformedRequest]: ExitCode.InvalidInput,
   [ResultCode.PlatformUnavailable]: ExitCode.Unavailable,
--- a/src/config/platform-rules-repository.ts
+++ b/src/config/platform-rules-repository.ts
@@ -244,7 +244,7 @@
       'expected revision: a whole number from 0',
   ].filter((problem) => problem !== false);
   if (problems.length === 0) return Result.ok(true);
-  return Result.err(createFailure(ResultCode.InvalidField, problems.join('; ')));
+  return Result.err(createFailure(ResultCode.InvalidArgument, problems.join('; ')));
 }
 
 function sameChange(change: Change, record: RevisionRecord): Result<RevisionRecord, ApplyFailure> {
--- a/src/config/rules-repository.ts
+++ b/src/config/rules-repository.ts
@@ -29,7 +29,7 @@
   /**
    * Accepts a change, or finds the earlier result of its operation id.
    *
-   * Failures: `RulesInvalid`, `TenantMismatch`, `InvalidField`, `RevisionConflict` (with
+   * Failures: `RulesInvalid`, `TenantMismatch`, `InvalidArgument`, `RevisionConflict` (with
    * `currentRevision`), `IdempotencyKeyReused` (operation id of another document),
    * `PlatformUnavailable` and `PlatformRateLimited` (not applied), `WriteOutcomeUnknown`
    * (a repeat with the same operation id settles it).
