Hand state over even when the time of a planned stop is over

Cause: when running requests used the whole stopTimeoutMs, the node stopped without handing claims over or telling the members; found by reading run-node.ts against entry-plugin.ts, whose drain may take all of that time. Ruled out: a longer limit for all drains: the hanging one would use it up too. Change: Kernel.drainAndStop takes the time limit, leaves a drain that exceeds it, gives each later drain 1 s, and tells whether all ended in time. runNode uses it.

--- a/src/kernel/kernel.test.ts
+++ b/src/kernel/kernel.test.ts
@@ -3,7 +3,7 @@
 import { validateSettings, type Settings } from '../config/settings.js';
 import { ManualClock } from './clock.js';
 import { Event, type EventFields, type EventLog } from './event.js';
-import { Kernel } from './kernel.js';
+import { Kernel, LATE_DRAIN_MS } from './kernel.js';
 import type { Plugin } from './plugin.js';
 import { Token } from './token.js';
 
@@ -102,13 +102,40 @@
     const recorder = new Recorder(failing);
     const kernel = recorder.kernel();
     await kernel.start();
-    await kernel.drainAndStop();
+    assert.equal(await kernel.drainAndStop(), true);
     assert.deepEqual(recorder.steps, [...STARTED, ...DRAINED_AND_STOPPED]);
     assert.deepEqual(recorder.internalErrors(), errors);
     assert.equal(recorder.events.at(-1)?.[0], Event.NodeStopped);
   });
 }
 
+test('a drain that does not end is left at the time limit; later ones get a short time', async () => {
+  const recorder = new Recorder();
+  const clock = new ManualClock();
+  const ends = new Map<string, () => void>();
+  const plugins = ['a', 'b', 'c'].map((name, index): Plugin => {
+    const plugin = recorder.plugin(name, index);
+    const drain = async (): Promise<void> => {
+      recorder.steps.push(`drain ${name}`);
+      await new Promise<void>((resolve) => ends.set(name, resolve));
+    };
+    return { ...plugin, drain };
+  });
+  const kernel = new Kernel({ settings: createSettings(), clock, log: recorder, plugins });
+  await kernel.start();
+  const complete = kernel.drainAndStop(100);
+  const settle = (): Promise<void> => new Promise((resolve) => setImmediate(resolve));
+  clock.advance(100 + LATE_DRAIN_MS);
+  await settle();
+  assert.deepEqual(recorder.steps.slice(-2), ['drain c', 'drain b']);
+  ends.get('b')?.();
+  await settle();
+  clock.advance(LATE_DRAIN_MS);
+  assert.equal(await complete, false);
+  assert.deepEqual(recorder.steps, [...STARTED, ...DRAINED_AND_STOPPED]);
+  assert.deepEqual(recorder.internalErrors(), ['c', 'a']);
+});
+
 test('a second stop stops no plug-in twice', async () => {
   const recorder = new Recorder();
   const kernel = recorder.kernel();
--- a/src/kernel/kernel.ts
+++ b/src/kernel/kernel.ts
@@ -2,12 +2,15 @@
 import 'reflect-metadata';
 import { Container } from 'inversify';
 import type { Settings } from '../config/settings.js';
-import type { Clock } from './clock.js';
+import type { CancelTimer, Clock } from './clock.js';
 import { Event, type EventLog } from './event.js';
 import type { Plugin } from './plugin.js';
 import { Token } from './token.js';
 import { TrafficMeter } from './traffic-meter.js';
 
+/** Time for a drain that begins when the time of the planned stop is over, in milliseconds. */
+export const LATE_DRAIN_MS = 1_000;
+
 /** What a kernel is made from. */
 export interface KernelOptions {
   readonly settings: Settings;
@@ -64,14 +67,25 @@
     this.log.emit(Event.NodeStarted);
   }
 
-  /** Planned stop: drains in reverse start order, then stops. A failed drain keeps no other. */
-  async drainAndStop(): Promise<void> {
+  /**
+   * Planned stop: drains in reverse start order, then stops. A failed drain keeps no other.
+   *
+   * @param timeoutMs time for all drains together; when it is over, each drain that is left
+   * still gets {@link LATE_DRAIN_MS}, so that state is handed over and the others are told
+   * @returns whether every drain ended within its time
+   */
+  async drainAndStop(timeoutMs = Number.POSITIVE_INFINITY): Promise<boolean> {
     this.stopping = true;
     this.log.emit(Event.NodeDraining);
+    const { clock } = this.options;
+    const end = clock.now() + timeoutMs;
+    let complete = true;
     for (const plugin of [...this.started].reverse()) {
-      await this.attempt(plugin, () => plugin.drain?.(this.container));
+      const limitMs = Math.max(end - clock.now(), LATE_DRAIN_MS);
+      if (!(await this.drainWithin(plugin, limitMs))) complete = false;
     }
     await this.stop();
+    return complete;
   }
 
   /** Stops in reverse start order; a plug-in that fails to stop does not keep the others. */
@@ -84,6 +98,24 @@
     this.log.emit(Event.NodeStopped);
   }
 
+  private async drainWithin(plugin: Plugin, limitMs: number): Promise<boolean> {
+    const drained = this.attempt(plugin, () => plugin.drain?.(this.container)).then(() => true);
+    if (limitMs === Number.POSITIVE_INFINITY) return await drained;
+    let cancel: CancelTimer = () => {};
+    const late = new Promise<boolean>((resolve) => {
+      cancel = this.options.clock.schedule(limitMs, () => {
+        resolve(false);
+      });
+    });
+    const inTime = await Promise.race([drained, late]);
+    cancel();
+    if (!inTime) {
+      const error = `drain not ended within ${Math.ceil(limitMs)} ms`;
+      this.log.emit(Event.InternalError, { plugin: plugin.name, error });
+    }
+    return inTime;
+  }
+
   private async attempt(plugin: Plugin, step: () => Promise<void> | undefined): Promise<void> {
     try {
       await step();
--- a/src/node/run-node.ts
+++ b/src/node/run-node.ts
@@ -1,6 +1,5 @@
 /** Runs a node in this process until a signal stops it. */
 import type { Settings } from '../config/settings.js';
-import type { Clock } from '../kernel/clock.js';
 import { Event } from '../kernel/event.js';
 import type { Kernel } from '../kernel/kernel.js';
 import { Token } from '../kernel/token.js';
@@ -50,27 +49,16 @@
   timeoutMs: number,
   stops: SignalQueue,
 ): Promise<NodeEnd> {
-  const clock = kernel.container.get(Token.Clock);
-  const timer = createTimer(clock, timeoutMs);
   const log = kernel.container.get(Token.EventLog);
-  const ended = await Promise.race([
-    kernel.drainAndStop().then(() => 'stopped' as const),
-    timer.promise.then(() => 'time limit' as const),
-    stops.next().then(() => 'second signal' as const),
-  ]);
-  timer.cancel();
-  if (ended === 'stopped') return 'stopped';
-  log.emit(Event.InternalError, { error: `planned stop cut short by ${ended}` });
-  await kernel.stop();
-  return 'cut-short';
-}
-
-function createTimer(clock: Clock, delayMs: number): { promise: Promise<void>; cancel(): void } {
-  let cancel = (): void => {};
-  const promise = new Promise<void>((resolve) => {
-    cancel = clock.schedule(delayMs, resolve);
+  const secondSignal = stops.next().then(async (): Promise<NodeEnd> => {
+    log.emit(Event.InternalError, { error: 'planned stop cut short by a second signal' });
+    await kernel.stop();
+    return 'cut-short';
   });
-  return { promise, cancel };
+  const planned = kernel
+    .drainAndStop(timeoutMs)
+    .then((complete): NodeEnd => (complete ? 'stopped' : 'cut-short'));
+  return await Promise.race([planned, secondSignal]);
 }
 
 /** Counts stop signals, so that one that came during the start is not lost. */
