--- a/src/claims/claim-requester.ts
+++ b/src/claims/claim-requester.ts
@@ -52,6 +52,7 @@
 
   private async runRounds(request: ClaimRequest, notAfter: number): Promise<ClaimDecision> {
     const { clock, timing, random } = this.options;
+    const deadline = Math.min(request.deadline, clock.now() + timing.claimWaitMs);
     let sawEarlierAttempt = false;
     let noEarlierAttempt = false;
     do {
@@ -59,7 +60,7 @@
       if (record === undefined) return refuseUnavailable('no placement of replicas is known');
       const round = new ClaimRound(record);
       const subject = this.describe(request);
-      const verdict = await this.runRound(round, subject, Math.min(request.deadline, notAfter));
+      const verdict = await this.runRound(round, subject, deadline);
       if (verdict.type === 'granted') {
         this.granted.add(request.attemptId, subject);
         return { type: 'granted', notAfter };
@@ -73,7 +74,7 @@
       if (newer !== undefined) this.options.observe(newer);
       await released;
       await pause(clock, 1 + random.next() * timing.retryJitterMs);
-    } while (clock.now() < request.deadline);
+    } while (clock.now() < deadline);
     if (sawEarlierAttempt) return { type: 'in-progress' };
     return refuseUnavailable('no majority of replicas in time', noEarlierAttempt);
   }
--- a/src/claims/claim-timing.ts
+++ b/src/claims/claim-timing.ts
@@ -4,6 +4,8 @@
 export interface ClaimTiming {
   /** Longest wait for the replies of one round of a claim or charge. */
   readonly roundTimeoutMs: number;
+  /** Longest wait for a claim, however long the request may wait. */
+  readonly claimWaitMs: number;
   /** Largest random pause before another round. */
   readonly retryJitterMs: number;
   /** Pause before the first repeat of a release, finish or give-back; doubles each time. */
@@ -29,6 +31,7 @@
 /** Timing of a node. */
 export const DEFAULT_CLAIM_TIMING: ClaimTiming = {
   roundTimeoutMs: 250,
+  claimWaitMs: 1_500,
   retryJitterMs: 20,
   deliveryRetryMs: 100,
   tickMs: 200,
