--- a/src/claims/claim-task.test.ts
+++ b/src/claims/claim-task.test.ts
@@ -279,6 +279,39 @@
   assert.equal((await fleet.claim('e', key, 'fourth')).type, 'in-progress');
 });
 
+test('a group whose members all restarted is started anew and refuses the keys of before', async () => {
+  const fleet = await createFleet();
+  const key = fleet.createKey();
+  await fleet.claim('a', key, 'first');
+  fleet.start('a', 'zone-1');
+  fleet.start('b', 'zone-2');
+  fleet.start('c', 'zone-3');
+  await fleet.pass(20_000);
+  assert.equal((await fleet.claim('a', key, 'second')).type, 'refused');
+  await fleet.pass(20_000);
+  assert.equal(fleet.nodes.get('c')!.replicaStatus, 'voting');
+  const decision = await fleet.claim('b', key, 'third');
+  assert.ok(decision.type === 'refused');
+  assert.equal(decision.failure.code, ResultCode.IdempotencyKeyExpired);
+  await fleet.pass(30_000);
+  assert.equal((await fleet.claim('b', fleet.createKey(), 'fourth')).type, 'granted');
+});
+
+test('two cut-off members are not taken for lost', async () => {
+  const fleet = await createFleet();
+  const key = fleet.createKey();
+  await fleet.claim('b', key, 'first');
+  fleet.cutOff.add('b');
+  fleet.cutOff.add('c');
+  await fleet.pass(60_000);
+  assert.equal(fleet.nodes.get('a')!.placement?.epoch, fleet.nodes.get('b')!.placement?.epoch);
+  assert.equal((await fleet.claim('a', key, 'second')).type, 'in-progress');
+  assert.equal((await fleet.claim('c', key, 'third')).type, 'in-progress');
+  const later = fleet.createKey(0, 1);
+  assert.equal((await fleet.claim('a', later, 'fourth')).type, 'refused');
+  assert.equal((await fleet.claim('c', later, 'fifth')).type, 'granted');
+});
+
 test('entry nodes share the attempts of a request id', async () => {
   const fleet = await createFleet();
   const charge = (node: string, wanted: number): Promise<Result<number, Failure>> => {
--- a/src/claims/claim-task.ts
+++ b/src/claims/claim-task.ts
@@ -63,7 +63,8 @@
     const replica = this.replica;
     const client = new ReplicaClient(options.network, replica);
     const store = new PlacementStore(options.platform);
-    const keeper = { clock, timing, random, membership, replica, client, store };
+    const { platform } = options;
+    const keeper = { clock, timing, random, membership, platform, replica, client, store };
     this.keeper = new PlacementKeeper(keeper);
     const placement = (): PlacementRecord | undefined => this.keeper.record;
     const observe = (record: PlacementRecord): void => {
--- a/src/claims/claim-timing.ts
+++ b/src/claims/claim-timing.ts
@@ -30,8 +30,8 @@
 
 /** Timing of a node. */
 export const DEFAULT_CLAIM_TIMING: ClaimTiming = {
-  roundTimeoutMs: 250,
-  claimWaitMs: 1_500,
+  roundTimeoutMs: 1_000,
+  claimWaitMs: 3_000,
   retryJitterMs: 20,
   deliveryRetryMs: 100,
   tickMs: 200,
@@ -40,6 +40,6 @@
   bootstrapWaitMs: 1_500,
   changeDelayMs: 500,
   takeOverMs: 1_000,
-  changeTimeoutMs: 500,
+  changeTimeoutMs: 1_000,
   drainMs: 1_500,
 };
--- /dev/null
+++ b/src/claims/group-restarter.ts
@@ -0,0 +1,120 @@
+/**
+ * Starts a replica group anew after the loss of a majority: a fresh record of the next epoch,
+ * which refuses every key that the lost group may have granted.
+ */
+import {
+  floorAfterLoss,
+  isGroupLost,
+  LOSS_CONFIRMATION_MS,
+  type MemberObservation,
+} from '../core/claim/group-loss.js';
+import { isMember, type PlacementRecord } from '../core/claim/placement.js';
+import type { ReplicaReply } from '../core/claim/replica-messages.js';
+import type { Clock } from '../kernel/clock.js';
+import type { Membership } from '../membership/membership.js';
+import type { PlatformClient } from '../platform/platform-client.js';
+import type { ClaimTiming } from './claim-timing.js';
+import type { EpochChanger } from './epoch-changer.js';
+import type { PlacementStore } from './placement-store.js';
+import type { ReplicaClient } from './replica-client.js';
+
+/** Nodes asked at most before a group is started anew. */
+const MAX_POLLED_NODES = 1_024;
+
+/** What the restarter needs. */
+export interface GroupRestarterOptions {
+  readonly clock: Clock;
+  readonly timing: ClaimTiming;
+  readonly membership: Membership;
+  readonly platform: PlatformClient;
+  readonly client: ReplicaClient;
+  readonly store: PlacementStore;
+  readonly changer: EpochChanger;
+}
+
+/** Watches one group from one node. */
+export class GroupRestarter {
+  private lost:
+    { readonly epoch: number; readonly at: number; readonly wallAt: number } | undefined;
+
+  constructor(private readonly options: GroupRestarterOptions) {}
+
+  /**
+   * Looks at the group once; call it every few seconds from one node of the fleet.
+   *
+   * @param chosen node ids of a new group
+   * @returns the record of the new group, when one was started
+   */
+  async check(
+    record: PlacementRecord,
+    chosen: readonly string[],
+  ): Promise<PlacementRecord | undefined> {
+    const { clock } = this.options;
+    const observations = await this.observe(record);
+    if (observations === undefined || !isGroupLost(record, observations)) {
+      this.lost = undefined;
+      return undefined;
+    }
+    if (this.lost?.epoch !== record.epoch) {
+      this.lost = { epoch: record.epoch, at: clock.now(), wallAt: clock.wallNow() };
+    }
+    if (clock.now() - this.lost.at < LOSS_CONFIRMATION_MS) return undefined;
+    if (await this.isSupersededAnywhere(record)) return undefined;
+    return this.startAnew(record, chosen, floorAfterLoss(this.lost.wallAt));
+  }
+
+  /** `undefined` when the list of machines cannot be read. */
+  private async observe(
+    record: PlacementRecord,
+  ): Promise<ReadonlyMap<string, MemberObservation> | undefined> {
+    const machines = await this.options.platform.machines();
+    if (machines.isErr) return undefined;
+    const listed = new Set(machines.value.map((machine) => machine.id));
+    const observations = new Map<string, MemberObservation>();
+    const asks = record.members.map(async ({ nodeId }) => {
+      const reply = await this.askStatus(nodeId);
+      const known = this.options.membership.find(nodeId)?.state ?? 'failed';
+      const isGone = known === 'failed' && !listed.has(nodeId);
+      if (reply?.type === 'status') {
+        const { incarnation, status } = reply;
+        observations.set(nodeId, { type: 'answer', incarnation, status });
+      } else observations.set(nodeId, { type: isGone ? 'gone' : 'silent' });
+    });
+    await Promise.all(asks);
+    return observations;
+  }
+
+  /** Whether some node takes part in a later epoch that has not been announced yet. */
+  private async isSupersededAnywhere(record: PlacementRecord): Promise<boolean> {
+    const nodes = this.options.membership.members().slice(0, MAX_POLLED_NODES);
+    const replies = await Promise.all(nodes.map((node) => this.askStatus(node.nodeId)));
+    return replies.some((reply, index) => {
+      if (reply?.type !== 'status') return false;
+      if ((reply.record?.epoch ?? 0) > record.epoch) return true;
+      const takesPart = reply.status === 'voting' || reply.status === 'sealed';
+      return takesPart && !isMember(record, nodes[index]!.nodeId);
+    });
+  }
+
+  /** The platform's compare-and-swap excludes a second new group. */
+  private async startAnew(
+    record: PlacementRecord,
+    chosen: readonly string[],
+    floorMs: number,
+  ): Promise<PlacementRecord | undefined> {
+    const { store, changer } = this.options;
+    const stored = await store.read();
+    if (stored?.record?.epoch !== record.epoch) return undefined;
+    const members = await changer.findMembers(undefined, chosen);
+    if (members.length === 0) return undefined;
+    const next = { epoch: record.epoch + 1, members, fresh: true, floorMs };
+    if (!(await store.write(next, stored.modRevision))) return undefined;
+    await changer.establish([record, next]);
+    return next;
+  }
+
+  private askStatus(nodeId: string): Promise<ReplicaReply | undefined> {
+    const { client, timing } = this.options;
+    return client.ask(nodeId, { type: 'status' }, timing.changeTimeoutMs);
+  }
+}
--- a/src/claims/placement-keeper.ts
+++ b/src/claims/placement-keeper.ts
@@ -12,8 +12,10 @@
 import type { Random } from '../core/random.js';
 import type { CancelTimer, Clock } from '../kernel/clock.js';
 import type { Member, Membership } from '../membership/membership.js';
+import type { PlatformClient } from '../platform/platform-client.js';
 import type { ClaimTiming } from './claim-timing.js';
 import { EpochChanger } from './epoch-changer.js';
+import { GroupRestarter } from './group-restarter.js';
 import type { PlacementStore } from './placement-store.js';
 import type { ReplicaClient } from './replica-client.js';
 import type { ReplicaTask } from './replica-task.js';
@@ -25,6 +27,7 @@
   readonly timing: ClaimTiming;
   readonly random: Random;
   readonly membership: Membership;
+  readonly platform: PlatformClient;
   readonly replica: ReplicaTask;
   readonly client: ReplicaClient;
   readonly store: PlacementStore;
@@ -39,6 +42,7 @@
 /** The placement keeper of one node. */
 export class PlacementKeeper {
   private readonly changer: EpochChanger;
+  private readonly restarter: GroupRestarter;
   private cancelTick: CancelTimer | undefined;
   private stopped = false;
   private leaving = false;
@@ -46,12 +50,14 @@
   private nextGossipAt = 0;
   private nextPlatformAt = 0;
   private nextExpireAt = 0;
+  private nextLossCheckAt = 0;
   private changeWantedSince: number | undefined;
   private sealedSince: number | undefined;
 
   constructor(private readonly options: PlacementKeeperOptions) {
     this.startedAt = options.clock.now();
     this.changer = new EpochChanger(options);
+    this.restarter = new GroupRestarter({ ...options, changer: this.changer });
   }
 
   /** Newest established record that this node knows. */
@@ -114,6 +120,23 @@
       await this.meetPlatform(now);
     }
     if (!this.leaving) await this.considerChange(now);
+    if (now >= this.nextLossCheckAt) {
+      this.nextLossCheckAt = now + timing.platformMs;
+      await this.considerRestart();
+    }
+  }
+
+  /** The first node of the fleet looks whether the group has lost its memory for good. */
+  private async considerRestart(): Promise<void> {
+    const record = this.record;
+    if (record === undefined || !this.isFirstNode()) return;
+    const next = await this.restarter.check(record, chooseMembers(undefined, this.candidates()));
+    if (next !== undefined) this.observe(next);
+  }
+
+  private isFirstNode(): boolean {
+    const ids = this.candidates().map((candidate) => candidate.nodeId);
+    return ids.sort()[0] === this.options.membership.self().nodeId;
   }
 
   /** Asks a random node (several while nothing is known) for its newest record. */
@@ -172,12 +195,9 @@
 
   /** The platform's compare-and-swap decides which node's first record counts. */
   private async createFirstRecord(): Promise<void> {
-    const { membership, store } = this.options;
+    const { store } = this.options;
     const chosen = chooseMembers(undefined, this.candidates());
-    const lowest = this.candidates()
-      .map((candidate) => candidate.nodeId)
-      .sort()[0];
-    if (lowest !== membership.self().nodeId) return;
+    if (!this.isFirstNode()) return;
     const members = await this.changer.findMembers(undefined, chosen);
     if (members.length < chosen.length) return;
     const record: PlacementRecord = { epoch: 1, members, fresh: true, floorMs: 0 };
--- a/src/core/claim/claim-limits.ts
+++ b/src/core/claim/claim-limits.ts
@@ -1,7 +1,7 @@
 /** Limits and durations of the claim protocol. See docs/design/claims.md. */
 
 /** Age of a key, by its own time stamp, from which on it is refused, in milliseconds. */
-export const KEY_HORIZON_MS = 600_000;
+export const KEY_HORIZON_MS = 300_000;
 
 /**
  * Largest difference between any two wall clocks of callers and nodes, in milliseconds.
@@ -19,10 +19,10 @@
 export const BUDGET_RETENTION_MS = 120_000;
 
 /** Claims that one replica holds at most; more are refused. */
-export const MAX_CLAIMS = 40_000;
+export const MAX_CLAIMS = 30_000;
 
 /** Attempt budgets that one replica holds at most; more are refused. */
-export const MAX_BUDGETS = 40_000;
+export const MAX_BUDGETS = 20_000;
 
 /** Largest answer kept for repeats, in bytes of body. */
 export const MAX_KEPT_ANSWER_BYTES = 65_536;
