--- a/src/cli/registered-commands.ts
+++ b/src/cli/registered-commands.ts
@@ -6,8 +6,8 @@
 import { commands as callersCommands } from '../stand-ins/callers/commands.js';
 import { commands as linkCommands } from '../stand-ins/link/commands.js';
 import { commands as platformCommands } from '../stand-ins/platform/commands.js';
-import type { CommandClass } from './command.js';
 import { commands as benchmarkCommands } from '../testing/commands.js';
+import type { CommandClass } from './command.js';
 import { ConfigApplyCommand } from './config-apply-command.js';
 import { ConfigCheckCommand } from './config-check-command.js';
 import {
--- a/src/config/config-distribution.ts
+++ b/src/config/config-distribution.ts
@@ -24,6 +24,9 @@
 /** Delay of the check after a change of the members. */
 const CHECK_DELAY_MS = 50;
 
+/** Interval of the checks during a planned stop. */
+const HAND_OVER_CHECK_MS = 50;
+
 /** What the distribution works with. */
 export interface ConfigDistributionOptions {
   readonly store: ConfigStore;
@@ -55,8 +58,8 @@
         this.takeIn(records);
       },
     };
-    const onLoaded = () => {
-      this.markLoaded();
+    const onLoaded = (records: readonly RevisionRecord[]) => {
+      this.load(records);
     };
     this.startup = new RulesStartup({ ...parts, onLoaded });
     this.watch = new PlatformRulesWatch(parts);
@@ -86,15 +89,46 @@
     this.pull.stop();
   }
 
+  /**
+   * Planned stop: waits until another node has this node's version, of the own zone when it
+   * has one, so that a change accepted in an outage of the platform is not lost with the node.
+   *
+   * @param limitMs longest wait
+   */
+  async handOver(limitMs: number): Promise<void> {
+    const { clock } = this.options;
+    const end = clock.now() + limitMs;
+    while (!this.isHandedOver() && clock.now() < end) {
+      await new Promise<void>((resolve) => clock.schedule(HAND_OVER_CHECK_MS, resolve));
+    }
+  }
+
   /** Takes in a complete read of the platform made by the repository, with the accepted change. */
   acceptSnapshot(records: readonly RevisionRecord[]): void {
-    this.takeIn(records);
     this.startup.stop();
-    this.markLoaded();
+    this.load(records);
+  }
+
+  private isHandedOver(): boolean {
+    const { membership, store } = this.options;
+    const { nodeId, zone } = membership.self();
+    const others = membership
+      .members()
+      .filter((member) => member.nodeId !== nodeId && member.state === 'alive');
+    const inZone = others.filter((member) => member.zone === zone);
+    const successors = inZone.length > 0 ? inZone : others;
+    if (successors.length === 0) return true;
+    return successors.some(({ configVersion }) => configVersion >= store.version);
+  }
+
+  private load(records: readonly RevisionRecord[]): void {
+    this.loaded = true;
+    this.takeIn(records);
+    this.check();
   }
 
   private takeIn(records: readonly RevisionRecord[]): void {
-    const { store, log, membership } = this.options;
+    const { store, log } = this.options;
     const before = store.version;
     for (const record of [...records].sort((a, b) => a.version - b.version)) {
       const { tenant, revision, version } = record;
@@ -102,16 +136,15 @@
       if (store.offer(record)) log.emit(Event.RulesInForce, { tenant, revision, version });
       else if (known > revision) log.emit(Event.OlderRevisionIgnored, { tenant, revision, known });
     }
-    // Peers may ask once they hear of the version, so it is told only after the last record.
-    if (this.loaded && store.version > before) membership.update({ configVersion: store.version });
+    if (store.version > before) this.publish(before === 0);
   }
 
-  private markLoaded(): void {
-    if (this.loaded) return;
-    this.loaded = true;
+  /** Peers may ask once they hear of the version, so it is told only after the last record. */
+  private publish(isFirst: boolean): void {
     const { membership, store } = this.options;
-    membership.update({ ready: true, configVersion: store.version });
-    this.check();
+    const facts = { configVersion: store.version };
+    // Later the entry decides: a node that is stopping is not made ready again.
+    membership.update(isFirst ? { ...facts, ready: true } : facts);
   }
 
   private check(): void {
--- a/src/entry/entry-plugin.ts
+++ b/src/entry/entry-plugin.ts
@@ -9,7 +9,8 @@
 import { StartOrder, registerPlugin } from '../kernel/plugin.js';
 import { Token } from '../kernel/token.js';
 import { TargetPlacement } from '../target/target-placement.js';
-import { requirePolicy } from '../target/target-plugin.js';
+import { CoalescedCall } from '../target/coalesced-call.js';
+import { REFRESH_INTERVAL_MS, requirePolicy } from '../target/target-plugin.js';
 import { CallFactory } from './call-factory.js';
 import { KEEP_ALIVE_TIMEOUT_MS, startEntryServer, type EntryServer } from './entry-server.js';
 import { EntryTask } from './entry-task.js';
@@ -21,6 +22,8 @@
 
 /** Time for peers and callers to learn of a planned stop while the node still serves. */
 const LEAVING_PHASE_MS = 1_500;
+/** Longest wait at the stop for requests that came in after the drain. */
+const LAST_ANSWERS_MS = 2_000;
 const IDLE_CHECK_MS = 20;
 /** Longest wait for idle connections: callers were told the keep-alive time. */
 const IDLE_CONNECTIONS_WAIT_MS = KEEP_ALIVE_TIMEOUT_MS + 1_000;
@@ -30,6 +33,7 @@
 /** State of one node's plug-in. */
 class EntrySide {
   private readonly task: EntryTask;
+  private readonly refreshing: CoalescedCall;
   private server: EntryServer | undefined;
   private draining = false;
   private unsubscribe: (() => void)[] = [];
@@ -39,12 +43,15 @@
     private readonly router: ServiceCallRouter,
   ) {
     this.task = createTask(container, router);
+    this.refreshing = new CoalescedCall(container.get(Token.Clock), REFRESH_INTERVAL_MS, () => {
+      this.refresh();
+    });
   }
 
   async start(): Promise<void> {
     const { listen, limits } = this.container.get(Token.Settings);
     const refresh = (): void => {
-      this.refresh();
+      this.refreshing.request();
     };
     this.unsubscribe = [
       this.container.get(Token.Membership).subscribe(refresh),
@@ -89,10 +96,19 @@
 
   async stop(): Promise<void> {
     for (const unsubscribe of this.unsubscribe) unsubscribe();
+    this.refreshing.cancel();
+    if (this.draining) await this.finishRunning();
     await this.server?.close();
     this.task.close();
   }
 
+  /** What came in since the drain, calls of back ends above all, is still answered. */
+  private async finishRunning(): Promise<void> {
+    this.server?.stopListening();
+    const end = this.container.get(Token.Clock).now() + LAST_ANSWERS_MS;
+    await this.waitUntil(end, () => this.task.inProgress === 0);
+  }
+
   private accept(exchange: HttpExchange): void {
     if (this.task.post({ type: 'exchange', exchange })) return;
     const { node } = this.container.get(Token.Settings);
--- a/src/testing/in-memory-platform.ts
+++ b/src/testing/in-memory-platform.ts
@@ -29,7 +29,11 @@
 export class InMemoryPlatform implements PlatformClient {
   /** Refuses everything and loses all watches while true. */
   down = false;
+  /** Watches stay open and deliver nothing while true. */
+  watchesStall = false;
   machineList: readonly Machine[] = [];
+  /** Reads so far. */
+  reads = 0;
   /** Runs between a read and its answer. */
   delayAnswer: () => Promise<void> = () => Promise.resolve();
   private readonly late: (() => void)[] = [];
@@ -49,6 +53,7 @@
   }
 
   async range(prefix: string): Promise<Result<RangeResult, Failure>> {
+    this.reads += 1;
     await this.plan.step?.();
     if (this.down || this.plan.nextReadFails?.() === true) return unavailable();
     const { values } = this.store.range({ key: prefix, end: `${prefix}\u00ff` });
@@ -80,7 +85,7 @@
     }
     const deliver = (events: readonly { keyValue: StoredValue }[]) => {
       for (const { keyValue } of events) {
-        if (this.down || !keyValue.key.startsWith(prefix)) continue;
+        if (this.down || this.watchesStall || !keyValue.key.startsWith(prefix)) continue;
         listener({ type: 'put', keyValue: toKeyValue(keyValue) });
       }
     };
