--- a/src/config/rules.ts
+++ b/src/config/rules.ts
@@ -21,6 +21,9 @@
     'an IP address and port, as 127.0.0.1:8080',
   );
 
+/** Who may send a request: callers, other services' calls, or both. */
+const entry = z.enum(['external', 'internal', 'both']);
+
 const kindSchema = z.strictObject({
   name,
   match: z.strictObject({
@@ -36,6 +39,12 @@
   attempts: z.int().min(1).max(255),
   /** Whether a request that may have run can be repeated. */
   idempotent: z.boolean(),
+  /**
+   * Whether callers, other services, or both may send it; absent as the service says. A kind
+   * that is only part of a chain should be `internal`: a call of it that has lost its context
+   * field is then refused instead of being taken for a new request with a new bound.
+   */
+  entry: entry.optional(),
   /** Largest request body in bytes. */
   maxRequestBytes: z.int().min(0).max(16_777_216).default(65_536),
   /** Largest answer body in bytes. */
@@ -49,7 +58,7 @@
   /** Host field values under which callers reach the service. */
   hosts: z.array(z.string().min(1).max(253)).min(1).max(16),
   /** Whether callers, other services, or both may call it. */
-  entry: z.enum(['external', 'internal', 'both']).default('both'),
+  entry: entry.default('both'),
   /** Slots of one target as far as the operator knows: the first concurrency limit. */
   slots: z.int().min(1).max(10_000),
   /** Connections that one target accepts: the upper bound of the limit. */
--- a/src/entry/call-factory.ts
+++ b/src/entry/call-factory.ts
@@ -3,6 +3,7 @@
 import { Result } from 'true-myth';
 import type { Classification, ConfigStore } from '../config/config-store.js';
 import { readParent } from '../core/call-baggage.js';
+import type { ServiceRules } from '../config/rules.js';
 import { createFailure, type Failure } from '../core/failure.js';
 import { forwardRequestFields } from '../core/forwarded-fields.js';
 import { findHeader, type HeaderFields, type HttpRequest } from '../core/http-message.js';
@@ -88,8 +89,8 @@
   private async underParent(call: InboundCall): Promise<Result<PreparedCall, Failure>> {
     const parent = readParent(call.request.headers);
     if (parent === undefined) return checkOpenToCallers(call);
-    if (call.service.entry === 'external') {
-      const detail = `${call.service.name} takes no calls of other services`;
+    if (entryOf(call) === 'external') {
+      const detail = `${call.kind.name} of ${call.service.name} takes no calls of other services`;
       return Result.err(createFailure(ResultCode.UnknownService, detail));
     }
     const reserved = await this.parents.reserve(parent, call);
@@ -107,9 +108,14 @@
   }
 }
 
+/** A kind's own setting stands above its service's. */
+function entryOf({ kind, service }: InboundCall): ServiceRules['entry'] {
+  return kind.entry ?? service.entry;
+}
+
 function checkOpenToCallers(call: InboundCall): Result<PreparedCall, Failure> {
-  if (call.service.entry !== 'internal') return Result.ok({ call });
-  const detail = `${call.service.name} takes calls of other services only`;
+  if (entryOf(call) !== 'internal') return Result.ok({ call });
+  const detail = `${call.kind.name} of ${call.service.name} takes calls of other services only`;
   return Result.err(createFailure(ResultCode.CallContextRequired, detail));
 }
 
--- a/src/entry/entry-contract.test.ts
+++ b/src/entry/entry-contract.test.ts
@@ -38,6 +38,7 @@
         kinds: [
           { ...limited, name: 'read', match: { pathPrefix: '/steps' } },
           { ...kind, name: 'promise', match: { pathPrefix: '/promises' }, idempotent: false },
+          { ...limited, name: 'part', match: { pathPrefix: '/parts' }, entry: 'internal' },
         ],
       },
       {
@@ -184,6 +185,12 @@
     code: ResultCode.CallContextRequired,
     status: 400,
   },
+  {
+    name: 'internal kind of an open service without its context',
+    raw: `GET /parts HTTP/1.1\r\nHost: guide\r\n${CLOSE}`,
+    code: ResultCode.CallContextRequired,
+    status: 400,
+  },
   {
     name: 'context of an attempt that does not run',
     raw: `GET /x HTTP/1.1\r\nHost: ledger\r\nBaggage: sillshore-parent=a.b.c\r\n${CLOSE}`,
--- a/src/testing/deployment.process.test.ts
+++ b/src/testing/deployment.process.test.ts
@@ -154,3 +154,27 @@
     }
   });
 });
+
+test('attempts stay within the bound when every layer retries and one drops the context', async () => {
+  await withDeployment(async (deployment) => {
+    const ids = deployment.targets.map(({ plan }) => plan.id);
+    for (const id of ids.filter((name) => name.startsWith('recording-archive'))) {
+      await deployment.controlTarget(id, { dieMidAnswer: true });
+    }
+    for (const id of ids.filter((name) => /^(script-guide|objection-answers)/.test(name))) {
+      await deployment.controlTarget(id, { ownRetries: 3 });
+    }
+    await deployment.controlTarget('objection-answers-2', { dropContext: true });
+    const callers = await deployment.startCallers({
+      durationMs: 3_000,
+      kinds: ['script-step'],
+      tries: 6,
+      tryPatience: 0.05,
+    });
+    const result = await callers.result;
+    const report = await deployment.check([result]);
+    assertGuarantees(report);
+    const { attempts: bound } = deployment.plan.rules.services[0]!.kinds[0]!;
+    assert.equal(report.maxAttempts, bound, 'the retries reach the bound');
+  });
+});
