Routing: distance as a time added to the score, not a factor

Change: a share of the latency is added for another zone or region; it weighs much on idle targets and little on full ones.

--- a/src/core/routing/load-score.ts
+++ b/src/core/routing/load-score.ts
@@ -7,10 +7,10 @@
   readonly region: string;
 }
 
-/** Factor on the score of a target in another zone of the region. */
-const OTHER_ZONE_FACTOR = 1.1;
-/** Factor on the score of a target in another region. */
-const OTHER_REGION_FACTOR = 3;
+/** Added to the score of a target in another zone of the region, as a share of its latency. */
+const OTHER_ZONE_SHARE = 0.25;
+/** The same for a target in another region. */
+const OTHER_REGION_SHARE = 2;
 /** Time over which a target that joins takes its full share, in milliseconds. */
 const SLOW_START_MS = 2_000;
 /** Factor on the score of a target that has just joined. */
@@ -40,12 +40,14 @@
 ): number {
   const { limit, latencyMs } = target.lastReport() ?? defaults;
   const expectedMs = (latencyMs * (target.load(now) + 1)) / limit;
-  return expectedMs * localityFactor(target, locality) * slowStartFactor(now, target);
+  const distanceMs = latencyMs * distanceShare(target, locality);
+  return (expectedMs + distanceMs) * slowStartFactor(now, target);
 }
 
-function localityFactor({ view }: TargetState, { zone, region }: Locality): number {
-  if (view.zone === zone) return 1;
-  return view.region === region ? OTHER_ZONE_FACTOR : OTHER_REGION_FACTOR;
+/** Weighs much while targets are idle and little while they are full, so that load spills over. */
+function distanceShare({ view }: TargetState, { zone, region }: Locality): number {
+  if (view.zone === zone) return 0;
+  return view.region === region ? OTHER_ZONE_SHARE : OTHER_REGION_SHARE;
 }
 
 function slowStartFactor(now: number, { joinedAt }: TargetState): number {
