--- /dev/null
+++ b/src/core/queue/criticality-queue.test.ts
@@ -0,0 +1,87 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import type { Criticality, RequestContext } from '../request.js';
+import { CriticalityQueue } from './criticality-queue.js';
+import { NestedReserve } from './nested-reserve.js';
+import type { WaitingRequest } from './waiting-queue.js';
+
+type Row = readonly [ticket: number, criticality: Criticality, giveUpAt: number, priority: number];
+
+const ROWS: readonly Row[] = [
+  [1, 'sheddable', 10, 0.1],
+  [2, 'critical', 90, 0.9],
+  [3, 'critical', 50, 0.8],
+  [4, 'normal', 20, 0.4],
+  [5, 'normal', 30, 0.3],
+];
+
+function createRequest(criticality: Criticality, depth = 0): RequestContext {
+  const names = { requestId: 'r', tenant: 't', service: 's', kind: 'k' };
+  return { ...names, criticality, deadline: 1_000, idempotent: true, depth };
+}
+
+function createWaiting([ticket, criticality, giveUpAt, priority]: Row): WaitingRequest {
+  return { ticket, request: createRequest(criticality), giveUpAt, priority };
+}
+
+function createQueue(): CriticalityQueue {
+  const queue = new CriticalityQueue();
+  for (const row of ROWS) queue.add(createWaiting(row));
+  return queue;
+}
+
+function drain(take: () => WaitingRequest | undefined): number[] {
+  const tickets: number[] = [];
+  for (let next = take(); next !== undefined; next = take()) tickets.push(next.ticket);
+  return tickets;
+}
+
+test('dispatches by class, then by latest useful start', () => {
+  const queue = createQueue();
+  assert.deepEqual(
+    drain(() => queue.takeNext()),
+    [3, 2, 4, 5, 1],
+  );
+});
+
+test('gives up the lowest class first and in it the lowest priority', () => {
+  const queue = createQueue();
+  assert.deepEqual(
+    drain(() => queue.takeLowest()),
+    [1, 5, 4, 3, 2],
+  );
+});
+
+test('expires by latest useful start and knows the next time', () => {
+  const queue = createQueue();
+  assert.equal(queue.earliestGiveUp(), 10);
+  const expired = queue.takeExpired(30).map(({ ticket }) => ticket);
+  assert.deepEqual(expired.sort(), [1, 4, 5]);
+  assert.equal(queue.earliestGiveUp(), 50);
+});
+
+test('counts those that go first', () => {
+  const cases: readonly (readonly [Criticality, number, number])[] = [
+    ['critical', 40, 0],
+    ['critical', 60, 1],
+    ['high', 1, 2],
+    ['normal', 25, 3],
+    ['sheddable', 99, 5],
+  ];
+  for (const [criticality, giveUpAt, ahead] of cases) {
+    const waiting = createWaiting([9, criticality, giveUpAt, 0.5]);
+    assert.equal(createQueue().countAhead(waiting), ahead, `${criticality} ${giveUpAt}`);
+  }
+});
+
+test('the reserve is for recent nested calls of the same or a higher class', () => {
+  const reserve = new NestedReserve();
+  const slots = (now: number, criticality: Criticality, depth = 0, limit = 18) =>
+    reserve.slots(now, createRequest(criticality, depth), limit);
+  assert.equal(slots(0, 'sheddable'), 0);
+  reserve.note(0, createRequest('high', 1));
+  assert.deepEqual([slots(10, 'critical'), slots(10, 'high'), slots(10, 'normal')], [0, 2, 2]);
+  assert.equal(slots(10, 'normal', 1), 0);
+  assert.equal(slots(10, 'normal', 0, 3), 0);
+  assert.equal(slots(500, 'normal'), 0);
+});
