--- a/src/core/policies/adaptive-gate.ts
+++ b/src/core/policies/adaptive-gate.ts
@@ -29,6 +29,8 @@
 
 /** Fewest requests that may wait, whatever the service time. */
 const MIN_QUEUED = 4;
+/** Most requests that may wait per slot, whatever the service time. */
+export const MAX_QUEUED_PER_SLOT = 50;
 
 /**
  * Requests from a service above pass when they are below the threshold by no more than
@@ -195,8 +197,8 @@
   }
 
   private maxQueued(): number {
-    const perMs = this.options.limit.current() / this.serviceTime.mean();
-    return Math.max(MIN_QUEUED, Math.ceil(this.options.maxWaitMs * perMs));
+    const perSlot = Math.min(MAX_QUEUED_PER_SLOT, this.options.maxWaitMs / this.serviceTime.mean());
+    return Math.max(MIN_QUEUED, Math.ceil(perSlot * this.options.limit.current()));
   }
 
   private updateThreshold(now: number): void {
