--- a/src/entry/entry-server.ts
+++ b/src/entry/entry-server.ts
@@ -1,6 +1,6 @@
 /** The listener of the callers' interface. The HTTP library hides behind {@link EntryServer}. */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
-import type { AddressInfo, Socket } from 'node:net';
+import { Server as NetServer, type AddressInfo, type Socket } from 'node:net';
 import type { Duplex } from 'node:stream';
 import express from 'express';
 import { createFailure, type Failure } from '../core/failure.js';
@@ -9,8 +9,11 @@
 import type { Clock } from '../kernel/clock.js';
 import { HttpExchange } from './http-exchange.js';
 
-/** Idle time after which a keep-alive connection is closed; told to callers in `Keep-Alive`. */
-export const KEEP_ALIVE_TIMEOUT_MS = 5_000;
+/**
+ * Idle time after which a keep-alive connection is closed. Callers are told whole seconds, 5, in
+ * `Keep-Alive`; the rest lets a request that was sent at the last moment still be served.
+ */
+export const KEEP_ALIVE_TIMEOUT_MS = 5_900;
 const CONNECTION_CHECK_INTERVAL_MS = 250;
 const MAX_HEADER_BYTES = 16_384;
 
@@ -35,7 +38,7 @@
   readonly port: number;
   /** Open connections. */
   readonly connections: number;
-  /** Takes no new connections and closes all that are idle. */
+  /** Refuses new connections; open ones are served on, idle ones until their time is over. */
   stopListening(): void;
   /** Closes everything. */
   close(): Promise<void>;
@@ -66,8 +69,9 @@
       return sockets.size;
     },
     stopListening: () => {
-      server.close();
-      server.closeIdleConnections();
+      // The HTTP server's own close also closes idle connections, on which a caller may be
+      // sending at that moment.
+      NetServer.prototype.close.call(server);
     },
     close: () => closeServer(server, sockets),
   };
