Links: a planned stop tells which calls were not handled

Cause: at a planned stop the links were destroyed at once; a call that was on its way ended as PeerLost with an unknown outcome, although it had not been handled. Found by reading the stop path after `a planned stop of each node in turn cuts off nothing` failed with {"3005":8} in a run of all tests (load average 33 on 12 cores). Ruled out: waiting a fixed time before closing (calls still cross with the close). That this was the cause of that failure is not shown. Change: `goaway` frame with the last call taken; the client ends later calls as PeerUnreachable, not run, awaits the earlier ones and closes. The peer plug-in's drain waits for that, 2 s at most.

--- a/src/peer/frame-codec.ts
+++ b/src/peer/frame-codec.ts
@@ -5,12 +5,15 @@
 import { RESULT_CODES, ResultCode, type Execution } from '../core/result-code.js';
 
 /** Types of frames. */
-export type FrameType = 'hello' | 'proof' | 'call' | 'reply' | 'cancel';
+export type FrameType = 'hello' | 'proof' | 'call' | 'reply' | 'cancel' | 'goaway';
 
 /** One frame as sent. */
 export interface Envelope {
   readonly t: FrameType;
-  /** Correlation id, 1 and up, never reused on a connection; 0 in the handshake. */
+  /**
+   * Correlation id, 1 and up, never reused on a connection; 0 in the handshake. In a
+   * `goaway`, the last call that will be handled.
+   */
   readonly id: number;
   /** Name of the call, or of the node in a hello. */
   readonly name?: string;
@@ -19,7 +22,14 @@
   readonly failure?: Failure;
 }
 
-const FRAME_TYPES: ReadonlySet<unknown> = new Set(['hello', 'proof', 'call', 'reply', 'cancel']);
+const FRAME_TYPES: ReadonlySet<unknown> = new Set([
+  'hello',
+  'proof',
+  'call',
+  'reply',
+  'cancel',
+  'goaway',
+]);
 const EXECUTIONS: ReadonlySet<unknown> = new Set(['not-run', 'run', 'unknown']);
 const DESERIALIZE_OPTIONS = { promoteBuffers: true };
 
--- a/src/peer/incoming-link.ts
+++ b/src/peer/incoming-link.ts
@@ -16,12 +16,15 @@
 } from './handshake.js';
 import { PeerLink, type LinkOptions } from './peer-link.js';
 
-/** Messages of the handlers to an incoming link. */
-export interface IncomingCommand {
-  readonly type: 'finished';
-  readonly id: number;
-  readonly result: Result<unknown, Failure>;
-}
+/** Messages of the handlers and the network to an incoming link. */
+export type IncomingCommand =
+  | {
+      readonly type: 'finished';
+      readonly id: number;
+      readonly result: Result<unknown, Failure>;
+    }
+  /** Planned stop: take no more calls, end those that run. */
+  | { readonly type: 'retire' };
 
 /** Options of an incoming link. */
 export interface IncomingLinkOptions extends LinkOptions {
@@ -36,6 +39,7 @@
   private readonly nonce = createNonce();
   private context: HandshakeContext | undefined;
   private lastId = 0;
+  private retiring = false;
 
   constructor(
     socket: Socket,
@@ -67,8 +71,9 @@
     }
   }
 
-  protected onCommand({ id, result }: IncomingCommand): void {
-    if (this.running.delete(id)) this.reply(id, result);
+  protected onCommand(command: IncomingCommand): void {
+    if (command.type === 'retire') this.retire();
+    else if (this.running.delete(command.id)) this.reply(command.id, command.result);
   }
 
   protected onEnd(): void {
@@ -77,6 +82,16 @@
     this.linkOptions.onEnd(this);
   }
 
+  /** The peer closes the link when it has the replies to the calls up to the last one. */
+  private retire(): void {
+    if (!this.isOpen) {
+      this.end('node stops');
+      return;
+    }
+    this.retiring = true;
+    this.send({ t: 'goaway', id: this.lastId });
+  }
+
   private onHello(envelope: Envelope): void {
     const { node, sharedKey } = this.linkOptions;
     const hello = readHello(envelope);
@@ -105,6 +120,8 @@
 
   private onCall({ id, name, body }: Envelope): boolean {
     if (id <= this.lastId || name === undefined) return false;
+    // Sent before the peer read the goaway, which tells it that this call is not handled.
+    if (this.retiring) return true;
     this.lastId = id;
     if (this.running.size >= this.options.limits.maxInFlight) {
       this.replyFailure(id, createFailure(ResultCode.MailboxFull, 'too many calls in flight'));
--- a/src/peer/outgoing-link.ts
+++ b/src/peer/outgoing-link.ts
@@ -43,6 +43,8 @@
 export interface OutgoingLinkOptions extends LinkOptions {
   readonly peer: string;
   readonly address: string;
+  /** The peer takes no more calls on this link. */
+  readonly onRetire: (link: OutgoingLink) => void;
   /** Called once when the link has ended; `wasOpen` tells whether it ever worked. */
   readonly onEnd: (link: OutgoingLink, wasOpen: boolean) => void;
 }
@@ -52,6 +54,7 @@
   private readonly pending = new Map<number, PendingCall>();
   private readonly nonce = createNonce();
   private lastId = 0;
+  private retiring = false;
 
   constructor(private readonly linkOptions: OutgoingLinkOptions) {
     super(`to ${linkOptions.peer}`, connect(splitAddress(linkOptions.address)), linkOptions);
@@ -89,6 +92,10 @@
   }
 
   protected onFrame(envelope: Envelope): boolean {
+    if (envelope.t === 'goaway') {
+      this.retire(envelope.id);
+      return true;
+    }
     if (envelope.t !== 'reply') return false;
     // A reply to a call that has timed out or was cancelled is dropped: ids are never reused.
     const result =
@@ -119,8 +126,19 @@
     this.linkOptions.onEnd(this, this.peerNode !== undefined);
   }
 
+  /** The peer stops as planned: calls after the last one that it took were not handled. */
+  private retire(lastHandled: number): void {
+    this.retiring = true;
+    this.linkOptions.onRetire(this);
+    const failure = createFailure(ResultCode.PeerUnreachable, `${this.linkOptions.peer} stops`);
+    for (const id of [...this.pending.keys()]) {
+      if (id > lastHandled) this.settle(id, Result.err(failure));
+    }
+    if (this.pending.size === 0) this.end('peer stops');
+  }
+
   private start(call: OutgoingCall): void {
-    if (this.isEnded) {
+    if (this.isEnded || this.retiring) {
       call.resolve(Result.err(createFailure(ResultCode.PeerUnreachable, 'link has ended')));
       return;
     }
@@ -174,5 +192,6 @@
     entry.cancelTimer();
     if (entry.onAbort !== undefined) entry.call.signal?.removeEventListener('abort', entry.onAbort);
     entry.call.resolve(result);
+    if (this.retiring && this.pending.size === 0) this.end('peer stops');
   }
 }
--- a/src/peer/peer-plugin.ts
+++ b/src/peer/peer-plugin.ts
@@ -34,6 +34,9 @@
   async start(container) {
     await (container.get(Token.PeerNetwork) as TcpPeerNetwork).listen();
   },
+  async drain(container) {
+    await (container.get(Token.PeerNetwork) as TcpPeerNetwork).retire();
+  },
   async stop(container) {
     await (container.get(Token.PeerNetwork) as TcpPeerNetwork).close();
   },
--- a/src/peer/tcp-peer-network.test.ts
+++ b/src/peer/tcp-peer-network.test.ts
@@ -375,3 +375,40 @@
   assert.equal(caller.network.linkCount + server.network.linkCount, 0);
   assert.equal(await fetchCode(caller, 'node-b'), ResultCode.Ok);
 });
+
+test('a planned stop ends what runs and tells which calls were not handled', async (context) => {
+  const caller = await startNode(context, 'node-a');
+  const server = await startNode(context, 'node-b');
+  const handled: number[] = [];
+  let finish = (): void => {};
+  let markEntered = (): void => {};
+  const entered = new Promise<void>((resolve) => (markEntered = resolve));
+  server.network.handle(
+    'configFetch',
+    (body) => Result.ok(body as { after: number }),
+    async (_from, { after }) => {
+      handled.push(after);
+      markEntered();
+      await new Promise<void>((resolve) => (finish = resolve));
+      return Result.ok({ records: [], version: after });
+    },
+  );
+  caller.network.setAddress('node-b', server.network.localAddress);
+  const running = fetchCode(caller, 'node-b', 1);
+  await entered;
+  const retired = server.network.retire();
+  // On its way before the caller can have read that the node stops.
+  const crossing = await caller.network.call(
+    'node-b',
+    'configFetch',
+    { after: 2 },
+    { timeoutMs: 1_000 },
+  );
+  assert.equal(crossing.isErr && crossing.error.code, ResultCode.PeerUnreachable);
+  assert.equal(crossing.isErr && crossing.error.execution, 'not-run');
+  assert.equal(await fetchCode(caller, 'node-b', 3), ResultCode.PeerUnreachable);
+  finish();
+  assert.equal(await running, ResultCode.Ok);
+  await retired;
+  assert.deepEqual(handled, [1]);
+});
--- a/src/peer/tcp-peer-network.ts
+++ b/src/peer/tcp-peer-network.ts
@@ -31,6 +31,9 @@
 /** Connections that may be in their handshake at once; more are closed unread. */
 const MAX_UNAUTHENTICATED = 512;
 
+/** Longest wait for calls in progress at a planned stop, in milliseconds. */
+const RETIRE_LIMIT_MS = 2_000;
+
 /** Options of a network. */
 export interface TcpPeerNetworkOptions extends LinkOptions {
   /** `host:port` to listen on; port 0 takes a free one. */
@@ -57,6 +60,8 @@
   private readonly server: Server;
   private cancelSweep: CancelTimer | undefined;
   private closed = false;
+  /** Called when the last incoming link has ended. */
+  private onRetired: (() => void) | undefined;
 
   constructor(private readonly options: TcpPeerNetworkOptions) {
     reserveCodecBuffer(options.limits.maxFrameBytes);
@@ -95,6 +100,28 @@
     return outgoing.length + this.incoming.size;
   }
 
+  /**
+   * Planned stop: takes no more connections or calls, ends those in progress and waits
+   * until the peers have closed their links, or a limit. Peers learn which of their calls
+   * were not handled, so that none ends with an unknown outcome.
+   */
+  async retire(): Promise<void> {
+    this.closed = true;
+    this.server.close();
+    const links = [...this.incoming];
+    for (const link of links) link.post({ type: 'retire' });
+    if (this.incoming.size === 0) return;
+    await new Promise<void>((resolve) => {
+      const cancelLimit = this.options.clock.schedule(RETIRE_LIMIT_MS, () => {
+        resolve();
+      });
+      this.onRetired = () => {
+        cancelLimit();
+        resolve();
+      };
+    });
+  }
+
   /** Closes all links and the listening socket; calls in flight end with `PeerLost`. */
   async close(): Promise<void> {
     this.closed = true;
@@ -172,6 +199,9 @@
       ...this.options,
       peer: node,
       address: entry.address,
+      onRetire: (link) => {
+        if (entry.link === link) entry.link = undefined;
+      },
       onEnd: (link, wasOpen) => {
         this.onOutgoingEnd(entry, link, wasOpen);
       },
@@ -198,7 +228,10 @@
     const link = new IncomingLink(socket, {
       ...this.options,
       handlers: this.handlers,
-      onEnd: (ended) => this.incoming.delete(ended),
+      onEnd: (ended) => {
+        this.incoming.delete(ended);
+        if (this.incoming.size === 0) this.onRetired?.();
+      },
     });
     this.incoming.add(link);
   }
