--- a/src/target/target-task.ts
+++ b/src/target/target-task.ts
@@ -5,13 +5,11 @@
 import type { AttemptResult } from '../core/attempt.js';
 import type { AttemptLedger } from '../core/attempt-ledger.js';
 import type { BufferReservation, ByteBudget } from '../core/byte-budget.js';
-import { withBaggage } from '../core/call-baggage.js';
 import { createFailure } from '../core/failure.js';
-import type { HttpRequest } from '../core/http-message.js';
 import type { GateAction, Refusal, TargetGate } from '../core/overload.js';
 import type { LoadReport, RequestContext } from '../core/request.js';
 import { ResultCode } from '../core/result-code.js';
-import type { CancelTimer, Clock } from '../kernel/clock.js';
+import type { Clock } from '../kernel/clock.js';
 import { Event, type EventLog } from '../kernel/event.js';
 import type { Metrics } from '../kernel/metrics.js';
 import { Task } from '../kernel/task.js';
@@ -24,7 +22,10 @@
 } from './attempt-end.js';
 import type { BackendClient, BackendResult } from './backend-client.js';
 import { outcomeOf, saysDraining, toAttemptResult } from './backend-result.js';
+import { BackendDispatch, mayStart } from './backend-dispatch.js';
+import { GateTimer } from './gate-timer.js';
 import { LeavingSigns } from './leaving-signs.js';
+import { LoadGauges } from './load-gauges.js';
 import type { DownstreamMessage, OfferMessage, TargetMessage } from './target-messages.js';
 
 /** What a target task works with. */
@@ -53,17 +54,6 @@
   reservation?: BufferReservation;
 }
 
-/** The gauges of this target, looked up once. */
-interface LoadGauges {
-  readonly inFlight: GaugeValue;
-  readonly queued: GaugeValue;
-  readonly limit: GaugeValue;
-}
-
-interface GaugeValue {
-  set(value: number): void;
-}
-
 const REPOST_DELAY_MS = 1;
 const NOTHING_RUN = { execution: 'not-run' } as const;
 const BUFFER_RETRY_AFTER_MS = 100;
@@ -76,21 +66,20 @@
   private lastTicket = 0;
   private wasLeaving = false;
   private wasSeenHere = false;
-  private loggedLimit: number | undefined;
   private retiring = false;
   private retired = false;
-  private armedFor: number | undefined;
-  private cancelGateTimer: CancelTimer = () => {};
+  private readonly gateTimer: GateTimer;
+  private readonly dispatch: BackendDispatch;
   private readonly gauges: LoadGauges;
 
   constructor(private readonly options: TargetTaskOptions) {
     super(`target ${options.target}`, options.mailboxCapacity);
-    const { metrics, target } = options;
-    this.gauges = {
-      inFlight: metrics.inFlight.labels({ target }),
-      queued: metrics.queued.labels({ target }),
-      limit: metrics.limit.labels({ target }),
-    };
+    const { target, nodeId, client, clock, log, metrics } = options;
+    this.gauges = new LoadGauges(target, metrics, log);
+    this.dispatch = new BackendDispatch(nodeId, client, clock);
+    this.gateTimer = new GateTimer(clock, () => {
+      this.postOwn({ type: 'timer' });
+    });
   }
 
   /** Attempts that wait or run. */
@@ -129,7 +118,8 @@
         break;
       case 'health':
         this.signs.noteHealth(message.state);
-        this.setGauges();
+        // Often enough for a scrape, and no cost for each call.
+        this.gauges.set(this.report());
         break;
       case 'operator-drain':
         this.signs.setDrainedByOperator(message.drained);
@@ -224,7 +214,7 @@
       this.giveUp(ticket, refusedByLeavingTarget(this.options.target));
       return;
     }
-    if (!this.mayStart(entry.offer)) {
+    if (!mayStart(attempt, this.options.clock.now())) {
       this.giveUp(ticket, tooLateToDispatch());
       return;
     }
@@ -250,39 +240,10 @@
     offer: OfferMessage,
     reservation: BufferReservation,
   ): Promise<void> {
-    const { attempt, maxAnswerBytes, signal } = offer;
-    let buffered = 0;
-    const result = await this.options.client.call(this.toBackendRequest(offer), {
-      timeoutMs: Math.max(0, attempt.context.deadline - this.options.clock.now()),
-      maxAnswerBytes,
-      signal,
-      mayStart: () => this.mayStart(offer),
-      takeBuffer: (bytes) => {
-        buffered += bytes;
-        return reservation.cover(buffered);
-      },
-    });
+    const result = await this.dispatch.call(offer, reservation);
     this.postOwn({ type: 'ended', ticket, result });
   }
 
-  /** Checked right before the first byte of the request can reach the back end. */
-  private mayStart(offer: OfferMessage): boolean {
-    const now = this.options.clock.now();
-    const { context, notAfter } = offer.attempt;
-    return now < context.deadline && (notAfter === undefined || now <= notAfter);
-  }
-
-  private toBackendRequest(offer: OfferMessage): HttpRequest {
-    const { attemptId, context, request } = offer.attempt;
-    const headers = withBaggage(request.headers, {
-      parentAttemptId: attemptId,
-      nodeId: this.options.nodeId,
-      deadlineMs: context.deadline - this.options.clock.now(),
-      requestId: context.requestId,
-    });
-    return { ...request, headers };
-  }
-
   /** Ends a ticket that the gate has dispatched and that never reached the back end. */
   private giveUp(ticket: number, result: AttemptResult): void {
     const now = this.options.clock.now();
@@ -318,7 +279,7 @@
       this.wasSeenHere = this.signs.seenHere;
       this.options.onLeavingChanged();
     }
-    this.armGateTimer();
+    this.gateTimer.arm(this.options.gate.nextTimer());
     if (this.retiring && this.tickets.size === 0) this.retire();
   }
 
@@ -340,31 +301,6 @@
     }
   }
 
-  private armGateTimer(): void {
-    const next = this.options.gate.nextTimer();
-    if (next === this.armedFor) return;
-    this.cancelGateTimer();
-    this.armedFor = next;
-    if (next === undefined) return;
-    const delayMs = Math.max(0, next - this.options.clock.now());
-    this.cancelGateTimer = this.options.clock.schedule(delayMs, () => {
-      this.armedFor = undefined;
-      this.postOwn({ type: 'timer' });
-    });
-  }
-
-  /** At each health poll: often enough for a scrape, and no cost for each call. */
-  private setGauges(): void {
-    const load = this.report();
-    this.gauges.inFlight.set(load.inFlight);
-    this.gauges.queued.set(load.queued);
-    this.gauges.limit.set(load.limit);
-    const limit = Math.round(load.limit);
-    if (limit === this.loggedLimit) return;
-    this.loggedLimit = limit;
-    this.options.log.emit(Event.LimitChanged, { target: this.options.target, limit });
-  }
-
   /** Posts a message of the task's own timers and calls, which may not get lost. */
   private postOwn(message: TargetMessage): void {
     if (this.post(message) || this.retired) return;
@@ -375,7 +311,7 @@
 
   private retire(): void {
     this.retired = true;
-    this.cancelGateTimer();
+    this.gateTimer.cancel();
     this.options.client.close();
     this.close();
     this.options.onRetired();
