--- a/src/testing/scripted-backend.ts
+++ b/src/testing/scripted-backend.ts
@@ -29,6 +29,14 @@
   socket.write(`HTTP/1.1 200 OK\r\nContent-Length: ${path.length}\r\n\r\n${path}`);
 }
 
+/** Answers with the given bytes, and closes the connection when told to. */
+export function replyWith(text: string, end = false): BackendScript {
+  return ({ socket }) => {
+    socket.write(text, 'latin1');
+    if (end) socket.end();
+  };
+}
+
 /** Starts a back end; health polls are answered with `serving`. */
 export async function startScriptedBackend(script = answerPlain): Promise<ScriptedBackend> {
   let current: BackendScript = script;
