--- a/src/entry/entry-contract.test.ts
+++ b/src/entry/entry-contract.test.ts
@@ -244,6 +244,7 @@
   const agent = new Agent({ keepAlive: true, maxSockets: 1 });
   const first = await send({ port: node.entryPort, path: '/steps/1', agent });
   assert.equal(first.headers.connection, 'keep-alive');
+  assert.equal(first.headers['keep-alive'], 'timeout=5');
   assert.equal((await send({ port: node.entryPort, path: '/steps/2', agent })).body, '/steps/2');
   agent.destroy();
 });
