Never grant attempts locally while a majority answers

Slots that are free at one replica and not yet at the next split the rounds; after the last split the requester fell back to the grant without a majority, one at each entry node.

--- a/src/claims/charge-requester.ts
+++ b/src/claims/charge-requester.ts
@@ -29,6 +29,9 @@
   readonly outcome: ChargeOutcome;
 }
 
+/** Time after which charges that got in each other's way have been given back. */
+const CONTENDED_RETRY_MS = 200;
+
 /** Coordinator of charges. */
 export class ChargeRequester {
   private charges = 0;
@@ -50,6 +53,7 @@
   async chargeReturnable(charge: AttemptCharge): Promise<Result<ChargeGrant, Failure>> {
     const key = `${charge.tenant}/${charge.requestId}`;
     let splits = 0;
+    let majorityAnswers = false;
     while (this.options.clock.now() < charge.deadline && splits < MAX_SPLITS) {
       const ended = await this.runRound(key, charge);
       if (ended === undefined) break;
@@ -58,6 +62,7 @@
       if (outcome.heardMajority) {
         if (!outcome.split) return exhausted('all attempts of this request id are spent');
         splits += 1;
+        majorityAnswers = true;
       }
       // Without a majority the replicas may just be changing their epoch, which takes less time
       // than a charge may wait.
@@ -66,7 +71,7 @@
         1 + this.options.random.next() * this.options.timing.retryJitterMs,
       );
     }
-    return this.grantLocally(key);
+    return majorityAnswers ? contended() : this.grantLocally(key);
   }
 
   /** One round under a charge id of its own; gives back what does not count. */
@@ -129,6 +134,13 @@
   }
 }
 
+/** A majority answers and grants nothing: a grant of this node alone would pass the bound. */
+function contended(): Result<ChargeGrant, Failure> {
+  const detail = 'charges of the same request id are in progress';
+  const options = { retryAfterMs: CONTENDED_RETRY_MS };
+  return Result.err(createFailure(ResultCode.ClaimUnavailable, detail, options));
+}
+
 function exhausted(detail: string): Result<ChargeGrant, Failure> {
   return Result.err(createFailure(ResultCode.AttemptsExhausted, detail));
 }
