--- a/src/claims/claim-plugin.ts
+++ b/src/claims/claim-plugin.ts
@@ -18,6 +18,7 @@
     network: container.get(Token.PeerNetwork),
     membership: container.get(Token.Membership),
     platform: container.get(Token.PlatformClient),
+    metrics: container.get(Token.Metrics),
     mailboxCapacity: settings.limits.maxMailboxLength,
   });
   tasks.set(container, task);
--- a/src/claims/claim-task.ts
+++ b/src/claims/claim-task.ts
@@ -7,6 +7,7 @@
 import { createRandom } from '../core/random.js';
 import type { Clock } from '../kernel/clock.js';
 import type { EventLog } from '../kernel/event.js';
+import type { Metrics } from '../kernel/metrics.js';
 import type { Membership } from '../membership/membership.js';
 import type { PeerNetwork } from '../peer/peer-network.js';
 import type { PlatformClient } from '../platform/platform-client.js';
@@ -33,6 +34,7 @@
   /** Requests that may wait for the local replica. */
   readonly mailboxCapacity: number;
   readonly timing?: ClaimTiming;
+  readonly metrics?: Metrics;
 }
 
 /** Distinguishes process starts within one millisecond, or after the wall clock was set back. */
@@ -54,10 +56,12 @@
   private readonly keeper: PlacementKeeper;
   private readonly claims: ClaimRequester;
   private readonly charges: ChargeRequester;
+  private readonly metrics: Metrics | undefined;
 
   constructor(options: ClaimTaskOptions) {
     const { nodeId, incarnation, clock, log, membership } = options;
     const timing = options.timing ?? DEFAULT_CLAIM_TIMING;
+    this.metrics = options.metrics;
     const random = createRandom(incarnation % 2 ** 31);
     this.replica = new ReplicaTask({ nodeId, incarnation }, options.mailboxCapacity, clock, log);
     const replica = this.replica;
@@ -70,7 +74,7 @@
     const observe = (record: PlacementRecord): void => {
       this.keeper.observe(record);
     };
-    const delivery = new ReplicaDelivery({ clock, timing, client, placement });
+    const delivery = new ReplicaDelivery({ clock, timing, client, placement, observe });
     const requester = { clock, log, timing, random, client, delivery, placement, observe };
     this.claims = new ClaimRequester(requester);
     this.charges = new ChargeRequester(requester, `${nodeId}#${incarnation}`);
@@ -91,8 +95,10 @@
     return this.replica.view.size;
   }
 
-  claim(request: ClaimRequest): Promise<ClaimDecision> {
-    return this.claims.claim(request);
+  async claim(request: ClaimRequest): Promise<ClaimDecision> {
+    const decision = await this.claims.claim(request);
+    this.metrics?.claims.inc({ result: decision.type });
+    return decision;
   }
 
   release(request: ClaimRequest): void {
@@ -103,8 +109,10 @@
     this.claims.finish(request, answer);
   }
 
-  charge(charge: AttemptCharge): Promise<Result<number, Failure>> {
-    return this.charges.charge(charge);
+  async charge(charge: AttemptCharge): Promise<Result<number, Failure>> {
+    const granted = await this.charges.charge(charge);
+    this.metrics?.claims.inc({ result: granted.isOk ? 'charged' : 'charge-refused' });
+    return granted;
   }
 
   /** Starts placement and recovery. */
--- a/src/claims/placement-keeper.ts
+++ b/src/claims/placement-keeper.ts
@@ -115,8 +115,9 @@
       await this.gossip();
     }
     await this.readOthers();
-    if (now >= this.nextPlatformAt || this.record === undefined) {
-      this.nextPlatformAt = now + timing.platformMs * (0.75 + this.options.random.next() / 2);
+    if (now >= this.nextPlatformAt) {
+      const intervalMs = this.record === undefined ? timing.gossipMs : timing.platformMs;
+      this.nextPlatformAt = now + intervalMs * (0.75 + this.options.random.next() / 2);
       await this.meetPlatform(now);
     }
     if (!this.leaving) await this.considerChange(now);
--- a/src/claims/replica-delivery.ts
+++ b/src/claims/replica-delivery.ts
@@ -15,6 +15,8 @@
   readonly client: ReplicaClient;
   /** Newest placement record: the members may change between two sends. */
   readonly placement: () => PlacementRecord | undefined;
+  /** Takes in a newer record that a replica told about. */
+  readonly observe: (record: PlacementRecord) => void;
 }
 
 /** Sender of releases, ends and returned charges. */
@@ -41,6 +43,9 @@
   ): Promise<void> {
     const { client, clock, timing } = this.options;
     const reply = await client.ask(nodeId, request, timing.roundTimeoutMs);
+    if (reply?.type === 'not-voting' && reply.record !== undefined) {
+      this.options.observe(reply.record);
+    }
     if (reply?.type === 'done' || sends >= MAX_SENDS) return;
     const delayMs = timing.deliveryRetryMs * 2 ** (sends - 1);
     clock.schedule(delayMs, () => {
