--- a/src/target/local-target-dispatcher.ts
+++ b/src/target/local-target-dispatcher.ts
@@ -29,7 +29,7 @@
   readonly clock: Clock;
   readonly log: EventLog;
   readonly metrics: Metrics;
-  /** Told the ids of all fronted targets that are leaving, after each change. */
+  /** Told the targets that this node's target side has seen leaving, after each change. */
   readonly onLeavingChanged: (leaving: readonly string[]) => void;
 }
 
