Shorten the model check of claims

Cause: it took 3 min 4 s, then 1 min 21 s, on the busy machine. Ruled out: -O3 and -DNOREDUCE (trial: no faster at 1.9 to 4.6 million states).

--- a/spec/claim-placement.pml
+++ b/spec/claim-placement.pml
@@ -16,6 +16,7 @@
  *   INSTALL_ANY_INCARNATION  a record starts a node that restarted after the record was made
  *   FORGET_SEAL              a restarted member inherits the claims but not the stop
  *   NO_INCARNATION_CHECK     votes, promises and acceptances count without the check
+ * With FIRST_EPOCH the first coordinator claims in that epoch, and the others in epoch 1.
  */
 #define NODES 4
 #ifndef PROPOSERS
@@ -159,10 +160,14 @@
 
 proctype Coordinator(byte c) {
   atomic {
+#ifdef FIRST_EPOCH
+    claimsIn[c] = (c == 0 -> FIRST_EPOCH : 1)
+#else
     if
     :: c == 0 || claimsIn[c - 1] == 0 -> claimsIn[c] = 0
     :: claimsIn[c] = 1
     fi
+#endif
   }
   do
   :: handleClaim(c, 0)
