Bound the hand-over at a planned stop by its own timer

Cause: one exchange of the hand-over could outlast the drain limit, as each has a limit of 1 s and there are four of them. Ruled out: shorter exchanges (replies of a busy machine come later than 250 ms).

--- a/src/claims/claim-task.test.ts
+++ b/src/claims/claim-task.test.ts
@@ -11,8 +11,10 @@
 import { InMemoryPlatform, type WriteFate } from '../testing/in-memory-platform.js';
 import type { ClaimDecision, ClaimRequest } from './claim-service.js';
 import { ClaimTask, createIncarnation } from './claim-task.js';
+import { DEFAULT_CLAIM_TIMING } from './claim-timing.js';
 
-const TICKS_BEFORE_READY = 3_000;
+const READY_AFTER_MS = 3_000;
+const VIRTUAL_STEP_MS = 5;
 
 /** Nodes joined by a network, a membership view and a platform, all in memory. */
 class Fleet {
@@ -71,8 +73,8 @@
 
   /** Lets virtual time pass, with all work that falls due. */
   async pass(milliseconds: number): Promise<void> {
-    for (let step = 0; step < milliseconds; step += 5) {
-      this.clock.advance(5);
+    for (let passed = 0; passed < milliseconds; passed += VIRTUAL_STEP_MS) {
+      this.clock.advance(VIRTUAL_STEP_MS);
       await new Promise((resolve) => setImmediate(resolve));
     }
   }
@@ -81,7 +83,7 @@
   async settle<T>(promise: Promise<T>): Promise<T> {
     let done = false;
     void promise.finally(() => (done = true));
-    for (let step = 0; !done && step < 4_000; step += 1) await this.pass(5);
+    for (let step = 0; !done && step < 4_000; step += 1) await this.pass(VIRTUAL_STEP_MS);
     return promise;
   }
 
@@ -128,7 +130,7 @@
   fleet.start('a', 'zone-1');
   fleet.start('b', 'zone-2');
   fleet.start('c', 'zone-3');
-  await fleet.pass(TICKS_BEFORE_READY);
+  await fleet.pass(READY_AFTER_MS);
   return fleet;
 }
 
@@ -244,6 +246,15 @@
   assert.equal((await fleet.claim('e', key, 'fourth')).type, 'in-progress');
 });
 
+test('a planned stop that reaches nobody ends at its limit', async () => {
+  const fleet = await createFleet();
+  fleet.cut('a');
+  const startedAt = fleet.clock.now();
+  await fleet.settle(fleet.nodes.get('a')!.drain());
+  assert.ok(fleet.clock.now() - startedAt <= DEFAULT_CLAIM_TIMING.drainMs + VIRTUAL_STEP_MS);
+  assert.equal((await fleet.claim('b', fleet.createKey(), 'first')).type, 'granted');
+});
+
 test('a group whose members all restarted is started anew and refuses the keys of before', async () => {
   const fleet = await createFleet();
   const key = fleet.createKey();
--- a/src/claims/placement-keeper.ts
+++ b/src/claims/placement-keeper.ts
@@ -87,7 +87,18 @@
     this.leaving = true;
     replica.post({ type: 'withdraw' });
     const end = clock.now() + timing.drainMs;
-    while (replica.view.isMember && clock.now() < end) {
+    await new Promise<void>((resolve) => {
+      const cancelLimit = clock.schedule(timing.drainMs, resolve);
+      void this.leaveGroup(end).then(() => {
+        cancelLimit();
+        resolve();
+      });
+    });
+  }
+
+  private async leaveGroup(end: number): Promise<void> {
+    const { clock, replica } = this.options;
+    while (replica.view.isMember && !this.stopped && clock.now() < end) {
       const chosen = chooseMembers(replica.view.record, this.candidates());
       if (chosen.length === 0) return;
       await this.changer.change(chosen, end);
