Complete a change of epoch whose proposer died after one install

Cause: found in review: when the proposer dies after it has started one member, that member has left the old epoch, and the others have no majority to repeat it. Ruled out: recovery by repeating the proposal (the test shows it is stuck).

--- a/spec/claim-placement.pml
+++ b/spec/claim-placement.pml
@@ -16,6 +16,7 @@
  *   INSTALL_ANY_INCARNATION  a record starts a node that restarted after the record was made
  *   FORGET_SEAL              a restarted member inherits the claims but not the stop
  *   NO_INCARNATION_CHECK     votes, promises and acceptances count without the check
+ * With OBSERVE_EARLY a node may hear of epoch 1 before a majority was started, and read one member.
  * With FIRST_EPOCH the first coordinator claims in that epoch, and the others in epoch 1.
  */
 #define NODES 4
@@ -330,10 +331,16 @@
   }
 }
 
+#ifdef OBSERVE_EARLY
+#define ANNOUNCED (decided != NOBODY)
+#else
+#define ANNOUNCED (installs == 2)
+#endif
+
 /* A node hears that epoch 1 is established: a majority of its members has been started. */
 inline observe(n) {
   atomic {
-    RELEVANT && installs == 2 && epoch[n] == 0 ->
+    RELEVANT && ANNOUNCED && epoch[n] == 0 ->
     enter(n, decided);
     if
     :: !NEW_MEMBER(decided, n) -> status[n] = IDLE
--- a/src/claims/claim-task.test.ts
+++ b/src/claims/claim-task.test.ts
@@ -9,6 +9,7 @@
 import type { Member, Membership } from '../membership/membership.js';
 import { InMemoryPeerHub } from '../peer/in-memory-peer-network.js';
 import { InMemoryPlatform, type WriteFate } from '../testing/in-memory-platform.js';
+import type { ReplicaReply, ReplicaRequest } from '../core/claim/replica-messages.js';
 import type { ClaimDecision, ClaimRequest } from './claim-service.js';
 import { ClaimTask, createIncarnation } from './claim-task.js';
 import { DEFAULT_CLAIM_TIMING } from './claim-timing.js';
@@ -62,6 +63,32 @@
     this.zones.delete(nodeId);
   }
 
+  /** Stops all members and starts one in the next epoch, as a proposer does that dies then. */
+  async changeOnly(nodeId: string): Promise<void> {
+    const old = this.nodes.get(nodeId)!.placement!;
+    const network = this.hub.createNetwork('proposer');
+    const ask = async (to: string, request: ReplicaRequest): Promise<ReplicaReply> => {
+      network.setAddress(to, to);
+      const result = await this.settle(
+        network.call(to, 'claimReplica', request, { timeoutMs: 100 }),
+      );
+      assert.ok(result.isOk);
+      return result.value;
+    };
+    const prepare = {
+      type: 'prepare',
+      epoch: old.epoch,
+      ballot: { round: 1, nodeId: 'x' },
+    } as const;
+    for (const member of old.members) await ask(member.nodeId, prepare);
+    const read = { type: 'recover', epoch: old.epoch, nodeId, incarnation: 0 } as const;
+    const { incarnation } = old.members.find((member) => member.nodeId === nodeId)!;
+    const reply = await ask(nodeId, { ...read, incarnation });
+    assert.ok(reply.type === 'recovered');
+    const record = { ...old, epoch: old.epoch + 1, fresh: false };
+    await ask(nodeId, { type: 'install', record, table: reply.memory.table });
+  }
+
   /** Cuts a node off from all others; membership only suspects it. */
   cut(nodeId: string): void {
     this.cutOff.add(nodeId);
@@ -246,6 +273,17 @@
   assert.equal((await fleet.claim('e', key, 'fourth')).type, 'in-progress');
 });
 
+test('a member that was started alone completes the change of its dead proposer', async () => {
+  const fleet = await createFleet();
+  const key = fleet.createKey();
+  await fleet.claim('a', key, 'first');
+  await fleet.changeOnly('b');
+  fleet.kill('a');
+  await fleet.pass(5_000);
+  assert.equal((await fleet.claim('c', key, 'second')).type, 'in-progress');
+  assert.equal((await fleet.claim('c', fleet.createKey(0, 1), 'third')).type, 'granted');
+});
+
 test('a planned stop that reaches nobody ends at its limit', async () => {
   const fleet = await createFleet();
   fleet.cut('a');
--- a/src/claims/epoch-changer.ts
+++ b/src/claims/epoch-changer.ts
@@ -145,6 +145,27 @@
     return false;
   }
 
+  /**
+   * Completes a change whose proposer has gone after it had started this node's replica: passes
+   * the replica's own tables on to the other members, as a pending one might read them.
+   */
+  async complete(): Promise<void> {
+    const { client, replica, timing } = this.options;
+    const { self, record, status } = replica.view;
+    if (record === undefined || (status !== 'voting' && status !== 'sealed')) return;
+    const read = { type: 'recover', epoch: record.epoch, ...self } as const;
+    const own = await client.ask(self.nodeId, read, timing.changeTimeoutMs);
+    if (own?.type !== 'recovered') return;
+    const request = { type: 'install', record, table: own.memory.table } as const;
+    let installed = 0;
+    const ids = record.members.map((member) => member.nodeId);
+    await this.askEach(ids, request, (reply) => {
+      if (reply.type === 'done') installed += 1;
+      return false;
+    });
+    if (installed >= majorityOf(ids.length)) await this.establish([record]);
+  }
+
   /** Asks nodes at once; resolves when `isEnough` says so or all have answered or timed out. */
   private askEach(
     nodeIds: readonly string[],
--- a/src/claims/placement-keeper.ts
+++ b/src/claims/placement-keeper.ts
@@ -52,6 +52,7 @@
   private nextExpireAt = 0;
   private nextLossCheckAt = 0;
   private changeWantedSince: number | undefined;
+  private unannouncedSince: number | undefined;
   private sealedSince: number | undefined;
 
   constructor(private readonly options: PlacementKeeperOptions) {
@@ -131,6 +132,7 @@
       this.nextPlatformAt = now + intervalMs * (0.75 + this.options.random.next() / 2);
       await this.meetPlatform(now);
     }
+    await this.considerCompletion(now);
     if (!this.leaving) await this.considerChange(now);
     if (now >= this.nextLossCheckAt) {
       this.nextLossCheckAt = now + timing.platformMs;
@@ -138,6 +140,16 @@
     }
   }
 
+  /** A member whose epoch has not been announced in time completes the change itself. */
+  private async considerCompletion(now: number): Promise<void> {
+    const { replica, timing } = this.options;
+    const { record, newestRecord } = replica.view;
+    const isUnannounced = (record?.epoch ?? 0) > (newestRecord?.epoch ?? 0);
+    this.unannouncedSince = isUnannounced ? (this.unannouncedSince ?? now) : undefined;
+    if (this.unannouncedSince === undefined) return;
+    if (now - this.unannouncedSince >= timing.takeOverMs) await this.changer.complete();
+  }
+
   /** The first node of the fleet looks whether the group has lost its memory for good. */
   private async considerRestart(): Promise<void> {
     const record = this.record;
