Membership: a restarted process is not suspected for its predecessor's silence

Cause: in a process run of planned stops, nodes suspected a restarted node 2 s after its start: the probe of the earlier incarnation was still in flight. Ruled out: a real silence of the new process (the new case fails with the machine's load out of the way, under virtual time). Change: a probe names the incarnation and ends without a verdict when that has changed.

--- a/src/core/membership/membership-faults.test.ts
+++ b/src/core/membership/membership-faults.test.ts
@@ -137,6 +137,16 @@
     assertConverges(fleet, SECOND, 'after the restart');
     assert.equal(fleet.countEvents('failed'), 0);
   },
+  'a quick restart raises no suspicion of the new incarnation': (fleet) => {
+    for (let round = 1; round <= 10; round += 1) {
+      const { address, zone } = fleet.node('node-2');
+      fleet.kill('node-2');
+      fleet.run(0.8 * SECOND);
+      fleet.addNode({ id: 'node-2', address, zone, incarnation: LATER_START + round });
+      fleet.run(5 * SECOND);
+    }
+    assert.equal(fleet.countEvents('suspected'), 0);
+  },
   'a restarted process whose clock is behind goes above its earlier incarnation': (fleet) => {
     const earlier = fleet.node('node-2').protocol.self().incarnation;
     fleet.kill('node-2');
--- a/src/core/membership/prober.ts
+++ b/src/core/membership/prober.ts
@@ -10,6 +10,8 @@
 interface Probe {
   readonly number: number;
   readonly nodeId: string;
+  /** A process that has restarted since owes no answer. */
+  readonly incarnation: number;
   readonly indirectAt: number;
   indirectSent: number;
   nacks: number;
@@ -118,9 +120,10 @@
     if (nodeId === undefined || entry === undefined) return;
     const number = this.nextNumber();
     const indirectAt = now + probeTimeoutMs * scale;
-    this.current = { number, nodeId, indirectAt, indirectSent: 0, nacks: 0 };
+    const { incarnation } = entry.facts;
+    this.current = { number, nodeId, incarnation, indirectAt, indirectSent: 0, nacks: 0 };
     // A suspected member learns of it first, so that it can refute (Lifeguard's buddy system).
-    const claim = state.describeClaim(nodeId, entry.facts.incarnation);
+    const claim = state.describeClaim(nodeId, incarnation);
     const first = claim === undefined ? [] : [claim];
     state.send(entry.facts.peerAddress, { type: 'ping', probe: number, to: nodeId }, first);
   }
@@ -145,12 +148,14 @@
     const probe = this.current;
     this.current = undefined;
     if (probe === undefined || !this.state.isReachable(probe.nodeId)) return;
+    const entry = this.state.table.find(probe.nodeId);
+    if (entry?.facts.incarnation !== probe.incarnation) return;
     // When no helper answered either, the fault may well be on this side.
     if (probe.indirectSent > 0 && probe.nacks === 0) {
       const { maxLocalHealth } = this.state.options;
       this.state.localHealth = Math.min(maxLocalHealth, this.state.localHealth + 1);
     }
-    this.onUnanswered(now, this.state.table.find(probe.nodeId)!);
+    this.onUnanswered(now, entry);
   }
 
   private expireRelays(now: number): void {
