--- a/src/claims/claim-task.ts
+++ b/src/claims/claim-task.ts
@@ -12,7 +12,13 @@
 import type { PlatformClient } from '../platform/platform-client.js';
 import { ChargeRequester } from './charge-requester.js';
 import { ClaimRequester } from './claim-requester.js';
-import type { AttemptCharge, ClaimDecision, ClaimRequest, ClaimService } from './claim-service.js';
+import type {
+  AttemptCharge,
+  ChargeGrant,
+  ClaimDecision,
+  ClaimRequest,
+  ClaimService,
+} from './claim-service.js';
 import { DEFAULT_CLAIM_TIMING, type ClaimTiming } from './claim-timing.js';
 import { PlacementKeeper } from './placement-keeper.js';
 import { PlacementStore } from './placement-store.js';
@@ -63,7 +69,8 @@
     const replica = this.replica;
     const client = new ReplicaClient(options.network, replica);
     const store = new PlacementStore(options.platform);
-    const keeper = { clock, timing, random, membership, replica, client, store };
+    const { platform } = options;
+    const keeper = { clock, timing, random, membership, platform, replica, client, store };
     this.keeper = new PlacementKeeper(keeper);
     const placement = (): PlacementRecord | undefined => this.keeper.record;
     const observe = (record: PlacementRecord): void => {
@@ -106,6 +113,10 @@
     return this.charges.charge(charge);
   }
 
+  chargeReturnable(charge: AttemptCharge): Promise<Result<ChargeGrant, Failure>> {
+    return this.charges.chargeReturnable(charge);
+  }
+
   /** Starts placement and recovery. */
   start(): void {
     this.keeper.start();
--- a/src/kernel/token.ts
+++ b/src/kernel/token.ts
@@ -34,6 +34,7 @@
   Kernel: createToken<Kernel>('Kernel'),
   PeerNetwork: createToken<PeerNetwork>('PeerNetwork'),
   Membership: createToken<Membership>('Membership'),
+  LeavingTargets: createToken<LeavingTargets>('LeavingTargets'),
   PlatformClient: createToken<PlatformClient>('PlatformClient'),
   ConfigStore: createToken<ConfigStore>('ConfigStore'),
   RulesRepository: createToken<RulesRepository>('RulesRepository'),
@@ -43,5 +44,4 @@
   CallRouter: createToken<CallRouter>('CallRouter'),
   AdminServer: createToken<AdminServer>('AdminServer'),
   ByteBudget: createToken<ByteBudget>('ByteBudget'),
-  LeavingTargets: createToken<LeavingTargets>('LeavingTargets'),
 } as const;
