--- a/src/claims/claim-timing.ts
+++ b/src/claims/claim-timing.ts
@@ -4,6 +4,8 @@
 export interface ClaimTiming {
   /** Longest wait for the replies of one round of a claim or charge. */
   readonly roundTimeoutMs: number;
+  /** Longest wait for a claim, however long the request may wait. */
+  readonly claimWaitMs: number;
   /** Largest random pause before another round. */
   readonly retryJitterMs: number;
   /** Pause before the first repeat of a release, finish or give-back; doubles each time. */
@@ -28,7 +30,8 @@
 
 /** Timing of a node. */
 export const DEFAULT_CLAIM_TIMING: ClaimTiming = {
-  roundTimeoutMs: 250,
+  roundTimeoutMs: 1_000,
+  claimWaitMs: 3_000,
   retryJitterMs: 20,
   deliveryRetryMs: 100,
   tickMs: 200,
@@ -37,6 +40,6 @@
   bootstrapWaitMs: 1_500,
   changeDelayMs: 500,
   takeOverMs: 1_000,
-  changeTimeoutMs: 500,
+  changeTimeoutMs: 1_000,
   drainMs: 1_500,
 };
--- a/src/cli/registered-commands.ts
+++ b/src/cli/registered-commands.ts
@@ -7,6 +7,7 @@
 import { commands as linkCommands } from '../stand-ins/link/commands.js';
 import { commands as platformCommands } from '../stand-ins/platform/commands.js';
 import { commands as benchmarkCommands } from '../testing/commands.js';
+import { commands as membershipCommands } from '../testing/membership-commands.js';
 import type { CommandClass } from './command.js';
 import { ConfigApplyCommand } from './config-apply-command.js';
 import { ConfigCheckCommand } from './config-check-command.js';
@@ -41,4 +42,5 @@
   ...experimentCommands,
   ...fleetCommands,
   ...benchmarkCommands,
+  ...membershipCommands,
 ];
