Run seeded faults over a deployment of processes: sillshore experiment faults

Cause: several faults at once had not been tried. Ruled out: nothing. Change: a table of faults, seeded schedules over nodes, back ends and the platform, a run that checks the journals and a calm load afterwards.

--- a/src/testing/commands.ts
+++ b/src/testing/commands.ts
@@ -1,8 +1,9 @@
-/** `sillshore bench latency`. */
+/** `sillshore bench latency` and `sillshore experiment faults`. */
 import { Command, Option } from 'clipanion';
 import * as t from 'typanion';
 import { SillshoreCommand } from '../cli/command.js';
 import { ExitCode } from '../cli/exit-code.js';
+import type { FaultRunResult } from './fault-run.js';
 
 const positiveInteger = t.cascade(t.isNumber(), [t.isInteger(), t.isAtLeast(1)]);
 const DEFAULT_RATES = ['77', '770'];
@@ -51,5 +52,69 @@
   }
 }
 
+/** Runs seeded schedules of faults over real processes. */
+export class ExperimentFaultsCommand extends SillshoreCommand {
+  static override paths = [['experiment', 'faults']];
+  static override usage = Command.Usage({
+    category: 'Experiments',
+    description: 'run seeded faults over a deployment of processes and check the guarantees',
+    details: `
+      For each seed: starts an example as separate processes on loopback, runs load with hard
+      repeats while nodes are killed, paused and stopped, back ends misbehave and the platform
+      fails, then a calm load, and checks the journals of both ends. Exits with 5 when a guarantee
+      was broken, and prints the seed. A seed fixes the schedule, not the machine's timing.
+      Run it in the repository's root.
+    `,
+    examples: [
+      ['One seed', '$0 experiment faults --seed 7'],
+      ['More faults, several seeds', '$0 experiment faults --seed 1 --seed 2 --faults 20'],
+    ],
+  });
+
+  seeds = Option.Array('--seed', { description: 'Seed, by default 1; repeat for more' });
+  example = Option.String('--example', 'recife', {
+    validator: t.isEnum(['recife', 'trondheim'] as const),
+  });
+  faults = Option.String('--faults', '12', { validator: positiveInteger });
+  durationMs = Option.String('--duration-ms', '12000', { validator: positiveInteger });
+  rateFactor = Option.String('--rate-factor', '0.5', { validator: t.isNumber() });
+  json = Option.Boolean('--json', false, { description: 'Print one JSON object a seed' });
+
+  protected async run(): Promise<ExitCode> {
+    const { Deployment } = await import('./deployment.js');
+    const { runFaults } = await import('./fault-run.js');
+    const { example, faults, durationMs, rateFactor } = this;
+    let broken = false;
+    for (const seed of (this.seeds ?? ['1']).map(Number)) {
+      const deployment = await Deployment.start({ example });
+      try {
+        const result = await runFaults(deployment, { seed, faults, durationMs, rateFactor });
+        broken ||= result.report.violations.length > 0 || result.calmComplete === 0;
+        this.printResult(result);
+      } finally {
+        await deployment.stop();
+      }
+    }
+    return broken ? ExitCode.GuaranteeBroken : ExitCode.Ok;
+  }
+
+  private printResult(result: FaultRunResult): void {
+    if (this.json) {
+      this.print(JSON.stringify(result));
+      return;
+    }
+    const { seed, report, log, calmComplete, calmSent, calmCodes } = result;
+    for (const line of log) this.print(`  ${line}`);
+    for (const line of calmCodes) this.print(`  calm load: ${line}`);
+    for (const violation of report.violations) this.print(`  broken: ${violation}`);
+    const { sent, complete, doubled, wrongAnswer, notRunButRan, aboveBound, maxAttempts } = report;
+    this.print(
+      `seed ${seed}: ${sent} sent, ${complete} complete, ${doubled} doubled, ` +
+        `${wrongAnswer} wrong, ${notRunButRan} told not-run but run, ${aboveBound} above the ` +
+        `bound, at most ${maxAttempts} attempts; calm: ${calmComplete} of ${calmSent} complete`,
+    );
+  }
+}
+
 /** Commands of this module. */
-export const commands = [BenchLatencyCommand];
+export const commands = [BenchLatencyCommand, ExperimentFaultsCommand];
--- a/src/testing/deployment.ts
+++ b/src/testing/deployment.ts
@@ -197,10 +197,16 @@
     return checkGuarantees({ rules: this.plan.rules, records, journals, journalsIncomplete });
   }
 
-  /** Starts a stopped node again: a new process with the same settings. */
-  async restartNode(id: string): Promise<void> {
+  /** Starts a stopped node again, a new process with the same settings, without waiting. */
+  respawnNode(id: string): RunningNode {
     const node = this.findNode(id);
     node.process = this.spawnNode(node.plan);
+    return node;
+  }
+
+  /** Starts a stopped node again and waits until it is ready. */
+  async restartNode(id: string): Promise<void> {
+    const node = this.respawnNode(id);
     await poll(`${id} ready`, START_TIMEOUT_MS, () => node.admin.isReady());
   }
 
