--- a/src/claims/placement-keeper.ts
+++ b/src/claims/placement-keeper.ts
@@ -52,6 +52,7 @@
   private nextExpireAt = 0;
   private nextLossCheckAt = 0;
   private changeWantedSince: number | undefined;
+  private unannouncedSince: number | undefined;
   private sealedSince: number | undefined;
 
   constructor(private readonly options: PlacementKeeperOptions) {
@@ -87,7 +88,18 @@
     this.leaving = true;
     replica.post({ type: 'withdraw' });
     const end = clock.now() + timing.drainMs;
-    while (replica.view.isMember && clock.now() < end) {
+    await new Promise<void>((resolve) => {
+      const cancelLimit = clock.schedule(timing.drainMs, resolve);
+      void this.leaveGroup(end).then(() => {
+        cancelLimit();
+        resolve();
+      });
+    });
+  }
+
+  private async leaveGroup(end: number): Promise<void> {
+    const { clock, replica } = this.options;
+    while (replica.view.isMember && !this.stopped && clock.now() < end) {
       const chosen = chooseMembers(replica.view.record, this.candidates());
       if (chosen.length === 0) return;
       await this.changer.change(chosen, end);
@@ -115,10 +127,12 @@
       await this.gossip();
     }
     await this.readOthers();
-    if (now >= this.nextPlatformAt || this.record === undefined) {
-      this.nextPlatformAt = now + timing.platformMs * (0.75 + this.options.random.next() / 2);
+    if (now >= this.nextPlatformAt) {
+      const intervalMs = this.record === undefined ? timing.gossipMs : timing.platformMs;
+      this.nextPlatformAt = now + intervalMs * (0.75 + this.options.random.next() / 2);
       await this.meetPlatform(now);
     }
+    await this.considerCompletion(now);
     if (!this.leaving) await this.considerChange(now);
     if (now >= this.nextLossCheckAt) {
       this.nextLossCheckAt = now + timing.platformMs;
@@ -126,6 +140,16 @@
     }
   }
 
+  /** A member whose epoch has not been announced in time completes the change itself. */
+  private async considerCompletion(now: number): Promise<void> {
+    const { replica, timing } = this.options;
+    const { record, newestRecord } = replica.view;
+    const isUnannounced = (record?.epoch ?? 0) > (newestRecord?.epoch ?? 0);
+    this.unannouncedSince = isUnannounced ? (this.unannouncedSince ?? now) : undefined;
+    if (this.unannouncedSince === undefined) return;
+    if (now - this.unannouncedSince >= timing.takeOverMs) await this.changer.complete();
+  }
+
   /** The first node of the fleet looks whether the group has lost its memory for good. */
   private async considerRestart(): Promise<void> {
     const record = this.record;
