Reserve ports by blocks, so that deployments side by side never share one

Cause: a node of a deployment ended with EADDRINUSE while other deployments ran on the machine. Ruled out: processes left over from an earlier run. Change: a driver or test process holds the first port of a block open as a lock for as long as it uses the block.

--- a/src/testing/deployment-plan.ts
+++ b/src/testing/deployment-plan.ts
@@ -9,7 +9,7 @@
 import type { Failure } from '../core/failure.js';
 import type { Machine } from '../platform/platform-client.js';
 import { parseWorkload, type Workload } from '../stand-ins/workload.js';
-import { findFreePorts } from './free-ports.js';
+import { reservePorts } from './free-ports.js';
 
 /** Names of the example deployments. */
 export type ExampleName = 'recife' | 'trondheim';
@@ -53,6 +53,8 @@
   readonly machines: readonly Machine[];
   /** Scratch directory of the run. */
   readonly directory: string;
+  /** Lets other deployments have the ports; call it when every process has ended. */
+  releasePorts(): void;
 }
 
 const PORTS_PER_NODE = 3;
@@ -72,7 +74,8 @@
   const nodesPerZone = options.nodesPerZone ?? 1;
   const targetCount = changed.services.flatMap(({ targets }) => targets).length;
   const nodeCount = zones.length * nodesPerZone;
-  const ports = await findFreePorts(2 + targetCount + nodeCount * PORTS_PER_NODE);
+  const reserved = await reservePorts(2 + targetCount + nodeCount * PORTS_PER_NODE);
+  const ports = [...reserved.ports];
   const takeAddress = (): string => `${LOOPBACK}:${ports.shift()!}`;
   const [platformPort = 0, platformControlPort = 0] = ports.splice(0, 2);
 
@@ -111,6 +114,9 @@
     targets,
     machines: [...nodes.map(nodeMachine), ...targets.map(targetMachine)],
     directory,
+    releasePorts: () => {
+      reserved.release();
+    },
   };
 }
 
--- a/src/testing/deployment.ts
+++ b/src/testing/deployment.ts
@@ -234,6 +234,7 @@
     const nodes = this.started.filter(isNode);
     await Promise.all(nodes.map((process) => process.stop(signal, STOP_TIMEOUT_MS)));
     await Promise.all(this.started.map((process) => process.stop(signal)));
+    this.plan.releasePorts();
     rmSync(this.plan.directory, { recursive: true, force: true });
   }
 
