--- a/src/testing/deployment.ts
+++ b/src/testing/deployment.ts
@@ -197,10 +197,16 @@
     return checkGuarantees({ rules: this.plan.rules, records, journals, journalsIncomplete });
   }
 
-  /** Starts a stopped node again: a new process with the same settings. */
-  async restartNode(id: string): Promise<void> {
+  /** Starts a stopped node again, a new process with the same settings, without waiting. */
+  respawnNode(id: string): RunningNode {
     const node = this.findNode(id);
     node.process = this.spawnNode(node.plan);
+    return node;
+  }
+
+  /** Starts a stopped node again and waits until it is ready. */
+  async restartNode(id: string): Promise<void> {
+    const node = this.respawnNode(id);
     await poll(`${id} ready`, START_TIMEOUT_MS, () => node.admin.isReady());
   }
 
@@ -228,6 +234,7 @@
     const nodes = this.started.filter(isNode);
     await Promise.all(nodes.map((process) => process.stop(signal, STOP_TIMEOUT_MS)));
     await Promise.all(this.started.map((process) => process.stop(signal)));
+    this.plan.releasePorts();
     rmSync(this.plan.directory, { recursive: true, force: true });
   }
 
