Reserve by the square root of the nested load; nested calls first, shortest first

Change: within a class nested calls before callers' requests, shortest expected service first; the reserve is the square root of the nested load, at most 20% of the limit.

--- a/src/core/policies/adaptive-gate.ts
+++ b/src/core/policies/adaptive-gate.ts
@@ -50,7 +50,6 @@
 
   offer(now: number, ticket: number, request: RequestContext): readonly GateAction[] {
     this.updateThreshold(now);
-    this.reserve.note(now, request);
     const waiting = this.createWaiting(now, ticket, request);
     const below = this.downstream.highest(now, request.kind);
     if (isBelow(waiting, below.threshold)) {
@@ -58,7 +57,8 @@
       return [this.refuse(now, waiting, ResultCode.AdmissionRefused, detail)];
     }
     const { controller, queue } = this.options;
-    controller.noteOffered(now, waiting.priority, this.estimate(request.kind));
+    controller.noteOffered(now, waiting.priority, waiting.serviceMs);
+    this.reserve.note(now, request, waiting.serviceMs);
     if (this.isUnreachable(now, waiting)) return [this.refuseLate(now, waiting)];
     const mustDisplace = !this.hasFreeSlot(now, request) && isBelow(waiting, controller.threshold);
     queue.add(waiting);
@@ -111,11 +111,12 @@
   }
 
   private createWaiting(now: number, ticket: number, request: RequestContext): WaitingRequest {
-    const latestStart = request.deadline - this.estimate(request.kind);
+    const serviceMs = this.estimate(request.kind);
+    const latestStart = request.deadline - serviceMs;
     const probes = latestStart <= now && !this.inFlight.hasKind(request.kind);
     // A probe finds out whether the service time has come down again.
     const giveUpAt = probes ? request.deadline : latestStart;
-    return { ticket, request, priority: admissionPriority(request), giveUpAt };
+    return { ticket, request, priority: admissionPriority(request), serviceMs, giveUpAt };
   }
 
   private isUnreachable(now: number, waiting: WaitingRequest): boolean {
--- a/src/core/policies/bounded-gate.ts
+++ b/src/core/policies/bounded-gate.ts
@@ -32,7 +32,7 @@
 
   offer(now: number, ticket: number, request: RequestContext): readonly GateAction[] {
     const { queue, maxQueued } = this.options;
-    queue.add({ ticket, request, priority: 0, giveUpAt: request.deadline });
+    queue.add({ ticket, request, priority: 0, serviceMs: 0, giveUpAt: request.deadline });
     const actions = this.drain(now);
     if (queue.length <= maxQueued) return actions;
     const last = queue.takeLowest()!;
--- a/src/core/queue/criticality-queue.test.ts
+++ b/src/core/queue/criticality-queue.test.ts
@@ -21,7 +21,7 @@
 }
 
 function createWaiting([ticket, criticality, giveUpAt, priority]: Row): WaitingRequest {
-  return { ticket, request: createRequest(criticality), giveUpAt, priority };
+  return { ticket, request: createRequest(criticality), giveUpAt, priority, serviceMs: 1 };
 }
 
 function createQueue(): CriticalityQueue {
@@ -44,6 +44,23 @@
   );
 });
 
+test('calls from other services go first in their class, the shortest before the longer', () => {
+  const queue = createQueue();
+  const nested = [
+    [11, 30],
+    [12, 10],
+    [13, 20],
+  ] as const;
+  for (const [ticket, serviceMs] of nested) {
+    const request = createRequest('normal', 1);
+    queue.add({ ticket, request, giveUpAt: 500, priority: 0.4, serviceMs });
+  }
+  assert.deepEqual(
+    drain(() => queue.takeNext()),
+    [3, 2, 12, 13, 11, 4, 5, 1],
+  );
+});
+
 test('gives up the lowest class first and in it the lowest priority', () => {
   const queue = createQueue();
   assert.deepEqual(
@@ -74,14 +91,16 @@
   }
 });
 
-test('the reserve is for recent nested calls of the same or a higher class', () => {
+test('the reserve is for the load of nested calls of the same or a higher class', () => {
   const reserve = new NestedReserve();
   const slots = (now: number, criticality: Criticality, depth = 0, limit = 18) =>
     reserve.slots(now, createRequest(criticality, depth), limit);
   assert.equal(slots(0, 'sheddable'), 0);
-  reserve.note(0, createRequest('high', 1));
-  assert.deepEqual([slots(10, 'critical'), slots(10, 'high'), slots(10, 'normal')], [0, 2, 2]);
-  assert.equal(slots(10, 'normal', 1), 0);
-  assert.equal(slots(10, 'normal', 0, 3), 0);
-  assert.equal(slots(500, 'normal'), 0);
+  // 100 calls a second of 40 ms take four slots.
+  for (let now = 0; now < 3_000; now += 10) reserve.note(now, createRequest('high', 1), 40);
+  const at = 3_000;
+  assert.deepEqual([slots(at, 'critical'), slots(at, 'high'), slots(at, 'normal')], [0, 2, 2]);
+  assert.equal(slots(at, 'normal', 1), 0);
+  assert.deepEqual([slots(at, 'normal', 0, 6), slots(at, 'normal', 0, 2)], [1, 0]);
+  assert.equal(slots(at + 5_000, 'normal'), 0);
 });
--- a/src/core/queue/criticality-queue.ts
+++ b/src/core/queue/criticality-queue.ts
@@ -1,39 +1,39 @@
 /**
- * Criticality first; within a class the request whose latest useful start comes first
- * (least laxity, earliest deadline first when service times are equal).
+ * Criticality first. Within a class calls from other services come before callers' requests,
+ * the shortest service time first, because each of them holds a slot above while it waits
+ * and that order makes the sum of their waits least. Callers' requests follow by their latest
+ * useful start (least laxity; earliest deadline first when service times are equal).
  */
 import { CRITICALITIES, rankOf } from '../request.js';
 import type { WaitingQueue, WaitingRequest } from './waiting-queue.js';
 
-/** One sorted array per class; they are short, because the queue is bounded by time. */
+/** Two sorted arrays per class; they are short, because the queue is bounded by time. */
 export class CriticalityQueue implements WaitingQueue {
-  private readonly classes: WaitingRequest[][] = CRITICALITIES.map(() => []);
+  private readonly levels: WaitingRequest[][] = CRITICALITIES.flatMap(() => [[], []]);
 
   get length(): number {
-    return this.classes.reduce((sum, waiting) => sum + waiting.length, 0);
+    return this.levels.reduce((sum, waiting) => sum + waiting.length, 0);
   }
 
   add(waiting: WaitingRequest): void {
-    const sorted = this.classOf(waiting);
+    const sorted = this.levelOf(waiting);
     sorted.splice(findPosition(sorted, waiting), 0, waiting);
   }
 
   takeNext(): WaitingRequest | undefined {
-    return this.classes.find((sorted) => sorted.length > 0)?.shift();
+    return this.levels.find((sorted) => sorted.length > 0)?.shift();
   }
 
   takeLowest(): WaitingRequest | undefined {
-    const sorted = this.classes.findLast(({ length }) => length > 0);
-    if (sorted === undefined) return undefined;
-    let lowest = 0;
-    for (const [index, { priority }] of sorted.entries()) {
-      if (priority <= sorted[lowest]!.priority) lowest = index;
+    let lowest: WaitingRequest | undefined;
+    for (const waiting of this.levels.flat()) {
+      if (lowest === undefined || waiting.priority <= lowest.priority) lowest = waiting;
     }
-    return sorted.splice(lowest, 1)[0];
+    return lowest === undefined ? undefined : this.remove(lowest.ticket);
   }
 
   remove(ticket: number): WaitingRequest | undefined {
-    for (const sorted of this.classes) {
+    for (const sorted of this.levels) {
       const index = sorted.findIndex((waiting) => waiting.ticket === ticket);
       if (index >= 0) return sorted.splice(index, 1)[0];
     }
@@ -41,38 +41,48 @@
   }
 
   takeExpired(now: number): readonly WaitingRequest[] {
-    return this.classes.flatMap((sorted) => {
-      const firstAlive = sorted.findIndex(({ giveUpAt }) => giveUpAt > now);
-      return sorted.splice(0, firstAlive < 0 ? sorted.length : firstAlive);
-    });
+    const expired = this.levels.flat().filter(({ giveUpAt }) => giveUpAt <= now);
+    for (const { ticket } of expired) this.remove(ticket);
+    return expired;
   }
 
   earliestGiveUp(): number | undefined {
     let earliest: number | undefined;
-    for (const [first] of this.classes) {
-      if (first !== undefined) earliest = Math.min(earliest ?? Infinity, first.giveUpAt);
+    for (const { giveUpAt } of this.levels.flat()) {
+      earliest = Math.min(earliest ?? Infinity, giveUpAt);
     }
     return earliest;
   }
 
   countAhead(waiting: WaitingRequest): number {
-    const rank = rankOf(waiting.request.criticality);
-    const higher = this.classes.slice(0, rank).reduce((sum, { length }) => sum + length, 0);
-    return higher + findPosition(this.classOf(waiting), waiting);
+    const higher = this.levels
+      .slice(0, levelIndex(waiting))
+      .reduce((sum, { length }) => sum + length, 0);
+    return higher + findPosition(this.levelOf(waiting), waiting);
   }
 
-  private classOf({ request }: WaitingRequest): WaitingRequest[] {
-    return this.classes[rankOf(request.criticality)]!;
+  private levelOf(waiting: WaitingRequest): WaitingRequest[] {
+    return this.levels[levelIndex(waiting)]!;
   }
 }
 
-/** Position after all that give up no later (binary search). */
-function findPosition(sorted: readonly WaitingRequest[], { giveUpAt }: WaitingRequest): number {
+function levelIndex({ request }: WaitingRequest): number {
+  return 2 * rankOf(request.criticality) + (request.depth > 0 ? 0 : 1);
+}
+
+/** What a level is sorted by. */
+function sortKey({ request, serviceMs, giveUpAt }: WaitingRequest): number {
+  return request.depth > 0 ? serviceMs : giveUpAt;
+}
+
+/** Position after all that are not greater (binary search). */
+function findPosition(sorted: readonly WaitingRequest[], waiting: WaitingRequest): number {
+  const key = sortKey(waiting);
   let low = 0;
   let high = sorted.length;
   while (low < high) {
     const middle = (low + high) >>> 1;
-    if (sorted[middle]!.giveUpAt <= giveUpAt) low = middle + 1;
+    if (sortKey(sorted[middle]!) <= key) low = middle + 1;
     else high = middle;
   }
   return low;
--- a/src/core/queue/nested-reserve.ts
+++ b/src/core/queue/nested-reserve.ts
@@ -3,26 +3,40 @@
  *
  * A call from another service holds a slot above for as long as it waits here. When less
  * important callers' requests fill every slot, each such call waits for the next slot to
- * come free, and the capacity above falls by that wait. A small reserve costs less.
+ * come free, and the capacity above falls by that wait. A small reserve costs less. It
+ * follows the square root of the load of these calls, as safety staffing does in queueing
+ * theory (Halfin and Whitt 1981).
  *
  * @see docs/design/overload-control.md
  */
 import { CRITICALITIES, rankOf, type RequestContext } from '../request.js';
 
-/** Reserved share of the limit. */
-const RESERVED_SHARE = 0.12;
+/** Largest reserved share of the limit. */
+const MAX_RESERVED_SHARE = 0.2;
 /** Part of the reserve that stands idle on average. */
 const IDLE_SHARE = 0.5;
-/** A class whose last nested call is older than this needs no reserve, in milliseconds. */
-const NESTED_RECENTLY_MS = 200;
+/** Time constant of the load, in milliseconds. */
+const TIME_CONSTANT_MS = 500;
+
+/** Load of the nested calls of one class, in slots. */
+interface NestedLoad {
+  slots: number;
+  updatedAt: number;
+}
 
 /** Reserve of one target. */
 export class NestedReserve {
-  private readonly lastNestedAt: number[] = CRITICALITIES.map(() => -Infinity);
+  private readonly loads: readonly NestedLoad[] = CRITICALITIES.map(() => ({
+    slots: 0,
+    updatedAt: 0,
+  }));
 
-  /** Takes note of an offered request. */
-  note(now: number, request: RequestContext): void {
-    if (request.depth > 0) this.lastNestedAt[rankOf(request.criticality)] = now;
+  /** Takes note of an offered request that is expected to take `workMs` of slot time. */
+  note(now: number, request: RequestContext, workMs: number): void {
+    if (request.depth === 0) return;
+    const load = this.loads[rankOf(request.criticality)]!;
+    load.slots = slotsAt(now, load) + workMs / TIME_CONSTANT_MS;
+    load.updatedAt = now;
   }
 
   /** Slots that `request` must leave free: those for nested calls at least as important. */
@@ -37,7 +51,13 @@
   }
 
   private slotsForRank(now: number, rank: number, limit: number): number {
-    const latest = Math.max(...this.lastNestedAt.slice(0, rank + 1));
-    return now - latest <= NESTED_RECENTLY_MS ? Math.round(RESERVED_SHARE * limit) : 0;
+    const load = this.loads
+      .slice(0, rank + 1)
+      .reduce((sum, nested) => sum + slotsAt(now, nested), 0);
+    return Math.round(Math.min(Math.sqrt(load), MAX_RESERVED_SHARE * limit));
   }
 }
+
+function slotsAt(now: number, { slots, updatedAt }: NestedLoad): number {
+  return slots * Math.exp((updatedAt - now) / TIME_CONSTANT_MS);
+}
--- a/src/core/queue/waiting-queue.ts
+++ b/src/core/queue/waiting-queue.ts
@@ -7,6 +7,8 @@
   readonly request: RequestContext;
   /** Admission priority; the lowest is refused first when the queue is full. */
   readonly priority: number;
+  /** Expected service time, in milliseconds. */
+  readonly serviceMs: number;
   /** Latest useful start: the request is refused when it still waits then. */
   readonly giveUpAt: number;
 }
