Show the level before the cause beside the recovery time

Cause: aimd at zone loss 'recovered' in 0.0 s because it had collapsed before the loss. Ruled out: a common earlier level for all policies; the policy's own is what its users had.

--- a/src/emulator/experiment.ts
+++ b/src/emulator/experiment.ts
@@ -35,6 +35,8 @@
   readonly maxAttemptsPerCall: number;
   /** Milliseconds; `Infinity` stands for not recovered. Absent without a cause. */
   readonly recoveryMs?: Spread;
+  /** Completed requests per sent request before the cause. */
+  readonly levelBefore?: Spread;
   /** Requests that caused more attempts than their kind allows, over all seeds. */
   readonly overAttemptsBound: boolean;
   readonly kinds: readonly KindSummary[];
@@ -96,7 +98,12 @@
     unrankedRatio: over((run) => run.unrankedRatio),
     attemptsPerCall: over((run) => run.attemptsPerCall),
     maxAttemptsPerCall: Math.max(...runs.map((run) => run.maxAttemptsPerCall)),
-    ...(hasCause ? { recoveryMs: over((run) => run.recoveryMs ?? Infinity) } : {}),
+    ...(hasCause
+      ? {
+          recoveryMs: over((run) => run.recoveryMs ?? Infinity),
+          levelBefore: over((run) => run.levelBefore ?? 0),
+        }
+      : {}),
     overAttemptsBound: kinds.some(({ maxAttempts, attemptsBound }) => maxAttempts > attemptsBound),
     kinds,
     services: (runs[0]?.services ?? []).map(({ service }, index) => ({
--- a/src/emulator/recovery.ts
+++ b/src/emulator/recovery.ts
@@ -57,7 +57,8 @@
   });
 }
 
-function earlierLevel({ sent, complete }: GoodputSeries, times: CauseTimes): number {
+/** Completed requests per sent request between the warm-up and the first cause. */
+export function earlierLevel({ sent, complete }: GoodputSeries, times: CauseTimes): number {
   const from = Math.floor(times.warmUpMs / WINDOW_MS);
   const to = Math.floor(times.causeStartMs / WINDOW_MS);
   const offered = sum(sent.slice(from, to));
--- a/src/emulator/run-result.ts
+++ b/src/emulator/run-result.ts
@@ -4,7 +4,7 @@
 import type { Deployment } from './deployment.js';
 import { causePeriod, phasesOf } from './phases.js';
 import { type KindSeries, type Recorder, type ServiceSeries, WINDOW_MS } from './recorder.js';
-import { recoveryTime } from './recovery.js';
+import { earlierLevel, recoveryTime } from './recovery.js';
 import type { RequestEnd } from './request-record.js';
 import type { Scenario } from './scenario.js';
 
@@ -53,6 +53,8 @@
   readonly maxAttemptsPerCall: number;
   /** Milliseconds; `null` when not recovered by the end, absent without a cause. */
   readonly recoveryMs?: number | null;
+  /** Completed requests per sent request before the cause; what recovery is measured against. */
+  readonly levelBefore?: number;
   /** Count by `place code service depth`. */
   readonly refusals: Readonly<Record<string, number>>;
   /** Mean wait in the gate by `kind at service depth`, in milliseconds. */
@@ -95,7 +97,7 @@
     unrankedRatio: ratio(complete, unranked),
     attemptsPerCall: ratio(sum(kinds.map(({ attempts }) => attempts)), calls),
     maxAttemptsPerCall: Math.max(...recorder.kinds.map((kind) => kind.maxAttemptsPerCall)),
-    ...(recovery === undefined ? {} : { recoveryMs: recovery }),
+    ...recovery,
     refusals: Object.fromEntries([...recorder.refusals].sort()),
     gateWaitMs: Object.fromEntries(
       [...recorder.gateWaits].sort().map(([key, { count, totalMs }]) => [key, totalMs / count]),
@@ -164,9 +166,12 @@
   };
 }
 
-function recoveryOf(scenario: Scenario, recorder: Recorder): number | null | undefined {
+function recoveryOf(
+  scenario: Scenario,
+  recorder: Recorder,
+): Pick<RunResult, 'recoveryMs' | 'levelBefore'> {
   const cause = causePeriod(scenario);
-  if (cause === undefined || cause.toMs >= scenario.durationMs) return undefined;
+  if (cause === undefined || cause.toMs >= scenario.durationMs) return {};
   const series = {
     sent: addSeries(recorder.kindSeries.map(({ sent }) => sent)),
     complete: addSeries(recorder.kindSeries.map(({ complete }) => complete)),
@@ -176,7 +181,10 @@
     causeStartMs: cause.fromMs,
     causeEndMs: cause.toMs,
   };
-  return recoveryTime(series, times) ?? null;
+  return {
+    recoveryMs: recoveryTime(series, times) ?? null,
+    levelBefore: earlierLevel(series, times),
+  };
 }
 
 function addSeries(all: readonly (readonly number[])[]): number[] {
