Record limits and thresholds of the gates over time

Cause: a routing fault (all traffic to one of three targets) showed only in the queues. Ruled out: faults of the model; the routers' state was read at the moment itself. Change: limit and threshold in the series of each service.

--- a/src/emulator/recorder.ts
+++ b/src/emulator/recorder.ts
@@ -59,6 +59,10 @@
   /** Waiting for a connection or in the back ends. */
   readonly queuedInTargets: number[];
   readonly inFlight: number[];
+  /** Sum of the gates' limits; `null` where there is none. */
+  readonly limit: (number | null)[];
+  /** Highest admission threshold of the gates. */
+  readonly threshold: number[];
 }
 
 /** State of a service at one moment, over its targets. */
@@ -66,6 +70,8 @@
   readonly queued: number;
   readonly queuedInTargets: number;
   readonly inFlight: number;
+  readonly limit: number;
+  readonly threshold: number;
 }
 
 /** Records one run. */
@@ -101,6 +107,8 @@
       queued: zeros(),
       queuedInTargets: zeros(),
       inFlight: zeros(),
+      limit: zeros(),
+      threshold: zeros(),
     }));
     this.serviceIndex = new Map(deployment.services.map(({ name }, index) => [name, index]));
   }
@@ -150,6 +158,8 @@
     series.queued[window] = sample.queued;
     series.queuedInTargets[window] = sample.queuedInTargets;
     series.inFlight[window] = sample.inFlight;
+    series.limit[window] = Number.isFinite(sample.limit) ? sample.limit : null;
+    series.threshold[window] = sample.threshold;
   }
 
   private addWait(record: RequestRecord, site: CallSite, waitedMs: number): void {
--- a/src/emulator/simulation.ts
+++ b/src/emulator/simulation.ts
@@ -236,8 +236,11 @@
   private sample(): void {
     for (const [index, service] of this.deployment.services.entries()) {
       const sides = service.targets.map(({ id }) => this.targetSide(id));
+      const loads = sides.map((side) => side.load);
       this.recorder.sampleService(index, {
-        queued: sum(sides.map((side) => side.queued)),
+        queued: sum(loads.map(({ queued }) => queued)),
+        limit: sum(loads.map(({ limit }) => limit)),
+        threshold: Math.max(...loads.map(({ threshold }) => threshold)),
         queuedInTargets: sum(sides.map((side) => side.queuedInTarget)),
         inFlight: sum(sides.map((side) => side.backEnd.inFlight)),
       });
--- a/src/emulator/target-side.ts
+++ b/src/emulator/target-side.ts
@@ -4,7 +4,7 @@
  */
 import type { AttemptLedger } from '../core/attempt-ledger.js';
 import type { GateAction, Refusal, TargetGate } from '../core/overload.js';
-import type { AttemptOutcome } from '../core/request.js';
+import type { AttemptOutcome, LoadReport } from '../core/request.js';
 import { ResultCode } from '../core/result-code.js';
 import type { AttemptEnd } from './attempt-end.js';
 import type { BackEndRefusal, EmulatedBackEnd } from './back-end.js';
@@ -62,9 +62,9 @@
     return this.options.gate;
   }
 
-  /** Requests waiting in the gate. */
-  get queued(): number {
-    return this.options.gate.report(this.world.queue.now()).queued;
+  /** State of the gate. */
+  get load(): LoadReport {
+    return this.options.gate.report(this.world.queue.now());
   }
 
   /** Requests waiting for a connection or in the back end. */
