--- a/src/entry/entry-contract.test.ts
+++ b/src/entry/entry-contract.test.ts
@@ -38,6 +38,7 @@
         kinds: [
           { ...limited, name: 'read', match: { pathPrefix: '/steps' } },
           { ...kind, name: 'promise', match: { pathPrefix: '/promises' }, idempotent: false },
+          { ...limited, name: 'part', match: { pathPrefix: '/parts' }, entry: 'internal' },
         ],
       },
       {
@@ -184,6 +185,12 @@
     code: ResultCode.CallContextRequired,
     status: 400,
   },
+  {
+    name: 'internal kind of an open service without its context',
+    raw: `GET /parts HTTP/1.1\r\nHost: guide\r\n${CLOSE}`,
+    code: ResultCode.CallContextRequired,
+    status: 400,
+  },
   {
     name: 'context of an attempt that does not run',
     raw: `GET /x HTTP/1.1\r\nHost: ledger\r\nBaggage: sillshore-parent=a.b.c\r\n${CLOSE}`,
@@ -374,6 +381,26 @@
   assert.equal(backend.seen.length - seenBefore, 2);
 });
 
+test('a refusal costs nothing of the attempts that repeats share', async () => {
+  const headers = { 'Idempotency-Key': `${UUID_V7.slice(0, -1)}8` };
+  const path = '/steps/refused';
+  backend.setScript(() => undefined);
+  const busy = Array.from({ length: 4 }, () => send({ port: node.entryPort, path: '/steps/busy' }));
+  await new Promise((resolve) => setTimeout(resolve, 50));
+  const short = { ...headers, 'Sillshore-Timeout': '20' };
+  const repeats = Array.from({ length: 4 }, () =>
+    send({ port: node.entryPort, path, headers: short }),
+  );
+  const codes = [ResultCode.DeadlineExceeded, ResultCode.AttemptsExhausted].map(String);
+  for (const refused of await Promise.all(repeats)) {
+    assert.equal(refused.headers['sillshore-execution'], 'not-run');
+    assert.ok(codes.includes(String(refused.headers['sillshore-result'])));
+  }
+  await Promise.all(busy);
+  backend.setScript(answerPlain);
+  assert.equal((await send({ port: node.entryPort, path, headers })).body, path);
+});
+
 test('connections are kept alive', async () => {
   const agent = new Agent({ keepAlive: true, maxSockets: 1 });
   const first = await send({ port: node.entryPort, path: '/steps/1', agent });
