--- a/src/emulator/commands.ts
+++ b/src/emulator/commands.ts
@@ -37,14 +37,14 @@
   json = Option.Boolean('--json', false, { description: 'Print the summary as JSON' });
   out = Option.String('--out', { description: 'Directory for raw results and plots' });
   seeds = Option.String('--seeds', {
-    description: 'Number of seeds, counted from 1, in place of the file’s',
+    description: "Number of seeds, counted from 1, in place of the file's",
     validator: applyCascade(isNumber(), [isInteger(), isInInclusiveRange(1, MAX_SEEDS)]),
   });
   jobs = Option.String('--jobs', {
     description: 'Runs at a time; half of the processors, four at most, when absent',
     validator: applyCascade(isNumber(), [isInteger(), isInInclusiveRange(1, MAX_JOBS)]),
   });
-  policies = Option.Array('--policy', { description: 'Policy in place of the file’s; repeatable' });
+  policies = Option.Array('--policy', { description: "Policy in place of the file's; repeatable" });
 
   protected async run(): Promise<ExitCode> {
     const scenario = await this.readScenario();
