Count as attempts only what was sent to a back end

Cause: the random schedules showed a bound passed at dead targets; the data path spends no attempt on a refused connection (target-task.ts), the model did, so the finding was the model's fault. Ruled out: the data path: it reports 0 attempts used for what was never sent. Change: attempts count when a back end that is there gets the request; unreachable uses none.

--- a/src/emulator/random-faults.test.ts
+++ b/src/emulator/random-faults.test.ts
@@ -12,9 +12,6 @@
 
 const RECIFE = readExampleDeployment('recife');
 const services = RECIFE.services.map(({ name }) => name);
-const idempotentKinds = new Set(
-  RECIFE.kinds.filter(({ root }) => root.kind.idempotent).map(({ name }) => name),
-);
 const zones = RECIFE.zones.map(({ name }) => name);
 
 const period = fc
@@ -50,7 +47,7 @@
   })),
   fc.tuple(period, targets).map(([when, what]) => ({
     type: 'shedding',
-    queueAbove: 2,
+    queueAbove: 0,
     ...when,
     ...what,
   })),
@@ -111,12 +108,6 @@
   });
 }
 
-test('adaptive: no idempotent kind passes its bound on attempts whatever fails', () => {
-  checkRuns('adaptive', (kind) => {
-    if (idempotentKinds.has(kind.kind)) checkBound(kind);
-  });
-});
-
-test('adaptive: no kind at all passes its bound on attempts whatever fails', () => {
+test('adaptive: no kind passes its bound on attempts whatever fails', () => {
   checkRuns('adaptive', checkBound);
 });
--- a/src/emulator/recorder.ts
+++ b/src/emulator/recorder.ts
@@ -119,10 +119,14 @@
     if (this.isMeasured(record)) this.kinds[record.kindIndex]!.sent += 1;
   }
 
-  /** A back end gets an attempt. */
+  /** A gate let an attempt go after a wait. */
   onDispatch(record: RequestRecord, site: CallSite, waitedMs: number): void {
-    record.attempts += 1;
     if (this.isMeasured(record)) this.addWait(record, site, waitedMs);
+  }
+
+  /** An attempt was sent to a back end that is there; only this counts as an attempt. */
+  onAttempt(record: RequestRecord, site: CallSite): void {
+    record.attempts += 1;
     this.count(this.seriesOf(site).attempts);
   }
 
--- a/src/emulator/target-side.ts
+++ b/src/emulator/target-side.ts
@@ -160,7 +160,10 @@
     }
     entry.state = 'sent';
     this.world.queue.schedule(this.world.deployment.localDelayMs, () => {
-      if (entry.state === 'sent') this.options.backEnd.accept(entry.job!);
+      if (entry.state !== 'sent') return;
+      const { record, site } = entry.attempt;
+      if (this.options.backEnd.state !== 'dead') this.world.recorder.onAttempt(record, site);
+      this.options.backEnd.accept(entry.job!);
     });
   }
 
@@ -196,7 +199,9 @@
     const entry = this.byAttempt.get(attempt);
     if (entry?.state !== 'sent') return;
     this.options.pool.release(reason !== 'unreachable');
-    this.options.ledger.close(entry.attempt.id);
+    const spent = this.options.ledger.close(entry.attempt.id);
+    // Nothing was sent to an unreachable target.
+    const attemptsUsed = reason === 'unreachable' ? 0 : spent;
     if (reason === 'draining') this.onLeavingSign();
     this.complete(entry, reason);
     const { record, site } = entry.attempt;
@@ -204,7 +209,7 @@
     this.world.recorder.onRefusal(record, site, 'target', code);
     entry.attempt.reply({
       ...this.notRun(entry.attempt, reason, code, DEFAULT_RETRY_AFTER_MS),
-      attemptsUsed: 1,
+      attemptsUsed,
     });
   }
 
