--- a/src/emulator/simulation.ts
+++ b/src/emulator/simulation.ts
@@ -12,6 +12,7 @@
 import { type PolicyProfile, profileOf } from './policy-profile.js';
 import { Recorder, WINDOW_MS } from './recorder.js';
 import { createStream, deriveSeed } from './sampling.js';
+import { startSampling } from './service-sampler.js';
 import { TargetDirectory } from './target-directory.js';
 import { TargetSide } from './target-side.js';
 import type { World } from './world.js';
@@ -76,7 +77,7 @@
       endMs: durationMs,
       entryNode: (zoneIndex, choice) => this.entryNode(zoneIndex, choice),
     }).start();
-    this.scheduleSample();
+    startSampling(this, durationMs);
   }
 
   /** Runs to virtual time `untilMs`. */
@@ -94,9 +95,7 @@
     this.network.send(fromZone, toZone, deliver);
   }
 
-  targetSide(target: string): TargetSide {
-    return this.sides.get(target)!;
-  }
+  readonly targetSide = (target: string): TargetSide => this.sides.get(target)!;
 
   readonly callsOf = (service: string): readonly string[] => this.calls.get(service) ?? [];
 
@@ -222,32 +221,4 @@
     const nodes = this.nodesByZone.get(zone)!;
     return nodes[Math.floor(choice * nodes.length)];
   }
-
-  private scheduleSample(): void {
-    // Just before the end of each window, so that the sample falls into it.
-    this.queue.schedule(WINDOW_MS - 1, () => {
-      this.sample();
-      this.queue.schedule(1, () => {
-        if (this.queue.now() < this.options.durationMs) this.scheduleSample();
-      });
-    });
-  }
-
-  private sample(): void {
-    for (const [index, service] of this.deployment.services.entries()) {
-      const sides = service.targets.map(({ id }) => this.targetSide(id));
-      const loads = sides.map((side) => side.load);
-      this.recorder.sampleService(index, {
-        queued: sum(loads.map(({ queued }) => queued)),
-        limit: sum(loads.map(({ limit }) => limit)),
-        threshold: Math.max(...loads.map(({ threshold }) => threshold)),
-        queuedInTargets: sum(sides.map((side) => side.queuedInTarget)),
-        inFlight: sum(sides.map((side) => side.backEnd.inFlight)),
-      });
-    }
-  }
-}
-
-function sum(values: readonly number[]): number {
-  return values.reduce((total, value) => total + value, 0);
 }
--- a/src/emulator/world.ts
+++ b/src/emulator/world.ts
@@ -30,7 +30,7 @@
   /** Sends a message between zones; it is lost when either zone is lost meanwhile. */
   send(fromZone: string, toZone: string, deliver: () => void): void;
   /** The target side of a target on the node that fronts it. */
-  targetSide(target: string): TargetSide;
+  readonly targetSide: (target: string) => TargetSide;
   /** The services that a service calls. */
   readonly callsOf: CallGraph;
   /** Fewest attempts with which a call of a service can succeed. */
