Refuse a charge without a majority when the call needs more than one attempt

Cause: on a busy machine the process test of the bound failed: script steps with 7 attempts where 6 are allowed. A charge that no majority answered in time granted one attempt beyond the bound, which a chain of three services cannot use. Ruled out: the ledgers; with the charges answered the largest count is the bound. Change: such a charge is refused (3004, not run) unless the call needs a single attempt. Conclusion: kept; for calls that need one attempt the bound still is the kind's plus one for each node without a majority.

--- a/src/claims/charge-requester.ts
+++ b/src/claims/charge-requester.ts
@@ -15,8 +15,9 @@
 const MAX_BOUND = 255;
 
 /**
- * Attempts that one node grants by itself to one request id while no majority answers. The bound
- * that then holds is the kind's bound plus this for each entry node that is cut off.
+ * Attempts that one node grants by itself to one request id while no majority answers; a charge
+ * that wants more is refused. The bound that then holds is the kind's bound plus this for each
+ * entry node that is cut off; for calls that need more attempts it is the kind's bound.
  */
 export const ATTEMPTS_WITHOUT_MAJORITY = 1;
 
@@ -66,7 +67,7 @@
         1 + this.options.random.next() * this.options.timing.retryJitterMs,
       );
     }
-    return this.grantLocally(key);
+    return this.grantLocally(key, charge.wanted);
   }
 
   /** One round under a charge id of its own; gives back what does not count. */
@@ -111,14 +112,16 @@
     void this.options.delivery.deliver({ type: 'give-back', key, chargeId, unused });
   }
 
-  private grantLocally(key: string): Result<ChargeGrant, Failure> {
+  private grantLocally(key: string, wanted: number): Result<ChargeGrant, Failure> {
     const now = this.options.clock.now();
     for (const [known, { createdAt }] of this.local) {
       if (now - createdAt <= BUDGET_RETENTION_MS) break;
       this.local.delete(known);
     }
     const entry = this.local.get(key) ?? { granted: 0, createdAt: now };
-    if (this.local.size >= MAX_LOCAL_IDS || entry.granted >= ATTEMPTS_WITHOUT_MAJORITY) {
+    // A call that needs more attempts than that for its chain would only spend one in vain.
+    const left = ATTEMPTS_WITHOUT_MAJORITY - entry.granted;
+    if (this.local.size >= MAX_LOCAL_IDS || left < 1 || wanted > ATTEMPTS_WITHOUT_MAJORITY) {
       const detail = 'no majority of replicas to charge attempts at';
       return Result.err(
         createFailure(ResultCode.ClaimUnavailable, detail, { retryAfterMs: 1_000 }),
