--- a/src/emulator/target-side.ts
+++ b/src/emulator/target-side.ts
@@ -4,7 +4,7 @@
  */
 import type { AttemptLedger } from '../core/attempt-ledger.js';
 import type { GateAction, Refusal, TargetGate } from '../core/overload.js';
-import type { AttemptOutcome } from '../core/request.js';
+import type { AttemptOutcome, LoadReport } from '../core/request.js';
 import { ResultCode } from '../core/result-code.js';
 import type { AttemptEnd } from './attempt-end.js';
 import type { BackEndRefusal, EmulatedBackEnd } from './back-end.js';
@@ -62,9 +62,9 @@
     return this.options.gate;
   }
 
-  /** Requests waiting in the gate. */
-  get queued(): number {
-    return this.options.gate.report(this.world.queue.now()).queued;
+  /** State of the gate. */
+  get load(): LoadReport {
+    return this.options.gate.report(this.world.queue.now());
   }
 
   /** Requests waiting for a connection or in the back end. */
@@ -160,7 +160,10 @@
     }
     entry.state = 'sent';
     this.world.queue.schedule(this.world.deployment.localDelayMs, () => {
-      if (entry.state === 'sent') this.options.backEnd.accept(entry.job!);
+      if (entry.state !== 'sent') return;
+      const { record, site } = entry.attempt;
+      if (this.options.backEnd.state !== 'dead') this.world.recorder.onAttempt(record, site);
+      this.options.backEnd.accept(entry.job!);
     });
   }
 
@@ -196,7 +199,9 @@
     const entry = this.byAttempt.get(attempt);
     if (entry?.state !== 'sent') return;
     this.options.pool.release(reason !== 'unreachable');
-    this.options.ledger.close(entry.attempt.id);
+    const spent = this.options.ledger.close(entry.attempt.id);
+    // Nothing was sent to an unreachable target.
+    const attemptsUsed = reason === 'unreachable' ? 0 : spent;
     if (reason === 'draining') this.onLeavingSign();
     this.complete(entry, reason);
     const { record, site } = entry.attempt;
@@ -204,7 +209,7 @@
     this.world.recorder.onRefusal(record, site, 'target', code);
     entry.attempt.reply({
       ...this.notRun(entry.attempt, reason, code, DEFAULT_RETRY_AFTER_MS),
-      attemptsUsed: 1,
+      attemptsUsed,
     });
   }
 
