--- a/src/core/routing/load-score.ts
+++ b/src/core/routing/load-score.ts
@@ -1,4 +1,8 @@
-/** Expected time of a request at a target: the measure by which routing compares targets. */
+/**
+ * Share of a target's limit that is taken: the measure by which routing compares targets.
+ * A slow target stays full for longer and so gets fewer requests; latency itself is left out,
+ * because its noise over different kinds unbalances equal targets.
+ */
 import type { TargetState } from './target-state.js';
 
 /** Where the router stands. */
@@ -7,7 +11,7 @@
   readonly region: string;
 }
 
-/** Added to the score of a target in another zone of the region, as a share of its latency. */
+/** Added to the score of a target in another zone of the region. */
 const OTHER_ZONE_SHARE = 0.25;
 /** The same for a target in another region. */
 const OTHER_REGION_SHARE = 2;
@@ -16,19 +20,11 @@
 /** Factor on the score of a target that has just joined. */
 const SLOW_START_FACTOR = 8;
 
-/** Limit and latency of a target that has not reported yet: those of the others. */
-export interface Defaults {
-  readonly limit: number;
-  readonly latencyMs: number;
-}
-
-/** Means over the targets that have reported. */
-export function computeDefaults(targets: readonly TargetState[]): Defaults {
+/** Limit of targets that have not reported yet: the mean of the others. */
+export function computeDefaultLimit(targets: readonly TargetState[]): number {
   const reports = targets.flatMap((target) => target.lastReport() ?? []);
-  if (reports.length === 0) return { limit: 1, latencyMs: 1 };
-  const limit = reports.reduce((sum, report) => sum + report.limit, 0) / reports.length;
-  const latencyMs = reports.reduce((sum, report) => sum + report.latencyMs, 0) / reports.length;
-  return { limit, latencyMs };
+  if (reports.length === 0) return 1;
+  return reports.reduce((sum, report) => sum + report.limit, 0) / reports.length;
 }
 
 /** Score of a target; the lowest is best. */
@@ -36,12 +32,11 @@
   now: number,
   target: TargetState,
   locality: Locality,
-  defaults: Defaults,
+  defaultLimit: number,
 ): number {
-  const { limit, latencyMs } = target.lastReport() ?? defaults;
-  const expectedMs = (latencyMs * (target.load(now) + 1)) / limit;
-  const distanceMs = latencyMs * distanceShare(target, locality);
-  return (expectedMs + distanceMs) * slowStartFactor(now, target);
+  const limit = target.lastReport()?.limit ?? defaultLimit;
+  const share = (target.load(now) + 1) / limit;
+  return (share + distanceShare(target, locality)) * slowStartFactor(now, target);
 }
 
 /** Weighs much while targets are idle and little while they are full, so that load spills over. */
--- a/src/core/routing/target-choice.ts
+++ b/src/core/routing/target-choice.ts
@@ -1,6 +1,6 @@
 /** Choice among targets: power of two choices, in the router's zone and outside it. */
 import type { Random } from '../random.js';
-import { computeDefaults, type Locality, scoreOf } from './load-score.js';
+import { computeDefaultLimit, type Locality, scoreOf } from './load-score.js';
 import type { TargetState } from './target-state.js';
 
 /** Chooses one of at least one candidate. */
@@ -42,9 +42,9 @@
  */
 export const chooseByHotCold: TargetChoice = (now, candidates, _locality, random) => {
   const sample = sampleTwo(candidates, random);
-  const { limit, latencyMs } = computeDefaults(candidates);
+  const limit = computeDefaultLimit(candidates);
   const share = (target: TargetState) => target.load(now) / (target.lastReport()?.limit ?? limit);
-  const latency = (target: TargetState) => target.lastReport()?.latencyMs ?? latencyMs;
+  const latency = (target: TargetState) => target.lastReport()?.latencyMs ?? 0;
   const cold = sample.filter((target) => share(target) < HOT_SHARE);
   const least = (targets: readonly TargetState[], measure: (target: TargetState) => number) =>
     targets.reduce((best, target) => (measure(target) < measure(best) ? target : best));
@@ -57,11 +57,11 @@
   candidates: readonly TargetState[],
   locality: Locality,
 ): TargetState {
-  const defaults = computeDefaults(candidates);
+  const defaultLimit = computeDefaultLimit(candidates);
   let best = sample[0]!;
   let bestScore = Infinity;
   for (const target of sample) {
-    const score = scoreOf(now, target, locality, defaults);
+    const score = scoreOf(now, target, locality, defaultLimit);
     if (score < bestScore) {
       best = target;
       bestScore = score;
