Give operators' tokens tenants and a role

Cause: one token a node stood for every tenant, so that a team that may change its own rules could change everybody's. Ruled out: the check before the body is read (the tenant stands in the body); tokens in the platform's store (a node that starts in an outage would let nobody in). Change: settings admin.tokens (token in clear or as sha256:HEX, tenants, role); admin.token stays the full one. An interceptor checks each method's row of a total table; OperatorForbidden 5009. Status shows a tenant's token its own targets and revisions only. Before the change every one of these tokens got 5006. A change of tokens needs a restart of each node.

--- a/src/admin/admin-server.ts
+++ b/src/admin/admin-server.ts
@@ -10,7 +10,8 @@
 import { Event } from '../kernel/event.js';
 import type { AdminNode } from './admin-node.js';
 import { createAdminService } from './admin-service.js';
-import { presentsToken } from './authentication.js';
+import { OperatorTokens } from './authentication.js';
+import { checkPermissions, createOperatorContext } from './authorization.js';
 import { createConnectMiddleware, methodOf, sendConnectError } from './connect-middleware.js';
 import { DrainCommands } from './drain-commands.js';
 import { isReady } from './node-status.js';
@@ -49,11 +50,13 @@
 export class AdminServer {
   private readonly shutdown = new AbortController();
   private readonly server: Server;
+  private readonly tokens: OperatorTokens;
 
   constructor(
     private readonly node: AdminNode,
     limits: AdminTimeLimits = DEFAULT_TIME_LIMITS,
   ) {
+    this.tokens = new OperatorTokens(node.settings.admin);
     const drains = new DrainCommands(node);
     drains.registerHandlers();
     const options = {
@@ -122,6 +125,9 @@
     app.use(
       createConnectMiddleware({
         routes: (router) => router.service(AdminService, createAdminService(node, drains)),
+        interceptors: [checkPermissions(node)],
+        contextValues: (request) =>
+          createOperatorContext(this.tokens.find(request.headers.authorization)),
         maxRequestBytes: MAX_REQUEST_BYTES,
         shutdownSignal: this.shutdown.signal,
         onDefect: (error) => {
@@ -138,9 +144,12 @@
     return app;
   }
 
-  /** Refuses remote calls without the operator's token, before their body is read. */
+  /**
+   * Refuses remote calls without an operator's token, before their body is read. What a token
+   * allows depends on the body and is checked by {@link checkPermissions}.
+   */
   private authenticate(): RequestHandler {
-    const { settings, log } = this.node;
+    const { log } = this.node;
     return (request, response, next) => {
       if (!isRemoteCall(request)) {
         next();
@@ -148,7 +157,7 @@
       }
       const method = methodOf(request);
       const from = request.socket.remoteAddress;
-      if (presentsToken(request.headers.authorization, settings.admin.token)) {
+      if (this.tokens.find(request.headers.authorization) !== undefined) {
         log.emit(Event.OperatorRequest, { method, from });
         next();
         return;
--- a/src/admin/admin-service.ts
+++ b/src/admin/admin-service.ts
@@ -13,6 +13,7 @@
   WatchRevisionsRequest,
 } from '../gen/sillshore/admin/v1/admin_pb.js';
 import type { AdminNode } from './admin-node.js';
+import { grantOf } from './authorization.js';
 import { toConnectError, unwrapOrThrow } from './connect-error.js';
 import type { DrainCommands } from './drain-commands.js';
 import { computeInForce } from './in-force.js';
@@ -82,7 +83,7 @@
       requireTenant(tenant);
       return describeInForce(node, tenant);
     },
-    getStatus: () => collectStatus(node, startedAt),
+    getStatus: (_request, { values }) => collectStatus(node, startedAt, grantOf(values)),
     drainTarget: async ({ target, resume }) => {
       unwrapOrThrow(await drains.drainTarget({ target, drained: !resume }));
       return {};
--- a/src/admin/authentication.ts
+++ b/src/admin/authentication.ts
@@ -1,18 +1,39 @@
 /** Bearer tokens of operators (RFC 6750). */
-import { createHash, timingSafeEqual } from 'node:crypto';
+import { timingSafeEqual } from 'node:crypto';
+import type { Settings } from '../config/settings.js';
+import { digestOf, hashToken } from '../config/operator-tokens.js';
 
 const BEARER = /^Bearer ([^\s]+)$/i;
 
-/**
- * Whether an `Authorization` field presents the expected token. Digests are compared in
- * constant time, so that neither the token's content nor its length shows in the timing.
- */
-export function presentsToken(authorization: string | undefined, expected: string): boolean {
-  const presented = BEARER.exec(authorization ?? '')?.[1];
-  if (presented === undefined) return false;
-  return timingSafeEqual(digest(presented), digest(expected));
+/** What the holder of a token may do. */
+export interface OperatorGrant {
+  readonly tenants: 'all' | readonly string[];
+  /** A reader changes nothing. */
+  readonly role: 'operator' | 'reader';
 }
 
-function digest(text: string): Buffer {
-  return createHash('sha256').update(text).digest();
+/** The tokens of a node's settings. */
+export class OperatorTokens {
+  private readonly entries: readonly { readonly digest: Buffer; readonly grant: OperatorGrant }[];
+
+  constructor({ token, tokens }: Settings['admin']) {
+    const full = { token, tenants: 'all', role: 'operator' } as const;
+    this.entries = [full, ...tokens].map(({ token: configured, tenants, role }) => ({
+      digest: digestOf(configured),
+      grant: { tenants, role },
+    }));
+  }
+
+  /**
+   * The grant of the token that an `Authorization` field presents; undefined when it is none.
+   * Digests are compared in constant time and all of them are, so that neither a token's
+   * content and length nor its place in the settings shows in the timing.
+   */
+  find(authorization: string | undefined): OperatorGrant | undefined {
+    const presented = BEARER.exec(authorization ?? '')?.[1];
+    if (presented === undefined) return undefined;
+    const digest = hashToken(presented);
+    const matches = this.entries.filter((entry) => timingSafeEqual(entry.digest, digest));
+    return matches[0]?.grant;
+  }
 }
--- a/src/admin/connect-error.ts
+++ b/src/admin/connect-error.ts
@@ -39,6 +39,7 @@
   [Code.Unimplemented]: ResultCode.UnknownKind,
   [Code.NotFound]: ResultCode.UnknownKind,
   [Code.Unauthenticated]: ResultCode.OperatorUnauthenticated,
+  [Code.PermissionDenied]: ResultCode.OperatorForbidden,
   [Code.Unavailable]: ResultCode.PeerUnreachable,
   [Code.DeadlineExceeded]: ResultCode.PeerTimeout,
   [Code.Aborted]: ResultCode.PeerLost,
--- a/src/admin/connect-middleware.ts
+++ b/src/admin/connect-middleware.ts
@@ -4,7 +4,7 @@
  * type, oversized bodies.
  */
 import { Code, ConnectError, createConnectRouter } from '@connectrpc/connect';
-import type { ConnectRouter, Interceptor } from '@connectrpc/connect';
+import type { ConnectRouter, ContextValues, Interceptor } from '@connectrpc/connect';
 import {
   universalRequestFromNodeRequest,
   universalResponseToNodeResponse,
@@ -23,6 +23,10 @@
   readonly maxRequestBytes: number;
   /** Ends the streams when it aborts. */
   readonly shutdownSignal: AbortSignal;
+  /** Run around each method, in this order. */
+  readonly interceptors: readonly Interceptor[];
+  /** Values that interceptors and methods read about a request. */
+  readonly contextValues: (request: Request) => ContextValues;
   /** Told of errors that are defects. */
   readonly onDefect: (error: unknown) => void;
 }
@@ -45,7 +49,7 @@
     shutdownSignal: options.shutdownSignal,
     // A misspelt member would otherwise be passed over and its default taken.
     jsonOptions: { ignoreUnknownFields: false },
-    interceptors: [reportDefects(options.onDefect)],
+    interceptors: [reportDefects(options.onDefect), ...options.interceptors],
   });
   options.routes(router);
   const handlers = new Map(router.handlers.map((handler) => [handler.requestPath, handler]));
@@ -55,7 +59,8 @@
       next();
       return;
     }
-    handler(universalRequestFromNodeRequest(request, response, undefined, undefined))
+    const values = options.contextValues(request);
+    handler(universalRequestFromNodeRequest(request, response, undefined, values))
       .then((answer) => numberError(answer))
       .then((answer) => universalResponseToNodeResponse(answer, response))
       .catch((error: unknown) => {
--- a/src/admin/node-status.ts
+++ b/src/admin/node-status.ts
@@ -13,6 +13,8 @@
 import type { Member } from '../membership/membership.js';
 import { readVersion } from '../node/version.js';
 import type { AdminNode } from './admin-node.js';
+import type { OperatorGrant } from './authentication.js';
+import { includesTenant } from './authorization.js';
 import { toRevision } from './revision-codec.js';
 
 /** What the targets of all tenants are described from. */
@@ -27,20 +29,24 @@
 }
 
 /**
- * Collects the status.
+ * Collects the status. A token that does not stand for all tenants gets this node, and of the
+ * rest only what is its tenants'.
  *
  * @param startedAt the node's start on its clock, in milliseconds
  */
 export async function collectStatus(
   node: AdminNode,
   startedAt: number,
+  grant: OperatorGrant,
 ): Promise<MessageInitShape<typeof GetStatusResponseSchema>> {
   const members = node.membership?.members() ?? [];
-  const records = node.configStore?.records() ?? [];
+  const records = (node.configStore?.records() ?? []).filter(({ tenant }) =>
+    includesTenant(grant, tenant),
+  );
   const source = await readTargetSource(node, members);
   return {
     node: describeNode(node, startedAt),
-    members: members.map(describeMember),
+    members: grant.tenants === 'all' ? members.map(describeMember) : [],
     targets: records.flatMap((record) => describeTargets(record, source)),
     revisions: records.map(toRevision),
   };
--- a/src/config/rules.ts
+++ b/src/config/rules.ts
@@ -9,7 +9,8 @@
 import { ResultCode } from '../core/result-code.js';
 import { parseAndValidate } from './document.js';
 
-const name = z
+/** Schema of a name of a node, zone, tenant, service or target. */
+export const name = z
   .string()
   .regex(/^[a-z][a-z0-9-]{0,62}$/, 'lower-case letters, digits and hyphens, 1 to 63, letter first');
 
--- a/src/config/settings.ts
+++ b/src/config/settings.ts
@@ -4,9 +4,9 @@
 import type { Failure } from '../core/failure.js';
 import { ResultCode } from '../core/result-code.js';
 import { parseAndValidate, validateValue } from './document.js';
-import { address } from './rules.js';
+import { adminSettingsSchema } from './operator-tokens.js';
+import { address, name } from './rules.js';
 
-const name = z.string().regex(/^[a-z][a-z0-9-]{0,62}$/, 'lower-case letters, digits and hyphens');
 const url = z.string().regex(/^https?:\/\/[^\s]+$/, 'an http or https URL');
 
 /** Schema of a node's settings document. */
@@ -41,10 +41,8 @@
     /** Key shared by all nodes, 16 characters or more; authenticates links and datagrams. */
     sharedKey: z.string().min(16).max(1_024),
   }),
-  admin: z.strictObject({
-    /** Bearer token that operators present; may not be empty. */
-    token: z.string().min(8).max(1_024),
-  }),
+  /** Operators' tokens. */
+  admin: adminSettingsSchema,
   limits: z
     .strictObject({
       /** Largest node-to-node frame in bytes. */
--- a/src/core/result-code.ts
+++ b/src/core/result-code.ts
@@ -58,6 +58,7 @@
   OperatorUnauthenticated = 5006,
   PeerTimeout = 5007,
   PeerUnreachable = 5008,
+  OperatorForbidden = 5009,
   Internal = 9001,
 }
 
@@ -129,6 +130,7 @@
   [ResultCode.OperatorUnauthenticated, 'Operator not authenticated', 401, 'not-run'],
   [ResultCode.PeerTimeout, 'Peer did not answer in time', 504, 'unknown'],
   [ResultCode.PeerUnreachable, 'Peer unreachable', 503, 'not-run'],
+  [ResultCode.OperatorForbidden, 'Operator token does not allow this', 403, 'not-run'],
   [ResultCode.Internal, 'Internal error', 500, 'unknown'],
 ];
 
