Let the peers' shared key be changed node by node

Cause: nodes with different keys refuse each other, so that a rolling change split the fleet. Ruled out: a key id in hello and datagrams (a change of the protocol; trying up to four keys costs three hashes on foreign datagrams only). Change: peers.previousSharedKeys (three at most): accepted on links and datagrams after the shared key, never used to send. SILLSHORE_PREVIOUS_SHARED_KEY gives one by environment. A caller two steps ahead or behind can see PeerLost instead of PeerUnreachable, since it accepts the server before the server refuses it.

--- a/src/cli/node-command.ts
+++ b/src/cli/node-command.ts
@@ -15,8 +15,9 @@
       Runs one node until SIGTERM or SIGINT, which start a planned stop: running requests end,
       then the node leaves. A second signal stops at once.
 
-      Flags override the settings file. The two secrets can also come from the environment:
-      SILLSHORE_SHARED_KEY (peers.sharedKey) and SILLSHORE_TOKEN (admin.token).
+      Flags override the settings file. Secrets can also come from the environment:
+      SILLSHORE_SHARED_KEY (peers.sharedKey), SILLSHORE_PREVIOUS_SHARED_KEY (the one member of
+      peers.previousSharedKeys) and SILLSHORE_TOKEN (admin.token).
     `,
     examples: [
       ['Run with a settings file', '$0 node --settings node.yaml'],
@@ -52,6 +53,10 @@
     const { env } = this.context;
     return [
       { path: ['peers', 'sharedKey'], value: env['SILLSHORE_SHARED_KEY'] },
+      {
+        path: ['peers', 'previousSharedKeys'],
+        value: toList(env['SILLSHORE_PREVIOUS_SHARED_KEY']),
+      },
       { path: ['admin', 'token'], value: env['SILLSHORE_TOKEN'] },
       { path: ['node', 'id'], value: this.nodeId },
       { path: ['node', 'zone'], value: this.zone },
@@ -75,5 +80,9 @@
   return text !== undefined && integer.test(text) ? Number(text) : text;
 }
 
+function toList(text: string | undefined): string[] | undefined {
+  return text === undefined ? undefined : [text];
+}
+
 /** Commands of this module. */
 export const nodeCommands = [NodeCommand];
--- a/src/config/settings.ts
+++ b/src/config/settings.ts
@@ -7,6 +7,7 @@
 import { adminSettingsSchema } from './operator-tokens.js';
 import { address, name } from './rules.js';
 
+const sharedKey = z.string().min(16).max(1_024);
 const url = z.string().regex(/^https?:\/\/[^\s]+$/, 'an http or https URL');
 
 /** Schema of a node's settings document. */
@@ -39,7 +40,9 @@
     /** Addresses to join by; the list of machines adds to them. */
     seeds: z.array(address).max(64).default([]),
     /** Key shared by all nodes, 16 characters or more; authenticates links and datagrams. */
-    sharedKey: z.string().min(16).max(1_024),
+    sharedKey,
+    /** Keys that are accepted as well and never sent with; for the change of `sharedKey`. */
+    previousSharedKeys: z.array(sharedKey).max(3).default([]),
   }),
   /** Operators' tokens. */
   admin: adminSettingsSchema,
--- a/src/membership/datagram-codec.ts
+++ b/src/membership/datagram-codec.ts
@@ -36,9 +36,12 @@
 /** Encodes and authenticates datagrams with the shared key. */
 export class DatagramCodec {
   private readonly key: KeyObject;
+  private readonly previousKeys: readonly KeyObject[];
 
-  constructor(sharedKey: string) {
-    this.key = createSecretKey(`sillshore-membership-1 ${sharedKey}`, 'utf8');
+  /** @param previousSharedKeys accepted as well, tried after the shared key */
+  constructor(sharedKey: string, previousSharedKeys: readonly string[] = []) {
+    this.key = deriveKey(sharedKey);
+    this.previousKeys = previousSharedKeys.map(deriveKey);
   }
 
   /** Encodes a message. */
@@ -51,7 +54,7 @@
   decode(datagram: Buffer): MembershipMessage | undefined {
     if (datagram.length <= TAG_BYTES || datagram.length > MAX_DATAGRAM_BYTES) return undefined;
     const body = datagram.subarray(TAG_BYTES);
-    if (!timingSafeEqual(this.sign(body), datagram.subarray(0, TAG_BYTES))) return undefined;
+    if (!this.isAuthentic(body, datagram.subarray(0, TAG_BYTES))) return undefined;
     try {
       return fromWire(deserialize(body, { promoteBuffers: true }));
     } catch {
@@ -59,9 +62,18 @@
     }
   }
 
-  private sign(body: Uint8Array): Buffer {
-    return createHmac('sha256', this.key).update(body).digest().subarray(0, TAG_BYTES);
+  private isAuthentic(body: Uint8Array, tag: Buffer): boolean {
+    if (timingSafeEqual(this.sign(body), tag)) return true;
+    return this.previousKeys.some((key) => timingSafeEqual(this.sign(body, key), tag));
   }
+
+  private sign(body: Uint8Array, key = this.key): Buffer {
+    return createHmac('sha256', key).update(body).digest().subarray(0, TAG_BYTES);
+  }
+}
+
+function deriveKey(sharedKey: string): KeyObject {
+  return createSecretKey(`sillshore-membership-1 ${sharedKey}`, 'utf8');
 }
 
 function toWire(message: MembershipMessage): WireMessage {
--- a/src/membership/membership-plugin.ts
+++ b/src/membership/membership-plugin.ts
@@ -20,6 +20,7 @@
         facts: describeNode(settings, clock.wallNow()),
         seeds: settings.peers.seeds,
         sharedKey: settings.peers.sharedKey,
+        previousSharedKeys: settings.peers.previousSharedKeys,
         maxMailboxLength: settings.limits.maxMailboxLength,
         network: context.get(Token.PeerNetwork),
         clock,
--- a/src/membership/membership-task.test.ts
+++ b/src/membership/membership-task.test.ts
@@ -23,15 +23,21 @@
 async function startNode(
   context: TestContext,
   id: string,
-  options: { seeds?: string[]; sharedKey?: string; fronts?: string[] } = {},
+  options: {
+    seeds?: string[];
+    sharedKey?: string;
+    previousSharedKeys?: string[];
+    fronts?: string[];
+  } = {},
 ): Promise<Node> {
-  const { seeds = [], sharedKey = KEY, fronts = [] } = options;
+  const { seeds = [], sharedKey = KEY, previousSharedKeys = [], fronts = [] } = options;
   const events: Event[] = [];
   const log: EventLog = { emit: (event) => void events.push(event) };
   const network = new TcpPeerNetwork({
     node: id,
     address: '127.0.0.1:0',
     sharedKey,
+    previousSharedKeys,
     limits: {
       maxFrameBytes: 1_000_000,
       maxInFlight: 100,
@@ -62,6 +68,7 @@
     facts,
     seeds,
     sharedKey,
+    previousSharedKeys,
     maxMailboxLength: 1_000,
     network,
     clock: systemClock,
@@ -187,3 +194,31 @@
   assert.equal(stranger.membership.members().length, 1);
   assert.equal(first.membership.find('node-2'), undefined);
 });
+
+test('a fleet whose shared key is changed in half of its nodes stays whole', async (context) => {
+  const next = 'the next key of the membership tests';
+  const before = { sharedKey: KEY, previousSharedKeys: [next] };
+  const after = { sharedKey: next, previousSharedKeys: [KEY] };
+  const first = await startNode(context, 'node-1', before);
+  const seeds = [first.address];
+  const nodes = [first];
+  for (const [index, keys] of [after, before, after].entries()) {
+    nodes.push(await startNode(context, `node-${index + 2}`, { ...keys, seeds }));
+  }
+  for (const node of nodes) await waitFor(node, () => node.membership.members().length === 4);
+  // More than a datagram holds, so that the facts go over links.
+  const fronts = Array.from({ length: 500 }, (_, index) => `target-${index}`);
+  for (const [index, node] of nodes.entries()) {
+    node.membership.update({ configVersion: index + 1, fronts });
+  }
+  for (const node of nodes) {
+    for (const [index, { id }] of nodes.entries()) {
+      await waitFor(node, () => {
+        const member = node.membership.find(id);
+        return member?.configVersion === index + 1 && member.fronts.length === 500;
+      });
+    }
+    assert.ok(!node.events.includes(Event.FrameRejected));
+    assert.ok(!node.events.includes(Event.PeerRejected));
+  }
+});
--- a/src/membership/membership-task.ts
+++ b/src/membership/membership-task.ts
@@ -46,6 +46,8 @@
   readonly facts: MemberFacts;
   readonly seeds: readonly string[];
   readonly sharedKey: string;
+  /** Keys that datagrams may be signed with instead; none when absent. */
+  readonly previousSharedKeys?: readonly string[];
   readonly maxMailboxLength: number;
   readonly network: PeerNetwork;
   readonly clock: Clock;
@@ -89,7 +91,7 @@
   constructor(private readonly options: MembershipTaskOptions) {
     super('membership', options.maxMailboxLength);
     this.protocol = new MembershipProtocol(options.facts, options.random, options.protocol);
-    this.codec = new DatagramCodec(options.sharedKey);
+    this.codec = new DatagramCodec(options.sharedKey, options.previousSharedKeys);
     this.notifier = new PacedNotifier(options.clock);
     this.sync = new MemberSync(options.network, {
       createSyncRequest: () => this.protocol.createSyncRequest(),
--- a/src/peer/handshake.ts
+++ b/src/peer/handshake.ts
@@ -61,15 +61,19 @@
   return hmac.digest();
 }
 
-/** Checks the proof of the other side in constant time. */
+/**
+ * Checks the proof of the other side in constant time for each key.
+ *
+ * @param keys any of them is accepted, so that the key can be changed node by node
+ */
 export function verifyProof(
-  key: string,
+  keys: readonly string[],
   role: LinkRole,
   context: HandshakeContext,
   proof: unknown,
 ): boolean {
   if (!Buffer.isBuffer(proof) || proof.length !== PROOF_BYTES) return false;
-  return timingSafeEqual(createProof(key, role, context), proof);
+  return keys.some((key) => timingSafeEqual(createProof(key, role, context), proof));
 }
 
 /** Builds a hello frame. */
--- a/src/peer/incoming-link.ts
+++ b/src/peer/incoming-link.ts
@@ -110,8 +110,7 @@
   }
 
   private onProof(envelope: Envelope, context: HandshakeContext): void {
-    const { sharedKey } = this.linkOptions;
-    if (!verifyProof(sharedKey, 'client', context, readProof(envelope))) {
+    if (!verifyProof(this.acceptedKeys, 'client', context, readProof(envelope))) {
       this.rejectPeer('wrong proof');
       return;
     }
--- a/src/peer/outgoing-link.ts
+++ b/src/peer/outgoing-link.ts
@@ -82,7 +82,7 @@
       clientNonce: this.nonce,
       serverNonce: hello.nonce,
     };
-    if (!verifyProof(sharedKey, 'server', context, hello.proof)) {
+    if (!verifyProof(this.acceptedKeys, 'server', context, hello.proof)) {
       this.rejectPeer('wrong proof');
       return;
     }
--- a/src/peer/peer-link.ts
+++ b/src/peer/peer-link.ts
@@ -31,6 +31,8 @@
   /** This node. */
   readonly node: string;
   readonly sharedKey: string;
+  /** Keys that a peer may prove instead of the shared key; none when absent. */
+  readonly previousSharedKeys?: readonly string[];
   readonly limits: LinkLimits;
   readonly clock: Clock;
   readonly log: EventLog;
@@ -86,6 +88,12 @@
     return this.ended;
   }
 
+  /** Keys that a peer may prove. */
+  protected get acceptedKeys(): readonly string[] {
+    const { sharedKey, previousSharedKeys = [] } = this.options;
+    return [sharedKey, ...previousSharedKeys];
+  }
+
   /** Calls that have not ended. */
   abstract get inFlight(): number;
 
--- a/src/peer/peer-plugin.ts
+++ b/src/peer/peer-plugin.ts
@@ -18,6 +18,7 @@
         node: settings.node.id,
         address: settings.listen.peer,
         sharedKey: settings.peers.sharedKey,
+        previousSharedKeys: settings.peers.previousSharedKeys,
         limits: {
           maxFrameBytes,
           maxInFlight: maxInFlightPerLink,
