Offer TLS on the operators' port and on links between nodes

Cause: tokens, rules and requests travelled in clear; docs could only advise a private network. Ruled out: files for certificates (the machines have no disks); a check of names between nodes (machines and addresses change; the shared key proves which node it is). Change: admin.tls and peers.tls as PEM texts in the settings or by environment, TLS 1.3, checked at start. Links verify both ends by the authority; connections in their TLS handshake count among the 512 unauthenticated. Datagrams stay unencrypted; nodes with and without peers.tls refuse each other.

--- a/src/admin/admin-server.ts
+++ b/src/admin/admin-server.ts
@@ -1,5 +1,6 @@
 /** The HTTP server of the administration port: remote calls, metrics, health. */
-import { createServer, type Server } from 'node:http';
+import { createServer as createHttpServer, type Server, type ServerOptions } from 'node:http';
+import { createServer as createHttpsServer } from 'node:https';
 import type { AddressInfo, Socket } from 'node:net';
 import express, { type Express, type Request } from 'express';
 import type { ErrorRequestHandler, RequestHandler } from 'express';
@@ -46,6 +47,11 @@
   return request.path.startsWith(`${SERVICE_PATH}/`);
 }
 
+/** Whether a connection ended in its TLS handshake. */
+function isTlsFailure({ code = '' }: NodeJS.ErrnoException): boolean {
+  return code.startsWith('ERR_SSL_') || code.startsWith('ERR_TLS_') || code === 'EPROTO';
+}
+
 /** See the module comment. */
 export class AdminServer {
   private readonly shutdown = new AbortController();
@@ -64,7 +70,7 @@
       headersTimeout: limits.headersMs,
       connectionsCheckingInterval: limits.checkMs,
     };
-    this.server = createServer(options, this.createApp(drains));
+    this.server = this.createServer(options, this.createApp(drains));
     this.server.on('request', (request, response) => {
       response.once('finish', () => {
         // Otherwise a connection that was busy when the server closed stays open while idle.
@@ -107,6 +113,15 @@
     cancel();
   }
 
+  private createServer(options: ServerOptions, app: Express): Server {
+    const { tls } = this.node.settings.admin;
+    if (tls === undefined) return createHttpServer(options, app);
+    const { certificate: cert, key } = tls;
+    const handshakeTimeout = options.headersTimeout;
+    const tlsOptions = { cert, key, minVersion: 'TLSv1.3', handshakeTimeout } as const;
+    return createHttpsServer({ ...options, ...tlsOptions }, app);
+  }
+
   private createApp(drains: DrainCommands): Express {
     const { node } = this;
     const app = express();
@@ -179,6 +194,12 @@
   }
 
   private answerClientError(error: NodeJS.ErrnoException, socket: Socket): void {
+    if (isTlsFailure(error)) {
+      // There is no key to answer with.
+      this.node.log.emit(Event.OperatorRejected, { error: error.code, from: socket.remoteAddress });
+      socket.destroy();
+      return;
+    }
     if (error.code === 'ECONNRESET' || !socket.writable) {
       socket.destroy();
       return;
--- a/src/admin/connect-error.ts
+++ b/src/admin/connect-error.ts
@@ -84,6 +84,9 @@
   const connectError = ConnectError.from(error);
   const [detail] = connectError.findDetails(ErrorDetailSchema);
   if (detail !== undefined) return fromDetail(detail);
+  if (failedBeforeRequest(connectError.cause)) {
+    return createFailure(ResultCode.PeerUnreachable, `TLS: ${connectError.rawMessage}`);
+  }
   const header = Number(connectError.metadata.get(RESULT_HEADER) ?? Number.NaN);
   const code = RESULT_CODES.has(header)
     ? (header as ResultCode)
@@ -91,6 +94,17 @@
   return createFailure(code, connectError.rawMessage);
 }
 
+/** Errors of the check of a server's certificate, which comes before the request is sent. */
+const CERTIFICATE_ERROR = /^(CERT_|UNABLE_TO_|SELF_SIGNED_|DEPTH_ZERO_|ERR_TLS_CERT_)/;
+
+/** Whether TLS could not be set up: another authority or name, or a server without TLS. */
+function failedBeforeRequest(cause: unknown): boolean {
+  if (!(cause instanceof Error)) return false;
+  const code = String((cause as NodeJS.ErrnoException).code);
+  if (CERTIFICATE_ERROR.test(code)) return true;
+  return code === 'EPROTO' && cause.message.includes('wrong version number');
+}
+
 /** The value of a result; throws the Connect error of its failure. */
 export function unwrapOrThrow<T>(result: Result<T, Failure>): T {
   if (result.isErr) throw toConnectError(result.error);
--- a/src/cli/local-commands.test.ts
+++ b/src/cli/local-commands.test.ts
@@ -138,6 +138,25 @@
   });
 }
 
+const SECRETS: readonly (readonly [string, RegExp])[] = [
+  ['SILLSHORE_SHARED_KEY', /peers\.sharedKey/],
+  ['SILLSHORE_PREVIOUS_SHARED_KEY', /peers\.previousSharedKeys\.0/],
+  ['SILLSHORE_TOKEN', /admin\.token/],
+  ['SILLSHORE_ADMIN_TLS_CERTIFICATE', /admin\.tls/],
+  ['SILLSHORE_ADMIN_TLS_KEY', /admin\.tls/],
+  ['SILLSHORE_PEER_TLS_CERTIFICATE', /peers\.tls/],
+  ['SILLSHORE_PEER_TLS_KEY', /peers\.tls/],
+  ['SILLSHORE_PEER_TLS_CA', /peers\.tls/],
+];
+for (const [variable, path] of SECRETS) {
+  test(`node takes ${variable} into its settings`, async () => {
+    const argv = ['node', '--settings', inDirectory('node.yaml')];
+    const outcome = await runCaptured(argv, { [variable]: 'x' });
+    assert.equal(outcome.exitCode, ExitCode.InvalidInput);
+    assert.match(outcome.stderr, path);
+  });
+}
+
 const WRONG_USAGE: readonly (readonly string[])[] = [
   ['nonsense'],
   ['config'],
--- a/src/cli/node-command.ts
+++ b/src/cli/node-command.ts
@@ -17,7 +17,9 @@
 
       Flags override the settings file. Secrets can also come from the environment:
       SILLSHORE_SHARED_KEY (peers.sharedKey), SILLSHORE_PREVIOUS_SHARED_KEY (the one member of
-      peers.previousSharedKeys) and SILLSHORE_TOKEN (admin.token).
+      peers.previousSharedKeys), SILLSHORE_TOKEN (admin.token), and
+      the PEM texts of TLS: SILLSHORE_ADMIN_TLS_CERTIFICATE, SILLSHORE_ADMIN_TLS_KEY,
+      SILLSHORE_PEER_TLS_CERTIFICATE, SILLSHORE_PEER_TLS_KEY, SILLSHORE_PEER_TLS_CA.
     `,
     examples: [
       ['Run with a settings file', '$0 node --settings node.yaml'],
@@ -49,6 +51,18 @@
     return end === 'stopped' ? ExitCode.Ok : ExitCode.OperationFailed;
   }
 
+  /** PEM texts, for machines without files. */
+  private tlsOverrides(): SettingsOverride[] {
+    const { env } = this.context;
+    return [
+      { path: ['admin', 'tls', 'certificate'], value: env['SILLSHORE_ADMIN_TLS_CERTIFICATE'] },
+      { path: ['admin', 'tls', 'key'], value: env['SILLSHORE_ADMIN_TLS_KEY'] },
+      { path: ['peers', 'tls', 'certificate'], value: env['SILLSHORE_PEER_TLS_CERTIFICATE'] },
+      { path: ['peers', 'tls', 'key'], value: env['SILLSHORE_PEER_TLS_KEY'] },
+      { path: ['peers', 'tls', 'ca'], value: env['SILLSHORE_PEER_TLS_CA'] },
+    ];
+  }
+
   private overrides(): SettingsOverride[] {
     const { env } = this.context;
     return [
@@ -58,6 +72,7 @@
         value: toList(env['SILLSHORE_PREVIOUS_SHARED_KEY']),
       },
       { path: ['admin', 'token'], value: env['SILLSHORE_TOKEN'] },
+      ...this.tlsOverrides(),
       { path: ['node', 'id'], value: this.nodeId },
       { path: ['node', 'zone'], value: this.zone },
       { path: ['node', 'region'], value: this.region },
--- a/src/cli/status-command.ts
+++ b/src/cli/status-command.ts
@@ -45,10 +45,12 @@
 
   /** The first node's answer and those of the other members that answer. */
   private async askMembers(first: GetStatusResponse): Promise<GetStatusResponse[]> {
+    // The token travels as the operator asked for it with the first node.
+    const scheme = this.admin?.startsWith('https:') === true ? 'https://' : 'http://';
     const others = first.members.filter(({ id }) => id !== first.node?.id);
     const asked = await Promise.all(
       others.map(async ({ id, adminAddress }) => {
-        const client = await this.connect(adminAddress, this.token ?? '');
+        const client = await this.connect(`${scheme}${adminAddress}`, this.token ?? '');
         const answer = await callAdmin(client.getStatus({}));
         if (answer.isErr) this.context.stderr.write(`${id}: ${answer.error.detail}\n`);
         return answer.isOk ? [answer.value] : [];
--- a/src/config/operator-tokens.ts
+++ b/src/config/operator-tokens.ts
@@ -2,6 +2,7 @@
 import { createHash } from 'node:crypto';
 import { z } from 'zod';
 import { name } from './rules.js';
+import { serverTlsSchema } from './tls-settings.js';
 
 const HASHED = /^sha256:([0-9a-f]{64})$/;
 
@@ -34,6 +35,8 @@
     token: operatorToken,
     /** Further tokens, each for some tenants or for reading only. */
     tokens: z.array(tokenGrantSchema).max(1_000).default([]),
+    /** TLS of the whole port, `/metrics` and health included; plain HTTP when absent. */
+    tls: serverTlsSchema.optional(),
   })
   .superRefine(({ token, tokens }, context) => {
     const seen = new Set([digestOf(token).toString('hex')]);
--- a/src/config/settings.ts
+++ b/src/config/settings.ts
@@ -6,6 +6,7 @@
 import { parseAndValidate, validateValue } from './document.js';
 import { adminSettingsSchema } from './operator-tokens.js';
 import { address, name } from './rules.js';
+import { mutualTlsSchema } from './tls-settings.js';
 
 const sharedKey = z.string().min(16).max(1_024);
 const url = z.string().regex(/^https?:\/\/[^\s]+$/, 'an http or https URL');
@@ -43,6 +44,8 @@
     sharedKey,
     /** Keys that are accepted as well and never sent with; for the change of `sharedKey`. */
     previousSharedKeys: z.array(sharedKey).max(3).default([]),
+    /** TLS of links; plain TCP when absent. All nodes have it or none. */
+    tls: mutualTlsSchema.optional(),
   }),
   /** Operators' tokens. */
   admin: adminSettingsSchema,
--- a/src/peer/outgoing-link.ts
+++ b/src/peer/outgoing-link.ts
@@ -1,5 +1,4 @@
 /** The calling end of a link: connects, proves itself, sends calls and matches their replies. */
-import { connect } from 'node:net';
 import { Result } from 'true-myth';
 import { splitAddress } from '../config/settings.js';
 import { createFailure, type Failure } from '../core/failure.js';
@@ -15,6 +14,7 @@
   verifyProof,
 } from './handshake.js';
 import { PeerLink, type LinkOptions } from './peer-link.js';
+import { connectToPeer } from './tls-options.js';
 
 /** A call as the link sends it. */
 export interface OutgoingCall {
@@ -57,7 +57,8 @@
   private retiring = false;
 
   constructor(private readonly linkOptions: OutgoingLinkOptions) {
-    super(`to ${linkOptions.peer}`, connect(splitAddress(linkOptions.address)), linkOptions);
+    const socket = connectToPeer(splitAddress(linkOptions.address), linkOptions.tls);
+    super(`to ${linkOptions.peer}`, socket, linkOptions);
   }
 
   get inFlight(): number {
--- a/src/peer/peer-link.ts
+++ b/src/peer/peer-link.ts
@@ -1,6 +1,8 @@
 /** What both ends of a link share: the socket, framing, limits and the end of the link. */
 import type { Socket } from 'node:net';
+import { TLSSocket } from 'node:tls';
 import { Result } from 'true-myth';
+import type { MutualTls } from '../config/tls-settings.js';
 import { createFailure, type Failure } from '../core/failure.js';
 import { ResultCode } from '../core/result-code.js';
 import type { CancelTimer, Clock } from '../kernel/clock.js';
@@ -10,6 +12,7 @@
 import { decodeFrame, encodeFrame, type Envelope } from './frame-codec.js';
 import { FrameReader } from './frame-reader.js';
 import { MAX_HANDSHAKE_FRAME_BYTES } from './handshake.js';
+import { isTlsError } from './tls-options.js';
 
 /** Time for the whole handshake, connecting included, in milliseconds. */
 export const HANDSHAKE_TIMEOUT_MS = 3_000;
@@ -33,6 +36,8 @@
   readonly sharedKey: string;
   /** Keys that a peer may prove instead of the shared key; none when absent. */
   readonly previousSharedKeys?: readonly string[];
+  /** TLS below the frames; plain TCP when absent. */
+  readonly tls?: MutualTls | undefined;
   readonly limits: LinkLimits;
   readonly clock: Clock;
   readonly log: EventLog;
@@ -45,6 +50,7 @@
   | { readonly type: 'socket-connected' }
   | { readonly type: 'socket-data'; readonly chunk: Buffer }
   | { readonly type: 'socket-closed' }
+  | { readonly type: 'tls-failed'; readonly detail: string }
   | { readonly type: 'handshake-timeout' }
   | { readonly type: 'shut'; readonly detail: string };
 
@@ -69,9 +75,14 @@
     this.lastActivity = options.clock.now();
     socket.setNoDelay(true);
     socket.setKeepAlive(true, KEEP_ALIVE_DELAY_MS);
-    socket.on('connect', () => this.post({ type: 'socket-connected' }));
+    const connected = socket instanceof TLSSocket ? 'secureConnect' : 'connect';
+    socket.on(connected, () => this.post({ type: 'socket-connected' }));
     socket.on('data', (chunk) => this.post({ type: 'socket-data', chunk }));
-    socket.on('error', () => {});
+    socket.on('error', (error) => {
+      if (!(socket instanceof TLSSocket) || !isTlsError(error)) return;
+      const { code, message } = error as NodeJS.ErrnoException;
+      this.post({ type: 'tls-failed', detail: `TLS: ${code ?? message}` });
+    });
     socket.on('close', () => this.post({ type: 'socket-closed' }));
     this.cancelHandshakeTimer = options.clock.schedule(HANDSHAKE_TIMEOUT_MS, () => {
       this.post({ type: 'handshake-timeout' });
@@ -108,6 +119,9 @@
       case 'socket-closed':
         this.end('connection closed');
         break;
+      case 'tls-failed':
+        if (this.peerNode === undefined) this.rejectPeer((message as { detail: string }).detail);
+        break;
       case 'handshake-timeout':
         if (this.peerNode === undefined) this.rejectPeer('handshake took too long');
         break;
--- a/src/peer/peer-plugin.ts
+++ b/src/peer/peer-plugin.ts
@@ -19,6 +19,7 @@
         address: settings.listen.peer,
         sharedKey: settings.peers.sharedKey,
         previousSharedKeys: settings.peers.previousSharedKeys,
+        tls: settings.peers.tls,
         limits: {
           maxFrameBytes,
           maxInFlight: maxInFlightPerLink,
--- a/src/peer/tcp-peer-network.ts
+++ b/src/peer/tcp-peer-network.ts
@@ -20,6 +20,7 @@
   PeerCallOptions,
   PeerNetwork,
 } from './peer-network.js';
+import { TlsAcceptor } from './tls-acceptor.js';
 
 /** Silence after which the calling side closes a link, in milliseconds. */
 export const IDLE_CLOSE_MS = 60_000;
@@ -58,6 +59,7 @@
   private readonly incoming = new Set<IncomingLink>();
   private readonly handlers = new HandlerRegistry();
   private readonly server: Server;
+  private readonly tlsAcceptor: TlsAcceptor | undefined;
   private cancelSweep: CancelTimer | undefined;
   private closed = false;
   /** Called when the last incoming link has ended. */
@@ -68,6 +70,7 @@
     this.server = createServer((socket) => {
       this.accept(socket);
     });
+    this.tlsAcceptor = this.createTlsAcceptor();
   }
 
   /** Opens the listening socket; rejects when the address cannot be bound. */
@@ -129,6 +132,7 @@
     for (const entry of this.peers.values()) {
       entry.link?.post({ type: 'shut', detail: 'node stops' });
     }
+    this.tlsAcceptor?.close();
     for (const link of [...this.incoming]) link.post({ type: 'shut', detail: 'node stops' });
     if (!this.server.listening) return;
     await new Promise<void>((resolve) => {
@@ -221,10 +225,32 @@
 
   private accept(socket: Socket): void {
     const unauthenticated = [...this.incoming].filter((link) => !link.isOpen).length;
-    if (this.closed || unauthenticated >= MAX_UNAUTHENTICATED) {
+    const pending = this.tlsAcceptor?.pending ?? 0;
+    if (this.closed || unauthenticated + pending >= MAX_UNAUTHENTICATED) {
       socket.destroy();
       return;
     }
+    if (this.tlsAcceptor === undefined) this.openIncoming(socket);
+    else this.tlsAcceptor.accept(socket);
+  }
+
+  private createTlsAcceptor(): TlsAcceptor | undefined {
+    const { tls, log } = this.options;
+    if (tls === undefined) return undefined;
+    return new TlsAcceptor({
+      tls,
+      onAccepted: (socket) => {
+        if (this.closed) socket.destroy();
+        else this.openIncoming(socket);
+      },
+      onRejected: (from, detail) => {
+        const code = ResultCode.PeerUnauthenticated;
+        log.emit(Event.PeerRejected, { link: `from ${from}`, code, detail: `TLS: ${detail}` });
+      },
+    });
+  }
+
+  private openIncoming(socket: Socket): void {
     const link = new IncomingLink(socket, {
       ...this.options,
       handlers: this.handlers,
