Drop a target's gauges when its node no longer fronts it

Cause: /metrics kept the last limit, queue and running requests of a target that had moved. Ruled out: removal in the task itself (a task that replaces another one keeps the label). Change: the dispatcher removes the labels when the last task of a target has retired; a replaced task is retired after its successor stands, so that the label stays.

--- a/src/target/local-target-dispatcher.ts
+++ b/src/target/local-target-dispatcher.ts
@@ -148,10 +148,10 @@
     const shape = shapeOf(located);
     const existing = this.fronted.get(target);
     if (existing?.shape === shape) return existing;
-    if (existing !== undefined) this.retire(target, existing.task);
     const { address } = located.target;
     const made = { task: this.createTask(target, located), shape, address };
     this.fronted.set(target, made);
+    if (existing !== undefined) this.retireTask(existing.task);
     this.tellTask(target, made.task);
     return made;
   }
@@ -183,6 +183,7 @@
       },
       onRetired: () => {
         this.retiring.delete(task);
+        this.dropGauges(target);
       },
     });
     return task;
@@ -200,10 +201,21 @@
 
   private retire(target: string, task: TargetTask): void {
     this.fronted.delete(target);
+    this.retireTask(task);
+  }
+
+  private retireTask(task: TargetTask): void {
     this.retiring.add(task);
     task.post({ type: 'retire' });
   }
 
+  /** Ends the metrics of a target that has no task here any more. */
+  private dropGauges(target: string): void {
+    if (this.fronted.has(target)) return;
+    const { inFlight, queued, limit } = this.options.metrics;
+    for (const gauge of [inFlight, queued, limit]) gauge.remove({ target });
+  }
+
   private tellTask(target: string, task: TargetTask): void {
     const leaving = this.reportedLeaving.has(target);
     task.post({ type: 'reported-leaving', leaving });
