--- a/src/peer/peer-plugin.ts
+++ b/src/peer/peer-plugin.ts
@@ -18,6 +18,8 @@
         node: settings.node.id,
         address: settings.listen.peer,
         sharedKey: settings.peers.sharedKey,
+        previousSharedKeys: settings.peers.previousSharedKeys,
+        tls: settings.peers.tls,
         limits: {
           maxFrameBytes,
           maxInFlight: maxInFlightPerLink,
