--- a/src/hollow/fleet-benchmark.ts
+++ b/src/hollow/fleet-benchmark.ts
@@ -121,6 +121,11 @@
       });
     });
     createInterface({ input: this.child.stdout! }).on('line', (line) => {
+      // Anything else is the report of a crash, which also goes to the standard error below.
+      if (!line.startsWith('{')) {
+        process.stderr.write(`${line}\n`);
+        return;
+      }
       const message = JSON.parse(line) as HollowMessage;
       if (message.type === 'started') this.onStarted();
       else if (message.type === 'report') this.reports.shift()?.(message.report);
--- a/src/hollow/hollow-nodes.ts
+++ b/src/hollow/hollow-nodes.ts
@@ -7,7 +7,8 @@
 import { systemClock } from '../kernel/clock.js';
 import { silentEventLog } from '../kernel/event.js';
 import type { Kernel } from '../kernel/kernel.js';
-import { listPlugins } from '../kernel/plugin.js';
+import { createMetrics } from '../kernel/metrics.js';
+import { listPlugins, StartOrder, type Plugin } from '../kernel/plugin.js';
 import { Token } from '../kernel/token.js';
 import { createNode } from '../node/start-node.js';
 
@@ -20,6 +21,15 @@
   'claims',
 ]);
 
+/** Metrics without those of the process, which would be collected once for each node. */
+const hollowObservability: Plugin = {
+  name: 'hollow-observability',
+  order: StartOrder.Observability,
+  bind: (container) => {
+    container.bind(Token.Metrics).toConstantValue(createMetrics(false));
+  },
+};
+
 /** Nodes started at once; more would only wait for the processor. */
 const START_BATCH = 25;
 
@@ -83,7 +93,8 @@
   }
 
   private async startOne(settings: Settings): Promise<void> {
-    const plugins = listPlugins().filter(({ name }) => CONTROL_PLUGINS.has(name));
+    const control = listPlugins().filter(({ name }) => CONTROL_PLUGINS.has(name));
+    const plugins = [hollowObservability, ...control];
     const kernel = createNode(settings, { clock: systemClock, log: silentEventLog, plugins });
     await kernel.start();
     this.kernels.push(kernel);
