--- a/src/core/admission/offered-load-controller.ts
+++ b/src/core/admission/offered-load-controller.ts
@@ -40,7 +40,7 @@
   engageWaitMs: 25,
   engageAfterMs: 60,
   queuePerSlot: 0.5,
-  queueGain: 0.1,
+  queueGain: 0.3,
 };
 
 const LOWEST_ADMITTED_SHARE = 0.7;
