Repeat the releases of ended claims until the group's newest epoch has them

Cause: a stopped replica confirmed releases, ends and returned charges although its table had been handed over before. The next epoch then kept the key with a round that had given up, and repeats got 3005 until the key expired. Keys that tables gave to two rounds (conflict) were never freed either, releases were given up after five sends, and a planned stop did not wait for releases under way. Ruled out: a coordinator that ends without a release, and a round id unknown to the next epoch: with the stopped replicas' confirmations alone changed, the four schedules of a planned stop in virtual time passed. Change: a replica confirms only while it votes in the sender's epoch; delivery repeats until all members of the newest epoch have confirmed (bounded: 5 min, 20,000 messages, 16 MB of answers); a conflict names all its holders, and each leaves by its own release; a claim that comes after its release holds nothing; a planned stop waits for deliveries within its limit. The new check in claim-protocol.test.js fails when stopped replicas confirm, or when conflicts are kept for good.

--- a/src/claims/claim-messages.ts
+++ b/src/claims/claim-messages.ts
@@ -13,6 +13,7 @@
 }
 
 const MAX_SLOTS = 255;
+const MAX_RIVALS = 8;
 
 const text = z.string().max(1_024);
 const count = z.int().min(0);
@@ -37,6 +38,7 @@
 });
 const claimEntry = subject.extend({
   phase: z.enum(['held', 'finished', 'conflict']),
+  rivals: z.array(text).max(MAX_RIVALS).exactOptional(),
   answer: answer.exactOptional(),
 });
 const budgetEntry = z.object({
@@ -54,11 +56,12 @@
 
 const requestSchema: z.ZodType<ReplicaRequest> = z.discriminatedUnion('type', [
   z.object({ type: z.literal('claim'), epoch: count, subject }),
-  z.object({ type: z.literal('release'), key: text, attemptId: text }),
-  z.object({ type: z.literal('finish'), subject, answer: answer.exactOptional() }),
+  z.object({ type: z.literal('release'), epoch: count, key: text, attemptId: text }),
+  z.object({ type: z.literal('finish'), epoch: count, subject, answer: answer.exactOptional() }),
   z.object({ type: z.literal('charge'), epoch: count, charge }),
   z.object({
     type: z.literal('give-back'),
+    epoch: count,
     key: text,
     chargeId: text,
     unused: z.array(count).max(MAX_SLOTS),
--- a/src/claims/claim-task.test.ts
+++ b/src/claims/claim-task.test.ts
@@ -89,6 +89,13 @@
     await ask(nodeId, { type: 'install', record, table: reply.memory.table });
   }
 
+  /** Delays every message between two nodes. */
+  delayAll(delayMs: number): void {
+    for (const from of this.zones.keys()) {
+      for (const to of this.zones.keys()) this.hub.setDelay(from, to, delayMs);
+    }
+  }
+
   /** Cuts a node off from all others; membership only suspects it. */
   cut(nodeId: string): void {
     this.cutOff.add(nodeId);
@@ -273,6 +280,45 @@
   assert.equal((await fleet.claim('e', key, 'fourth')).type, 'in-progress');
 });
 
+/** Claims keys at two nodes, one or both at once, and releases what was granted. */
+async function claimThroughout(fleet: Fleet, drained: string, keys: number): Promise<string[]> {
+  const claimants = ['a', 'b', 'c'].filter((node) => node !== drained);
+  const claimed: string[] = [];
+  const ends: Promise<void>[] = [];
+  const claimOnce = async (node: string, key: string): Promise<void> => {
+    const request = fleet.createRequest(key, `${node}-${key}`);
+    const task = fleet.nodes.get(node)!;
+    if ((await task.claim(request)).type === 'granted') task.release(request);
+  };
+  for (let serial = 0; serial < keys; serial += 1) {
+    const key = fleet.createKey(0, serial);
+    claimed.push(key);
+    const nodes = serial % 3 === 2 ? claimants : [claimants[serial % 3]!];
+    for (const node of nodes) ends.push(claimOnce(node, key));
+    await fleet.pass(VIRTUAL_STEP_MS);
+  }
+  await fleet.settle(Promise.all(ends));
+  return claimed;
+}
+
+for (const delayMs of [1, 7, 20, 60]) {
+  test(`after a planned stop no ended claim keeps its key, messages take ${delayMs} ms`, async () => {
+    const fleet = await createFleet();
+    fleet.delayAll(delayMs);
+    const drained = fleet.nodes.get('a')!.drain();
+    const claimed = await claimThroughout(fleet, 'a', 100);
+    await fleet.settle(drained);
+    fleet.kill('a');
+    await fleet.pass(10_000);
+    const kept: string[] = [];
+    for (const key of claimed) {
+      const decision = await fleet.claim('b', key, `again-${key}`);
+      if (decision.type !== 'granted') kept.push(`${key} ${decision.type}`);
+    }
+    assert.deepEqual(kept, []);
+  });
+}
+
 test('a member that was started alone completes the change of its dead proposer', async () => {
   const fleet = await createFleet();
   const key = fleet.createKey();
--- a/src/claims/claim-task.ts
+++ b/src/claims/claim-task.ts
@@ -60,6 +60,9 @@
 export class ClaimTask implements ClaimService {
   private readonly replica: ReplicaTask;
   private readonly keeper: PlacementKeeper;
+  private readonly delivery: ReplicaDelivery;
+  private readonly clock: Clock;
+  private readonly drainMs: number;
   private readonly claims: ClaimRequester;
   private readonly charges: ChargeRequester;
   private readonly metrics: Metrics | undefined;
@@ -68,6 +71,8 @@
     const { nodeId, incarnation, clock, log, membership } = options;
     const timing = options.timing ?? DEFAULT_CLAIM_TIMING;
     this.metrics = options.metrics;
+    this.clock = clock;
+    this.drainMs = timing.drainMs;
     const random = createRandom(incarnation % 2 ** 31);
     this.replica = new ReplicaTask({ nodeId, incarnation }, options.mailboxCapacity, clock, log);
     const replica = this.replica;
@@ -80,8 +85,17 @@
     const observe = (record: PlacementRecord): void => {
       this.keeper.observe(record);
     };
-    const delivery = new ReplicaDelivery({ clock, timing, client, placement, observe });
-    const requester = { clock, log, timing, random, client, delivery, placement, observe };
+    this.delivery = new ReplicaDelivery({ clock, timing, client, placement, observe });
+    const requester = {
+      clock,
+      log,
+      timing,
+      random,
+      client,
+      delivery: this.delivery,
+      placement,
+      observe,
+    };
     this.claims = new ClaimRequester(requester);
     this.charges = new ChargeRequester(requester, `${nodeId}#${incarnation}`);
   }
@@ -130,13 +144,19 @@
     this.keeper.start();
   }
 
-  /** Planned stop: hands the replica's tables over; bounded in time. */
-  drain(): Promise<void> {
-    return this.keeper.handOver();
+  /**
+   * Planned stop: hands the replica's tables over and delivers what ended claims still have to
+   * tell; bounded in time.
+   */
+  async drain(): Promise<void> {
+    const end = this.clock.now() + this.drainMs;
+    await this.keeper.handOver();
+    await this.delivery.drain(end);
   }
 
   /** Stops at once. */
   stop(): void {
+    this.delivery.stop();
     this.keeper.stop();
     this.replica.close();
   }
--- a/src/claims/replica-delivery.ts
+++ b/src/claims/replica-delivery.ts
@@ -1,63 +1,151 @@
-/** Delivers messages that every replica of a key should get, with a bounded number of repeats. */
+/**
+ * Delivers releases, ends and returned charges: repeated until every member of the newest epoch
+ * has confirmed, because a member that missed one could pass the old state on to a next epoch.
+ */
+import { KEY_HORIZON_MS } from '../core/claim/claim-limits.js';
 import type { PlacementRecord } from '../core/claim/placement.js';
-import type { ReplicaRequest } from '../core/claim/replica-messages.js';
+import type { DeliveredMessage } from '../core/claim/replica-messages.js';
 import type { Clock } from '../kernel/clock.js';
 import type { ClaimTiming } from './claim-timing.js';
 import type { ReplicaClient } from './replica-client.js';
+import { pause } from './requester.js';
 
-/** Sends of one message to one replica, the first included. */
-const MAX_SENDS = 5;
+/** Messages under way at most; the oldest are given up first. */
+const MAX_PENDING = 20_000;
+
+/** Bytes of answers under way at most; beyond, an end is told without its answer. */
+const MAX_PENDING_ANSWER_BYTES = 16_777_216;
+
+/** Longest pause between two sends of a message, in milliseconds. */
+const MAX_RETRY_MS = 2_000;
+
+/** Interval of looking whether all messages are delivered at a planned stop, in milliseconds. */
+const DRAIN_POLL_MS = 10;
 
 /** What delivery needs. */
 export interface DeliveryOptions {
   readonly clock: Clock;
   readonly timing: ClaimTiming;
-  readonly client: ReplicaClient;
+  readonly client: Pick<ReplicaClient, 'ask'>;
   /** Newest placement record: the members may change between two sends. */
   readonly placement: () => PlacementRecord | undefined;
   /** Takes in a newer record that a replica told about. */
   readonly observe: (record: PlacementRecord) => void;
 }
 
-/** Sender of releases, ends and returned charges. */
+/** A message without the epoch, which changes between sends. */
+export type UnsentMessage = DeliveredMessage extends infer Each
+  ? Each extends DeliveredMessage
+    ? Omit<Each, 'epoch'>
+    : never
+  : never;
+
+interface Pending {
+  readonly message: UnsentMessage;
+  readonly answerBytes: number;
+  /** Local monotonic time at which the message is given up. */
+  readonly until: number;
+  /** Epoch whose members are counted in `confirmed` and `sends`. */
+  epoch: number;
+  sends: number;
+  readonly confirmed: Set<string>;
+}
+
+/** Sender of messages that every replica should get. */
 export class ReplicaDelivery {
+  private readonly pending = new Set<Pending>();
+  private answerBytes = 0;
+  private stopped = false;
+
   constructor(private readonly options: DeliveryOptions) {}
 
+  /** Messages that some member has not confirmed yet. */
+  get size(): number {
+    return this.pending.size;
+  }
+
   /**
    * Sends a message to all members; repeats it in the background to those that did not take it.
    *
    * @returns resolves when the first sends have been answered or have timed out
    */
-  async deliver(request: ReplicaRequest): Promise<void> {
+  async deliver(message: UnsentMessage): Promise<void> {
+    if (this.options.placement() === undefined) return;
+    await this.send(this.add(message));
+  }
+
+  /** Planned stop: waits until all messages are delivered, or until local monotonic time `end`. */
+  async drain(end: number): Promise<void> {
+    const { clock } = this.options;
+    while (this.pending.size > 0 && clock.now() < end) await pause(clock, DRAIN_POLL_MS);
+  }
+
+  /** Gives all messages up. */
+  stop(): void {
+    this.stopped = true;
+    this.pending.clear();
+  }
+
+  private add(message: UnsentMessage): Pending {
+    const body = message.type === 'finish' ? message.answer?.body : undefined;
+    const size = body?.byteLength ?? 0;
+    const fits = this.answerBytes + size <= MAX_PENDING_ANSWER_BYTES;
+    const pending: Pending = {
+      message: fits ? message : withoutAnswer(message),
+      answerBytes: fits ? size : 0,
+      until: this.options.clock.now() + KEY_HORIZON_MS,
+      epoch: 0,
+      sends: 0,
+      confirmed: new Set(),
+    };
+    this.answerBytes += pending.answerBytes;
+    this.pending.add(pending);
+    const [oldest] = this.pending;
+    if (this.pending.size > MAX_PENDING && oldest !== undefined) this.remove(oldest);
+    return pending;
+  }
+
+  private remove(pending: Pending): void {
+    if (this.pending.delete(pending)) this.answerBytes -= pending.answerBytes;
+  }
+
+  /** One send to each member that has not confirmed; schedules the next one when needed. */
+  private async send(pending: Pending): Promise<void> {
     const record = this.options.placement();
-    if (record === undefined) return;
-    const sends = record.members.map(({ nodeId }) => this.send(nodeId, request, 1, record.epoch));
-    await Promise.all(sends);
-  }
-
-  private async send(
-    nodeId: string,
-    request: ReplicaRequest,
-    sends: number,
-    epoch: number,
-  ): Promise<void> {
-    const { client, clock, timing } = this.options;
-    const reply = await client.ask(nodeId, request, timing.roundTimeoutMs);
-    if (reply?.type === 'not-voting' && reply.record !== undefined) {
-      this.options.observe(reply.record);
+    if (this.stopped || record === undefined || !this.pending.has(pending)) return;
+    if (pending.epoch !== record.epoch) {
+      pending.epoch = record.epoch;
+      pending.sends = 0;
+      pending.confirmed.clear();
     }
-    if (reply?.type === 'done' || sends >= MAX_SENDS) return;
-    const delayMs = timing.deliveryRetryMs * 2 ** (sends - 1);
+    pending.sends += 1;
+    const missing = record.members.filter(({ nodeId }) => !pending.confirmed.has(nodeId));
+    await Promise.all(missing.map(({ nodeId }) => this.sendTo(nodeId, pending)));
+    const isNewest = this.options.placement()?.epoch === record.epoch;
+    const isDelivered = isNewest && pending.confirmed.size >= record.members.length;
+    if (isDelivered || this.options.clock.now() >= pending.until) this.remove(pending);
+    else this.scheduleNext(pending);
+  }
+
+  private async sendTo(nodeId: string, pending: Pending): Promise<void> {
+    const { client, timing, observe } = this.options;
+    const request = { ...pending.message, epoch: pending.epoch };
+    const reply = await client.ask(nodeId, request, timing.roundTimeoutMs);
+    if (reply?.type === 'done') pending.confirmed.add(nodeId);
+    if (reply?.type === 'not-voting' && reply.record !== undefined) observe(reply.record);
+  }
+
+  private scheduleNext(pending: Pending): void {
+    const { clock, timing } = this.options;
+    const delayMs = Math.min(timing.deliveryRetryMs * 2 ** (pending.sends - 1), MAX_RETRY_MS);
     clock.schedule(delayMs, () => {
-      const newest = this.options.placement();
-      const changed = newest !== undefined && newest.epoch !== epoch;
-      if (changed) this.deliverAgain(newest, request, sends + 1);
-      else void this.send(nodeId, request, sends + 1, epoch);
+      void this.send(pending);
     });
   }
+}
 
-  /** The epoch has changed: the message is for the new members; a second copy does no harm. */
-  private deliverAgain(record: PlacementRecord, request: ReplicaRequest, sends: number): void {
-    for (const { nodeId } of record.members) void this.send(nodeId, request, sends, record.epoch);
-  }
+/** An end whose answer is not kept: repeats of the key learn that its outcome is unknown. */
+function withoutAnswer(message: UnsentMessage): UnsentMessage {
+  if (message.type !== 'finish') return message;
+  return { type: 'finish', subject: message.subject };
 }
--- a/src/core/claim/charge-coordinator.test.ts
+++ b/src/core/claim/charge-coordinator.test.ts
@@ -71,7 +71,7 @@
   );
   if (step.givesBack) {
     for (const replica of replicas) {
-      replica.handle({ type: 'give-back', key: 'id', chargeId, unused }, 0);
+      replica.handle({ type: 'give-back', epoch: 1, key: 'id', chargeId, unused }, 0);
     }
   }
   return slots.length;
--- a/src/core/claim/claim-protocol.test.ts
+++ b/src/core/claim/claim-protocol.test.ts
@@ -24,6 +24,9 @@
 const MAX_RESTARTS = 2;
 const MAX_COORDINATORS = 4;
 
+/** Schedules without a dispatch that must have been seen, so that the check is not empty. */
+const MIN_FREE_ENDS = 100;
+
 /** A rule that a mutation removes. */
 type Mutation =
   | 'no incarnation check'
@@ -51,6 +54,10 @@
   readonly attemptId: string;
   readonly round: ClaimRound;
   phase: 'collecting' | 'dispatched' | 'gave-up';
+  /** Members that have confirmed the release, with the epoch. */
+  readonly confirmed: Set<string>;
+  /** Whether all members of one epoch have confirmed; then the release is not sent again. */
+  delivered: boolean;
 }
 
 /** The two numbers behind an action: which one, and on what. */
@@ -115,6 +122,10 @@
     else onReply(reply);
   }
 
+  hasGivenUp(choice: Choice): boolean {
+    return this.coordinators.get(choice.actor % MAX_COORDINATORS)?.phase === 'gave-up';
+  }
+
   claim(choice: Choice): void {
     const index = choice.actor % MAX_COORDINATORS;
     const record = index % 2 === 0 ? this.first : this.next;
@@ -122,7 +133,10 @@
     let coordinator = this.coordinators.get(index);
     if (coordinator === undefined) {
       const round = new ClaimRound(record, this.rule);
-      coordinator = { attemptId: `attempt-${index}`, round, phase: 'collecting' };
+      coordinator = {
+        ...{ attemptId: `attempt-${index}`, round, phase: 'collecting' },
+        ...{ confirmed: new Set(), delivered: false },
+      };
       this.coordinators.set(index, coordinator);
     }
     const { attemptId, round } = coordinator;
@@ -151,8 +165,83 @@
     const coordinator = this.coordinators.get(choice.actor % MAX_COORDINATORS);
     const releases = this.mutation === 'releases after dispatch' ? 'dispatched' : 'gave-up';
     if (coordinator?.phase !== releases && coordinator?.phase !== 'gave-up') return;
-    const { attemptId } = coordinator;
-    this.send(choice, { type: 'release', key: KEY, attemptId }, () => {});
+    const record = this.next ?? this.first;
+    const ids = record.members.map((member) => member.nodeId);
+    const reached = choice.late ? [this.nodeOf(choice)] : ids;
+    for (const nodeId of reached) this.sendRelease(coordinator, nodeId, record);
+  }
+
+  /** Notes who has confirmed in which epoch, as a coordinator does. */
+  private sendRelease(coordinator: Coordinator, nodeId: string, record: PlacementRecord): void {
+    const { attemptId, confirmed } = coordinator;
+    const { epoch } = record;
+    const request = { type: 'release', epoch, key: KEY, attemptId } as const;
+    const reply = this.replicas.get(nodeId)!.handle(request, WALL_NOW_MS);
+    if (reply.type === 'done') confirmed.add(`${epoch}/${nodeId}`);
+    const ids = record.members.map((member) => member.nodeId);
+    coordinator.delivered ||= ids.every((id) => confirmed.has(`${epoch}/${id}`));
+  }
+
+  /**
+   * Quiet at last: a change of epoch that was begun is completed, and coordinators that have not
+   * dispatched give up and repeat their releases to members that have not confirmed.
+   *
+   * @returns whether the key can be claimed then; `undefined` when that is not to be expected
+   */
+  becomesFree(): boolean | undefined {
+    this.readAll();
+    const change = [...this.changes.values()].find((each) => each.step === 'decided');
+    const finished = change ?? this.runLastChange();
+    const newest = finished?.successor ?? this.first;
+    if (finished !== undefined) this.installAll(finished);
+    this.readAll();
+    const members = newest.members.map((member) => this.replicas.get(member.nodeId)!);
+    if (members.some(({ status }) => status !== 'voting') || this.dispatches > 0) return undefined;
+    for (const coordinator of this.coordinators.values()) {
+      coordinator.round.giveUp();
+      if (coordinator.delivered) continue;
+      for (const { nodeId } of newest.members) this.sendRelease(coordinator, nodeId, newest);
+    }
+    const subject = { key: KEY, issuedAtMs: 0, fingerprint: 'f', attemptId: 'last' };
+    const claim = { type: 'claim', epoch: newest.epoch, subject } as const;
+    return members.every(({ self }) => {
+      return this.replicas.get(self.nodeId)!.handle(claim, WALL_NOW_MS).type === 'granted';
+    });
+  }
+
+  private readAll(): void {
+    for (const replica of this.replicas.values()) {
+      for (const nodeId of replica.unreadMembers()) {
+        const request = replica.createRecoverRequest();
+        replica.onRecovered(this.replicas.get(nodeId)!.handle(request, WALL_NOW_MS));
+      }
+    }
+  }
+
+  /** A last proposer carries a change through that others have begun. */
+  private runLastChange(): EpochChange | undefined {
+    if (![...this.replicas.values()].some(({ status }) => status === 'sealed')) return undefined;
+    const ballot = { round: 2, nodeId: 'proposer-last' };
+    const members = OLD_MEMBERS.map((nodeId) => this.replicas.get(nodeId)!.self);
+    const proposed: PlacementRecord = { epoch: 2, members, fresh: false, floorMs: 0 };
+    const change = new EpochChange(this.first, ballot, proposed, this.rule);
+    const askAll = (request: ReplicaRequest): void => {
+      for (const nodeId of OLD_MEMBERS) {
+        change.onReply(this.replicas.get(nodeId)!.handle(request, WALL_NOW_MS));
+      }
+    };
+    askAll({ type: 'prepare', epoch: 1, ballot });
+    askAll({ type: 'accept', epoch: 1, ballot, successor: change.successor });
+    return change.step === 'decided' ? change : undefined;
+  }
+
+  private installAll(change: EpochChange): void {
+    const record = change.successor;
+    const table = this.mergeTables(change);
+    for (const { nodeId } of record.members) {
+      this.replicas.get(nodeId)!.handle({ type: 'install', record, table }, WALL_NOW_MS);
+    }
+    for (const replica of this.replicas.values()) replica.observe(record);
   }
 
   restart(choice: Choice): void {
@@ -273,6 +362,23 @@
   return fc.check(property, { numRuns: runs, seed: 20_261_202, endOnFailure: true }).counterexample;
 }
 
+test('after random schedules a key is free again once its claimants have given up', () => {
+  let free = 0;
+  const property = fc.property(SCHEDULE, (schedule) => {
+    const world = new World();
+    for (const [action, choice] of schedule) {
+      // Messages of one connection keep their order: no claim comes after its own release.
+      if (action !== 'claim' || !world.hasGivenUp(choice)) world.act(action, choice);
+    }
+    const isFree = world.becomesFree();
+    if (isFree === true) free += 1;
+    return isFree !== false;
+  });
+  const result = fc.check(property, { numRuns: 3_000, seed: 20_261_202, endOnFailure: true });
+  assert.equal(result.counterexample, null);
+  assert.ok(free >= MIN_FREE_ENDS, `${free} schedules ended with a free key`);
+});
+
 test('random schedules on the real state machines dispatch a key at most once', () => {
   assert.equal(findViolation(undefined, 2_000), null);
 });
--- a/src/core/claim/claim-replica.ts
+++ b/src/core/claim/claim-replica.ts
@@ -7,6 +7,7 @@
  */
 import { isExpired } from './claim-key.js';
 import { ClaimTable, type ClaimSubject } from './claim-table.js';
+import { EndedRounds } from './ended-rounds.js';
 import { isMember, type Incarnation, type PlacementRecord, type Vote } from './placement.js';
 import {
   isBelow,
@@ -18,6 +19,7 @@
   type InstallMessage,
   type PrepareMessage,
   type RecoverMessage,
+  type ReleaseMessage,
   type ReplicaMemory,
   type ReplicaReply,
   type ReplicaRequest,
@@ -37,6 +39,7 @@
   private promised: Ballot | undefined;
   private accepted: AcceptedSuccessor | undefined;
   private readonly recoveredFrom = new Set<string>();
+  private readonly ended = new EndedRounds();
 
   /** @param self identity of this process */
   constructor(readonly self: Incarnation) {}
@@ -74,17 +77,15 @@
       case 'charge':
         return this.onCharge(request, wallNowMs);
       case 'release':
-        if (!this.keepsTable()) return this.notVoting();
-        this.table.release(request.key, request.attemptId);
-        return DONE;
+        return this.onRelease(request);
       case 'finish':
         if (!this.keepsTable()) return this.notVoting();
         this.table.finish(request.subject, request.answer);
-        return DONE;
+        return this.acknowledge(request.epoch);
       case 'give-back':
         if (!this.keepsTable()) return this.notVoting();
         this.table.budgets.giveBack(request.key, request.chargeId, request.unused);
-        return DONE;
+        return this.acknowledge(request.epoch);
       case 'recover':
         return this.onRecover(request);
       case 'prepare':
@@ -174,11 +175,29 @@
 
   private grantFreeKey(subject: ClaimSubject, wallNowMs: number): ReplicaReply {
     const belowFloor = subject.issuedAtMs < (this.current?.floorMs ?? 0);
+    if (this.ended.has(subject.attemptId)) return this.notVoting();
     if (belowFloor || isExpired(subject.issuedAtMs, wallNowMs)) return { type: 'expired' };
     if (!this.table.hold(subject)) return { type: 'full' };
     return { type: 'granted', vote: this.vote() };
   }
 
+  /** Rounds that release before their claim arrives are remembered, so that it holds nothing. */
+  private onRelease(request: ReleaseMessage): ReplicaReply {
+    if (!this.keepsTable()) return this.notVoting();
+    const wasHolder = this.table.release(request.key, request.attemptId);
+    if (!wasHolder) this.ended.add(request.attemptId);
+    return this.acknowledge(request.epoch);
+  }
+
+  /**
+   * Confirms a change of the table only while this replica votes in the sender's epoch. A stopped
+   * replica has handed over its table, perhaps before the change; another epoch's table may be
+   * replaced by one that was handed over. Then the sender repeats the message to the next epoch.
+   */
+  private acknowledge(epoch: number): ReplicaReply {
+    return this.votesIn(epoch) ? DONE : this.notVoting();
+  }
+
   private onCharge(request: ChargeMessage, wallNowMs: number): ReplicaReply {
     if (!this.votesIn(request.epoch)) return this.notVoting();
     const slots = this.table.budgets.charge(request.charge, wallNowMs);
--- a/src/core/claim/claim-table.ts
+++ b/src/core/claim/claim-table.ts
@@ -6,10 +6,17 @@
 
 /**
  * State of one key: `held` by an attempt that may be dispatched, `finished` after its dispatch,
- * `conflict` when recovered tables named two attempts: then nobody gets the key.
+ * `conflict` when joined tables name several attempts: nobody gets the key until all of them but
+ * one have released it.
  */
 export type ClaimPhase = 'held' | 'finished' | 'conflict';
 
+/** Attempts that one key names at most; with more, nobody gets it before it expires. */
+const MAX_HOLDERS = 9;
+
+/** Stands for more attempts than are kept; no attempt has this id, so nobody releases it. */
+const UNKNOWN_HOLDER = '';
+
 /** What identifies a claim. */
 export interface ClaimSubject {
   /** Tenant, service and Idempotency-Key. */
@@ -25,6 +32,8 @@
 /** One key in a replica's table. */
 export interface ClaimEntry extends ClaimSubject {
   readonly phase: ClaimPhase;
+  /** In a conflict: the attempts besides `attemptId` that may have been dispatched. */
+  readonly rivals?: readonly string[];
   /** The answer of a finished attempt, when it was kept. */
   readonly answer?: HttpAnswer;
 }
@@ -40,8 +49,21 @@
   if (left.phase === 'finished')
     return left.answer === undefined ? preferFinished(right, left) : left;
   if (right.phase === 'finished') return right;
-  if (left.attemptId === right.attemptId && left.phase === right.phase) return left;
-  return { ...left, phase: 'conflict' };
+  return withHolders(left, [...new Set([...holdersOf(left), ...holdersOf(right)])]);
+}
+
+/** Attempts that may have been dispatched, as far as this entry tells. */
+function holdersOf(entry: ClaimEntry): readonly string[] {
+  return [entry.attemptId, ...(entry.rivals ?? [])];
+}
+
+/** The entry with other holders, of which there is at least one. */
+function withHolders(entry: ClaimEntry, holders: readonly string[]): ClaimEntry {
+  const { key, issuedAtMs, fingerprint } = entry;
+  const [attemptId = '', ...rivals] = holders.length > MAX_HOLDERS ? [UNKNOWN_HOLDER] : holders;
+  const subject = { key, issuedAtMs, fingerprint, attemptId };
+  if (rivals.length === 0 && attemptId !== UNKNOWN_HOLDER) return { ...subject, phase: 'held' };
+  return { ...subject, phase: 'conflict', rivals };
 }
 
 function preferFinished(candidate: ClaimEntry, otherwise: ClaimEntry): ClaimEntry {
@@ -82,10 +104,20 @@
     return true;
   }
 
-  /** Frees a key that the attempt holds and has not finished. */
-  release(key: string, attemptId: string): void {
+  /**
+   * Takes an attempt off a key; without another holder the key is free.
+   *
+   * @returns whether the attempt was a holder of the key
+   */
+  release(key: string, attemptId: string): boolean {
     const entry = this.claims.get(key);
-    if (entry?.attemptId === attemptId && entry.phase === 'held') this.claims.delete(key);
+    if (entry === undefined || entry.phase === 'finished') return false;
+    const holders = holdersOf(entry);
+    const left = holders.filter((holder) => holder !== attemptId);
+    if (left.length === holders.length) return false;
+    if (left.length === 0) this.claims.delete(key);
+    else this.claims.set(key, withHolders(entry, left));
+    return true;
   }
 
   /** Records that the attempt was dispatched and has ended; overrides every other holder. */
--- /dev/null
+++ b/src/core/claim/ended-rounds.ts
@@ -0,0 +1,23 @@
+/** Rounds of claims that have been given up, remembered for a claim that arrives after its release. */
+
+/** Rounds remembered; the oldest are forgotten first. */
+const MAX_ENDED_ROUNDS = 4_096;
+
+/** A bounded set of round ids. */
+export class EndedRounds {
+  private readonly rounds = new Set<string>();
+
+  add(attemptId: string): void {
+    this.rounds.delete(attemptId);
+    this.rounds.add(attemptId);
+    if (this.rounds.size <= MAX_ENDED_ROUNDS) return;
+    for (const oldest of this.rounds) {
+      this.rounds.delete(oldest);
+      return;
+    }
+  }
+
+  has(attemptId: string): boolean {
+    return this.rounds.has(attemptId);
+  }
+}
--- a/src/core/claim/replica-messages.ts
+++ b/src/core/claim/replica-messages.ts
@@ -26,6 +26,8 @@
 /** Gives a key back; the attempt is never dispatched afterwards. */
 export interface ReleaseMessage {
   readonly type: 'release';
+  /** The sender's newest epoch; only a replica that votes in it confirms. */
+  readonly epoch: number;
   readonly key: string;
   readonly attemptId: string;
 }
@@ -33,6 +35,8 @@
 /** Tells that a dispatched attempt has ended; without an answer its outcome stays unknown. */
 export interface FinishMessage {
   readonly type: 'finish';
+  /** The sender's newest epoch; only a replica that votes in it confirms. */
+  readonly epoch: number;
   readonly subject: ClaimSubject;
   readonly answer?: HttpAnswer;
 }
@@ -47,6 +51,8 @@
 /** Gives slots back that the charge does not use. */
 export interface GiveBackMessage {
   readonly type: 'give-back';
+  /** The sender's newest epoch; only a replica that votes in it confirms. */
+  readonly epoch: number;
   readonly key: string;
   readonly chargeId: string;
   readonly unused: readonly number[];
@@ -93,6 +99,9 @@
   readonly type: 'status';
 }
 
+/** Messages that every replica of a key should get. */
+export type DeliveredMessage = ReleaseMessage | FinishMessage | GiveBackMessage;
+
 /** Every request to a replica. */
 export type ReplicaRequest =
   | ClaimMessage
