Charge attempts of non-idempotent requests to their key as well

Only idempotent kinds were charged at the claim replicas; a refused attempt releases the claim, and each repeat began with a whole budget. Ruled out: the counting: the back ends' journals show five attempts received, each refused. Change: a caller's request with a request id is charged whatever its kind; a test of the entry. A non-idempotent call costs one more round of messages to the replicas; that cost is not measured.

--- a/src/claims/claim-service.ts
+++ b/src/claims/claim-service.ts
@@ -39,7 +39,7 @@
   /** Records the end of a dispatched attempt; without an answer the outcome stays unknown. */
   finish(request: ClaimRequest, answer: HttpAnswer | undefined): void;
   /**
-   * Charges attempts of an idempotent request that carries a request id, so that repeats at
+   * Charges attempts of a request that carries a request id, so that repeats at
    * other entry nodes share one bound.
    *
    * @returns attempts granted (at most `wanted`), or `AttemptsExhausted` / `ClaimUnavailable`
--- a/src/entry/attempt-source.ts
+++ b/src/entry/attempt-source.ts
@@ -69,8 +69,8 @@
 
   /** Repeats of the same key at other nodes share one budget; calls of back ends have a ledger. */
   private get isShared(): boolean {
-    const { context, idempotencyKey, parentAttemptId } = this.call;
-    return context.idempotent && idempotencyKey !== undefined && parentAttemptId === undefined;
+    const { idempotencyKey, parentAttemptId } = this.call;
+    return idempotencyKey !== undefined && parentAttemptId === undefined;
   }
 
   private async charge(wanted: number, now: number): Promise<Result<number, Failure>> {
--- a/src/entry/idempotency.test.ts
+++ b/src/entry/idempotency.test.ts
@@ -8,6 +8,8 @@
 import { answerPlain, type ScriptedBackend } from '../testing/scripted-backend.js';
 
 const UUID_V7 = '018f0000-0000-7000-8000-000000000001';
+/** The bound of the kind of `/promises` in the contract's rules. */
+const PROMISE_ATTEMPTS = 2;
 
 let contract: EntryContract;
 let backend: ScriptedBackend;
@@ -129,6 +131,26 @@
   assert.equal(backend.seen.length - seenBefore, 2);
 });
 
+test('repeats of a non-idempotent request that back ends refuse share its attempts', async () => {
+  backend.setScript((request) => {
+    request.socket.write(
+      'HTTP/1.1 503 No\r\nBackend-State: overloaded\r\nContent-Length: 0\r\n\r\n',
+    );
+  });
+  const headers = { 'Idempotency-Key': `${UUID_V7.slice(0, -1)}9` };
+  const seenBefore = backend.seen.length;
+  let last: unknown;
+  for (let repeat = 0; repeat < 6; repeat += 1) {
+    const path = '/promises/shed';
+    const answer = await send({ port: node.entryPort, method: 'POST', path, headers });
+    assert.equal(answer.headers['sillshore-execution'], 'not-run');
+    last = answer.headers['sillshore-result'];
+  }
+  assert.equal(last, String(ResultCode.AttemptsExhausted));
+  assert.equal(backend.seen.length - seenBefore, PROMISE_ATTEMPTS);
+  backend.setScript(answerPlain);
+});
+
 test('a refusal costs nothing of the attempts that repeats share', async () => {
   const headers = { 'Idempotency-Key': `${UUID_V7.slice(0, -1)}8` };
   const path = '/steps/refused';
