End the processes of a test when a signal ends the test

Cause: a process test ended by SIGTERM left the 16 processes of its deployment running. Ruled out: the exit handler, which works; a signal ends a process without an exit event. Change: SIGTERM and SIGINT end the process by process.exit. Before/after: a script that starts one platform stand-in and is sent SIGTERM: before, the stand-in runs on; after, it is dead (one run each).

--- a/src/testing/managed-process.ts
+++ b/src/testing/managed-process.ts
@@ -5,6 +5,8 @@
 const PROGRAM = fileURLToPath(new URL('../cli/main.js', import.meta.url));
 /** Output kept of each stream, in characters; older text is dropped. */
 const KEPT_OUTPUT = 4_000_000;
+/** Exit code of a process that a signal ended. */
+const EXIT_SIGNALLED = 130;
 
 const running = new Set<ChildProcess>();
 
@@ -12,6 +14,10 @@
 process.once('exit', () => {
   for (const child of running) child.kill('SIGKILL');
 });
+// A signal ends a process without its exit event; the test runner ends files that hang by one.
+for (const signal of ['SIGTERM', 'SIGINT'] as const) {
+  process.once(signal, () => process.exit(EXIT_SIGNALLED));
+}
 
 /** How a process ended. */
 export interface ProcessEnd {
