--- a/src/testing/deployment.ts
+++ b/src/testing/deployment.ts
@@ -37,7 +37,7 @@
 /** A back end of the deployment. */
 export interface RunningTarget {
   readonly plan: PlannedTarget;
-  readonly process: ManagedProcess;
+  process: ManagedProcess;
 }
 
 /** How callers are run. */
@@ -69,6 +69,8 @@
   readonly targets: RunningTarget[] = [];
   private platform: ManagedProcess | undefined;
   private readonly started: ManagedProcess[] = [];
+  /** Last journals of the back ends that were killed. */
+  private readonly keptJournals: BackendJournal[] = [];
 
   private constructor(readonly plan: DeploymentPlan) {}
 
@@ -179,21 +181,32 @@
     await requestJson(`http://127.0.0.1:${this.plan.platformControlPort}/control`, change);
   }
 
-  /** Journals of the back ends that run. */
+  /** Journals of the back ends that run, and the last ones read of those that were killed. */
   async readJournals(): Promise<BackendJournal[]> {
     const running = this.targets.filter(({ process }) => process.running);
-    return await Promise.all(
-      running.map(({ plan }) =>
-        requestJson<BackendJournal>(`http://${plan.address}/control/journal`),
-      ),
-    );
+    const journals = await Promise.all(running.map((target) => this.readJournal(target)));
+    return [...journals, ...this.keptJournals];
+  }
+
+  /** Whether some back end was killed, so that effects may be missing in the journals. */
+  get journalsIncomplete(): boolean {
+    return this.keptJournals.length > 0 || this.targets.some(({ process }) => !process.running);
+  }
+
+  /** Kills a back end and starts it again; what it did after the read of its journal is lost. */
+  async replaceTarget(id: string): Promise<void> {
+    const target = this.findTarget(id);
+    this.keptJournals.push(await this.readJournal(target));
+    await target.process.stop('SIGKILL');
+    target.process = this.spawnTarget(target.plan);
+    await target.process.firstLine(START_TIMEOUT_MS);
   }
 
   /** Checks what the callers got against the back ends' journals. */
   async check(results: readonly CallersResult[]): Promise<GuaranteeReport> {
     const records = results.flatMap((result) => result.records);
     const journals = await this.readJournals();
-    const journalsIncomplete = journals.length < this.targets.length;
+    const { journalsIncomplete } = this;
     return checkGuarantees({ rules: this.plan.rules, records, journals, journalsIncomplete });
   }
 
@@ -273,6 +286,10 @@
     });
   }
 
+  private async readJournal({ plan }: RunningTarget): Promise<BackendJournal> {
+    return await requestJson<BackendJournal>(`http://${plan.address}/control/journal`);
+  }
+
   private spawnNode({ settings, settingsFile }: PlannedNode): ManagedProcess {
     return this.spawn(settings.node.id, ['node', '--settings', settingsFile]);
   }
--- a/src/testing/process-test-deployment.ts
+++ b/src/testing/process-test-deployment.ts
@@ -9,36 +9,41 @@
 import { Deployment } from './deployment.js';
 import type { GuaranteeReport } from './guarantees.js';
 
-/** Factor on the example's deadlines and on the callers' patience. */
+/** Default factor on the example's deadlines and on the callers' patience. */
 const STRETCH = 10;
 /** Part of the example's load: enough for every kind, little enough for a busy machine. */
 export const RATE_FACTOR = 0.5;
 
-function stretchDeadlines(rules: Rules): Rules {
+function stretchDeadlines(rules: Rules, stretch: number): Rules {
   const services = rules.services.map((service) => ({
     ...service,
-    kinds: service.kinds.map((kind) => ({ ...kind, deadlineMs: kind.deadlineMs * STRETCH })),
+    kinds: service.kinds.map((kind) => ({ ...kind, deadlineMs: kind.deadlineMs * stretch })),
   }));
   return { ...rules, services };
 }
 
-function stretchPatience(workload: Workload): Workload {
+function stretchPatience(workload: Workload, stretch: number): Workload {
   const streams = workload.streams.map((stream) => ({
     ...stream,
-    patienceMs: stream.patienceMs * STRETCH,
+    patienceMs: stream.patienceMs * stretch,
   }));
   return { ...workload, streams };
 }
 
+/** Starts Recife with stretched deadlines; whoever starts it stops it. */
+export async function startTestDeployment(stretch = STRETCH): Promise<Deployment> {
+  return await Deployment.start({
+    example: 'recife',
+    changeRules: (rules) => stretchDeadlines(rules, stretch),
+    changeWorkload: (workload) => stretchPatience(workload, stretch),
+  });
+}
+
 /** Runs `use` with a started deployment of Recife, prints the logs when it fails, stops all. */
 export async function withDeployment(
   use: (deployment: Deployment) => Promise<void>,
 ): Promise<void> {
-  const deployment = await Deployment.start({
-    example: 'recife',
-    changeRules: stretchDeadlines,
-    changeWorkload: stretchPatience,
-  });
+  const deployment = await startTestDeployment();
   try {
     await use(deployment);
   } catch (error) {
