--- a/src/core/policies/adaptive-variants.ts
+++ b/src/core/policies/adaptive-variants.ts
@@ -11,6 +11,7 @@
 import { registerOverloadPolicy } from '../overload-policy-registry.js';
 import { AdaptiveLifoQueue } from '../queue/adaptive-lifo-queue.js';
 import { FifoQueue } from '../queue/fifo-queue.js';
+import { RetryBudget } from '../retry/retry-budget.js';
 import {
   chooseByHotCold,
   chooseLeastLoaded,
@@ -31,6 +32,9 @@
   'adaptive-least-loaded': { choose: chooseLeastLoaded },
   'adaptive-least-outstanding': { choose: chooseLeastOutstanding },
   'adaptive-hot-cold': { choose: chooseByHotCold },
+  'adaptive-no-retry-budget': {
+    createRetryBudget: () => new RetryBudget({ ratio: 0, capacity: Infinity }),
+  },
 };
 
 for (const [name, parts] of Object.entries(VARIANTS)) {
--- a/src/core/policies/adaptive.ts
+++ b/src/core/policies/adaptive.ts
@@ -20,6 +20,7 @@
   createLimit(options: TargetGateOptions): ConcurrencyLimit;
   createQueue(): WaitingQueue;
   createController(): ThresholdController;
+  createRetryBudget(): RetryBudget;
   readonly choose: TargetChoice;
   /** Longest expected wait of the last request in a queue, in milliseconds. */
   readonly maxWaitMs: number;
@@ -30,6 +31,7 @@
   createLimit: (options) => new ThroughputLimit(options),
   createQueue: () => new CriticalityQueue(),
   createController: () => new OfferedLoadController(DEFAULT_OFFERED_LOAD_OPTIONS),
+  createRetryBudget: () => new RetryBudget(),
   choose: chooseByTwoChoices,
   maxWaitMs: 150,
 };
@@ -46,7 +48,10 @@
         maxWaitMs: parts.maxWaitMs,
       }),
     createServiceRouter: (options) =>
-      new AdaptiveRouter(options, { choose: parts.choose, retryBudget: new RetryBudget() }),
+      new AdaptiveRouter(options, {
+        choose: parts.choose,
+        retryBudget: parts.createRetryBudget(),
+      }),
   };
 }
 
