--- a/src/admin/admin-server.ts
+++ b/src/admin/admin-server.ts
@@ -1,5 +1,6 @@
 /** The HTTP server of the administration port: remote calls, metrics, health. */
-import { createServer, type Server } from 'node:http';
+import { createServer as createHttpServer, type Server, type ServerOptions } from 'node:http';
+import { createServer as createHttpsServer } from 'node:https';
 import type { AddressInfo, Socket } from 'node:net';
 import express, { type Express, type Request } from 'express';
 import type { ErrorRequestHandler, RequestHandler } from 'express';
@@ -10,7 +11,8 @@
 import { Event } from '../kernel/event.js';
 import type { AdminNode } from './admin-node.js';
 import { createAdminService } from './admin-service.js';
-import { presentsToken } from './authentication.js';
+import { OperatorTokens } from './authentication.js';
+import { checkPermissions, createOperatorContext } from './authorization.js';
 import { createConnectMiddleware, methodOf, sendConnectError } from './connect-middleware.js';
 import { DrainCommands } from './drain-commands.js';
 import { isReady } from './node-status.js';
@@ -45,15 +47,24 @@
   return request.path.startsWith(`${SERVICE_PATH}/`);
 }
 
+/** Whether a connection ended in its TLS handshake. */
+function isTlsFailure({ code = '' }: NodeJS.ErrnoException): boolean {
+  return code.startsWith('ERR_SSL_') || code.startsWith('ERR_TLS_') || code === 'EPROTO';
+}
+
 /** See the module comment. */
 export class AdminServer {
   private readonly shutdown = new AbortController();
   private readonly server: Server;
+  private readonly tokens: OperatorTokens;
+  /** Open connections, those in their TLS handshake included. */
+  private readonly sockets = new Set<Socket>();
 
   constructor(
     private readonly node: AdminNode,
     limits: AdminTimeLimits = DEFAULT_TIME_LIMITS,
   ) {
+    this.tokens = new OperatorTokens(node.settings.admin);
     const drains = new DrainCommands(node);
     drains.registerHandlers();
     const options = {
@@ -61,7 +72,11 @@
       headersTimeout: limits.headersMs,
       connectionsCheckingInterval: limits.checkMs,
     };
-    this.server = createServer(options, this.createApp(drains));
+    this.server = this.createServer(options, this.createApp(drains));
+    this.server.on('connection', (socket) => {
+      this.sockets.add(socket);
+      socket.once('close', () => this.sockets.delete(socket));
+    });
     this.server.on('request', (request, response) => {
       response.once('finish', () => {
         // Otherwise a connection that was busy when the server closed stays open while idle.
@@ -94,7 +109,7 @@
   async stop(): Promise<void> {
     this.shutdown.abort();
     const cancel = this.node.clock.schedule(STOP_GRACE_MS, () => {
-      this.server.closeAllConnections();
+      for (const socket of this.sockets) socket.destroy();
     });
     await new Promise<void>((resolve) => {
       this.server.close(() => {
@@ -104,6 +119,15 @@
     cancel();
   }
 
+  private createServer(options: ServerOptions, app: Express): Server {
+    const { tls } = this.node.settings.admin;
+    if (tls === undefined) return createHttpServer(options, app);
+    const { certificate: cert, key } = tls;
+    const handshakeTimeout = options.headersTimeout;
+    const tlsOptions = { cert, key, minVersion: 'TLSv1.3', handshakeTimeout } as const;
+    return createHttpsServer({ ...options, ...tlsOptions }, app);
+  }
+
   private createApp(drains: DrainCommands): Express {
     const { node } = this;
     const app = express();
@@ -122,6 +146,9 @@
     app.use(
       createConnectMiddleware({
         routes: (router) => router.service(AdminService, createAdminService(node, drains)),
+        interceptors: [checkPermissions(node)],
+        contextValues: (request) =>
+          createOperatorContext(this.tokens.find(request.headers.authorization)),
         maxRequestBytes: MAX_REQUEST_BYTES,
         shutdownSignal: this.shutdown.signal,
         onDefect: (error) => {
@@ -138,9 +165,12 @@
     return app;
   }
 
-  /** Refuses remote calls without the operator's token, before their body is read. */
+  /**
+   * Refuses remote calls without an operator's token, before their body is read. What a token
+   * allows depends on the body and is checked by {@link checkPermissions}.
+   */
   private authenticate(): RequestHandler {
-    const { settings, log } = this.node;
+    const { log } = this.node;
     return (request, response, next) => {
       if (!isRemoteCall(request)) {
         next();
@@ -148,7 +178,7 @@
       }
       const method = methodOf(request);
       const from = request.socket.remoteAddress;
-      if (presentsToken(request.headers.authorization, settings.admin.token)) {
+      if (this.tokens.find(request.headers.authorization) !== undefined) {
         log.emit(Event.OperatorRequest, { method, from });
         next();
         return;
@@ -170,6 +200,12 @@
   }
 
   private answerClientError(error: NodeJS.ErrnoException, socket: Socket): void {
+    if (isTlsFailure(error)) {
+      // There is no key to answer with.
+      this.node.log.emit(Event.OperatorRejected, { error: error.code, from: socket.remoteAddress });
+      socket.destroy();
+      return;
+    }
     if (error.code === 'ECONNRESET' || !socket.writable) {
       socket.destroy();
       return;
--- a/src/claims/claim-task.ts
+++ b/src/claims/claim-task.ts
@@ -7,12 +7,19 @@
 import { createRandom } from '../core/random.js';
 import type { Clock } from '../kernel/clock.js';
 import type { EventLog } from '../kernel/event.js';
+import type { Metrics } from '../kernel/metrics.js';
 import type { Membership } from '../membership/membership.js';
 import type { PeerNetwork } from '../peer/peer-network.js';
 import type { PlatformClient } from '../platform/platform-client.js';
 import { ChargeRequester } from './charge-requester.js';
 import { ClaimRequester } from './claim-requester.js';
-import type { AttemptCharge, ClaimDecision, ClaimRequest, ClaimService } from './claim-service.js';
+import type {
+  AttemptCharge,
+  ChargeGrant,
+  ClaimDecision,
+  ClaimRequest,
+  ClaimService,
+} from './claim-service.js';
 import { DEFAULT_CLAIM_TIMING, type ClaimTiming } from './claim-timing.js';
 import { PlacementKeeper } from './placement-keeper.js';
 import { PlacementStore } from './placement-store.js';
@@ -33,6 +40,7 @@
   /** Requests that may wait for the local replica. */
   readonly mailboxCapacity: number;
   readonly timing?: ClaimTiming;
+  readonly metrics?: Metrics;
 }
 
 /** Distinguishes process starts within one millisecond, or after the wall clock was set back. */
@@ -52,25 +60,42 @@
 export class ClaimTask implements ClaimService {
   private readonly replica: ReplicaTask;
   private readonly keeper: PlacementKeeper;
+  private readonly delivery: ReplicaDelivery;
+  private readonly clock: Clock;
+  private readonly drainMs: number;
   private readonly claims: ClaimRequester;
   private readonly charges: ChargeRequester;
+  private readonly metrics: Metrics | undefined;
 
   constructor(options: ClaimTaskOptions) {
     const { nodeId, incarnation, clock, log, membership } = options;
     const timing = options.timing ?? DEFAULT_CLAIM_TIMING;
+    this.metrics = options.metrics;
+    this.clock = clock;
+    this.drainMs = timing.drainMs;
     const random = createRandom(incarnation % 2 ** 31);
     this.replica = new ReplicaTask({ nodeId, incarnation }, options.mailboxCapacity, clock, log);
     const replica = this.replica;
     const client = new ReplicaClient(options.network, replica);
     const store = new PlacementStore(options.platform);
-    const keeper = { clock, timing, random, membership, replica, client, store };
+    const { platform } = options;
+    const keeper = { clock, timing, random, membership, platform, replica, client, store };
     this.keeper = new PlacementKeeper(keeper);
     const placement = (): PlacementRecord | undefined => this.keeper.record;
     const observe = (record: PlacementRecord): void => {
       this.keeper.observe(record);
     };
-    const delivery = new ReplicaDelivery({ clock, timing, client, placement });
-    const requester = { clock, log, timing, random, client, delivery, placement, observe };
+    this.delivery = new ReplicaDelivery({ clock, timing, client, placement, observe });
+    const requester = {
+      clock,
+      log,
+      timing,
+      random,
+      client,
+      delivery: this.delivery,
+      placement,
+      observe,
+    };
     this.claims = new ClaimRequester(requester);
     this.charges = new ChargeRequester(requester, `${nodeId}#${incarnation}`);
   }
@@ -90,8 +115,10 @@
     return this.replica.view.size;
   }
 
-  claim(request: ClaimRequest): Promise<ClaimDecision> {
-    return this.claims.claim(request);
+  async claim(request: ClaimRequest): Promise<ClaimDecision> {
+    const decision = await this.claims.claim(request);
+    this.metrics?.claims.inc({ result: decision.type });
+    return decision;
   }
 
   release(request: ClaimRequest): void {
@@ -102,8 +129,14 @@
     this.claims.finish(request, answer);
   }
 
-  charge(charge: AttemptCharge): Promise<Result<number, Failure>> {
-    return this.charges.charge(charge);
+  async charge(charge: AttemptCharge): Promise<Result<number, Failure>> {
+    const granted = await this.charges.charge(charge);
+    this.metrics?.claims.inc({ result: granted.isOk ? 'charged' : 'charge-refused' });
+    return granted;
+  }
+
+  chargeReturnable(charge: AttemptCharge): Promise<Result<ChargeGrant, Failure>> {
+    return this.charges.chargeReturnable(charge);
   }
 
   /** Starts placement and recovery. */
@@ -111,13 +144,19 @@
     this.keeper.start();
   }
 
-  /** Planned stop: hands the replica's tables over; bounded in time. */
-  drain(): Promise<void> {
-    return this.keeper.handOver();
+  /**
+   * Planned stop: hands the replica's tables over and delivers what ended claims still have to
+   * tell; bounded in time.
+   */
+  async drain(): Promise<void> {
+    const end = this.clock.now() + this.drainMs;
+    await this.keeper.handOver();
+    await this.delivery.drain(end);
   }
 
   /** Stops at once. */
   stop(): void {
+    this.delivery.stop();
     this.keeper.stop();
     this.replica.close();
   }
--- a/src/config/apply-outcome.ts
+++ b/src/config/apply-outcome.ts
@@ -49,7 +49,7 @@
       'expected revision: a whole number from 0',
   ].filter((problem) => problem !== false);
   if (problems.length === 0) return Result.ok(true);
-  return Result.err(createFailure(ResultCode.InvalidField, problems.join('; ')));
+  return Result.err(createFailure(ResultCode.InvalidArgument, problems.join('; ')));
 }
 
 /** The result of a repeat: the first one, when it is the same change. */
--- a/src/config/settings.ts
+++ b/src/config/settings.ts
@@ -4,9 +4,11 @@
 import type { Failure } from '../core/failure.js';
 import { ResultCode } from '../core/result-code.js';
 import { parseAndValidate, validateValue } from './document.js';
-import { address } from './rules.js';
+import { adminSettingsSchema } from './operator-tokens.js';
+import { address, name } from './rules.js';
+import { mutualTlsSchema } from './tls-settings.js';
 
-const name = z.string().regex(/^[a-z][a-z0-9-]{0,62}$/, 'lower-case letters, digits and hyphens');
+const sharedKey = z.string().min(16).max(1_024);
 const url = z.string().regex(/^https?:\/\/[^\s]+$/, 'an http or https URL');
 
 /** Schema of a node's settings document. */
@@ -39,12 +41,14 @@
     /** Addresses to join by; the list of machines adds to them. */
     seeds: z.array(address).max(64).default([]),
     /** Key shared by all nodes, 16 characters or more; authenticates links and datagrams. */
-    sharedKey: z.string().min(16).max(1_024),
-  }),
-  admin: z.strictObject({
-    /** Bearer token that operators present; may not be empty. */
-    token: z.string().min(8).max(1_024),
+    sharedKey,
+    /** Keys that are accepted as well and never sent with; for the change of `sharedKey`. */
+    previousSharedKeys: z.array(sharedKey).max(3).default([]),
+    /** TLS of links; plain TCP when absent. All nodes have it or none. */
+    tls: mutualTlsSchema.optional(),
   }),
+  /** Operators' tokens. */
+  admin: adminSettingsSchema,
   limits: z
     .strictObject({
       /** Largest node-to-node frame in bytes. */
--- a/src/core/result-code.ts
+++ b/src/core/result-code.ts
@@ -49,6 +49,7 @@
   PlatformRateLimited = 4007,
   TenantMismatch = 4008,
   ScenarioInvalid = 4009,
+  InvalidArgument = 4010,
   FrameTooLarge = 5001,
   FrameMalformed = 5002,
   PeerUnauthenticated = 5003,
@@ -57,6 +58,7 @@
   OperatorUnauthenticated = 5006,
   PeerTimeout = 5007,
   PeerUnreachable = 5008,
+  OperatorForbidden = 5009,
   Internal = 9001,
 }
 
@@ -119,6 +121,7 @@
   [ResultCode.PlatformRateLimited, 'Platform service limits the rate', 429, 'not-run'],
   [ResultCode.TenantMismatch, 'Rules belong to another tenant', 403, 'not-run'],
   [ResultCode.ScenarioInvalid, 'Experiment scenario is invalid', 400, 'not-run'],
+  [ResultCode.InvalidArgument, 'Invalid argument', 400, 'not-run'],
   [ResultCode.FrameTooLarge, 'Frame too large', 413, 'not-run'],
   [ResultCode.FrameMalformed, 'Frame malformed', 400, 'not-run'],
   [ResultCode.PeerUnauthenticated, 'Peer not authenticated', 401, 'not-run'],
@@ -127,6 +130,7 @@
   [ResultCode.OperatorUnauthenticated, 'Operator not authenticated', 401, 'not-run'],
   [ResultCode.PeerTimeout, 'Peer did not answer in time', 504, 'unknown'],
   [ResultCode.PeerUnreachable, 'Peer unreachable', 503, 'not-run'],
+  [ResultCode.OperatorForbidden, 'Operator token does not allow this', 403, 'not-run'],
   [ResultCode.Internal, 'Internal error', 500, 'unknown'],
 ];
 
--- a/src/peer/outgoing-link.ts
+++ b/src/peer/outgoing-link.ts
@@ -1,5 +1,4 @@
 /** The calling end of a link: connects, proves itself, sends calls and matches their replies. */
-import { connect } from 'node:net';
 import { Result } from 'true-myth';
 import { splitAddress } from '../config/settings.js';
 import { createFailure, type Failure } from '../core/failure.js';
@@ -15,6 +14,7 @@
   verifyProof,
 } from './handshake.js';
 import { PeerLink, type LinkOptions } from './peer-link.js';
+import { connectToPeer } from './tls-options.js';
 
 /** A call as the link sends it. */
 export interface OutgoingCall {
@@ -43,6 +43,8 @@
 export interface OutgoingLinkOptions extends LinkOptions {
   readonly peer: string;
   readonly address: string;
+  /** The peer takes no more calls on this link. */
+  readonly onRetire: (link: OutgoingLink) => void;
   /** Called once when the link has ended; `wasOpen` tells whether it ever worked. */
   readonly onEnd: (link: OutgoingLink, wasOpen: boolean) => void;
 }
@@ -52,9 +54,11 @@
   private readonly pending = new Map<number, PendingCall>();
   private readonly nonce = createNonce();
   private lastId = 0;
+  private retiring = false;
 
   constructor(private readonly linkOptions: OutgoingLinkOptions) {
-    super(`to ${linkOptions.peer}`, connect(splitAddress(linkOptions.address)), linkOptions);
+    const socket = connectToPeer(splitAddress(linkOptions.address), linkOptions.tls);
+    super(`to ${linkOptions.peer}`, socket, linkOptions);
   }
 
   get inFlight(): number {
@@ -79,7 +83,7 @@
       clientNonce: this.nonce,
       serverNonce: hello.nonce,
     };
-    if (!verifyProof(sharedKey, 'server', context, hello.proof)) {
+    if (!verifyProof(this.acceptedKeys, 'server', context, hello.proof)) {
       this.rejectPeer('wrong proof');
       return;
     }
@@ -89,6 +93,10 @@
   }
 
   protected onFrame(envelope: Envelope): boolean {
+    if (envelope.t === 'goaway') {
+      this.retire(envelope.id);
+      return true;
+    }
     if (envelope.t !== 'reply') return false;
     // A reply to a call that has timed out or was cancelled is dropped: ids are never reused.
     const result =
@@ -119,8 +127,19 @@
     this.linkOptions.onEnd(this, this.peerNode !== undefined);
   }
 
+  /** The peer stops as planned: calls after the last one that it took were not handled. */
+  private retire(lastHandled: number): void {
+    this.retiring = true;
+    this.linkOptions.onRetire(this);
+    const failure = createFailure(ResultCode.PeerUnreachable, `${this.linkOptions.peer} stops`);
+    for (const id of [...this.pending.keys()]) {
+      if (id > lastHandled) this.settle(id, Result.err(failure));
+    }
+    if (this.pending.size === 0) this.end('peer stops');
+  }
+
   private start(call: OutgoingCall): void {
-    if (this.isEnded) {
+    if (this.isEnded || this.retiring) {
       call.resolve(Result.err(createFailure(ResultCode.PeerUnreachable, 'link has ended')));
       return;
     }
@@ -174,5 +193,6 @@
     entry.cancelTimer();
     if (entry.onAbort !== undefined) entry.call.signal?.removeEventListener('abort', entry.onAbort);
     entry.call.resolve(result);
+    if (this.retiring && this.pending.size === 0) this.end('peer stops');
   }
 }
--- a/src/peer/peer-plugin.ts
+++ b/src/peer/peer-plugin.ts
@@ -18,6 +18,8 @@
         node: settings.node.id,
         address: settings.listen.peer,
         sharedKey: settings.peers.sharedKey,
+        previousSharedKeys: settings.peers.previousSharedKeys,
+        tls: settings.peers.tls,
         limits: {
           maxFrameBytes,
           maxInFlight: maxInFlightPerLink,
@@ -34,6 +36,9 @@
   async start(container) {
     await (container.get(Token.PeerNetwork) as TcpPeerNetwork).listen();
   },
+  async drain(container) {
+    await (container.get(Token.PeerNetwork) as TcpPeerNetwork).retire();
+  },
   async stop(container) {
     await (container.get(Token.PeerNetwork) as TcpPeerNetwork).close();
   },
--- a/src/peer/tcp-peer-network.ts
+++ b/src/peer/tcp-peer-network.ts
@@ -20,6 +20,7 @@
   PeerCallOptions,
   PeerNetwork,
 } from './peer-network.js';
+import { TlsAcceptor } from './tls-acceptor.js';
 
 /** Silence after which the calling side closes a link, in milliseconds. */
 export const IDLE_CLOSE_MS = 60_000;
@@ -31,6 +32,9 @@
 /** Connections that may be in their handshake at once; more are closed unread. */
 const MAX_UNAUTHENTICATED = 512;
 
+/** Longest wait for calls in progress at a planned stop, in milliseconds. */
+const RETIRE_LIMIT_MS = 2_000;
+
 /** Options of a network. */
 export interface TcpPeerNetworkOptions extends LinkOptions {
   /** `host:port` to listen on; port 0 takes a free one. */
@@ -55,14 +59,18 @@
   private readonly incoming = new Set<IncomingLink>();
   private readonly handlers = new HandlerRegistry();
   private readonly server: Server;
+  private readonly tlsAcceptor: TlsAcceptor | undefined;
   private cancelSweep: CancelTimer | undefined;
   private closed = false;
+  /** Called when the last incoming link has ended. */
+  private onRetired: (() => void) | undefined;
 
   constructor(private readonly options: TcpPeerNetworkOptions) {
     reserveCodecBuffer(options.limits.maxFrameBytes);
     this.server = createServer((socket) => {
       this.accept(socket);
     });
+    this.tlsAcceptor = this.createTlsAcceptor();
   }
 
   /** Opens the listening socket; rejects when the address cannot be bound. */
@@ -95,6 +103,28 @@
     return outgoing.length + this.incoming.size;
   }
 
+  /**
+   * Planned stop: takes no more connections or calls, ends those in progress and waits
+   * until the peers have closed their links, or a limit. Peers learn which of their calls
+   * were not handled, so that none ends with an unknown outcome.
+   */
+  async retire(): Promise<void> {
+    this.closed = true;
+    this.server.close();
+    const links = [...this.incoming];
+    for (const link of links) link.post({ type: 'retire' });
+    if (this.incoming.size === 0) return;
+    await new Promise<void>((resolve) => {
+      const cancelLimit = this.options.clock.schedule(RETIRE_LIMIT_MS, () => {
+        resolve();
+      });
+      this.onRetired = () => {
+        cancelLimit();
+        resolve();
+      };
+    });
+  }
+
   /** Closes all links and the listening socket; calls in flight end with `PeerLost`. */
   async close(): Promise<void> {
     this.closed = true;
@@ -102,6 +132,7 @@
     for (const entry of this.peers.values()) {
       entry.link?.post({ type: 'shut', detail: 'node stops' });
     }
+    this.tlsAcceptor?.close();
     for (const link of [...this.incoming]) link.post({ type: 'shut', detail: 'node stops' });
     if (!this.server.listening) return;
     await new Promise<void>((resolve) => {
@@ -172,6 +203,9 @@
       ...this.options,
       peer: node,
       address: entry.address,
+      onRetire: (link) => {
+        if (entry.link === link) entry.link = undefined;
+      },
       onEnd: (link, wasOpen) => {
         this.onOutgoingEnd(entry, link, wasOpen);
       },
@@ -191,14 +225,39 @@
 
   private accept(socket: Socket): void {
     const unauthenticated = [...this.incoming].filter((link) => !link.isOpen).length;
-    if (this.closed || unauthenticated >= MAX_UNAUTHENTICATED) {
+    const pending = this.tlsAcceptor?.pending ?? 0;
+    if (this.closed || unauthenticated + pending >= MAX_UNAUTHENTICATED) {
       socket.destroy();
       return;
     }
+    if (this.tlsAcceptor === undefined) this.openIncoming(socket);
+    else this.tlsAcceptor.accept(socket);
+  }
+
+  private createTlsAcceptor(): TlsAcceptor | undefined {
+    const { tls, log } = this.options;
+    if (tls === undefined) return undefined;
+    return new TlsAcceptor({
+      tls,
+      onAccepted: (socket) => {
+        if (this.closed) socket.destroy();
+        else this.openIncoming(socket);
+      },
+      onRejected: (from, detail) => {
+        const code = ResultCode.PeerUnauthenticated;
+        log.emit(Event.PeerRejected, { link: `from ${from}`, code, detail: `TLS: ${detail}` });
+      },
+    });
+  }
+
+  private openIncoming(socket: Socket): void {
     const link = new IncomingLink(socket, {
       ...this.options,
       handlers: this.handlers,
-      onEnd: (ended) => this.incoming.delete(ended),
+      onEnd: (ended) => {
+        this.incoming.delete(ended);
+        if (this.incoming.size === 0) this.onRetired?.();
+      },
     });
     this.incoming.add(link);
   }
