Ask for a retry time only when a request is given up

Cause: every failed attempt counted as a refusal in the estimate of how long an overload lasts. Change: RetryEnvironment.retryAfterMs is a function.

--- a/src/core/policies/adaptive-router.ts
+++ b/src/core/policies/adaptive-router.ts
@@ -91,12 +91,12 @@
   }
 
   decideRetry(now: number, request: RequestContext, state: RetryState): RetryDecision {
-    const own = this.retryAfter.next(now, request.requestId);
     return this.retries.decide(request, state, {
       now,
       hasRoom: this.hasRoom(now, request),
       typicalLatencyMs: this.latency.ofKind(request.kind) ?? 0,
-      retryAfterMs: Math.max(own, state.retryAfterMs ?? 0),
+      retryAfterMs: () =>
+        Math.max(this.retryAfter.next(now, request.requestId), state.retryAfterMs ?? 0),
     });
   }
 
--- a/src/core/retry/retry-policy.ts
+++ b/src/core/retry/retry-policy.ts
@@ -13,8 +13,8 @@
   readonly hasRoom: boolean;
   /** Typical time of a request at the service, in milliseconds. */
   readonly typicalLatencyMs: number;
-  /** Retry time to report when the request is given up, in milliseconds. */
-  readonly retryAfterMs: number;
+  /** Retry time to report, in milliseconds; asked only when the request is given up. */
+  retryAfterMs(): number;
 }
 
 /** Code of a request given up after an outcome. */
@@ -82,7 +82,6 @@
   return state.lastOutcome !== 'overloaded' || environment.hasRoom;
 }
 
-function createRefusal(code: ResultCode, detail: string, { retryAfterMs }: RetryEnvironment) {
-  const refusal: Refusal = { code, detail, retryAfterMs };
-  return refusal;
+function createRefusal(code: ResultCode, detail: string, environment: RetryEnvironment): Refusal {
+  return { code, detail, retryAfterMs: environment.retryAfterMs() };
 }
--- a/src/core/retry/retry.test.ts
+++ b/src/core/retry/retry.test.ts
@@ -29,7 +29,7 @@
   now: 0,
   hasRoom: true,
   typicalLatencyMs: 50,
-  retryAfterMs: 200,
+  retryAfterMs: () => 200,
 };
 
 interface Case {
