Count the charges that the entry makes

Cause: sillshore_claims_total counted claims, but charges only in ClaimService.charge, which the entry no longer calls: it uses chargeReturnable. Ruled out: counting in the requester, which knows no metrics. Change: ClaimTask counts in chargeReturnable, and charge goes through it; ChargeRequester.charge had no caller left and goes.

--- a/src/claims/charge-requester.ts
+++ b/src/claims/charge-requester.ts
@@ -44,12 +44,6 @@
     private readonly name: string,
   ) {}
 
-  /** Charges attempts; see `ClaimService.charge`. */
-  async charge(charge: AttemptCharge): Promise<Result<number, Failure>> {
-    const granted = await this.chargeReturnable(charge);
-    return granted.map(({ attempts }) => attempts);
-  }
-
   /** Charges attempts; see `ClaimService.chargeReturnable`. */
   async chargeReturnable(charge: AttemptCharge): Promise<Result<ChargeGrant, Failure>> {
     const key = `${charge.tenant}/${charge.requestId}`;
--- a/src/claims/claim-task.test.ts
+++ b/src/claims/claim-task.test.ts
@@ -6,6 +6,7 @@
 import { ResultCode } from '../core/result-code.js';
 import { ManualClock } from '../kernel/clock.js';
 import { silentEventLog } from '../kernel/event.js';
+import { createMetrics } from '../kernel/metrics.js';
 import type { Member, Membership } from '../membership/membership.js';
 import { InMemoryPeerHub } from '../peer/in-memory-peer-network.js';
 import { InMemoryPlatform, type WriteFate } from '../testing/in-memory-platform.js';
@@ -22,6 +23,7 @@
   readonly clock = new ManualClock();
   readonly nodes = new Map<string, ClaimTask>();
   readonly platform: InMemoryPlatform;
+  readonly metrics = createMetrics(false);
   private readonly cutOff = new Set<string>();
   private readonly hub = new InMemoryPeerHub(this.clock);
   private readonly zones = new Map<string, string>();
@@ -44,6 +46,7 @@
       network: this.hub.createNetwork(nodeId),
       membership: this.createMembership(nodeId),
       platform: this.platform,
+      metrics: this.metrics,
       mailboxCapacity: 1_000,
     });
     this.nodes.set(nodeId, task);
@@ -181,6 +184,26 @@
   assert.equal(reused.failure.code, ResultCode.IdempotencyKeyReused);
 });
 
+test('claims and charges are counted by their result', async () => {
+  const fleet = await createFleet();
+  const key = fleet.createKey();
+  await fleet.claim('a', key, 'first');
+  await fleet.claim('b', key, 'second');
+  await fleet.claim('b', 'no uuid', 'third');
+  fleet.nodes.get('a')!.finish(fleet.createRequest(key, 'first'), ANSWER);
+  await fleet.pass(10);
+  await fleet.claim('c', key, 'fourth');
+  const deadline = fleet.clock.now() + 1_000;
+  const charge = { tenant: 't', requestId: 'r', wanted: 2, bound: 2, deadline };
+  await fleet.settle(fleet.nodes.get('a')!.chargeReturnable(charge));
+  await fleet.settle(fleet.nodes.get('b')!.charge(charge));
+  const { values } = await fleet.metrics.claims.get();
+  assert.deepEqual(
+    values.map(({ labels, value }) => `${labels.result} ${value}`),
+    ['granted 1', 'in-progress 1', 'refused 1', 'finished 1', 'charged 1', 'charge-refused 1'],
+  );
+});
+
 test('a released key can be claimed again', async () => {
   const fleet = await createFleet();
   const key = fleet.createKey();
--- a/src/claims/claim-task.ts
+++ b/src/claims/claim-task.ts
@@ -116,13 +116,14 @@
   }
 
   async charge(charge: AttemptCharge): Promise<Result<number, Failure>> {
-    const granted = await this.charges.charge(charge);
-    this.metrics?.claims.inc({ result: granted.isOk ? 'charged' : 'charge-refused' });
-    return granted;
+    const granted = await this.chargeReturnable(charge);
+    return granted.map(({ attempts }) => attempts);
   }
 
-  chargeReturnable(charge: AttemptCharge): Promise<Result<ChargeGrant, Failure>> {
-    return this.charges.chargeReturnable(charge);
+  async chargeReturnable(charge: AttemptCharge): Promise<Result<ChargeGrant, Failure>> {
+    const granted = await this.charges.chargeReturnable(charge);
+    this.metrics?.claims.inc({ result: granted.isOk ? 'charged' : 'charge-refused' });
+    return granted;
   }
 
   /** Starts placement and recovery. */
