Hand tables over in pages

Cause: a full table needed one frame of 14 MB, so a smaller frame limit would have made hand-over and recovery impossible. Ruled out: paging in the replica's state machine (a new state and a model of it): a page of a copy that is fetched later is a late reply, which the model has. Change: replies with tables carry the first page and a name for the rest (claimPage); installs are preceded by their pages (claimStage); both bounded.

--- a/src/claims/claim-messages.test.ts
+++ b/src/claims/claim-messages.test.ts
@@ -3,7 +3,7 @@
 import { deserialize, serialize } from 'bson';
 import { ClaimTable } from '../core/claim/claim-table.js';
 import { ResultCode } from '../core/result-code.js';
-import { validateReplicaRequest } from './claim-messages.js';
+import { validateReplicaCall } from './claim-messages.js';
 
 const SUBJECT = { key: 'k', issuedAtMs: 1, fingerprint: 'f', attemptId: 'a' };
 const RECORD = {
@@ -27,8 +27,8 @@
     { type: 'install', record: RECORD, table: createTable().snapshot() },
   ];
   for (const request of requests) {
-    const received: unknown = deserialize(serialize(request), { promoteBuffers: true });
-    const checked = validateReplicaRequest(received);
+    const received: unknown = deserialize(serialize({ request }), { promoteBuffers: true });
+    const checked = validateReplicaCall(received);
     assert.ok(checked.isOk, request.type);
     assert.equal(JSON.stringify(checked.value), JSON.stringify(received));
   }
@@ -47,7 +47,7 @@
     { type: 'install', record: { ...RECORD, members: [] }, table: { claims: [], budgets: [] } },
   ];
   for (const body of cases) {
-    const checked = validateReplicaRequest(body);
+    const checked = validateReplicaCall({ request: body });
     assert.ok(checked.isErr, JSON.stringify(body));
     assert.equal(checked.error.code, ResultCode.FrameMalformed);
   }
--- a/src/claims/claim-messages.ts
+++ b/src/claims/claim-messages.ts
@@ -1,18 +1,48 @@
 /** Messages of the claim protocol between coordinators and replicas. */
 import { Result } from 'true-myth';
 import { z } from 'zod';
+import type { TableSnapshot } from '../core/claim/claim-table.js';
 import type { ReplicaReply, ReplicaRequest } from '../core/claim/replica-messages.js';
 import type { Failure } from '../core/failure.js';
 import { ResultCode } from '../core/result-code.js';
+import type { TransferRef } from './table-transfers.js';
 import { validateValue } from '../config/document.js';
 
 /** Request and reply type of each claim call. */
 export interface ClaimCalls {
   /** One request to the claim replica of a node. */
-  claimReplica: { request: ReplicaRequest; reply: ReplicaReply };
+  claimReplica: { request: ReplicaCall; reply: ReplicaAnswer };
+  /** Fetches a page of a table that did not fit into a reply. */
+  claimPage: { request: PageRequest; reply: { readonly table?: TableSnapshot } };
+  /** Brings a page of a table ahead of the request that needs it. */
+  claimStage: { request: StageRequest; reply: Record<string, never> };
+}
+
+/** A request with the pages of its table that were brought ahead, if any. */
+export interface ReplicaCall {
+  readonly request: ReplicaRequest;
+  readonly staged?: TransferRef;
+}
+
+/** A reply, and where the other pages of its table are when it holds only the first one. */
+export interface ReplicaAnswer {
+  readonly reply: ReplicaReply;
+  readonly rest?: TransferRef;
+}
+
+/** Names one page of a table under way. */
+export interface PageRequest {
+  readonly transferId: string;
+  readonly page: number;
+}
+
+/** One page of a table under way. */
+export interface StageRequest extends PageRequest {
+  readonly table: TableSnapshot;
 }
 
 const MAX_SLOTS = 255;
+const MAX_PAGES = 4_096;
 const MAX_RIVALS = 8;
 
 const text = z.string().max(1_024);
@@ -76,9 +106,29 @@
 
 const recordSchema: z.ZodType<z.infer<typeof record>> = record;
 
+const transfer = z.object({ transferId: text, pages: z.int().min(1).max(MAX_PAGES) });
+const pageRequest = z.object({ transferId: text, page: z.int().min(0).max(MAX_PAGES) });
+
+const callSchema: z.ZodType<ReplicaCall> = z.object({
+  request: requestSchema,
+  staged: transfer.exactOptional(),
+});
+const pageSchema: z.ZodType<PageRequest> = pageRequest;
+const stageSchema: z.ZodType<StageRequest> = pageRequest.extend({ table });
+
 /** Checks a received request. */
-export function validateReplicaRequest(body: unknown): Result<ReplicaRequest, Failure> {
-  return validateValue(body, requestSchema, ResultCode.FrameMalformed);
+export function validateReplicaCall(body: unknown): Result<ReplicaCall, Failure> {
+  return validateValue(body, callSchema, ResultCode.FrameMalformed);
+}
+
+/** Checks a received request for a page. */
+export function validatePageRequest(body: unknown): Result<PageRequest, Failure> {
+  return validateValue(body, pageSchema, ResultCode.FrameMalformed);
+}
+
+/** Checks a received page. */
+export function validateStageRequest(body: unknown): Result<StageRequest, Failure> {
+  return validateValue(body, stageSchema, ResultCode.FrameMalformed);
 }
 
 /** Checks a placement record read from the platform. */
--- a/src/claims/claim-plugin.ts
+++ b/src/claims/claim-plugin.ts
@@ -3,6 +3,7 @@
 import { registerPlugin, StartOrder } from '../kernel/plugin.js';
 import { Token } from '../kernel/token.js';
 import { ClaimTask, createIncarnation } from './claim-task.js';
+import { DEFAULT_PAGE_BYTES } from './table-pages.js';
 
 /** One task a container; hollow nodes share a process. */
 const tasks = new WeakMap<Container, ClaimTask>();
@@ -19,6 +20,7 @@
     membership: container.get(Token.Membership),
     platform: container.get(Token.PlatformClient),
     metrics: container.get(Token.Metrics),
+    pageBytes: Math.min(DEFAULT_PAGE_BYTES, Math.floor(settings.limits.maxFrameBytes / 4)),
     mailboxCapacity: settings.limits.maxMailboxLength,
   });
   tasks.set(container, task);
--- a/src/claims/claim-task.test.ts
+++ b/src/claims/claim-task.test.ts
@@ -27,7 +27,10 @@
   private readonly zones = new Map<string, string>();
   private starts = 0;
 
-  constructor(nextWrite: () => WriteFate = () => 'ok') {
+  constructor(
+    nextWrite: () => WriteFate = () => 'ok',
+    private readonly pageBytes = 262_144,
+  ) {
     this.platform = new InMemoryPlatform(undefined, { nextWrite });
     this.clock.advance(1_000_000);
   }
@@ -45,6 +48,7 @@
       membership: this.createMembership(nodeId),
       platform: this.platform,
       mailboxCapacity: 1_000,
+      pageBytes: this.pageBytes,
     });
     this.nodes.set(nodeId, task);
     this.zones.set(nodeId, zone);
@@ -70,10 +74,10 @@
     const ask = async (to: string, request: ReplicaRequest): Promise<ReplicaReply> => {
       network.setAddress(to, to);
       const result = await this.settle(
-        network.call(to, 'claimReplica', request, { timeoutMs: 100 }),
+        network.call(to, 'claimReplica', { request }, { timeoutMs: 100 }),
       );
       assert.ok(result.isOk);
-      return result.value;
+      return result.value.reply;
     };
     const prepare = {
       type: 'prepare',
@@ -159,8 +163,8 @@
   }
 }
 
-async function createFleet(nextWrite?: () => WriteFate): Promise<Fleet> {
-  const fleet = new Fleet(nextWrite);
+async function createFleet(nextWrite?: () => WriteFate, pageBytes?: number): Promise<Fleet> {
+  const fleet = new Fleet(nextWrite, pageBytes);
   fleet.start('a', 'zone-1');
   fleet.start('b', 'zone-2');
   fleet.start('c', 'zone-3');
@@ -319,6 +323,24 @@
   });
 }
 
+test('tables of many pages are handed over and read after a restart', async () => {
+  const fleet = await createFleet(undefined, 1_000);
+  const keys = Array.from({ length: 40 }, (_, serial) => fleet.createKey(0, serial));
+  for (const key of keys) await fleet.claim('a', key, `first-${key}`);
+  fleet.start('b', 'zone-2');
+  await fleet.pass(2_000);
+  assert.equal(fleet.nodes.get('b')!.replicaSize, keys.length);
+  await fleet.settle(fleet.nodes.get('a')!.drain());
+  fleet.kill('a');
+  fleet.start('d', 'zone-1');
+  await fleet.pass(5_000);
+  assert.equal(describeMembers(fleet.nodes.get('d')!), 'b,c,d');
+  assert.equal(fleet.nodes.get('d')!.replicaSize, keys.length);
+  for (const key of keys) {
+    assert.equal((await fleet.claim('d', key, `again-${key}`)).type, 'in-progress');
+  }
+});
+
 test('a member that was started alone completes the change of its dead proposer', async () => {
   const fleet = await createFleet();
   const key = fleet.createKey();
--- a/src/claims/claim-task.ts
+++ b/src/claims/claim-task.ts
@@ -25,6 +25,7 @@
 import { PlacementStore } from './placement-store.js';
 import { ReplicaClient } from './replica-client.js';
 import { ReplicaDelivery } from './replica-delivery.js';
+import { ReplicaServer } from './replica-server.js';
 import { ReplicaTask } from './replica-task.js';
 
 /** What the claims of a node need. */
@@ -39,6 +40,8 @@
   readonly platform: PlatformClient;
   /** Requests that may wait for the local replica. */
   readonly mailboxCapacity: number;
+  /** Largest page of a table in a hand-over, in bytes. */
+  readonly pageBytes?: number;
   readonly timing?: ClaimTiming;
   readonly metrics?: Metrics;
 }
@@ -76,7 +79,8 @@
     const random = createRandom(incarnation % 2 ** 31);
     this.replica = new ReplicaTask({ nodeId, incarnation }, options.mailboxCapacity, clock, log);
     const replica = this.replica;
-    const client = new ReplicaClient(options.network, replica);
+    new ReplicaServer(options.network, replica, clock, options.pageBytes);
+    const client = new ReplicaClient(options.network, replica, options.pageBytes);
     const store = new PlacementStore(options.platform);
     const { platform } = options;
     const keeper = { clock, timing, random, membership, platform, replica, client, store };
--- a/src/claims/replica-client.ts
+++ b/src/claims/replica-client.ts
@@ -1,32 +1,43 @@
 /** Requests to replicas by node id; the local replica is reached without the network. */
 import type { PlacementRecord } from '../core/claim/placement.js';
-import type { ReplicaReply, ReplicaRequest } from '../core/claim/replica-messages.js';
+import type {
+  InstallMessage,
+  ReplicaReply,
+  ReplicaRequest,
+} from '../core/claim/replica-messages.js';
 import type { PeerNetwork } from '../peer/peer-network.js';
-import { validateReplicaRequest } from './claim-messages.js';
+import type { ReplicaAnswer, ReplicaCall } from './claim-messages.js';
 import type { ReplicaTask } from './replica-task.js';
+import { DEFAULT_PAGE_BYTES, joinTables, splitTable } from './table-pages.js';
 
 /** Sends requests to the replica of any node. */
 export class ReplicaClient {
+  private transfers = 0;
+
   constructor(
     private readonly network: PeerNetwork,
     private readonly local: ReplicaTask,
-  ) {
-    network.handle('claimReplica', validateReplicaRequest, (_from, request) =>
-      local.request(request),
-    );
-  }
+    private readonly pageBytes = DEFAULT_PAGE_BYTES,
+  ) {}
 
-  /** Asks one replica; `undefined` when it cannot be reached or does not answer in time. */
+  /**
+   * Asks one replica; `undefined` when it cannot be reached or does not answer in time.
+   *
+   * @param timeoutMs limit of each exchange; a large table takes one for each of its pages
+   */
   async ask(
     nodeId: string,
     request: ReplicaRequest,
     timeoutMs: number,
   ): Promise<ReplicaReply | undefined> {
-    const result =
-      nodeId === this.local.view.self.nodeId
-        ? await this.local.request(request)
-        : await this.network.call(nodeId, 'claimReplica', request, { timeoutMs });
-    return result.isOk ? result.value : undefined;
+    if (nodeId === this.local.view.self.nodeId) {
+      const result = await this.local.request(request);
+      return result.isOk ? result.value : undefined;
+    }
+    const call = await this.stage(nodeId, request, timeoutMs);
+    if (call === undefined) return undefined;
+    const result = await this.network.call(nodeId, 'claimReplica', call, { timeoutMs });
+    return result.isOk ? this.completeReply(nodeId, result.value, timeoutMs) : undefined;
   }
 
   /**
@@ -45,4 +56,50 @@
     });
     await Promise.all(asks);
   }
+
+  /** Sends all pages of a large table but the last one ahead. */
+  private async stage(
+    nodeId: string,
+    request: ReplicaRequest,
+    timeoutMs: number,
+  ): Promise<ReplicaCall | undefined> {
+    if (request.type !== 'install') return { request };
+    const pages = splitTable(request.table, this.pageBytes);
+    if (pages.length === 1) return { request };
+    const last = pages.length - 1;
+    const transferId = this.createTransferId();
+    for (let page = 0; page < last; page += 1) {
+      const body = { transferId, page, table: pages[page]! };
+      const result = await this.network.call(nodeId, 'claimStage', body, { timeoutMs });
+      if (result.isErr) return undefined;
+    }
+    const install: InstallMessage = { ...request, table: pages[last]! };
+    return { request: install, staged: { transferId, pages: last } };
+  }
+
+  private createTransferId(): string {
+    this.transfers += 1;
+    const { nodeId, incarnation } = this.local.view.self;
+    return `${nodeId}#${incarnation}.${this.transfers}`;
+  }
+
+  /** Fetches the pages of a table that did not fit; without all of them the reply does not count. */
+  private async completeReply(
+    nodeId: string,
+    { reply, rest }: ReplicaAnswer,
+    timeoutMs: number,
+  ): Promise<ReplicaReply | undefined> {
+    if (rest === undefined || (reply.type !== 'promised' && reply.type !== 'recovered')) {
+      return reply;
+    }
+    const pages = [reply.memory.table];
+    const { transferId } = rest;
+    for (let page = 1; page < rest.pages; page += 1) {
+      const body = { transferId, page };
+      const result = await this.network.call(nodeId, 'claimPage', body, { timeoutMs });
+      if (result.isErr || result.value.table === undefined) return undefined;
+      pages.push(result.value.table);
+    }
+    return { ...reply, memory: { ...reply.memory, table: joinTables(pages) } };
+  }
 }
