Add the setting claims.groups

Cause: the number of replica groups is fixed when a fleet first starts. Ruled out: a setting that must be equal at all nodes (two values would split keys). Change: optional claims.groups (1 to 64), a wish of the node that writes the layout.

--- a/src/config/settings.ts
+++ b/src/config/settings.ts
@@ -6,6 +6,9 @@
 import { parseAndValidate, validateValue } from './document.js';
 import { address } from './rules.js';
 
+/** Groups of a fleet at most; as in src/core/claim/claim-groups.ts. */
+const MAX_CLAIM_GROUPS = 64;
+
 const name = z.string().regex(/^[a-z][a-z0-9-]{0,62}$/, 'lower-case letters, digits and hyphens');
 const url = z.string().regex(/^https?:\/\/[^\s]+$/, 'an http or https URL');
 
@@ -59,6 +62,15 @@
       requestReadTimeoutMs: z.int().min(10).max(600_000).default(10_000),
     })
     .prefault({}),
+  claims: z
+    .strictObject({
+      /**
+       * Replica groups that the claims are divided into, when this node starts the fleet; later
+       * the fleet's own record counts. Absent: one for about ten nodes.
+       */
+      groups: z.int().min(1).max(MAX_CLAIM_GROUPS).exactOptional(),
+    })
+    .prefault({}),
   overload: z
     .strictObject({
       /** Name of the registered overload policy. */
