Divide the claims over several replica groups

Cause: one group of three nodes carried every claim: 83 a second sustained. Ruled out: the number of groups from each node's settings or view (two nodes would send one key to two groups); asking every group from every node (cost grows). Change: groups by key hash; a write-once layout in the platform; each group has its replicas (rendezvous hashing, one a zone), epochs, hand-over and restart; nodes learn records by one question a second to a random node, which sends only what is newer.

--- a/src/claims/charge-requester.ts
+++ b/src/claims/charge-requester.ts
@@ -71,13 +71,16 @@
 
   /** One round under a charge id of its own; gives back what does not count. */
   private async runRound(key: string, charge: AttemptCharge): Promise<EndedRound | undefined> {
-    const record = this.options.placement();
-    if (record === undefined) return undefined;
+    const group = this.options.groupOf(key);
+    const record = group?.placement;
+    if (group === undefined || record === undefined) return undefined;
     const wanted = Math.min(charge.wanted, charge.bound, MAX_BOUND);
     const budget = this.createBudgetCharge(key, wanted, charge.bound);
     const round = new ChargeRound(record, wanted);
     const request = { type: 'charge', epoch: record.epoch, charge: budget } as const;
-    await settleRound(this.options, round, request, charge.deadline, () => round.complete);
+    await settleRound(this.options, group.client, round, request, charge.deadline, () => {
+      return round.complete;
+    });
     const outcome = round.outcome();
     this.giveBackUnused(budget, outcome.slots);
     return { budget, outcome };
@@ -88,7 +91,7 @@
     const giveBack = (count: number): void => {
       const unused = slots.slice(0, count);
       if (unused.length === 0) return;
-      void this.options.delivery.deliver({ type: 'give-back', key, chargeId, unused });
+      void this.options.delivery.deliver(key, { type: 'give-back', key, chargeId, unused });
     };
     return { attempts: slots.length, giveBack };
   }
@@ -108,7 +111,7 @@
     const all = Array.from({ length: charge.bound }, (_, slot) => slot);
     const unused = all.filter((slot) => !used.includes(slot));
     const { key, chargeId } = charge;
-    void this.options.delivery.deliver({ type: 'give-back', key, chargeId, unused });
+    void this.options.delivery.deliver(key, { type: 'give-back', key, chargeId, unused });
   }
 
   private grantLocally(key: string): Result<ChargeGrant, Failure> {
--- a/src/claims/claim-messages.test.ts
+++ b/src/claims/claim-messages.test.ts
@@ -27,7 +27,9 @@
     { type: 'install', record: RECORD, table: createTable().snapshot() },
   ];
   for (const request of requests) {
-    const received: unknown = deserialize(serialize({ request }), { promoteBuffers: true });
+    const received: unknown = deserialize(serialize({ group: 0, request }), {
+      promoteBuffers: true,
+    });
     const checked = validateReplicaCall(received);
     assert.ok(checked.isOk, request.type);
     assert.equal(JSON.stringify(checked.value), JSON.stringify(received));
@@ -47,8 +49,16 @@
     { type: 'install', record: { ...RECORD, members: [] }, table: { claims: [], budgets: [] } },
   ];
   for (const body of cases) {
-    const checked = validateReplicaCall({ request: body });
+    const checked = validateReplicaCall({ group: 0, request: body });
     assert.ok(checked.isErr, JSON.stringify(body));
     assert.equal(checked.error.code, ResultCode.FrameMalformed);
   }
 });
+
+test('groups beyond the largest number are refused', () => {
+  const request = { type: 'status' };
+  assert.ok(validateReplicaCall({ group: 63, request }).isOk);
+  for (const group of [-1, 64, 1.5, undefined]) {
+    assert.ok(validateReplicaCall({ group, request }).isErr, String(group));
+  }
+});
--- a/src/claims/claim-messages.ts
+++ b/src/claims/claim-messages.ts
@@ -1,6 +1,8 @@
 /** Messages of the claim protocol between coordinators and replicas. */
 import { Result } from 'true-myth';
 import { z } from 'zod';
+import { MAX_GROUPS } from '../core/claim/claim-groups.js';
+import type { PlacementRecord } from '../core/claim/placement.js';
 import type { TableSnapshot } from '../core/claim/claim-table.js';
 import type { ReplicaReply, ReplicaRequest } from '../core/claim/replica-messages.js';
 import type { Failure } from '../core/failure.js';
@@ -13,13 +15,16 @@
   /** One request to the claim replica of a node. */
   claimReplica: { request: ReplicaCall; reply: ReplicaAnswer };
   /** Fetches a page of a table that did not fit into a reply. */
-  claimPage: { request: PageRequest; reply: { readonly table?: TableSnapshot } };
+  claimPage: { request: PageRequest; reply: PageReply };
   /** Brings a page of a table ahead of the request that needs it. */
   claimStage: { request: StageRequest; reply: Record<string, never> };
+  /** Asks for the number of groups and for newer placement records. */
+  claimRecords: { request: RecordsRequest; reply: RecordsReply };
 }
 
 /** A request with the pages of its table that were brought ahead, if any. */
 export interface ReplicaCall {
+  readonly group: number;
   readonly request: ReplicaRequest;
   readonly staged?: TransferRef;
 }
@@ -32,10 +37,31 @@
 
 /** Names one page of a table under way. */
 export interface PageRequest {
+  readonly group: number;
   readonly transferId: string;
   readonly page: number;
 }
 
+/** A page; without a table it is not kept any more. */
+export interface PageReply {
+  readonly table?: TableSnapshot;
+}
+
+/** What the asker knows. */
+export interface RecordsRequest {
+  /** Number of groups; 0 when unknown. */
+  readonly groups: number;
+  /** Newest known epoch of each group; 0 when unknown. */
+  readonly epochs: readonly number[];
+}
+
+/** What the asker did not know. */
+export interface RecordsReply {
+  /** Number of groups; 0 when unknown. */
+  readonly groups: number;
+  readonly records: readonly { readonly group: number; readonly record: PlacementRecord }[];
+}
+
 /** One page of a table under way. */
 export interface StageRequest extends PageRequest {
   readonly table: TableSnapshot;
@@ -47,6 +73,10 @@
 
 const text = z.string().max(1_024);
 const count = z.int().min(0);
+const groupIndex = z
+  .int()
+  .min(0)
+  .max(MAX_GROUPS - 1);
 const incarnation = z.object({ nodeId: text, incarnation: count });
 const ballot = z.object({ round: count, nodeId: text });
 const record = z.object({
@@ -107,9 +137,20 @@
 const recordSchema: z.ZodType<z.infer<typeof record>> = record;
 
 const transfer = z.object({ transferId: text, pages: z.int().min(1).max(MAX_PAGES) });
-const pageRequest = z.object({ transferId: text, page: z.int().min(0).max(MAX_PAGES) });
+const pageRequest = z.object({
+  group: groupIndex,
+  transferId: text,
+  page: z.int().min(0).max(MAX_PAGES),
+});
+
+const recordsSchema: z.ZodType<RecordsRequest> = z.object({
+  groups: z.int().min(0).max(MAX_GROUPS),
+  epochs: z.array(count).max(MAX_GROUPS),
+});
+const layoutSchema = z.object({ groups: z.int().min(1).max(MAX_GROUPS) });
 
 const callSchema: z.ZodType<ReplicaCall> = z.object({
+  group: groupIndex,
   request: requestSchema,
   staged: transfer.exactOptional(),
 });
@@ -131,6 +172,16 @@
   return validateValue(body, stageSchema, ResultCode.FrameMalformed);
 }
 
+/** Checks a received question for records. */
+export function validateRecordsRequest(body: unknown): Result<RecordsRequest, Failure> {
+  return validateValue(body, recordsSchema, ResultCode.FrameMalformed);
+}
+
+/** Checks a layout record read from the platform. */
+export function validateLayout(value: unknown): Result<{ readonly groups: number }, Failure> {
+  return validateValue(value, layoutSchema, ResultCode.FrameMalformed);
+}
+
 /** Checks a placement record read from the platform. */
 export function validatePlacement(value: unknown): Result<z.infer<typeof record>, Failure> {
   return validateValue(value, recordSchema, ResultCode.FrameMalformed);
--- a/src/claims/claim-plugin.ts
+++ b/src/claims/claim-plugin.ts
@@ -21,6 +21,7 @@
     platform: container.get(Token.PlatformClient),
     metrics: container.get(Token.Metrics),
     pageBytes: Math.min(DEFAULT_PAGE_BYTES, Math.floor(settings.limits.maxFrameBytes / 4)),
+    wantedGroups: settings.claims.groups,
     mailboxCapacity: settings.limits.maxMailboxLength,
   });
   tasks.set(container, task);
--- a/src/claims/claim-requester.ts
+++ b/src/claims/claim-requester.ts
@@ -9,7 +9,7 @@
 import { Event } from '../kernel/event.js';
 import type { ClaimDecision, ClaimRequest } from './claim-service.js';
 import { GrantedClaims } from './granted-claims.js';
-import { pause, settleRound, type RequesterOptions } from './requester.js';
+import { pause, settleRound, type GroupAccess, type RequesterOptions } from './requester.js';
 
 /** Time after which a caller may repeat a claim that could not be decided, in milliseconds. */
 const RETRY_AFTER_MS = 1_000;
@@ -47,7 +47,7 @@
     const subject = this.granted.take(request.attemptId);
     if (subject === undefined) return;
     const kept = answer === undefined ? {} : { answer };
-    void this.options.delivery.deliver({ type: 'finish', subject, ...kept });
+    void this.options.delivery.deliver(subject.key, { type: 'finish', subject, ...kept });
   }
 
   private async runRounds(request: ClaimRequest, notAfter: number): Promise<ClaimDecision> {
@@ -56,11 +56,13 @@
     let sawEarlierAttempt = false;
     let noEarlierAttempt = false;
     do {
-      const record = this.options.placement();
-      if (record === undefined) return refuseUnavailable('no placement of replicas is known');
-      const round = new ClaimRound(record);
       const subject = this.describe(request);
-      const verdict = await this.runRound(round, subject, deadline);
+      const group = this.options.groupOf(subject.key);
+      const record = group?.placement;
+      if (group === undefined || record === undefined)
+        return refuseUnavailable('no placement of replicas is known');
+      const round = new ClaimRound(record);
+      const verdict = await this.runRound(group.client, round, subject, deadline);
       if (verdict.type === 'granted') {
         this.granted.add(request.attemptId, subject);
         return { type: 'granted', notAfter };
@@ -71,7 +73,7 @@
       sawEarlierAttempt ||= round.sawEarlierAttempt;
       noEarlierAttempt = round.provesNoEarlierAttempt;
       const newer = round.findNewerRecord();
-      if (newer !== undefined) this.options.observe(newer);
+      if (newer !== undefined) group.observe(newer);
       await released;
       await pause(clock, 1 + random.next() * timing.retryJitterMs);
     } while (clock.now() < deadline);
@@ -80,13 +82,14 @@
   }
 
   private async runRound(
+    client: GroupAccess['client'],
     round: ClaimRound,
     subject: ClaimSubject,
     deadline: number,
   ): Promise<ClaimVerdict | { readonly type: 'undecided' }> {
     const { epoch } = round.record;
     const request = { type: 'claim', epoch, subject } as const;
-    await settleRound(this.options, round, request, deadline, () => {
+    await settleRound(this.options, client, round, request, deadline, () => {
       return round.verdict().type !== 'waiting';
     });
     if (this.options.clock.now() >= deadline) return { type: 'undecided' };
@@ -95,7 +98,7 @@
   }
 
   private async giveBack({ key, attemptId }: ClaimSubject): Promise<void> {
-    await this.options.delivery.deliver({ type: 'release', key, attemptId });
+    await this.options.delivery.deliver(key, { type: 'release', key, attemptId });
   }
 
   /**
--- a/src/claims/claim-task.ts
+++ b/src/claims/claim-task.ts
@@ -1,4 +1,4 @@
-/** Claims at one node: replica, coordinators and placement, put together. */
+/** Claims at one node: replicas, coordinators and placement of all groups, put together. */
 import type { Result } from 'true-myth';
 import type { PlacementRecord } from '../core/claim/placement.js';
 import type { ReplicaStatus } from '../core/claim/replica-messages.js';
@@ -21,12 +21,11 @@
   ClaimService,
 } from './claim-service.js';
 import { DEFAULT_CLAIM_TIMING, type ClaimTiming } from './claim-timing.js';
-import { PlacementKeeper } from './placement-keeper.js';
-import { PlacementStore } from './placement-store.js';
-import { ReplicaClient } from './replica-client.js';
+import { GroupDirectory } from './group-directory.js';
+import { serveGroups } from './group-service.js';
+import { GroupsKeeper } from './groups-keeper.js';
 import { ReplicaDelivery } from './replica-delivery.js';
-import { ReplicaServer } from './replica-server.js';
-import { ReplicaTask } from './replica-task.js';
+import type { GroupAccess } from './requester.js';
 
 /** What the claims of a node need. */
 export interface ClaimTaskOptions {
@@ -38,10 +37,12 @@
   readonly network: PeerNetwork;
   readonly membership: Membership;
   readonly platform: PlatformClient;
-  /** Requests that may wait for the local replica. */
+  /** Requests that may wait for one local replica. */
   readonly mailboxCapacity: number;
   /** Largest page of a table in a hand-over, in bytes. */
-  readonly pageBytes?: number;
+  readonly pageBytes?: number | undefined;
+  /** Number of groups to begin with when this node starts the fleet. */
+  readonly wantedGroups?: number | undefined;
   readonly timing?: ClaimTiming;
   readonly metrics?: Metrics;
 }
@@ -59,10 +60,10 @@
   return Math.floor(wallNowMs) * INCARNATIONS_PER_MS + Math.floor(fraction * INCARNATIONS_PER_MS);
 }
 
-/** The claim service with its replica. */
+/** The claim service with its replicas. */
 export class ClaimTask implements ClaimService {
-  private readonly replica: ReplicaTask;
-  private readonly keeper: PlacementKeeper;
+  private readonly directory: GroupDirectory;
+  private readonly keeper: GroupsKeeper;
   private readonly delivery: ReplicaDelivery;
   private readonly clock: Clock;
   private readonly drainMs: number;
@@ -77,46 +78,38 @@
     this.clock = clock;
     this.drainMs = timing.drainMs;
     const random = createRandom(incarnation % 2 ** 31);
-    this.replica = new ReplicaTask({ nodeId, incarnation }, options.mailboxCapacity, clock, log);
-    const replica = this.replica;
-    new ReplicaServer(options.network, replica, clock, options.pageBytes);
-    const client = new ReplicaClient(options.network, replica, options.pageBytes);
-    const store = new PlacementStore(options.platform);
-    const { platform } = options;
-    const keeper = { clock, timing, random, membership, platform, replica, client, store };
-    this.keeper = new PlacementKeeper(keeper);
-    const placement = (): PlacementRecord | undefined => this.keeper.record;
-    const observe = (record: PlacementRecord): void => {
-      this.keeper.observe(record);
-    };
-    this.delivery = new ReplicaDelivery({ clock, timing, client, placement, observe });
-    const requester = {
-      clock,
-      log,
-      timing,
-      random,
-      client,
-      delivery: this.delivery,
-      placement,
-      observe,
-    };
+    const { network, platform, mailboxCapacity, pageBytes, wantedGroups } = options;
+    const self = { nodeId, incarnation };
+    const directory = { self, network, clock, log, mailboxCapacity, pageBytes };
+    this.directory = new GroupDirectory(directory);
+    serveGroups(network, this.directory);
+    const keeper = { clock, timing, random, membership, network, platform, wantedGroups };
+    this.keeper = new GroupsKeeper({ ...keeper, directory: this.directory });
+    const groupOf = (key: string): GroupAccess | undefined => this.directory.groupOf(key);
+    this.delivery = new ReplicaDelivery({ clock, timing, groupOf });
+    const requester = { clock, log, timing, random, delivery: this.delivery, groupOf };
     this.claims = new ClaimRequester(requester);
     this.charges = new ChargeRequester(requester, `${nodeId}#${incarnation}`);
   }
 
-  /** What the local replica does now. */
-  get replicaStatus(): ReplicaStatus {
-    return this.replica.view.status;
+  /** Number of groups of the fleet; `undefined` until it is known. */
+  get groupCount(): number | undefined {
+    return this.directory.count;
   }
 
-  /** Newest placement record that this node knows. */
-  get placement(): PlacementRecord | undefined {
-    return this.keeper.record;
+  /** What the local replica of a group does now. */
+  replicaStatusOf(group: number): ReplicaStatus {
+    return this.directory.open(group).replica.view.status;
   }
 
-  /** Claims held by the local replica. */
-  get replicaSize(): number {
-    return this.replica.view.size;
+  /** Newest placement record of a group that this node knows. */
+  placementOf(group: number): PlacementRecord | undefined {
+    return this.directory.open(group).placement;
+  }
+
+  /** Claims held by the local replica of a group. */
+  replicaSizeOf(group: number): number {
+    return this.directory.open(group).replica.view.size;
   }
 
   async claim(request: ClaimRequest): Promise<ClaimDecision> {
@@ -162,6 +155,6 @@
   stop(): void {
     this.delivery.stop();
     this.keeper.stop();
-    this.replica.close();
+    this.directory.close();
   }
 }
--- a/src/claims/group-restarter.ts
+++ b/src/claims/group-restarter.ts
@@ -26,7 +26,7 @@
   readonly clock: Clock;
   readonly timing: ClaimTiming;
   readonly membership: Membership;
-  readonly platform: PlatformClient;
+  readonly listMachines: PlatformClient['machines'];
   readonly client: ReplicaClient;
   readonly store: PlacementStore;
   readonly changer: EpochChanger;
@@ -67,7 +67,7 @@
   private async observe(
     record: PlacementRecord,
   ): Promise<ReadonlyMap<string, MemberObservation> | undefined> {
-    const machines = await this.options.platform.machines();
+    const machines = await this.options.listMachines();
     if (machines.isErr) return undefined;
     const listed = new Set(machines.value.map((machine) => machine.id));
     const observations = new Map<string, MemberObservation>();
--- a/src/claims/placement-store.ts
+++ b/src/claims/placement-store.ts
@@ -1,10 +1,19 @@
-/** The placement record in the platform's key-value service. */
+/** The groups' records in the platform's key-value service. */
+import { MAX_GROUPS } from '../core/claim/claim-groups.js';
 import type { PlacementRecord } from '../core/claim/placement.js';
 import type { PlatformClient } from '../platform/platform-client.js';
-import { validatePlacement } from './claim-messages.js';
+import { validateLayout, validatePlacement } from './claim-messages.js';
 
-/** Key of the record. */
-export const PLACEMENT_KEY = 'sillshore/claims/placement';
+/** Prefix of all keys of the claims. */
+const CLAIMS_PREFIX = 'sillshore/claims/';
+
+/** Key of the number of groups; written once. */
+export const LAYOUT_KEY = `${CLAIMS_PREFIX}layout`;
+
+/** Key of a group's placement record. */
+export function placementKey(group: number): string {
+  return `${CLAIMS_PREFIX}placement/${String(group).padStart(2, '0')}`;
+}
 
 /** The stored record with the revision to compare with. */
 export interface StoredPlacement {
@@ -14,15 +23,52 @@
   readonly modRevision: number;
 }
 
-/** Reader and writer of the record. */
+/** Everything that the platform knows of the claims. */
+export interface StoredClaims {
+  /** Number of groups; absent before the first start of the fleet. */
+  readonly groups?: number;
+  readonly records: ReadonlyMap<number, PlacementRecord>;
+}
+
+/** Reads all records at once; `undefined` when the platform does not answer. */
+export async function readStoredClaims(
+  platform: PlatformClient,
+): Promise<StoredClaims | undefined> {
+  const result = await platform.range(CLAIMS_PREFIX);
+  if (result.isErr) return undefined;
+  const values = new Map(result.value.values.map((each) => [each.key, each.value]));
+  const records = new Map<number, PlacementRecord>();
+  for (let group = 0; group < MAX_GROUPS; group += 1) {
+    const record = parsePlacement(values.get(placementKey(group)));
+    if (record !== undefined) records.set(group, record);
+  }
+  const layout = values.get(LAYOUT_KEY);
+  const groups = layout === undefined ? undefined : parseLayout(layout);
+  return { records, ...(groups === undefined ? {} : { groups }) };
+}
+
+/** Writes the number of groups unless it is written already; the outcome is what is stored. */
+export async function createLayout(platform: PlatformClient, groups: number): Promise<void> {
+  const value = JSON.stringify({ groups });
+  await platform.transact([{ key: LAYOUT_KEY, modRevision: 0 }], [{ key: LAYOUT_KEY, value }]);
+}
+
+/** Reader and writer of one group's record. */
 export class PlacementStore {
-  constructor(private readonly platform: PlatformClient) {}
+  private readonly key: string;
+
+  constructor(
+    private readonly platform: PlatformClient,
+    group: number,
+  ) {
+    this.key = placementKey(group);
+  }
 
   /** Reads the record; `undefined` when the platform does not answer. */
   async read(): Promise<StoredPlacement | undefined> {
-    const result = await this.platform.range(PLACEMENT_KEY);
+    const result = await this.platform.range(this.key);
     if (result.isErr) return undefined;
-    const found = result.value.values.find((each) => each.key === PLACEMENT_KEY);
+    const found = result.value.values.find((each) => each.key === this.key);
     if (found === undefined) return { modRevision: 0 };
     const record = parsePlacement(found.value);
     return { modRevision: found.modRevision, ...(record === undefined ? {} : { record }) };
@@ -35,8 +81,8 @@
    */
   async write(record: PlacementRecord, modRevision: number): Promise<boolean> {
     const value = JSON.stringify(record);
-    const compare = { key: PLACEMENT_KEY, modRevision };
-    const result = await this.platform.transact([compare], [{ key: PLACEMENT_KEY, value }]);
+    const compare = { key: this.key, modRevision };
+    const result = await this.platform.transact([compare], [{ key: this.key, value }]);
     if (result.isOk) return result.value.succeeded;
     const stored = await this.read();
     return stored?.record !== undefined && JSON.stringify(stored.record) === value;
@@ -50,11 +96,20 @@
   }
 }
 
-function parsePlacement(text: string): PlacementRecord | undefined {
+function parseJson(text: string): unknown {
   try {
-    const parsed = validatePlacement(JSON.parse(text));
-    return parsed.isOk ? parsed.value : undefined;
+    return JSON.parse(text);
   } catch {
     return undefined;
   }
 }
+
+function parsePlacement(text: string | undefined): PlacementRecord | undefined {
+  const parsed = validatePlacement(parseJson(text ?? ''));
+  return parsed.isOk ? parsed.value : undefined;
+}
+
+function parseLayout(text: string): number | undefined {
+  const parsed = validateLayout(parseJson(text));
+  return parsed.isOk ? parsed.value.groups : undefined;
+}
--- a/src/claims/replica-client.ts
+++ b/src/claims/replica-client.ts
@@ -10,13 +10,14 @@
 import type { ReplicaTask } from './replica-task.js';
 import { DEFAULT_PAGE_BYTES, joinTables, splitTable } from './table-pages.js';
 
-/** Sends requests to the replica of any node. */
+/** Sends requests to one group's replica at any node. */
 export class ReplicaClient {
   private transfers = 0;
 
   constructor(
     private readonly network: PeerNetwork,
     private readonly local: ReplicaTask,
+    private readonly group: number,
     private readonly pageBytes = DEFAULT_PAGE_BYTES,
   ) {}
 
@@ -63,24 +64,25 @@
     request: ReplicaRequest,
     timeoutMs: number,
   ): Promise<ReplicaCall | undefined> {
-    if (request.type !== 'install') return { request };
+    const { group } = this;
+    if (request.type !== 'install') return { group, request };
     const pages = splitTable(request.table, this.pageBytes);
-    if (pages.length === 1) return { request };
+    if (pages.length === 1) return { group, request };
     const last = pages.length - 1;
     const transferId = this.createTransferId();
     for (let page = 0; page < last; page += 1) {
-      const body = { transferId, page, table: pages[page]! };
+      const body = { group, transferId, page, table: pages[page]! };
       const result = await this.network.call(nodeId, 'claimStage', body, { timeoutMs });
       if (result.isErr) return undefined;
     }
     const install: InstallMessage = { ...request, table: pages[last]! };
-    return { request: install, staged: { transferId, pages: last } };
+    return { group, request: install, staged: { transferId, pages: last } };
   }
 
   private createTransferId(): string {
     this.transfers += 1;
     const { nodeId, incarnation } = this.local.view.self;
-    return `${nodeId}#${incarnation}.${this.transfers}`;
+    return `${nodeId}#${incarnation}/${this.group}.${this.transfers}`;
   }
 
   /** Fetches the pages of a table that did not fit; without all of them the reply does not count. */
@@ -95,7 +97,7 @@
     const pages = [reply.memory.table];
     const { transferId } = rest;
     for (let page = 1; page < rest.pages; page += 1) {
-      const body = { transferId, page };
+      const body = { group: this.group, transferId, page };
       const result = await this.network.call(nodeId, 'claimPage', body, { timeoutMs });
       if (result.isErr || result.value.table === undefined) return undefined;
       pages.push(result.value.table);
--- a/src/claims/replica-delivery.test.ts
+++ b/src/claims/replica-delivery.test.ts
@@ -4,6 +4,7 @@
 import type { ReplicaReply, ReplicaRequest } from '../core/claim/replica-messages.js';
 import { ManualClock } from '../kernel/clock.js';
 import { DEFAULT_CLAIM_TIMING } from './claim-timing.js';
+import type { GroupAccess } from './requester.js';
 import { ReplicaDelivery } from './replica-delivery.js';
 
 const RELEASE = { type: 'release', key: 'k', attemptId: 'round-1' } as const;
@@ -15,14 +16,11 @@
   readonly sent: string[] = [];
   record = createRecord(1);
   confirms: (nodeId: string, epoch: number) => boolean = () => true;
+  readonly group: GroupAccess = this.createGroup();
   readonly delivery = new ReplicaDelivery({
     clock: this.clock,
     timing: DEFAULT_CLAIM_TIMING,
-    client: { ask: (nodeId, request) => Promise.resolve(this.answer(nodeId, request)) },
-    placement: () => this.record,
-    observe: (record) => {
-      this.record = record;
-    },
+    groupOf: () => this.group,
   });
 
   async pass(milliseconds: number): Promise<void> {
@@ -32,6 +30,20 @@
     }
   }
 
+  private createGroup(): GroupAccess {
+    const currentRecord = (): PlacementRecord => this.record;
+    return {
+      client: {
+        ask: (nodeId, request) => Promise.resolve(this.answer(nodeId, request)),
+        askAll: () => Promise.resolve(),
+      },
+      get placement() {
+        return currentRecord();
+      },
+      observe: () => {},
+    };
+  }
+
   private answer(nodeId: string, request: ReplicaRequest): ReplicaReply {
     assert.ok(request.type === 'release');
     this.sent.push(`${nodeId}/${request.epoch}`);
@@ -46,7 +58,7 @@
 
 test('a confirmed message is sent once', async () => {
   const replicas = new Replicas();
-  await replicas.delivery.deliver(RELEASE);
+  await replicas.delivery.deliver('k', RELEASE);
   await replicas.pass(5_000);
   assert.deepEqual(replicas.sent, ['a/1', 'b/1', 'c/1']);
   assert.equal(replicas.delivery.size, 0);
@@ -55,7 +67,7 @@
 test('a message is repeated to the member that did not confirm, however long that takes', async () => {
   const replicas = new Replicas();
   replicas.confirms = (nodeId) => nodeId !== 'b';
-  await replicas.delivery.deliver(RELEASE);
+  await replicas.delivery.deliver('k', RELEASE);
   await replicas.pass(60_000);
   assert.ok(replicas.sent.length > 20, `${replicas.sent.length} sends`);
   assert.ok(replicas.sent.slice(3).every((each) => each === 'b/1'));
@@ -67,7 +79,7 @@
 test('an unfinished message is for all members of the next epoch', async () => {
   const replicas = new Replicas();
   replicas.confirms = (nodeId, epoch) => epoch === 2 || nodeId !== 'b';
-  await replicas.delivery.deliver(RELEASE);
+  await replicas.delivery.deliver('k', RELEASE);
   replicas.record = createRecord(2);
   await replicas.pass(3_000);
   assert.deepEqual(replicas.sent.slice(3), ['a/2', 'b/2', 'c/2']);
@@ -77,7 +89,7 @@
 test('a message is given up after the time in which keys expire', async () => {
   const replicas = new Replicas();
   replicas.confirms = () => false;
-  await replicas.delivery.deliver(RELEASE);
+  await replicas.delivery.deliver('k', RELEASE);
   await replicas.pass(310_000);
   assert.equal(replicas.delivery.size, 0);
 });
@@ -85,7 +97,7 @@
 test('a planned stop waits for messages under way, within its limit', async () => {
   const replicas = new Replicas();
   replicas.confirms = () => replicas.clock.now() >= 400;
-  await replicas.delivery.deliver(RELEASE);
+  await replicas.delivery.deliver('k', RELEASE);
   let drained = false;
   void replicas.delivery.drain(10_000).then(() => (drained = true));
   await replicas.pass(300);
@@ -93,7 +105,7 @@
   await replicas.pass(1_000);
   assert.equal(drained, true);
   replicas.confirms = () => false;
-  await replicas.delivery.deliver(RELEASE);
+  await replicas.delivery.deliver('k', RELEASE);
   void replicas.delivery.drain(replicas.clock.now() + 500).then(() => (drained = false));
   await replicas.pass(600);
   assert.equal(drained, false);
--- a/src/claims/replica-delivery.ts
+++ b/src/claims/replica-delivery.ts
@@ -3,12 +3,10 @@
  * has confirmed, because a member that missed one could pass the old state on to a next epoch.
  */
 import { KEY_HORIZON_MS } from '../core/claim/claim-limits.js';
-import type { PlacementRecord } from '../core/claim/placement.js';
 import type { DeliveredMessage } from '../core/claim/replica-messages.js';
 import type { Clock } from '../kernel/clock.js';
 import type { ClaimTiming } from './claim-timing.js';
-import type { ReplicaClient } from './replica-client.js';
-import { pause } from './requester.js';
+import { pause, type GroupAccess, type RequesterOptions } from './requester.js';
 
 /** Messages under way at most; the oldest are given up first. */
 const MAX_PENDING = 20_000;
@@ -26,11 +24,8 @@
 export interface DeliveryOptions {
   readonly clock: Clock;
   readonly timing: ClaimTiming;
-  readonly client: Pick<ReplicaClient, 'ask'>;
-  /** Newest placement record: the members may change between two sends. */
-  readonly placement: () => PlacementRecord | undefined;
-  /** Takes in a newer record that a replica told about. */
-  readonly observe: (record: PlacementRecord) => void;
+  /** The group of a key; its members may change between two sends. */
+  readonly groupOf: RequesterOptions['groupOf'];
 }
 
 /** A message without the epoch, which changes between sends. */
@@ -41,6 +36,7 @@
   : never;
 
 interface Pending {
+  readonly group: GroupAccess;
   readonly message: UnsentMessage;
   readonly answerBytes: number;
   /** Local monotonic time at which the message is given up. */
@@ -69,9 +65,10 @@
    *
    * @returns resolves when the first sends have been answered or have timed out
    */
-  async deliver(message: UnsentMessage): Promise<void> {
-    if (this.options.placement() === undefined) return;
-    await this.send(this.add(message));
+  async deliver(key: string, message: UnsentMessage): Promise<void> {
+    const group = this.options.groupOf(key);
+    if (group?.placement === undefined) return;
+    await this.send(this.add(group, message));
   }
 
   /** Planned stop: waits until all messages are delivered, or until local monotonic time `end`. */
@@ -86,11 +83,12 @@
     this.pending.clear();
   }
 
-  private add(message: UnsentMessage): Pending {
+  private add(group: GroupAccess, message: UnsentMessage): Pending {
     const body = message.type === 'finish' ? message.answer?.body : undefined;
     const size = body?.byteLength ?? 0;
     const fits = this.answerBytes + size <= MAX_PENDING_ANSWER_BYTES;
     const pending: Pending = {
+      group,
       message: fits ? message : withoutAnswer(message),
       answerBytes: fits ? size : 0,
       until: this.options.clock.now() + KEY_HORIZON_MS,
@@ -111,7 +109,7 @@
 
   /** One send to each member that has not confirmed; schedules the next one when needed. */
   private async send(pending: Pending): Promise<void> {
-    const record = this.options.placement();
+    const record = pending.group.placement;
     if (this.stopped || record === undefined || !this.pending.has(pending)) return;
     if (pending.epoch !== record.epoch) {
       pending.epoch = record.epoch;
@@ -121,18 +119,20 @@
     pending.sends += 1;
     const missing = record.members.filter(({ nodeId }) => !pending.confirmed.has(nodeId));
     await Promise.all(missing.map(({ nodeId }) => this.sendTo(nodeId, pending)));
-    const isNewest = this.options.placement()?.epoch === record.epoch;
+    const isNewest = pending.group.placement?.epoch === record.epoch;
     const isDelivered = isNewest && pending.confirmed.size >= record.members.length;
     if (isDelivered || this.options.clock.now() >= pending.until) this.remove(pending);
     else this.scheduleNext(pending);
   }
 
   private async sendTo(nodeId: string, pending: Pending): Promise<void> {
-    const { client, timing, observe } = this.options;
+    const { timing } = this.options;
+    const { client } = pending.group;
     const request = { ...pending.message, epoch: pending.epoch };
     const reply = await client.ask(nodeId, request, timing.roundTimeoutMs);
     if (reply?.type === 'done') pending.confirmed.add(nodeId);
-    if (reply?.type === 'not-voting' && reply.record !== undefined) observe(reply.record);
+    if (reply?.type === 'not-voting' && reply.record !== undefined)
+      pending.group.observe(reply.record);
   }
 
   private scheduleNext(pending: Pending): void {
--- a/src/claims/replica-server.ts
+++ b/src/claims/replica-server.ts
@@ -4,13 +4,12 @@
 import type { ReplicaReply, ReplicaRequest } from '../core/claim/replica-messages.js';
 import type { Failure } from '../core/failure.js';
 import type { Clock } from '../kernel/clock.js';
-import type { PeerNetwork } from '../peer/peer-network.js';
-import {
-  validatePageRequest,
-  validateReplicaCall,
-  validateStageRequest,
-  type ReplicaAnswer,
-  type ReplicaCall,
+import type {
+  PageReply,
+  PageRequest,
+  ReplicaAnswer,
+  ReplicaCall,
+  StageRequest,
 } from './claim-messages.js';
 import type { ReplicaTask } from './replica-task.js';
 import { DEFAULT_PAGE_BYTES, joinTables, splitTable } from './table-pages.js';
@@ -23,25 +22,28 @@
   private transfers = 0;
 
   constructor(
-    network: PeerNetwork,
     private readonly local: ReplicaTask,
     clock: Clock,
+    private readonly group: number,
     private readonly pageBytes = DEFAULT_PAGE_BYTES,
   ) {
     this.outgoing = new TableTransfers(clock);
     this.incoming = new TableTransfers(clock);
-    network.handle('claimReplica', validateReplicaCall, (_from, call) => this.answer(call));
-    network.handle('claimPage', validatePageRequest, (_from, { transferId, page }) => {
-      const table = this.outgoing.find(transferId, page);
-      return Promise.resolve(Result.ok(table === undefined ? {} : { table }));
-    });
-    network.handle('claimStage', validateStageRequest, (_from, { transferId, page, table }) => {
-      this.incoming.put(transferId, page, table);
-      return Promise.resolve(Result.ok({}));
-    });
   }
 
-  private async answer(call: ReplicaCall): Promise<Result<ReplicaAnswer, Failure>> {
+  /** A page of a table that did not fit into a reply; empty when it is not kept any more. */
+  findPage({ transferId, page }: PageRequest): PageReply {
+    const table = this.outgoing.find(transferId, page);
+    return table === undefined ? {} : { table };
+  }
+
+  /** Keeps a page for the request that will need it. */
+  keepPage({ transferId, page, table }: StageRequest): void {
+    this.incoming.put(transferId, page, table);
+  }
+
+  /** Answers one request to the replica. */
+  async answer(call: ReplicaCall): Promise<Result<ReplicaAnswer, Failure>> {
     const request = this.completeRequest(call);
     if (request === undefined) return Result.ok({ reply: { type: 'not-voting' } });
     const reply = await this.local.request(request);
@@ -69,7 +71,7 @@
   private keep(pages: readonly TableSnapshot[]): string {
     this.transfers += 1;
     const { nodeId, incarnation } = this.local.view.self;
-    const transferId = `${nodeId}#${incarnation}.${this.transfers}`;
+    const transferId = `${nodeId}#${incarnation}/${this.group}.${this.transfers}`;
     pages.forEach((page, index) => {
       this.outgoing.put(transferId, index, page);
     });
--- a/src/claims/replica-task.ts
+++ b/src/claims/replica-task.ts
@@ -30,6 +30,7 @@
     capacity: number,
     private readonly clock: Clock,
     private readonly log: EventLog,
+    private readonly group = 0,
   ) {
     super('claim-replica', capacity);
     this.replica = new ClaimReplica(self);
@@ -86,7 +87,7 @@
 
   private logStatus(): void {
     const { status, record, size } = this.replica;
-    const fields = { epoch: record?.epoch ?? 0, status, claims: size };
+    const fields = { group: this.group, epoch: record?.epoch ?? 0, status, claims: size };
     if (status === 'voting') this.log.emit(Event.ClaimReplicaReady, fields);
     if (status === 'recovering') this.log.emit(Event.ClaimReplicaRecovering, fields);
     if (status === 'idle') this.log.emit(Event.ClaimHandedOver, fields);
--- a/src/claims/requester.ts
+++ b/src/claims/requester.ts
@@ -14,12 +14,18 @@
   readonly log: EventLog;
   readonly timing: ClaimTiming;
   readonly random: Random;
-  readonly client: ReplicaClient;
   readonly delivery: ReplicaDelivery;
+  /** The group of a table key; `undefined` until the number of groups is known. */
+  readonly groupOf: (key: string) => GroupAccess | undefined;
+}
+
+/** One group as its coordinators use it. */
+export interface GroupAccess {
+  readonly client: Pick<ReplicaClient, 'ask' | 'askAll'>;
   /** Newest established placement record. */
-  readonly placement: () => PlacementRecord | undefined;
+  readonly placement: PlacementRecord | undefined;
   /** Takes in a newer record that a replica told about. */
-  readonly observe: (record: PlacementRecord) => void;
+  observe(record: PlacementRecord): void;
 }
 
 /** A round that collects one reply per member. */
@@ -41,12 +47,13 @@
  */
 export function settleRound(
   options: RequesterOptions,
+  client: GroupAccess['client'],
   round: Round,
   request: ReplicaRequest,
   deadline: number,
   isSettled: () => boolean,
 ): Promise<void> {
-  const { client, clock, timing } = options;
+  const { clock, timing } = options;
   const timeoutMs = Math.min(timing.roundTimeoutMs, deadline - clock.now());
   if (timeoutMs <= 0) return Promise.resolve();
   return new Promise((resolve) => {
--- a/src/core/claim/placement-policy.ts
+++ b/src/core/claim/placement-policy.ts
@@ -1,11 +1,12 @@
 /** Which nodes should hold a group's claims: one per zone, present members before new ones. */
+import type { Member } from '../member.js';
+import { selectReplicas } from '../placement.js';
 import { GROUP_SIZE } from './claim-limits.js';
 import { majorityOf, type PlacementRecord } from './placement.js';
 
 /** A node as placement sees it. */
 export interface Candidate {
-  readonly nodeId: string;
-  readonly zone: string;
+  readonly member: Member;
   /** Neither failed nor leaving. */
   readonly stays: boolean;
   /** Answers: may take part in a change of epoch even when it leaves. */
@@ -14,27 +15,25 @@
 
 /**
  * Chooses the members of the next epoch: present members that stay, then nodes of zones that
- * have none, in order of node id.
+ * have none, by rendezvous hashing of group and node.
  *
  * @param current the record in force, if any
+ * @param name the group's name
  */
 export function chooseMembers(
   current: PlacementRecord | undefined,
   candidates: readonly Candidate[],
+  name: string,
 ): readonly string[] {
-  const staying = candidates.filter((candidate) => candidate.stays);
   const present = new Set(current?.members.map((member) => member.nodeId));
-  const kept = staying.filter((candidate) => present.has(candidate.nodeId));
-  const zones = new Set(kept.map((candidate) => candidate.zone));
-  const chosen = kept.map((candidate) => candidate.nodeId);
-  const sorted = [...staying].sort((a, b) => (a.nodeId < b.nodeId ? -1 : 1));
-  for (const candidate of sorted) {
-    if (chosen.length >= GROUP_SIZE) break;
-    if (zones.has(candidate.zone)) continue;
-    zones.add(candidate.zone);
-    chosen.push(candidate.nodeId);
-  }
-  return chosen;
+  const staying = candidates.filter(({ stays }) => stays).map(({ member }) => member);
+  const kept = staying.filter(({ nodeId }) => present.has(nodeId));
+  const usedZones = new Set(kept.map(({ zone }) => zone));
+  const others = staying.filter(({ zone }) => !usedZones.has(zone));
+  const zones = new Set(others.map(({ zone }) => zone)).size;
+  const wanted = Math.min(GROUP_SIZE - kept.length, zones);
+  const added = wanted > 0 ? selectReplicas(name, others, wanted) : [];
+  return [...kept, ...added].map(({ nodeId }) => nodeId);
 }
 
 /** Whether the record's members differ from the chosen ones and a majority can agree on that. */
@@ -52,8 +51,16 @@
 
 /** Whether a majority of the members answers, so that a change does not just stop votes. */
 export function canAgree(current: PlacementRecord, candidates: readonly Candidate[]): boolean {
-  const responding = current.members.filter((member) =>
-    candidates.some((candidate) => candidate.nodeId === member.nodeId && candidate.responds),
-  );
+  const responding = respondingMembers(current, candidates);
   return responding.length >= majorityOf(current.members.length);
 }
+
+/** Members of the record that answer, in its order. */
+export function respondingMembers(
+  current: PlacementRecord,
+  candidates: readonly Candidate[],
+): readonly string[] {
+  const responding = new Set<string>();
+  for (const { member, responds } of candidates) if (responds) responding.add(member.nodeId);
+  return current.members.map(({ nodeId }) => nodeId).filter((nodeId) => responding.has(nodeId));
+}
