--- a/src/claims/charge-requester.ts
+++ b/src/claims/charge-requester.ts
@@ -15,8 +15,9 @@
 const MAX_BOUND = 255;
 
 /**
- * Attempts that one node grants by itself to one request id while no majority answers. The bound
- * that then holds is the kind's bound plus this for each entry node that is cut off.
+ * Attempts that one node grants by itself to one request id while no majority answers; a charge
+ * that wants more is refused. The bound that then holds is the kind's bound plus this for each
+ * entry node that is cut off; for calls that need more attempts it is the kind's bound.
  */
 export const ATTEMPTS_WITHOUT_MAJORITY = 1;
 
@@ -29,6 +30,9 @@
   readonly outcome: ChargeOutcome;
 }
 
+/** Time after which charges that got in each other's way have been given back. */
+const CONTENDED_RETRY_MS = 200;
+
 /** Coordinator of charges. */
 export class ChargeRequester {
   private charges = 0;
@@ -50,6 +54,7 @@
   async chargeReturnable(charge: AttemptCharge): Promise<Result<ChargeGrant, Failure>> {
     const key = `${charge.tenant}/${charge.requestId}`;
     let splits = 0;
+    let majorityAnswers = false;
     while (this.options.clock.now() < charge.deadline && splits < MAX_SPLITS) {
       const ended = await this.runRound(key, charge);
       if (ended === undefined) break;
@@ -58,6 +63,7 @@
       if (outcome.heardMajority) {
         if (!outcome.split) return exhausted('all attempts of this request id are spent');
         splits += 1;
+        majorityAnswers = true;
       }
       // Without a majority the replicas may just be changing their epoch, which takes less time
       // than a charge may wait.
@@ -66,7 +72,7 @@
         1 + this.options.random.next() * this.options.timing.retryJitterMs,
       );
     }
-    return this.grantLocally(key);
+    return majorityAnswers ? contended() : this.grantLocally(key, charge.wanted);
   }
 
   /** One round under a charge id of its own; gives back what does not count. */
@@ -114,14 +120,16 @@
     void this.options.delivery.deliver(key, { type: 'give-back', key, chargeId, unused });
   }
 
-  private grantLocally(key: string): Result<ChargeGrant, Failure> {
+  private grantLocally(key: string, wanted: number): Result<ChargeGrant, Failure> {
     const now = this.options.clock.now();
     for (const [known, { createdAt }] of this.local) {
       if (now - createdAt <= BUDGET_RETENTION_MS) break;
       this.local.delete(known);
     }
     const entry = this.local.get(key) ?? { granted: 0, createdAt: now };
-    if (this.local.size >= MAX_LOCAL_IDS || entry.granted >= ATTEMPTS_WITHOUT_MAJORITY) {
+    // A call that needs more attempts than that for its chain would only spend one in vain.
+    const left = ATTEMPTS_WITHOUT_MAJORITY - entry.granted;
+    if (this.local.size >= MAX_LOCAL_IDS || left < 1 || wanted > ATTEMPTS_WITHOUT_MAJORITY) {
       const detail = 'no majority of replicas to charge attempts at';
       return Result.err(
         createFailure(ResultCode.ClaimUnavailable, detail, { retryAfterMs: 1_000 }),
@@ -132,6 +140,13 @@
   }
 }
 
+/** A majority answers and grants nothing: a grant of this node alone would pass the bound. */
+function contended(): Result<ChargeGrant, Failure> {
+  const detail = 'charges of the same request id are in progress';
+  const options = { retryAfterMs: CONTENDED_RETRY_MS };
+  return Result.err(createFailure(ResultCode.ClaimUnavailable, detail, options));
+}
+
 function exhausted(detail: string): Result<ChargeGrant, Failure> {
   return Result.err(createFailure(ResultCode.AttemptsExhausted, detail));
 }
--- a/src/cli/node-command.ts
+++ b/src/cli/node-command.ts
@@ -15,8 +15,11 @@
       Runs one node until SIGTERM or SIGINT, which start a planned stop: running requests end,
       then the node leaves. A second signal stops at once.
 
-      Flags override the settings file. The two secrets can also come from the environment:
-      SILLSHORE_SHARED_KEY (peers.sharedKey) and SILLSHORE_TOKEN (admin.token).
+      Flags override the settings file. Secrets can also come from the environment:
+      SILLSHORE_SHARED_KEY (peers.sharedKey), SILLSHORE_PREVIOUS_SHARED_KEY (the one member of
+      peers.previousSharedKeys), SILLSHORE_TOKEN (admin.token), and
+      the PEM texts of TLS: SILLSHORE_ADMIN_TLS_CERTIFICATE, SILLSHORE_ADMIN_TLS_KEY,
+      SILLSHORE_PEER_TLS_CERTIFICATE, SILLSHORE_PEER_TLS_KEY, SILLSHORE_PEER_TLS_CA.
     `,
     examples: [
       ['Run with a settings file', '$0 node --settings node.yaml'],
@@ -48,11 +51,28 @@
     return end === 'stopped' ? ExitCode.Ok : ExitCode.OperationFailed;
   }
 
+  /** PEM texts, for machines without files. */
+  private tlsOverrides(): SettingsOverride[] {
+    const { env } = this.context;
+    return [
+      { path: ['admin', 'tls', 'certificate'], value: env['SILLSHORE_ADMIN_TLS_CERTIFICATE'] },
+      { path: ['admin', 'tls', 'key'], value: env['SILLSHORE_ADMIN_TLS_KEY'] },
+      { path: ['peers', 'tls', 'certificate'], value: env['SILLSHORE_PEER_TLS_CERTIFICATE'] },
+      { path: ['peers', 'tls', 'key'], value: env['SILLSHORE_PEER_TLS_KEY'] },
+      { path: ['peers', 'tls', 'ca'], value: env['SILLSHORE_PEER_TLS_CA'] },
+    ];
+  }
+
   private overrides(): SettingsOverride[] {
     const { env } = this.context;
     return [
       { path: ['peers', 'sharedKey'], value: env['SILLSHORE_SHARED_KEY'] },
+      {
+        path: ['peers', 'previousSharedKeys'],
+        value: toList(env['SILLSHORE_PREVIOUS_SHARED_KEY']),
+      },
       { path: ['admin', 'token'], value: env['SILLSHORE_TOKEN'] },
+      ...this.tlsOverrides(),
       { path: ['node', 'id'], value: this.nodeId },
       { path: ['node', 'zone'], value: this.zone },
       { path: ['node', 'region'], value: this.region },
@@ -75,5 +95,9 @@
   return text !== undefined && integer.test(text) ? Number(text) : text;
 }
 
+function toList(text: string | undefined): string[] | undefined {
+  return text === undefined ? undefined : [text];
+}
+
 /** Commands of this module. */
 export const nodeCommands = [NodeCommand];
--- a/src/config/settings.ts
+++ b/src/config/settings.ts
@@ -2,14 +2,14 @@
 import { Result } from 'true-myth';
 import { z } from 'zod';
 import type { Failure } from '../core/failure.js';
+import { MAX_GROUPS } from '../core/claim/claim-groups.js';
 import { ResultCode } from '../core/result-code.js';
 import { parseAndValidate, validateValue } from './document.js';
-import { address } from './rules.js';
+import { adminSettingsSchema } from './operator-tokens.js';
+import { address, name } from './rules.js';
+import { mutualTlsSchema } from './tls-settings.js';
 
-/** Groups of a fleet at most; as in src/core/claim/claim-groups.ts. */
-const MAX_CLAIM_GROUPS = 64;
-
-const name = z.string().regex(/^[a-z][a-z0-9-]{0,62}$/, 'lower-case letters, digits and hyphens');
+const sharedKey = z.string().min(16).max(1_024);
 const url = z.string().regex(/^https?:\/\/[^\s]+$/, 'an http or https URL');
 
 /** Schema of a node's settings document. */
@@ -42,12 +42,14 @@
     /** Addresses to join by; the list of machines adds to them. */
     seeds: z.array(address).max(64).default([]),
     /** Key shared by all nodes, 16 characters or more; authenticates links and datagrams. */
-    sharedKey: z.string().min(16).max(1_024),
-  }),
-  admin: z.strictObject({
-    /** Bearer token that operators present; may not be empty. */
-    token: z.string().min(8).max(1_024),
+    sharedKey,
+    /** Keys that are accepted as well and never sent with; for the change of `sharedKey`. */
+    previousSharedKeys: z.array(sharedKey).max(3).default([]),
+    /** TLS of links; plain TCP when absent. All nodes have it or none. */
+    tls: mutualTlsSchema.optional(),
   }),
+  /** Operators' tokens. */
+  admin: adminSettingsSchema,
   limits: z
     .strictObject({
       /** Largest node-to-node frame in bytes. */
@@ -68,7 +70,7 @@
        * Replica groups that the claims are divided into, when this node starts the fleet; later
        * the fleet's own record counts. Absent: one for about ten nodes.
        */
-      groups: z.int().min(1).max(MAX_CLAIM_GROUPS).exactOptional(),
+      groups: z.int().min(1).max(MAX_GROUPS).exactOptional(),
     })
     .prefault({}),
   overload: z
