Create layout and first records in one step; ask sooner while something is unknown

Cause: found in review: a node learned the layout up to a second after the records. Ruled out: nothing.

--- a/src/claims/groups-keeper.ts
+++ b/src/claims/groups-keeper.ts
@@ -3,7 +3,7 @@
  * question a second to a random node, and work for the groups in which this node takes part.
  * The first node of the fleet also creates what is missing and looks for lost groups.
  */
-import { defaultGroupCount, MAX_GROUPS } from '../core/claim/claim-groups.js';
+import { defaultGroupCount } from '../core/claim/claim-groups.js';
 import type { Candidate } from '../core/claim/placement-policy.js';
 import type { Random } from '../core/random.js';
 import type { CancelTimer, Clock } from '../kernel/clock.js';
@@ -13,7 +13,12 @@
 import type { ClaimTiming } from './claim-timing.js';
 import type { GroupDirectory, LocalGroup } from './group-directory.js';
 import { PlacementKeeper } from './placement-keeper.js';
-import { createLayout, PlacementStore, readStoredClaims } from './placement-store.js';
+import {
+  createLayout,
+  PlacementStore,
+  readStoredClaims,
+  type StoredClaims,
+} from './placement-store.js';
 
 /** What the keeper needs. */
 export interface GroupsKeeperOptions {
@@ -85,7 +90,7 @@
   private async tick(now: number): Promise<void> {
     const { timing, directory } = this.options;
     if (now >= this.nextGossipAt) {
-      this.nextGossipAt = now + timing.gossipMs;
+      this.nextGossipAt = now + (directory.isComplete ? timing.gossipMs : timing.tickMs);
       await this.gossip();
     }
     if (!directory.isComplete && now >= this.nextPlatformAt) {
@@ -121,28 +126,33 @@
 
   /** Reads the platform's records; the first node creates those that do not exist yet. */
   private async begin(now: number): Promise<void> {
-    const { platform, directory, timing } = this.options;
+    const { platform, directory } = this.options;
     const stored = await readStoredClaims(platform);
     if (stored === undefined) return;
-    const { groups, records } = stored;
-    if (groups !== undefined) {
-      directory.setCount(groups);
-      for (const [group, record] of records) directory.open(group).observe(record);
+    this.takeStored(stored);
+    if (!this.mayCreate(now)) return;
+    if (directory.count === undefined) {
+      const wish = this.options.wantedGroups ?? defaultGroupCount(this.candidates().length);
+      await createLayout(platform, wish);
+      const written = await readStoredClaims(platform);
+      if (written !== undefined) this.takeStored(written);
     }
-    const candidates = this.candidates();
-    const zones = new Set(candidates.map(({ member }) => member.zone)).size;
-    const waited = now - this.startedAt >= timing.bootstrapWaitMs;
-    if (this.leaving || !this.isFirstNode() || (!waited && zones < AWAITED_ZONES)) return;
-    if (groups === undefined) {
-      const wish = this.options.wantedGroups ?? defaultGroupCount(candidates.length);
-      await createLayout(platform, Math.min(wish, MAX_GROUPS));
-      this.nextPlatformAt = 0;
-      return;
-    }
-    const missing = directory.missing.filter((group) => !records.has(group));
-    await Promise.all(
-      missing.map((group) => this.keeperOf(directory.open(group)).createFirstRecord()),
-    );
+    const missing = directory.missing.filter((group) => !stored.records.has(group));
+    const creations = missing.map((group) => this.keeperOf(directory.open(group)));
+    await Promise.all(creations.map((keeper) => keeper.createFirstRecord()));
+  }
+
+  private takeStored({ groups, records }: StoredClaims): void {
+    const { directory } = this.options;
+    if (groups !== undefined) directory.setCount(groups);
+    for (const [group, record] of records) directory.open(group).observe(record);
+  }
+
+  /** Whether this node is to create what is missing, now. */
+  private mayCreate(now: number): boolean {
+    if (this.leaving || !this.isFirstNode()) return false;
+    if (now - this.startedAt >= this.options.timing.bootstrapWaitMs) return true;
+    return new Set(this.candidates().map(({ member }) => member.zone)).size >= AWAITED_ZONES;
   }
 
   private async checkLosses(groups: number): Promise<void> {
