--- a/src/claims/claim-task.test.ts
+++ b/src/claims/claim-task.test.ts
@@ -28,6 +28,26 @@
   assert.equal(reused.failure.code, ResultCode.IdempotencyKeyReused);
 });
 
+test('claims and charges are counted by their result', async () => {
+  const fleet = await createClaimFleet();
+  const key = fleet.createKey();
+  await fleet.claim('a', key, 'first');
+  await fleet.claim('b', key, 'second');
+  await fleet.claim('b', 'no uuid', 'third');
+  fleet.nodes.get('a')!.finish(fleet.createRequest(key, 'first'), ANSWER);
+  await fleet.pass(10);
+  await fleet.claim('c', key, 'fourth');
+  const deadline = fleet.clock.now() + 1_000;
+  const charge = { tenant: 't', requestId: 'r', wanted: 2, bound: 2, deadline };
+  await fleet.settle(fleet.nodes.get('a')!.chargeReturnable(charge));
+  await fleet.settle(fleet.nodes.get('b')!.charge(charge));
+  const { values } = await fleet.metrics.claims.get();
+  assert.deepEqual(
+    values.map(({ labels, value }) => `${labels.result} ${value}`),
+    ['granted 1', 'in-progress 1', 'refused 1', 'finished 1', 'charged 1', 'charge-refused 1'],
+  );
+});
+
 test('a released key can be claimed again', async () => {
   const fleet = await createClaimFleet();
   const key = fleet.createKey();
--- a/src/testing/claim-fleet.ts
+++ b/src/testing/claim-fleet.ts
@@ -5,6 +5,7 @@
 import { ClaimTask, createIncarnation } from '../claims/claim-task.js';
 import { ManualClock } from '../kernel/clock.js';
 import { silentEventLog } from '../kernel/event.js';
+import { createMetrics } from '../kernel/metrics.js';
 import type { Member, Membership } from '../membership/membership.js';
 import { InMemoryPeerHub, type InMemoryPeerNetwork } from '../peer/in-memory-peer-network.js';
 import type { PeerNetwork } from '../peer/peer-network.js';
@@ -29,6 +30,7 @@
   /** Calls that each node has made. */
   readonly calls = new Map<string, number>();
   readonly platform: InMemoryPlatform;
+  readonly metrics = createMetrics(false);
   private readonly cutOff = new Set<string>();
   private readonly hub = new InMemoryPeerHub(this.clock);
   private readonly zones = new Map<string, string>();
@@ -53,6 +55,7 @@
       network: this.countCalls(nodeId, this.hub.createNetwork(nodeId)),
       membership: this.createMembership(nodeId),
       platform: this.platform,
+      metrics: this.metrics,
       mailboxCapacity: 1_000,
       pageBytes: this.options.pageBytes,
       wantedGroups: wantedGroups ?? this.options.wantedGroups,
