--- a/src/testing/claim-fleet.ts
+++ b/src/testing/claim-fleet.ts
@@ -31,7 +31,6 @@
   /** Calls that each node has made. */
   readonly calls = new Map<string, number>();
   readonly platform: InMemoryPlatform;
-  readonly metrics = createMetrics(false);
   private readonly cutOff = new Set<string>();
   private readonly hub = new InMemoryPeerHub(this.clock);
   private readonly zones = new Map<string, string>();
