--- a/src/config/settings.ts
+++ b/src/config/settings.ts
@@ -2,6 +2,7 @@
 import { Result } from 'true-myth';
 import { z } from 'zod';
 import type { Failure } from '../core/failure.js';
+import { MAX_GROUPS } from '../core/claim/claim-groups.js';
 import { ResultCode } from '../core/result-code.js';
 import { parseAndValidate, validateValue } from './document.js';
 import { adminSettingsSchema } from './operator-tokens.js';
@@ -63,6 +64,15 @@
       requestReadTimeoutMs: z.int().min(10).max(600_000).default(10_000),
     })
     .prefault({}),
+  claims: z
+    .strictObject({
+      /**
+       * Replica groups that the claims are divided into, when this node starts the fleet; later
+       * the fleet's own record counts. Absent: one for about ten nodes.
+       */
+      groups: z.int().min(1).max(MAX_GROUPS).exactOptional(),
+    })
+    .prefault({}),
   overload: z
     .strictObject({
       /** Name of the registered overload policy. */
