--- a/src/hollow/fleet-benchmark.ts
+++ b/src/hollow/fleet-benchmark.ts
@@ -1,8 +1,5 @@
 /** The fleet benchmark: hollow processes at several sizes, measured at rest, in change and in loss. */
-import { spawn, type ChildProcess } from 'node:child_process';
-import { createInterface } from 'node:readline';
 import { setTimeout as sleep } from 'node:timers/promises';
-import { fileURLToPath } from 'node:url';
 import { PlatformRulesRepository } from '../config/platform-rules-repository.js';
 import { systemClock } from '../kernel/clock.js';
 import { silentEventLog } from '../kernel/event.js';
@@ -12,10 +9,10 @@
   type PlatformStandIn,
 } from '../stand-ins/platform/platform-stand-in.js';
 import { formatTable } from '../cli/table.js';
+import { createBenchmarkRules } from './benchmark-rules.js';
 import type { HollowReport } from './hollow-nodes.js';
-import type { HollowCommand, HollowMessage } from './hollow-process.js';
+import { HollowProcess } from './hollow-process-client.js';
 
-const PROGRAM = fileURLToPath(new URL('../cli/main.js', import.meta.url));
 const FIRST_PORT = 21_000;
 const ZONES = 7;
 const REGIONS = 2;
@@ -25,6 +22,9 @@
 /** Share of the nodes that stops at once: a rack of one of 25. */
 const RACK_SHARE = 0.04;
 const MILLION = 1_000_000;
+/** What a join or a change has left to spread shall not count as rest. */
+const SETTLE_MS = 5_000;
+const CHANGE_PAUSE_MS = 1_000;
 
 /** What is run. */
 export interface FleetBenchmarkOptions {
@@ -51,7 +51,7 @@
   readonly bytesPerSecond: number;
   /** Requests a second that the platform got from the whole fleet at rest. */
   readonly platformRequestsPerSecond: number;
-  /** From acceptance until in force at every node, for each change. */
+  /** From the operator's request until in force at every node, for each change. */
   readonly changeMs: readonly number[];
   /** Nodes stopped at once, and the time until no view held them. */
   readonly stopped: number;
@@ -102,63 +102,12 @@
   return formatTable(heading, rows);
 }
 
-/** One process of hollow nodes, driven over its standard streams. */
-class HollowProcess {
-  private readonly child: ChildProcess;
-  private readonly reports: ((report: HollowReport) => void)[] = [];
-  private onStarted: () => void = () => {};
-  readonly started: Promise<void>;
-
-  constructor(args: readonly string[], onVersion: (version: number, atMs: number) => void) {
-    const stdio = ['pipe', 'pipe', 'inherit'] as const;
-    this.child = spawn(process.execPath, [PROGRAM, 'emulate', 'nodes', ...args], {
-      stdio: [...stdio],
-    });
-    this.started = new Promise((resolve, reject) => {
-      this.onStarted = resolve;
-      this.child.once('exit', () => {
-        reject(new Error('a process of hollow nodes ended too early'));
-      });
-    });
-    createInterface({ input: this.child.stdout! }).on('line', (line) => {
-      // Anything else is the report of a crash, which also goes to the standard error below.
-      if (!line.startsWith('{')) {
-        process.stderr.write(`${line}\n`);
-        return;
-      }
-      const message = JSON.parse(line) as HollowMessage;
-      if (message.type === 'started') this.onStarted();
-      else if (message.type === 'report') this.reports.shift()?.(message.report);
-      else onVersion(message.version, message.atMs);
-    });
-  }
-
-  ask(command: HollowCommand): Promise<HollowReport> {
-    return new Promise((resolve) => {
-      this.reports.push(resolve);
-      this.send(command);
-    });
-  }
-
-  async stop(): Promise<void> {
-    if (this.child.exitCode !== null) return;
-    const ended = new Promise((resolve) => this.child.once('exit', resolve));
-    this.send({ type: 'stop' });
-    const timer = setTimeout(() => this.child.kill('SIGKILL'), 10_000);
-    await ended;
-    clearTimeout(timer);
-  }
-
-  private send(command: HollowCommand): void {
-    this.child.stdin!.write(`${JSON.stringify(command)}\n`);
-  }
-}
-
 /** The fleet of one size. */
 class FleetUnderTest {
   private readonly processes: HollowProcess[] = [];
   private platform: PlatformStandIn | undefined;
   private platformUrl = '';
+  private repository: PlatformRulesRepository | undefined;
   /** Nodes that have reached a version, and the time of the last one. */
   private readonly reached = new Map<number, { count: number; lastAtMs: number }>();
 
@@ -172,6 +121,7 @@
     this.platformUrl = `http://127.0.0.1:${this.platform.port}`;
     const joinMs = await this.startNodes();
     this.options.progress(`  all joined after ${Math.round(joinMs)} ms`);
+    await this.applyChange(0);
     const rest = await this.measureRest();
     const changeMs = await this.measureChanges();
     this.options.progress(`  changes in force after ${changeMs.map(Math.round).join(', ')} ms`);
@@ -218,8 +168,7 @@
   }
 
   private async measureRest() {
-    // What the joining has left to spread shall not count.
-    await sleep(5_000);
+    await sleep(SETTLE_MS);
     const before = await this.askAll();
     const requestsBefore = this.platform!.requestCount;
     await sleep(this.options.restMs);
@@ -237,29 +186,34 @@
   }
 
   private async measureChanges(): Promise<number[]> {
-    const repository = this.createRepository();
     const durations: number[] = [];
     for (let change = 1; change <= this.options.changes; change += 1) {
-      const acceptedAtMs = Date.now();
-      const applied = await repository.apply({
-        tenant: 'benchmark',
-        document: createRules(change),
-        expectedRevision: change - 1,
-        operationId: `change-${change}`,
-        author: 'benchmark',
-      });
-      if (applied.isErr) throw new Error(applied.error.detail);
-      const { version } = applied.value;
-      await this.waitUntil(
-        `change ${change} in force everywhere`,
-        () => this.countAtLeast(version) >= this.size,
-      );
-      durations.push(this.reached.get(version)!.lastAtMs - acceptedAtMs);
-      await sleep(1_000);
+      durations.push(await this.applyChange(change));
+      await sleep(CHANGE_PAUSE_MS);
     }
     return durations;
   }
 
+  /** Makes a change and waits until it is in force at every node; returns how long that took. */
+  private async applyChange(change: number): Promise<number> {
+    const startedAtMs = Date.now();
+    this.repository ??= this.createRepository();
+    const applied = await this.repository.apply({
+      tenant: 'benchmark',
+      document: createBenchmarkRules(change),
+      expectedRevision: change,
+      operationId: `change-${change}`,
+      author: 'benchmark',
+    });
+    if (applied.isErr) throw new Error(applied.error.detail);
+    const { version } = applied.value;
+    await this.waitUntil(
+      `change ${change} in force everywhere`,
+      () => this.countAtLeast(version) >= this.size,
+    );
+    return this.reached.get(version)!.lastAtMs - startedAtMs;
+  }
+
   private countAtLeast(version: number): number {
     return this.reached.get(version)?.count ?? 0;
   }
@@ -320,29 +274,3 @@
 ): number {
   return reports.reduce((sum, report) => sum + report[member], 0);
 }
-
-/** Rules of about the size of an example deployment; `change` makes each revision differ. */
-function createRules(change: number): string {
-  const services = Array.from({ length: 4 }, (_, index) => ({
-    name: `service-${index}`,
-    hosts: [`service-${index}.benchmark.internal`],
-    slots: 10,
-    connections: 100,
-    targets: [1, 2, 3].map((target) => ({
-      id: `service-${index}-${target}`,
-      zone: `zone-${target}`,
-      address: `127.0.0.1:${10_000 + index * 10 + target}`,
-    })),
-    kinds: [
-      {
-        name: 'read',
-        match: { method: 'GET', pathPrefix: '/' },
-        criticality: 'normal',
-        deadlineMs: 1_000 + change,
-        attempts: 4,
-        idempotent: true,
-      },
-    ],
-  }));
-  return JSON.stringify({ apiVersion: 'sillshore/v1', tenant: 'benchmark', services });
-}
