--- a/src/hollow/commands.ts
+++ b/src/hollow/commands.ts
@@ -68,7 +68,12 @@
     description: 'Nodes; repeat for more; 50, 100 and 250 when absent',
   });
   perProcess = Option.String('--nodes-per-process', '125', { validator: positive });
+  firstPort = Option.String('--first-port', '21000', {
+    validator: positive,
+    description: 'The nodes take as many ports from here on',
+  });
   changes = Option.String('--changes', '5', { validator: positive });
+  settleMs = Option.String('--settle-ms', '20000', { validator: positive });
   restMs = Option.String('--rest-ms', '20000', { validator: positive });
   json = Option.Boolean('--json', false, { description: 'Print JSON' });
 
@@ -79,11 +84,12 @@
       return ExitCode.InvalidInput;
     }
     const { runFleetBenchmark, formatFleetRuns } = await import('./fleet-benchmark.js');
-    const { perProcess, changes, restMs } = this;
+    const { perProcess, firstPort, changes, settleMs, restMs } = this;
     const progress = (text: string): void => {
       this.context.stderr.write(`${text}\n`);
     };
-    const runs = await runFleetBenchmark({ sizes, perProcess, changes, restMs, progress });
+    const options = { sizes, perProcess, firstPort, changes, settleMs, restMs, progress };
+    const runs = await runFleetBenchmark(options);
     if (this.json) this.printJson(runs);
     else this.print(formatFleetRuns(runs));
     return ExitCode.Ok;
--- a/src/hollow/fleet-benchmark.ts
+++ b/src/hollow/fleet-benchmark.ts
@@ -13,7 +13,6 @@
 import type { HollowReport } from './hollow-nodes.js';
 import { HollowProcess } from './hollow-process-client.js';
 
-const FIRST_PORT = 21_000;
 const ZONES = 7;
 const REGIONS = 2;
 /** Longest wait for any one condition, in milliseconds. */
@@ -22,17 +21,19 @@
 /** Share of the nodes that stops at once: a rack of one of 25. */
 const RACK_SHARE = 0.04;
 const MILLION = 1_000_000;
-/** What a join or a change has left to spread shall not count as rest. */
-const SETTLE_MS = 5_000;
 const CHANGE_PAUSE_MS = 1_000;
 
 /** What is run. */
 export interface FleetBenchmarkOptions {
   readonly sizes: readonly number[];
   readonly perProcess: number;
+  /** Port of the first node. */
+  readonly firstPort: number;
   /** Changes of configuration at each size. */
   readonly changes: number;
-  /** Time over which the fleet at rest is measured. */
+  /** Time that a join gets to spread before the fleet counts as at rest, in milliseconds. */
+  readonly settleMs: number;
+  /** Time over which the fleet at rest is measured, in milliseconds. */
   readonly restMs: number;
   readonly progress: (text: string) => void;
 }
@@ -47,8 +48,10 @@
   readonly cpuPercent: number;
   /** Resident memory a node, in megabytes: the process's share. */
   readonly memoryMegabytes: number;
-  /** Bytes a second between nodes, sent and received, a node at rest. */
-  readonly bytesPerSecond: number;
+  /** Bytes a second over links, sent and received, a node at rest. */
+  readonly tcpBytesPerSecond: number;
+  /** The same of datagrams. */
+  readonly udpBytesPerSecond: number;
   /** Requests a second that the platform got from the whole fleet at rest. */
   readonly platformRequestsPerSecond: number;
   /** From the operator's request until in force at every node, for each change. */
@@ -81,7 +84,8 @@
     'join s',
     'cpu %/node',
     'MB/node',
-    'KB/s/node',
+    'TCP KB/s/node',
+    'UDP KB/s/node',
     'platform req/s',
     'change max ms',
     'rack',
@@ -93,7 +97,8 @@
     (run.joinMs / 1_000).toFixed(1),
     run.cpuPercent.toFixed(3),
     run.memoryMegabytes.toFixed(1),
-    (run.bytesPerSecond / 1_000).toFixed(2),
+    (run.tcpBytesPerSecond / 1_000).toFixed(2),
+    (run.udpBytesPerSecond / 1_000).toFixed(2),
     run.platformRequestsPerSecond.toFixed(1),
     Math.max(...run.changeMs).toFixed(0),
     run.stopped,
@@ -155,7 +160,7 @@
       count,
       zones: ZONES,
       regions: REGIONS,
-      'first-port': FIRST_PORT,
+      'first-port': this.options.firstPort,
       platform: this.platformUrl,
     };
     const args = Object.entries(flags).flatMap(([name, value]) => [`--${name}`, `${value}`]);
@@ -168,7 +173,7 @@
   }
 
   private async measureRest() {
-    await sleep(SETTLE_MS);
+    await sleep(this.options.settleMs);
     const before = await this.askAll();
     const requestsBefore = this.platform!.requestCount;
     await sleep(this.options.restMs);
@@ -176,11 +181,13 @@
     const requests = this.platform!.requestCount - requestsBefore;
     const seconds = (after[0]!.atMs - before[0]!.atMs) / 1_000;
     const cpuMicros = sumOf(after, 'cpuMicros') - sumOf(before, 'cpuMicros');
-    const bytes = sumOf(after, 'peerBytes') - sumOf(before, 'peerBytes');
+    const tcpBytes = sumOf(after, 'tcpBytes') - sumOf(before, 'tcpBytes');
+    const udpBytes = sumOf(after, 'udpBytes') - sumOf(before, 'udpBytes');
     return {
       cpuPercent: (cpuMicros / MILLION / seconds / this.size) * 100,
       memoryMegabytes: sumOf(after, 'residentBytes') / MILLION / this.size,
-      bytesPerSecond: bytes / seconds / this.size,
+      tcpBytesPerSecond: tcpBytes / seconds / this.size,
+      udpBytesPerSecond: udpBytes / seconds / this.size,
       platformRequestsPerSecond: requests / seconds,
     };
   }
@@ -270,7 +277,7 @@
 
 function sumOf(
   reports: readonly HollowReport[],
-  member: 'cpuMicros' | 'peerBytes' | 'residentBytes',
+  member: 'cpuMicros' | 'tcpBytes' | 'udpBytes' | 'residentBytes',
 ): number {
   return reports.reduce((sum, report) => sum + report[member], 0);
 }
--- a/src/hollow/hollow-nodes.test.ts
+++ b/src/hollow/hollow-nodes.test.ts
@@ -35,7 +35,8 @@
         Promise.resolve(nodes.report().smallestView === 3),
       );
       assert.equal(nodes.report().nodes, 3);
-      assert.ok(nodes.report().peerBytes > 0);
+      assert.ok(nodes.report().tcpBytes > 0);
+      assert.ok(nodes.report().udpBytes > 0);
     } finally {
       await nodes.stop();
       await platform.close();
--- a/src/hollow/hollow-nodes.ts
+++ b/src/hollow/hollow-nodes.ts
@@ -10,6 +10,7 @@
 import { createMetrics } from '../kernel/metrics.js';
 import { listPlugins, StartOrder, type Plugin } from '../kernel/plugin.js';
 import { Token } from '../kernel/token.js';
+import type { Transport } from '../kernel/traffic-meter.js';
 import { createNode } from '../node/start-node.js';
 
 /** Plug-ins that a hollow node runs. */
@@ -71,7 +72,8 @@
       lowestVersion: Math.min(...versions),
       cpuMicros: user + system,
       residentBytes: process.memoryUsage().rss,
-      peerBytes: this.sumPeerBytes(),
+      tcpBytes: this.sumBytes('tcp'),
+      udpBytes: this.sumBytes('udp'),
     };
   }
 
@@ -86,9 +88,10 @@
     }
   }
 
-  private sumPeerBytes(): number {
-    return this.kernels
-      .map((kernel) => kernel.container.get(Token.TrafficMeter).total)
+  private sumBytes(transport: Transport): number {
+    const meters = this.kernels.map((kernel) => kernel.container.get(Token.TrafficMeter));
+    return meters
+      .map((meter) => meter.read(transport, 'sent') + meter.read(transport, 'received'))
       .reduce((sum, bytes) => sum + bytes, 0);
   }
 
@@ -116,6 +119,8 @@
   /** Processor time of the process so far, in microseconds. */
   readonly cpuMicros: number;
   readonly residentBytes: number;
-  /** Bytes sent and received between nodes so far, summed over the nodes. */
-  readonly peerBytes: number;
+  /** Bytes sent and received over links between nodes so far, summed over the nodes. */
+  readonly tcpBytes: number;
+  /** The same of datagrams. */
+  readonly udpBytes: number;
 }
