--- a/scripts/measure-claim-memory.mjs
+++ b/scripts/measure-claim-memory.mjs
@@ -3,7 +3,7 @@
  * Usage: node --expose-gc scripts/measure-claim-memory.mjs (after a build).
  */
 import { serialize } from 'bson';
-import { ClaimTable } from '../dist/core/claim/claim-table.js';
+import { ClaimTable } from '../dist/src/core/claim/claim-table.js';
 
 const ENTRIES = 20_000;
 
--- a/src/cli/registered-commands.ts
+++ b/src/cli/registered-commands.ts
@@ -19,6 +19,7 @@
 } from './config-read-commands.js';
 import { drainCommands } from './drain-commands.js';
 import { nodeCommands } from './node-command.js';
+import { sidecarCommands } from './sidecar-command.js';
 import { statusCommands } from './status-command.js';
 import { versionCommands } from './version-command.js';
 
@@ -26,6 +27,7 @@
 export const registeredCommands: readonly CommandClass[] = [
   Builtins.HelpCommand,
   ...nodeCommands,
+  ...sidecarCommands,
   ConfigCheckCommand,
   ConfigApplyCommand,
   ConfigGetCommand,
--- /dev/null
+++ b/src/cli/sidecar-command.ts
@@ -0,0 +1,52 @@
+/** `sillshore sidecar`: runs the node beside one target until it is told to stop. */
+import { readFile } from 'node:fs/promises';
+import { Command, Option } from 'clipanion';
+import { Result } from 'true-myth';
+import { createFailure, type Failure } from '../core/failure.js';
+import { ResultCode } from '../core/result-code.js';
+import { validateSidecarSettings, type SidecarSettings } from '../sidecar/settings.js';
+import { SillshoreCommand } from './command.js';
+import { ExitCode } from './exit-code.js';
+
+/** Runs a sidecar. */
+export class SidecarCommand extends SillshoreCommand {
+  static override paths = [['sidecar']];
+  static override usage = Command.Usage({
+    description: 'run the node beside one target',
+    details: `
+      Runs until SIGTERM or SIGINT, which start a planned stop: what comes is still served, the
+      node says that it is not ready, running requests end, then it stops.
+    `,
+    examples: [['Run with a settings file', '$0 sidecar --settings sidecar.json']],
+  });
+
+  settings = Option.String('--settings', {
+    required: true,
+    description: 'Settings file, JSON; see docs/CONFIGURATION.md',
+  });
+  check = Option.Boolean('--check', false, { description: 'Only check the settings file' });
+
+  protected async run(): Promise<ExitCode> {
+    const settings = await readSettings(this.settings);
+    if (settings.isErr) return this.fail(settings.error);
+    if (this.check) return ExitCode.Ok;
+    const { platformAdapter } = await import('../../platform/adapter.js');
+    const { createSidecar } = await import('../sidecar/start-sidecar.js');
+    const { runKernel } = await import('../kernel/run-kernel.js');
+    const kernel = createSidecar(settings.value, platformAdapter);
+    const end = await runKernel(kernel, settings.value.bounds.gracePeriod);
+    return end === 'stopped' ? ExitCode.Ok : ExitCode.OperationFailed;
+  }
+}
+
+async function readSettings(path: string): Promise<Result<SidecarSettings, Failure>> {
+  try {
+    return validateSidecarSettings(JSON.parse(await readFile(path, 'utf8')));
+  } catch (error) {
+    const detail = `cannot read ${path}: ${(error as Error).message}`;
+    return Result.err(createFailure(ResultCode.SettingsInvalid, detail));
+  }
+}
+
+/** Commands of this module. */
+export const sidecarCommands = [SidecarCommand];
--- /dev/null
+++ b/src/cli/sidecar-main.ts
@@ -0,0 +1,9 @@
+#!/usr/bin/env node
+/** The program of the machines: the `sidecar` command alone, so that it starts quickly. */
+import { Cli } from 'clipanion';
+import { SidecarCommand } from './sidecar-command.js';
+
+const cli = new Cli({ binaryLabel: 'Sillshore sidecar', binaryName: 'sillshore-sidecar' });
+cli.register(SidecarCommand);
+process.exitCode = await cli.run(process.argv.slice(2), Cli.defaultContext);
+process.exit();
--- a/src/emulator/example-deployments.ts
+++ b/src/emulator/example-deployments.ts
@@ -152,7 +152,7 @@
 }
 
 function readExample(name: string, file: string): string {
-  const url = new URL(`../../examples/${name}/${file}`, import.meta.url);
+  const url = new URL(`../../../examples/${name}/${file}`, import.meta.url);
   return readFileSync(fileURLToPath(url), 'utf8');
 }
 
--- a/src/kernel/event.ts
+++ b/src/kernel/event.ts
@@ -11,6 +11,9 @@
   NodeStopped = 102,
   InternalError = 103,
   SettingsRejected = 104,
+  LinesLeftOut = 105,
+  SettingsReloaded = 106,
+  ReadinessChanged = 107,
   RulesInForce = 200,
   RulesAccepted = 201,
   RulesRejected = 202,
@@ -29,6 +32,10 @@
   TargetUnreachable = 403,
   LimitChanged = 404,
   EntryInputRejected = 405,
+  TargetReported = 406,
+  TargetReportRejected = 407,
+  RequestServed = 408,
+  AttemptFailed = 409,
   ClaimRefused = 500,
   ClaimReplicaRecovering = 501,
   ClaimReplicaReady = 502,
@@ -37,6 +44,7 @@
   PeerDisconnected = 601,
   PeerRejected = 602,
   FrameRejected = 603,
+  PeerTargetChanged = 604,
   OperatorRequest = 700,
   OperatorRejected = 701,
 }
@@ -50,6 +58,9 @@
   [Event.NodeStopped]: ['info', 'node stopped'],
   [Event.InternalError]: ['error', 'internal error'],
   [Event.SettingsRejected]: ['error', 'settings rejected'],
+  [Event.LinesLeftOut]: ['warn', 'log lines left out'],
+  [Event.SettingsReloaded]: ['info', 'settings read again'],
+  [Event.ReadinessChanged]: ['info', 'readiness changed'],
   [Event.RulesInForce]: ['info', 'rules revision in force'],
   [Event.RulesAccepted]: ['info', 'rules revision accepted'],
   [Event.RulesRejected]: ['warn', 'rules rejected'],
@@ -68,6 +79,10 @@
   [Event.TargetUnreachable]: ['warn', 'target unreachable'],
   [Event.LimitChanged]: ['debug', 'concurrency limit changed'],
   [Event.EntryInputRejected]: ['info', 'caller input rejected'],
+  [Event.TargetReported]: ['info', 'target beside this node changed'],
+  [Event.TargetReportRejected]: ['warn', 'report of a target rejected'],
+  [Event.RequestServed]: ['debug', 'request served'],
+  [Event.AttemptFailed]: ['info', 'attempt failed'],
   [Event.ClaimRefused]: ['info', 'claim refused'],
   [Event.ClaimReplicaRecovering]: ['info', 'claim replica recovering its tables'],
   [Event.ClaimReplicaReady]: ['info', 'claim replica votes'],
@@ -76,6 +91,7 @@
   [Event.PeerDisconnected]: ['info', 'link to peer down'],
   [Event.PeerRejected]: ['warn', 'peer rejected'],
   [Event.FrameRejected]: ['warn', 'frame rejected'],
+  [Event.PeerTargetChanged]: ['info', 'target of a peer changed'],
   [Event.OperatorRequest]: ['info', 'operator request'],
   [Event.OperatorRejected]: ['warn', 'operator request rejected'],
 };
@@ -88,9 +104,19 @@
   emit(event: Event, fields?: EventFields): void;
 }
 
-/** Writes events as pino JSON lines to standard error. */
-export function createPinoEventLog(level: string, bindings: EventFields = {}): EventLog {
-  const destination = pino.destination({ fd: 2, sync: false });
+/** File descriptors that lines can go to. */
+export enum LogStream {
+  Output = 1,
+  Error = 2,
+}
+
+/** Writes events as pino JSON lines, to standard error unless told otherwise. */
+export function createPinoEventLog(
+  level: string,
+  bindings: EventFields = {},
+  stream: LogStream = LogStream.Error,
+): EventLog {
+  const destination = pino.destination({ fd: stream, sync: false });
   const logger = pino({ level, base: { ...bindings } }, destination);
   return {
     emit: (event, fields = {}) => {
@@ -100,5 +126,4 @@
   };
 }
 
-/** Drops everything; for tests and hollow nodes. */
 export const silentEventLog: EventLog = { emit: () => {} };
--- a/src/kernel/kernel.ts
+++ b/src/kernel/kernel.ts
@@ -13,7 +13,8 @@
 
 /** What a kernel is made from. */
 export interface KernelOptions {
-  readonly settings: Settings;
+  /** Bound to its token when given; programs with other settings bind their own. */
+  readonly settings?: Settings;
   readonly clock: Clock;
   readonly log: EventLog;
   readonly plugins: readonly Plugin[];
@@ -34,7 +35,9 @@
     this.stopRequested = new Promise((resolve) => {
       this.resolveStopRequested = resolve;
     });
-    this.container.bind(Token.Settings).toConstantValue(options.settings);
+    if (options.settings !== undefined) {
+      this.container.bind(Token.Settings).toConstantValue(options.settings);
+    }
     this.container.bind(Token.Clock).toConstantValue(options.clock);
     this.container.bind(Token.EventLog).toConstantValue(options.log);
     this.container.bind(Token.Kernel).toConstantValue(this);
--- a/src/kernel/plugin.ts
+++ b/src/kernel/plugin.ts
@@ -32,17 +32,22 @@
   Admin = 90,
 }
 
+/** Programs that are made of plug-ins. */
+export type Program = 'node' | 'sidecar';
+
 const registered = new Map<string, Plugin>();
 
-/** Registers a plug-in; a second registration of a name is a defect. */
-export function registerPlugin(plugin: Plugin): void {
-  if (registered.has(plugin.name)) {
-    throw new Error(`plug-in ${plugin.name} is registered twice`);
-  }
-  registered.set(plugin.name, plugin);
+/** Registers a plug-in of a program; a second registration of a name is a defect. */
+export function registerPlugin(plugin: Plugin, program: Program = 'node'): void {
+  const key = `${program}/${plugin.name}`;
+  if (registered.has(key)) throw new Error(`plug-in ${key} is registered twice`);
+  registered.set(key, plugin);
 }
 
-/** All registered plug-ins in start order. */
-export function listPlugins(): readonly Plugin[] {
-  return [...registered.values()].sort((a, b) => a.order - b.order);
+/** All registered plug-ins of a program in start order. */
+export function listPlugins(program: Program = 'node'): readonly Plugin[] {
+  return [...registered]
+    .filter(([key]) => key.startsWith(`${program}/`))
+    .map(([, plugin]) => plugin)
+    .sort((a, b) => a.order - b.order);
 }
--- a/src/node/run-node.test.ts
+++ b/src/node/run-node.test.ts
@@ -7,7 +7,8 @@
 import type { Kernel } from '../kernel/kernel.js';
 import type { Plugin } from '../kernel/plugin.js';
 import { Token } from '../kernel/token.js';
-import { runNode, type NodeEnd } from './run-node.js';
+import type { NodeEnd } from '../kernel/run-kernel.js';
+import { runNode } from './run-node.js';
 
 /** A node with one plug-in whose drain ends when the test says so. */
 class Run {
--- a/src/node/run-node.ts
+++ b/src/node/run-node.ts
@@ -1,21 +1,8 @@
 /** Runs a node in this process until a signal stops it. */
 import type { Settings } from '../config/settings.js';
-import { Event } from '../kernel/event.js';
-import type { Kernel } from '../kernel/kernel.js';
-import { Token } from '../kernel/token.js';
+import { runKernel, type NodeEnd, type SignalSource } from '../kernel/run-kernel.js';
 import { createNode, type NodeOptions } from './start-node.js';
 
-const STOP_SIGNALS = ['SIGTERM', 'SIGINT'] as const;
-
-/** Where stop signals come from; tests bring their own emitter. */
-export interface SignalSource {
-  on(signal: string, listener: () => void): unknown;
-  off(signal: string, listener: () => void): unknown;
-}
-
-/** How a node's run ended. */
-export type NodeEnd = 'stopped' | 'start-failed' | 'cut-short';
-
 /**
  * Starts a node and waits for its end. The first SIGTERM or SIGINT, or an operator's drain
  * command, starts a planned stop, bounded by `settings.stopTimeoutMs`; a signal after that
@@ -29,62 +16,5 @@
   options: NodeOptions = {},
   signals: SignalSource = process,
 ): Promise<NodeEnd> {
-  const kernel = createNode(settings, options);
-  const log = kernel.container.get(Token.EventLog);
-  const stops = new SignalQueue(signals);
-  try {
-    await kernel.start();
-    await Promise.race([stops.next(), kernel.stopRequested]);
-    return await stopAsPlanned(kernel, settings.stopTimeoutMs, stops);
-  } catch (error) {
-    log.emit(Event.InternalError, { error: String(error) });
-    return 'start-failed';
-  } finally {
-    stops.close();
-  }
-}
-
-async function stopAsPlanned(
-  kernel: Kernel,
-  timeoutMs: number,
-  stops: SignalQueue,
-): Promise<NodeEnd> {
-  const log = kernel.container.get(Token.EventLog);
-  const secondSignal = stops.next().then(async (): Promise<NodeEnd> => {
-    log.emit(Event.InternalError, { error: 'planned stop cut short by a second signal' });
-    await kernel.stop();
-    return 'cut-short';
-  });
-  const planned = kernel
-    .drainAndStop(timeoutMs)
-    .then((complete): NodeEnd => (complete ? 'stopped' : 'cut-short'));
-  return await Promise.race([planned, secondSignal]);
-}
-
-/** Counts stop signals, so that one that came during the start is not lost. */
-class SignalQueue {
-  private waiting = 0;
-  private wake: (() => void) | undefined;
-  private readonly listener = (): void => {
-    this.waiting += 1;
-    this.wake?.();
-  };
-
-  constructor(private readonly source: SignalSource) {
-    for (const signal of STOP_SIGNALS) source.on(signal, this.listener);
-  }
-
-  /** Waits for the next stop signal. */
-  async next(): Promise<void> {
-    if (this.waiting === 0) {
-      await new Promise<void>((resolve) => {
-        this.wake = resolve;
-      });
-    }
-    this.waiting -= 1;
-  }
-
-  close(): void {
-    for (const signal of STOP_SIGNALS) this.source.off(signal, this.listener);
-  }
+  return await runKernel(createNode(settings, options), settings.stopTimeoutMs, signals);
 }
--- a/src/node/version.ts
+++ b/src/node/version.ts
@@ -3,7 +3,7 @@
 import { z } from 'zod';
 
 const packageSchema = z.object({ version: z.string() });
-const packageFile = new URL('../../package.json', import.meta.url);
+const packageFile = new URL('../../../package.json', import.meta.url);
 const { version } = packageSchema.parse(JSON.parse(readFileSync(packageFile, 'utf8')));
 
 /** Version of the program, from package.json. */
--- /dev/null
+++ b/src/sidecar/directory/node-directory.ts
@@ -0,0 +1,196 @@
+/**
+ * All nodes and the links to them. Addresses come from the store's records; whether a node's
+ * target takes work comes from the node itself while a link is open, else from its record.
+ */
+import type { TargetView } from '../../core/overload.js';
+import type { Clock } from '../../kernel/clock.js';
+import { Event, type EventLog } from '../../kernel/event.js';
+import type { StoreEvent, StoreItem } from '../../store/metadata-store.js';
+import type { AttemptPort } from '../link/attempt-port.js';
+import type { NodeStatus, TargetState } from '../link/link-messages.js';
+import { PeerLink } from '../link/peer-link.js';
+import { decodeNodeRecord, NODE_RECORD_PREFIX, type NodeRecord } from './node-record.js';
+
+/** What the directory works with. */
+export interface NodeDirectoryOptions {
+  /** This node; its record is not a peer's. */
+  readonly node: string;
+  readonly zone: string;
+  readonly region: string;
+  readonly service: string;
+  readonly clock: Clock;
+  readonly log: EventLog;
+  /** The own target. */
+  readonly localTarget: AttemptPort;
+  status(): NodeStatus;
+  /** Targets of a service came, left or changed. */
+  onServiceChanged(service: string): void;
+  /** A peer knows rules of this version. */
+  onPeerRules(version: number, request: () => void): void;
+  onRulesDocument(document: Uint8Array): void;
+}
+
+interface Peer {
+  record: NodeRecord;
+  readonly link: PeerLink;
+  /** As the node itself said last over the link. */
+  said: TargetState | undefined;
+  /** The record is gone from the store; the link alone keeps the node. */
+  lapsed: boolean;
+}
+
+/** See the module comment. */
+export class NodeDirectory {
+  private readonly peers = new Map<string, Peer>();
+  /** Services that this node calls, so that links to their nodes are kept. */
+  private readonly wanted = new Set<string>();
+
+  constructor(private readonly options: NodeDirectoryOptions) {}
+
+  /** Nodes known, this one included. */
+  get size(): number {
+    return this.peers.size + 1;
+  }
+
+  /** Takes in all records of the store. */
+  replaceAll(items: readonly StoreItem[]): void {
+    const present = new Set(items.map(({ key }) => key.slice(NODE_RECORD_PREFIX.length)));
+    for (const node of [...this.peers.keys()]) if (!present.has(node)) this.onRemoved(node);
+    for (const item of items) this.onRecord(item.value);
+  }
+
+  /** Takes in changes of the store. */
+  apply(events: readonly StoreEvent[]): void {
+    for (const event of events) {
+      if (event.type === 'put') this.onRecord(event.value);
+      else this.onRemoved(event.key.slice(NODE_RECORD_PREFIX.length));
+    }
+  }
+
+  /** Targets of a service as routing sees them; a target's id is its node's. */
+  viewsOf(service: string): readonly TargetView[] {
+    this.want(service);
+    const views: TargetView[] = [];
+    for (const [id, peer] of this.peers) {
+      const { record } = peer;
+      if (record.service !== service) continue;
+      views.push({ id, zone: record.zone, region: record.region, eligible: isEligible(peer) });
+    }
+    if (service === this.options.service) views.push(this.ownView());
+    return views;
+  }
+
+  /** Way to the target beside a node. */
+  portOf(node: string): AttemptPort | undefined {
+    if (node === this.options.node) return this.options.localTarget;
+    return this.peers.get(node)?.link;
+  }
+
+  /** Tells all connected nodes what this node now says of itself. */
+  announceStatus(): void {
+    const status = this.options.status();
+    for (const { link } of this.peers.values()) link.announceStatus(status);
+  }
+
+  /** Ends all links. */
+  close(): void {
+    for (const { link } of this.peers.values()) link.close('stopped');
+    this.peers.clear();
+  }
+
+  private ownView(): TargetView {
+    const { node, zone, region } = this.options;
+    return { id: node, zone, region, eligible: this.options.status().target === 'ready' };
+  }
+
+  private want(service: string): void {
+    if (this.wanted.has(service)) return;
+    this.wanted.add(service);
+    for (const { record, link } of this.peers.values()) {
+      if (record.service === service) link.open();
+    }
+  }
+
+  private onRecord(value: Buffer): void {
+    const record = decodeNodeRecord(value);
+    if (record === undefined || record.node === this.options.node) return;
+    const known = this.peers.get(record.node);
+    if (known?.record.address === record.address && known.record.service === record.service) {
+      known.lapsed = false;
+      known.record = record;
+    } else {
+      if (known !== undefined) this.remove(record.node, known, 'the node has moved');
+      this.add(record);
+    }
+    this.options.onServiceChanged(record.service);
+  }
+
+  private add(record: NodeRecord): void {
+    const { clock, log } = this.options;
+    const { node, address, service } = record;
+    const link = new PeerLink({
+      node,
+      address,
+      clock,
+      status: () => this.options.status(),
+      listener: {
+        onStatus: (status) => {
+          this.onStatus(node, status);
+        },
+        onReachableChanged: (reachable, detail) => {
+          this.onReachable(node, reachable, detail);
+        },
+        onRules: (document) => {
+          this.options.onRulesDocument(document);
+        },
+      },
+    });
+    this.peers.set(node, { record, link, said: undefined, lapsed: false });
+    log.emit(Event.MemberJoined, { peer: node, address, service });
+    if (this.wanted.has(service)) link.open();
+  }
+
+  /** A lapsed lease alone is no death: the store may have been away. */
+  private onRemoved(node: string): void {
+    const peer = this.peers.get(node);
+    if (peer === undefined) return;
+    peer.lapsed = true;
+    if (!peer.link.isReachable) this.remove(node, peer, 'its record has ended');
+  }
+
+  private remove(node: string, peer: Peer, detail: string): void {
+    this.peers.delete(node);
+    peer.link.close(detail);
+    this.options.log.emit(Event.MemberFailed, { peer: node, detail });
+    this.options.onServiceChanged(peer.record.service);
+  }
+
+  private onStatus(node: string, status: NodeStatus): void {
+    const peer = this.peers.get(node);
+    if (peer === undefined) return;
+    this.options.onPeerRules(status.rulesVersion, () => {
+      peer.link.requestRules();
+    });
+    if (status.service !== peer.record.service) {
+      this.remove(node, peer, `the node now fronts ${status.service}`);
+      return;
+    }
+    if (peer.said === status.target) return;
+    peer.said = status.target;
+    this.options.log.emit(Event.PeerTargetChanged, { peer: node, target: status.target });
+    this.options.onServiceChanged(status.service);
+  }
+
+  private onReachable(node: string, reachable: boolean, detail: string): void {
+    const peer = this.peers.get(node);
+    if (peer === undefined) return;
+    const event = reachable ? Event.PeerConnected : Event.PeerDisconnected;
+    this.options.log.emit(event, { peer: node, detail });
+    if (!reachable && peer.lapsed) this.remove(node, peer, 'its record has ended');
+    else this.options.onServiceChanged(peer.record.service);
+  }
+}
+
+function isEligible({ record, link, said }: Peer): boolean {
+  return link.isPromising && (said ?? record.target) === 'ready';
+}
--- /dev/null
+++ b/src/sidecar/directory/prefix-watch.ts
@@ -0,0 +1,91 @@
+/** Follows a prefix of the store: a listing first, then its changes, again after a gap. */
+import type { Clock } from '../../kernel/clock.js';
+import { Event, type EventLog } from '../../kernel/event.js';
+import type { Random } from '../../core/random.js';
+import type { MetadataStore, StoreEvent, StoreItem } from '../../store/metadata-store.js';
+
+const FIRST_PAUSE_MS = 50;
+const MAX_PAUSE_MS = 500;
+
+/** What a watch works with. */
+export interface PrefixWatchOptions {
+  readonly prefix: string;
+  readonly store: MetadataStore;
+  readonly clock: Clock;
+  readonly log: EventLog;
+  /** Spreads the ends of waits, so that nodes do not ask at the same time. */
+  readonly random: Random;
+  /** Longest wait of one call, in milliseconds. */
+  readonly waitMs: number;
+  /** All items, after the start and after a gap. */
+  onListing(items: readonly StoreItem[]): void;
+  onEvents(events: readonly StoreEvent[]): void;
+}
+
+/** See the module comment. */
+export class PrefixWatch {
+  private closed = false;
+  private available = true;
+  private pauseMs = FIRST_PAUSE_MS;
+  private revision: number | undefined;
+
+  constructor(private readonly options: PrefixWatchOptions) {}
+
+  /** Follows until it is closed. */
+  async run(): Promise<void> {
+    while (!this.closed) {
+      if (this.revision === undefined) await this.list();
+      else await this.watch(this.revision);
+    }
+  }
+
+  /** Ends after the call that is under way. */
+  close(): void {
+    this.closed = true;
+  }
+
+  private async list(): Promise<void> {
+    const listing = await this.options.store.list(this.options.prefix);
+    if (listing.isErr) {
+      await this.onFailure(listing.error.detail);
+      return;
+    }
+    this.onSuccess();
+    this.revision = listing.value.at;
+    this.options.onListing(listing.value.items);
+  }
+
+  private async watch(revision: number): Promise<void> {
+    const { store, prefix, waitMs, random } = this.options;
+    const jittered = Math.round(waitMs * (0.75 + 0.5 * random.next()));
+    const result = await store.watch(prefix, revision, jittered);
+    if (result.isErr) {
+      await this.onFailure(result.error.detail);
+      return;
+    }
+    this.onSuccess();
+    if (result.value.type === 'compacted') {
+      this.revision = undefined;
+      return;
+    }
+    this.revision = result.value.at;
+    if (result.value.events.length > 0) this.options.onEvents(result.value.events);
+  }
+
+  private onSuccess(): void {
+    this.pauseMs = FIRST_PAUSE_MS;
+    if (this.available) return;
+    this.available = true;
+    this.options.log.emit(Event.PlatformRecovered, { prefix: this.options.prefix });
+  }
+
+  private async onFailure(detail: string): Promise<void> {
+    const { log, prefix, clock } = this.options;
+    if (this.available) log.emit(Event.PlatformUnavailable, { prefix, detail });
+    this.available = false;
+    await new Promise<void>((resolve) => {
+      clock.schedule(this.pauseMs, resolve);
+    });
+    this.pauseMs = Math.min(MAX_PAUSE_MS, this.pauseMs * 2);
+  }
+}
--- /dev/null
+++ b/src/sidecar/directory/record-publisher.ts
@@ -0,0 +1,147 @@
+/**
+ * Writes this node's record into the store, under a lease and under the condition that the record
+ * is the one that was last seen, so that a write of an earlier process that arrives late loses.
+ */
+import { Event, type EventLog } from '../../kernel/event.js';
+import type { Clock } from '../../kernel/clock.js';
+import type { MetadataStore, StoreFailure } from '../../store/metadata-store.js';
+import { decodeNodeRecord, encodeNodeRecord, keyOfNode, type NodeRecord } from './node-record.js';
+
+/** Life of the lease; a node that is gone for good disappears from the store after it. */
+const LEASE_TTL_MS = 60_000;
+const RENEW_INTERVAL_MS = 20_000;
+const FIRST_PAUSE_MS = 100;
+const MAX_PAUSE_MS = 1_000;
+
+/** What the publisher works with. */
+export interface RecordPublisherOptions {
+  readonly node: string;
+  readonly store: MetadataStore;
+  readonly clock: Clock;
+  readonly log: EventLog;
+}
+
+type Waiter = () => void;
+
+/** See the module comment. */
+export class RecordPublisher {
+  private wanted: NodeRecord | undefined;
+  private written: NodeRecord | undefined;
+  private revision: number | undefined;
+  private lease: string | undefined;
+  private running = false;
+  private closed = false;
+  private pauseMs = FIRST_PAUSE_MS;
+  private readonly waiters: { readonly record: NodeRecord; readonly done: Waiter }[] = [];
+
+  constructor(private readonly options: RecordPublisherOptions) {}
+
+  /** Reads the record that an earlier process left; retries until the store answers. */
+  async readPrevious(): Promise<NodeRecord | undefined> {
+    for (;;) {
+      const item = await this.options.store.read(keyOfNode(this.options.node));
+      if (item.isOk) {
+        this.revision = item.value?.revision ?? 0;
+        return item.value && decodeNodeRecord(item.value.value);
+      }
+      if (this.closed) return undefined;
+      this.report(item.error);
+      await this.pause();
+    }
+  }
+
+  /** Publishes; resolves when the store has acknowledged this record or a later one. */
+  publish(record: NodeRecord): Promise<void> {
+    this.wanted = record;
+    return new Promise((done) => {
+      this.waiters.push({ record, done });
+      void this.run();
+    });
+  }
+
+  /** Starts to renew the lease. */
+  start(): void {
+    this.options.clock.schedule(RENEW_INTERVAL_MS, () => {
+      void this.renew();
+    });
+  }
+
+  /** Ends all attempts. */
+  close(): void {
+    this.closed = true;
+  }
+
+  private async run(): Promise<void> {
+    if (this.running) return;
+    this.running = true;
+    while (!this.closed && this.wanted !== this.written) await this.writeOnce();
+    this.running = false;
+  }
+
+  private async writeOnce(): Promise<void> {
+    const record = this.wanted!;
+    const failure = await this.tryWrite(record);
+    if (failure === undefined) {
+      this.pauseMs = FIRST_PAUSE_MS;
+      this.written = record;
+      for (const { done } of this.waiters.splice(0)) done();
+      return;
+    }
+    this.report(failure);
+    await this.pause();
+  }
+
+  private async tryWrite(record: NodeRecord): Promise<StoreFailure | undefined> {
+    const { store } = this.options;
+    const key = keyOfNode(this.options.node);
+    if (this.revision === undefined) {
+      // What became of the last write is not known: the next condition needs a fresh reading.
+      const item = await store.read(key);
+      if (item.isErr) return item.error;
+      this.revision = item.value?.revision ?? 0;
+      if (item.value?.value.equals(encodeNodeRecord(record))) return undefined;
+    }
+    if (this.lease === undefined) {
+      const lease = await store.grantLease(LEASE_TTL_MS);
+      if (lease.isErr) return lease.error;
+      this.lease = lease.value.id;
+    }
+    const { revision, lease } = this;
+    this.revision = undefined;
+    const result = await store.transact({
+      conditions: [{ key, revision }],
+      puts: [{ key, value: encodeNodeRecord(record), lease }],
+    });
+    if (result.isErr) return result.error;
+    if (result.value.type === 'lease-lost') this.lease = undefined;
+    if (result.value.type !== 'committed') return { cause: 'refused', detail: result.value.type };
+    this.revision = result.value.revision;
+    return undefined;
+  }
+
+  private async renew(): Promise<void> {
+    if (this.closed) return;
+    if (this.lease !== undefined) {
+      const kept = await this.options.store.keepLease(this.lease);
+      if (kept.isOk && !kept.value) {
+        this.lease = undefined;
+        this.revision = undefined;
+        this.written = undefined;
+        void this.run();
+      }
+    }
+    this.start();
+  }
+
+  private report({ cause, detail }: StoreFailure): void {
+    this.options.log.emit(Event.PlatformUnavailable, { operation: 'record', cause, detail });
+  }
+
+  private pause(): Promise<void> {
+    const pauseMs = this.pauseMs;
+    this.pauseMs = Math.min(MAX_PAUSE_MS, pauseMs * 2);
+    return new Promise((resolve) => {
+      this.options.clock.schedule(pauseMs, resolve);
+    });
+  }
+}
--- /dev/null
+++ b/src/sidecar/directory/target-keeper.ts
@@ -0,0 +1,103 @@
+/**
+ * Keeps what is known of the target beside this node: takes its reports, asks it for its identity
+ * where a report alone is not enough, and acknowledges a leave only after the store holds it, so
+ * that no later process of this node can forget it.
+ */
+import type { Clock } from '../../kernel/clock.js';
+import { Event, type EventLog } from '../../kernel/event.js';
+import type { RegistrationMessage } from '../platform-adapter.js';
+import type { NodeRecord } from './node-record.js';
+import type { RecordPublisher } from './record-publisher.js';
+import type { RegisteredTarget, TargetRegistration, Verdict } from './target-registration.js';
+
+const OK = 200;
+const CONFLICT = 409;
+const UNAVAILABLE = 503;
+
+/** Wait for the store before a leave stays without acknowledgement; senders wait a second. */
+const ACKNOWLEDGE_WITHIN_MS = 900;
+const PROBE_TIMEOUT_MS = 500;
+
+/** What the keeper works with. */
+export interface TargetKeeperOptions {
+  readonly registration: TargetRegistration;
+  readonly publisher: RecordPublisher;
+  readonly clock: Clock;
+  readonly log: EventLog;
+  /** This node's record as it is now. */
+  record(): NodeRecord;
+  /** Asks the target itself for its identity; undefined without a good answer. */
+  probe(timeoutMs: number): Promise<string | undefined>;
+  /** What is known has changed. */
+  onChanged(target: RegisteredTarget | undefined): void;
+}
+
+/** See the module comment. */
+export class TargetKeeper {
+  private known: RegisteredTarget | undefined;
+  /** The record that an earlier process left has been read. */
+  private restored = false;
+  private publishing: Promise<void> = Promise.resolve();
+
+  constructor(private readonly options: TargetKeeperOptions) {}
+
+  /** Reads what an earlier process of this node left; reports wait for it. */
+  async restore(): Promise<void> {
+    const { publisher, registration } = this.options;
+    const previous = await publisher.readPrevious();
+    if (previous?.target === 'leaving') registration.restoreLeft(previous.targetId);
+    this.restored = true;
+    this.afterReport();
+  }
+
+  /** Takes one report; resolves with the status of its answer. */
+  async onReport(message: RegistrationMessage): Promise<number> {
+    const verdict = await this.judge(message);
+    if (verdict === 'foreign' || verdict === 'unconfirmed') {
+      this.options.log.emit(Event.TargetReportRejected, { target: message.targetId, verdict });
+      return CONFLICT;
+    }
+    this.afterReport();
+    const leaves = message.type === 'departure' || message.state === 'draining';
+    if (!leaves || verdict === 'outdated') return OK;
+    return (await this.isStored()) ? OK : UNAVAILABLE;
+  }
+
+  /** The target answered as another incarnation than the one registered. */
+  onIdentityMismatch(targetId: string): void {
+    this.options.registration.forget(targetId);
+    this.afterReport();
+  }
+
+  private async judge(message: RegistrationMessage): Promise<Verdict> {
+    const { registration, clock, probe } = this.options;
+    if (message.type === 'departure') return registration.onDeparture(message.targetId);
+    const verdict = registration.onHeartbeat(clock.now(), message, false);
+    if (verdict !== 'unconfirmed') return verdict;
+    const confirmed = (await probe(PROBE_TIMEOUT_MS)) === message.targetId;
+    return registration.onHeartbeat(clock.now(), message, confirmed);
+  }
+
+  private afterReport(): void {
+    const { registration, log, publisher, onChanged, record } = this.options;
+    const { current } = registration;
+    const same = current?.id === this.known?.id && current?.state === this.known?.state;
+    if (!this.restored || same) return;
+    this.known = current;
+    log.emit(Event.TargetReported, { target: current?.id, state: current?.state ?? 'unknown' });
+    onChanged(current);
+    this.publishing = publisher.publish(record());
+  }
+
+  private isStored(): Promise<boolean> {
+    return new Promise((resolve) => {
+      const cancel = this.options.clock.schedule(ACKNOWLEDGE_WITHIN_MS, () => {
+        resolve(false);
+      });
+      void this.publishing.then(() => {
+        cancel();
+        resolve(this.restored);
+      });
+    });
+  }
+}
--- /dev/null
+++ b/src/sidecar/entry/caller-exchange.ts
@@ -0,0 +1,99 @@
+/** One request of a caller and its answer, on top of `node:http`'s objects. */
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import type { BufferReservation } from '../../core/byte-budget.js';
+import { createFailure, type Failure } from '../../core/failure.js';
+import { ResultCode } from '../../core/result-code.js';
+import type { RawFields } from '../link/link-messages.js';
+
+const STATUSES_WITHOUT_BODY: ReadonlySet<number> = new Set([204, 304]);
+
+/** An answer as a caller gets it. */
+export interface CallerAnswer {
+  readonly status: number;
+  readonly fields: RawFields;
+  readonly body: Uint8Array;
+}
+
+/** See the module comment. */
+export class CallerExchange {
+  readonly method: string;
+  /** Path with query. */
+  readonly path: string;
+  readonly fields: RawFields;
+  private answered = false;
+
+  constructor(
+    readonly request: IncomingMessage,
+    private readonly response: ServerResponse,
+  ) {
+    this.method = request.method ?? '';
+    this.path = request.url ?? '';
+    this.fields = request.rawHeaders;
+    response.on('error', () => {
+      // The end of the connection is reported by its socket.
+    });
+  }
+
+  /** Value of a field, by its name in lower case. */
+  field(name: string): string | undefined {
+    const value = this.request.headers[name];
+    return typeof value === 'string' ? value : undefined;
+  }
+
+  /**
+   * Reads the whole body; `onBody` is not called when the connection ends first.
+   *
+   * @param reservation covers what is held
+   */
+  readBody(
+    maxBytes: number,
+    reservation: BufferReservation,
+    onBody: (body: Uint8Array | Failure) => void,
+  ): void {
+    const { request } = this;
+    const declared = request.headers['content-length'];
+    if (declared === undefined && request.headers['transfer-encoding'] === undefined) {
+      onBody(new Uint8Array(0));
+      return;
+    }
+    const chunks: Buffer[] = [];
+    let length = 0;
+    let done = false;
+    const finish = (body: Uint8Array | Failure): void => {
+      if (done) return;
+      done = true;
+      onBody(body);
+    };
+    request.on('data', (chunk: Buffer) => {
+      if (done) return;
+      length += chunk.length;
+      if (length > maxBytes) {
+        finish(createFailure(ResultCode.BodyTooLarge, `more than ${maxBytes} bytes`));
+      } else if (!reservation.cover(length)) {
+        finish(createFailure(ResultCode.BufferExhausted, 'no buffer left for the request'));
+      } else {
+        chunks.push(chunk);
+      }
+    });
+    request.on('end', () => {
+      finish(chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks));
+    });
+  }
+
+  /**
+   * Sends the whole answer, once.
+   *
+   * @param connectionFields fields about the connection
+   */
+  answer({ status, fields, body }: CallerAnswer, connectionFields: RawFields): void {
+    const { response } = this;
+    if (this.answered || response.destroyed) return;
+    this.answered = true;
+    const all = [...fields, ...connectionFields];
+    const hasBody = !STATUSES_WITHOUT_BODY.has(status);
+    if (hasBody) all.push('Content-Length', String(body.length));
+    response.writeHead(status, all);
+    if (hasBody && this.method !== 'HEAD' && body.length > 0) response.end(body);
+    else response.end();
+  }
+}
--- /dev/null
+++ b/src/sidecar/entry/entry-service.ts
@@ -0,0 +1,203 @@
+/** Takes callers' requests: reads them, finds their route, has them routed and answers them. */
+import type { ByteBudget } from '../../core/byte-budget.js';
+import { createFailure, type Failure } from '../../core/failure.js';
+import { rankOf, type RequestContext } from '../../core/request.js';
+import { ResultCode } from '../../core/result-code.js';
+import type { Clock } from '../../kernel/clock.js';
+import { Event, type EventLog } from '../../kernel/event.js';
+import type { NodeDirectory } from '../directory/node-directory.js';
+import type { AttemptCall } from '../link/link-messages.js';
+import type { FieldNames } from '../platform-adapter.js';
+import type { Route } from '../rules/route-table.js';
+import { criticalityOfRank } from '../rules/routing-rules.js';
+import type { RulesKeeper } from '../rules/rules-keeper.js';
+import type { CallerAnswer, CallerExchange } from './caller-exchange.js';
+import { createOwnAnswer } from './refusal-answer.js';
+import { RoutedRequest, type RequestEnd } from './routed-request.js';
+import type { ServiceRouters } from './service-routers.js';
+
+/** What the entry works with. */
+export interface EntryServiceOptions {
+  readonly fields: FieldNames;
+  /** Service of the machine on which requests begin here. */
+  readonly callerService: string;
+  readonly rules: RulesKeeper;
+  readonly routers: ServiceRouters;
+  readonly directory: NodeDirectory;
+  readonly buffers: ByteBudget;
+  readonly clock: Clock;
+  readonly log: EventLog;
+  /** Repeats beyond their share that all nodes have together. */
+  readonly repeatSlack: number;
+  onRequestEnd(kind: string, code: number, seconds: number): void;
+}
+
+type Answer = (answer: CallerAnswer) => void;
+
+const MS_PER_SECOND = 1_000;
+const NOT_READY_RETRY_MS = 500;
+const NO_KIND = '';
+
+/** See the module comment. */
+export class EntryService {
+  constructor(private readonly options: EntryServiceOptions) {}
+
+  /** Handles one exchange; the returned function ends it when the caller goes away. */
+  handle(exchange: CallerExchange, answer: Answer): () => void {
+    return new EntryRequest(this.options, exchange, answer).start();
+  }
+}
+
+/** One request from its head to its answer. */
+class EntryRequest {
+  private readonly receivedAt: number;
+  private readonly reservation;
+  private routed: RoutedRequest | undefined;
+  private cancelled = false;
+
+  constructor(
+    private readonly options: EntryServiceOptions,
+    private readonly exchange: CallerExchange,
+    private readonly answer: Answer,
+  ) {
+    this.receivedAt = options.clock.now();
+    this.reservation = options.buffers.reserve(0);
+  }
+
+  start(): () => void {
+    const { rules } = this.options;
+    const { exchange } = this;
+    const { table } = rules;
+    if (table === undefined) {
+      this.refuse(notReady());
+    } else {
+      const route = table.find(exchange.field('host') ?? '', exchange.path);
+      if (route === undefined) this.refuse(noRoute(exchange, rules.version));
+      else this.readBody(route, table.rules.limits.maxBodyBytes);
+    }
+    return () => {
+      this.cancelled = true;
+      this.reservation.release();
+      this.routed?.cancel();
+    };
+  }
+
+  private readBody(route: Route, maxBytes: number): void {
+    this.exchange.readBody(maxBytes, this.reservation, (body) => {
+      if (this.cancelled) return;
+      if (body instanceof Uint8Array) this.route(route, body);
+      else this.refuse(body);
+    });
+  }
+
+  private route(route: Route, body: Uint8Array): void {
+    const { fields, routers, directory, clock, repeatSlack } = this.options;
+    const attemptId = this.exchange.field(fields.attemptId);
+    if (attemptId === undefined) {
+      this.refuse(createFailure(ResultCode.InvalidField, `${fields.attemptId} is missing`));
+      return;
+    }
+    const service = route.nextService();
+    const context = this.createContext(route, service, attemptId);
+    this.routed = new RoutedRequest({
+      context,
+      call: this.createCall(context, body),
+      maxAttempts: route.rules.maxAttempts,
+      service: routers.of(service),
+      clock,
+      repeatSlack: repeatSlack / directory.size,
+      portOf: (node) => directory.portOf(node),
+      onEnd: (end) => {
+        this.onEnd(context, end);
+      },
+    });
+    this.routed.start();
+  }
+
+  private createContext({ rules }: Route, service: string, requestId: string): RequestContext {
+    const told = Number(this.exchange.field(this.options.fields.timeLeft));
+    const wait = told > 0 ? Math.min(told, rules.timeoutMs) : rules.timeoutMs;
+    return {
+      requestId,
+      tenant: '',
+      service,
+      kind: rules.name,
+      criticality: criticalityOfRank(rules.rank),
+      deadline: this.receivedAt + wait,
+      idempotent: rules.idempotent,
+      depth: 0,
+    };
+  }
+
+  private createCall(context: RequestContext, body: Uint8Array): AttemptCall {
+    const { method, path, fields } = this.exchange;
+    const { requestId, service, kind, idempotent, depth, criticality } = context;
+    return {
+      attemptId: requestId,
+      service,
+      kind,
+      rank: rankOf(criticality),
+      idempotent,
+      depth,
+      timeLeftMs: 0,
+      callerService: this.options.callerService,
+      method,
+      path,
+      fields,
+      body,
+    };
+  }
+
+  private onEnd(context: RequestContext, end: RequestEnd): void {
+    if (end.type === 'refusal') {
+      this.refuse(end.failure, context);
+      return;
+    }
+    this.reservation.release();
+    this.log(Event.RequestServed, context, { status: end.status });
+    this.note(context.kind, ResultCode.Ok);
+    this.answer(end);
+  }
+
+  private refuse(failure: Failure, context?: RequestContext): void {
+    this.reservation.release();
+    const { code, detail, execution } = failure;
+    const event = execution === 'not-run' ? Event.RequestRefused : Event.RequestFailed;
+    this.log(event, context, { code, detail, execution });
+    this.note(context?.kind ?? NO_KIND, code);
+    this.answer(createOwnAnswer(failure));
+  }
+
+  private log(
+    event: Event,
+    context: RequestContext | undefined,
+    outcome: Readonly<Record<string, string | number>>,
+  ): void {
+    const { fields, log, clock, rules } = this.options;
+    log.emit(event, {
+      id: context?.requestId ?? this.exchange.field(fields.attemptId),
+      kind: context?.kind,
+      service: context?.service,
+      rules: rules.version,
+      tried: this.routed?.triedNodes.join(' '),
+      ms: Math.round(clock.now() - this.receivedAt),
+      ...outcome,
+    });
+  }
+
+  private note(kind: string, code: ResultCode): void {
+    const seconds = (this.options.clock.now() - this.receivedAt) / MS_PER_SECOND;
+    this.options.onRequestEnd(kind, code, seconds);
+  }
+}
+
+function notReady(): Failure {
+  const options = { execution: 'not-run', retryAfterMs: NOT_READY_RETRY_MS } as const;
+  return createFailure(ResultCode.NotReady, 'no rules in force yet', options);
+}
+
+function noRoute(exchange: CallerExchange, version: number): Failure {
+  const place = `${exchange.field('host') ?? ''}${exchange.path.split('?')[0] ?? ''}`;
+  const detail = `no route for ${place} in version ${version}`;
+  return createFailure(ResultCode.UnknownKind, detail);
+}
--- /dev/null
+++ b/src/sidecar/entry/refusal-answer.ts
@@ -0,0 +1,50 @@
+/** The node's own answers to callers: refusals and failures as problem documents (RFC 9457). */
+import type { Failure } from '../../core/failure.js';
+import { describeResultCode, ResultCode } from '../../core/result-code.js';
+import type { RawFields } from '../link/link-messages.js';
+
+const MS_PER_SECOND = 1_000;
+const BAD_GATEWAY = 502;
+const UNAVAILABLE = 503;
+
+/** Statuses that say that the request has not run and never will. */
+const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
+
+/** An answer of the node itself. */
+export interface OwnAnswer {
+  readonly status: number;
+  readonly fields: RawFields;
+  readonly body: Buffer;
+}
+
+/**
+ * Builds the answer for a failure. A status that promises that the request was not run is used
+ * only when that is known.
+ */
+export function createOwnAnswer(failure: Failure): OwnAnswer {
+  const { code, title } = describeResultCode(failure.code);
+  const status = statusOf(failure);
+  const { detail, execution, retryAfterMs } = failure;
+  const document = { type: `urn:sillshore:result:${code}`, title, status, detail, code, execution };
+  const fields = [
+    'Content-Type',
+    'application/problem+json',
+    'Sillshore-Result',
+    String(code),
+    'Sillshore-Execution',
+    execution,
+  ];
+  if (retryAfterMs !== undefined && execution === 'not-run') {
+    fields.push('Retry-After', (retryAfterMs / MS_PER_SECOND).toFixed(3));
+  }
+  return { status, fields, body: Buffer.from(JSON.stringify(document)) };
+}
+
+function statusOf({ code, execution }: Failure): number {
+  const { httpStatus } = describeResultCode(code);
+  if (execution === 'not-run') {
+    // Input that is wrong says so; all else that was not run may be tried again.
+    return httpStatus < 500 && code !== ResultCode.Cancelled ? httpStatus : UNAVAILABLE;
+  }
+  return NOT_RUN_STATUSES.has(httpStatus) ? BAD_GATEWAY : httpStatus;
+}
--- /dev/null
+++ b/src/sidecar/entry/repeat-budget.ts
@@ -0,0 +1,59 @@
+/**
+ * Repeats that this node may send to one service: a share of its own requests for the service
+ * over a sliding window, and its part of the allowance that all nodes have together. Since every
+ * node keeps to its part, the sum over all nodes keeps to the whole, without any messages.
+ */
+
+/** Parameters of {@link RepeatBudget}. */
+export interface RepeatBudgetOptions {
+  /** Repeats as a share of requests; 0 to 1. */
+  readonly ratio: number;
+  readonly windowMs: number;
+  /** Repeats in a window beyond the share, for this node alone. */
+  readonly slack: number;
+}
+
+const BUCKETS = 10;
+
+/** Counts in buckets of a tenth of the window; a bucket leaves as a whole. */
+export class RepeatBudget {
+  private readonly requests = new Float64Array(BUCKETS);
+  private readonly repeats = new Float64Array(BUCKETS);
+  private current = 0;
+
+  constructor(private readonly options: RepeatBudgetOptions) {}
+
+  /** A request for the service came in. */
+  noteRequest(now: number): void {
+    this.advance(now);
+    this.requests[this.current % BUCKETS]! += 1;
+  }
+
+  /**
+   * Takes one repeat; false when there is none left.
+   *
+   * @param slack this node's part of the common allowance, which changes with the nodes
+   */
+  spend(now: number, slack = this.options.slack): boolean {
+    this.advance(now);
+    const allowed = this.options.ratio * sum(this.requests) + slack;
+    if (sum(this.repeats) + 1 > allowed) return false;
+    this.repeats[this.current % BUCKETS]! += 1;
+    return true;
+  }
+
+  private advance(now: number): void {
+    const bucket = Math.floor((now * BUCKETS) / this.options.windowMs);
+    const steps = Math.min(BUCKETS, bucket - this.current);
+    for (let step = 1; step <= steps; step += 1) {
+      const index = (bucket - steps + step) % BUCKETS;
+      this.requests[index] = 0;
+      this.repeats[index] = 0;
+    }
+    if (steps > 0) this.current = bucket;
+  }
+}
+
+function sum(counts: Float64Array): number {
+  return counts.reduce((total, count) => total + count, 0);
+}
--- /dev/null
+++ b/src/sidecar/entry/routed-request.ts
@@ -0,0 +1,168 @@
+/**
+ * One request from its route to its final result: admission, choice of a target, repeats within
+ * the bounds, the end at the deadline. What is known of execution is kept over all tries.
+ */
+import { createFailure, type Failure } from '../../core/failure.js';
+import type { AttemptOutcome, RequestContext } from '../../core/request.js';
+import { ResultCode, type Execution } from '../../core/result-code.js';
+import type { CancelTimer, Clock } from '../../kernel/clock.js';
+import type { AttemptPort } from '../link/attempt-port.js';
+import type { AttemptAnswer, AttemptCall, AttemptEnd, AttemptFailure } from '../link/link-messages.js';
+import type { CalledService } from './service-routers.js';
+
+/** The final result of a request. */
+export type RequestEnd = AttemptAnswer | { readonly type: 'refusal'; readonly failure: Failure };
+
+/** What a request is routed with. */
+export interface RoutedRequestOptions {
+  readonly context: RequestContext;
+  /** The request as it goes to a target; the time left is set at each try. */
+  readonly call: AttemptCall;
+  readonly maxAttempts: number;
+  readonly service: CalledService;
+  readonly clock: Clock;
+  /** This node's part of the repeats that all nodes have together. */
+  readonly repeatSlack: number;
+  portOf(node: string): AttemptPort | undefined;
+  /** Called exactly once, unless the request is cancelled first. */
+  onEnd(end: RequestEnd): void;
+}
+
+/** Tries at other nodes that refuse without offering the request to their target. */
+const MAX_TRIES = 6;
+/** The other side ends this much earlier, so that its result still arrives, in milliseconds. */
+const LINK_MARGIN_MS = 8;
+const LINK_MARGIN_SHARE = 0.1;
+const DEFAULT_RETRY_MS = 200;
+
+/** See the module comment. */
+export class RoutedRequest {
+  private ended = false;
+  private cancelTry: (() => void) | undefined;
+  private cancelDeadline: CancelTimer = () => {};
+  private readonly tried: string[] = [];
+  /** Targets that the request was offered to. */
+  private offers = 0;
+  private mayHaveRun = false;
+
+  constructor(private readonly options: RoutedRequestOptions) {}
+
+  /** Nodes tried so far, for logs. */
+  get triedNodes(): readonly string[] {
+    return this.tried;
+  }
+
+  start(): void {
+    const { service, clock, context } = this.options;
+    const now = clock.now();
+    service.repeats.noteRequest(now);
+    const refusal = service.router.admit(now, context);
+    if (refusal !== undefined) {
+      const { code, detail, retryAfterMs } = refusal;
+      this.refuse(createFailure(code, detail, { execution: 'not-run', retryAfterMs }));
+      return;
+    }
+    this.cancelDeadline = clock.schedule(context.deadline - now, () => {
+      this.onDeadline();
+    });
+    this.tryOnce();
+  }
+
+  /** The caller went away. */
+  cancel(): void {
+    if (this.ended) return;
+    this.finish();
+    this.cancelTry?.();
+  }
+
+  private tryOnce(): void {
+    const { service, clock, context, portOf } = this.options;
+    const now = clock.now();
+    const picked = service.router.pick(now, context, this.tried);
+    if (picked.type === 'refuse') {
+      const { code, detail, retryAfterMs } = picked.refusal;
+      this.refuse(createFailure(code, detail, { execution: 'not-run', retryAfterMs }));
+      return;
+    }
+    const node = picked.target;
+    this.tried.push(node);
+    const timeLeftMs = context.deadline - now;
+    const margin = Math.min(LINK_MARGIN_MS, timeLeftMs * LINK_MARGIN_SHARE);
+    const call = { ...this.options.call, timeLeftMs: timeLeftMs - margin };
+    let tryEnded = false;
+    const cancel = portOf(node)?.dispatch(call, (end) => {
+      tryEnded = true;
+      this.onTryEnd(node, now, end);
+    });
+    if (!tryEnded) this.cancelTry = cancel;
+  }
+
+  private onTryEnd(node: string, startedAt: number, end: AttemptEnd): void {
+    if (this.ended) return;
+    this.cancelTry = undefined;
+    this.report(node, startedAt, end);
+    if (end.type === 'answer') {
+      this.finish();
+      this.options.onEnd(end);
+      return;
+    }
+    if (end.offered) this.offers += 1;
+    if (end.execution !== 'not-run') this.mayHaveRun = true;
+    if (this.shouldRepeat(end)) this.tryOnce();
+    else this.refuse(createFailure(end.code, end.detail, toOptions(end)));
+  }
+
+  private report(node: string, startedAt: number, end: AttemptEnd): void {
+    const now = this.options.clock.now();
+    const { load } = end;
+    const outcome: AttemptOutcome = end.type === 'answer' ? 'success' : end.outcome;
+    this.options.service.router.onOutcome(now, {
+      target: node,
+      kind: this.options.context.kind,
+      outcome,
+      latencyMs: now - startedAt,
+      ...(load === undefined ? {} : { load }),
+    });
+  }
+
+  /** Takes from the repeat budget when it says yes to a repeat that a target will see. */
+  private shouldRepeat({ outcome }: AttemptFailure): boolean {
+    const { context, maxAttempts, service, clock, repeatSlack } = this.options;
+    if (this.mayHaveRun && !context.idempotent) return false;
+    if (this.tried.length >= MAX_TRIES || this.offers >= maxAttempts) return false;
+    if (outcome === 'timeout' || outcome === 'cancelled') return false;
+    const now = clock.now();
+    if (now >= context.deadline) return false;
+    if (this.offers === 0) return true;
+    return service.repeats.spend(now, repeatSlack);
+  }
+
+  private onDeadline(): void {
+    if (this.ended) return;
+    // A try that is under way may run at this moment.
+    if (this.cancelTry !== undefined) this.mayHaveRun = true;
+    this.cancelTry?.();
+    this.refuse(createFailure(ResultCode.DeadlineExceeded, 'no answer within the time'));
+  }
+
+  private refuse(failure: Failure): void {
+    if (this.ended) return;
+    this.finish();
+    const execution: Execution = this.mayHaveRun ? 'unknown' : failure.execution;
+    const retryAfterMs = failure.retryAfterMs ?? DEFAULT_RETRY_MS;
+    this.options.onEnd({ type: 'refusal', failure: { ...failure, execution, retryAfterMs } });
+  }
+
+  private finish(): void {
+    this.ended = true;
+    this.cancelDeadline();
+  }
+}
+
+function toOptions({ execution, retryAfterMs }: AttemptFailure): {
+  execution: Execution;
+  retryAfterMs?: number;
+} {
+  return retryAfterMs === undefined ? { execution } : { execution, retryAfterMs };
+}
+
--- /dev/null
+++ b/src/sidecar/link/link-server.ts
@@ -0,0 +1,143 @@
+/** The accepting end of links: other nodes' calls for the own target. */
+import { createServer, type AddressInfo, type Server } from 'node:net';
+import type { Clock } from '../../kernel/clock.js';
+import { ResultCode } from '../../core/result-code.js';
+import { createNotOffered, type AttemptPort } from './attempt-port.js';
+import type { AttemptEnd, LinkMessage, NodeStatus } from './link-messages.js';
+import { LinkSocket } from './link-socket.js';
+
+/** A call that took longer than this on its way is refused, in milliseconds. */
+const MAX_TRANSIT_MS = 400;
+
+/** What the accepting end works with. */
+export interface LinkServerOptions {
+  readonly clock: Clock;
+  readonly target: AttemptPort;
+  /** What this node says of itself now. */
+  status(): NodeStatus;
+  /** The rules in force as a document; undefined: none. */
+  rulesDocument(): Buffer | undefined;
+}
+
+/** See the module comment. */
+export class LinkServer {
+  private readonly server: Server;
+  private readonly connections = new Set<IncomingLink>();
+
+  constructor(private readonly options: LinkServerOptions) {
+    this.server = createServer((socket) => {
+      const link = new IncomingLink(options, () => this.connections.delete(link));
+      this.connections.add(link);
+      link.attach(new LinkSocket(socket, link));
+    });
+  }
+
+  /** Listens; resolves with the port. Rejects when the address cannot be bound. */
+  listen(host: string, port: number): Promise<number> {
+    return new Promise((resolve, reject) => {
+      this.server.once('error', reject);
+      this.server.listen(port, host, () => {
+        this.server.off('error', reject);
+        resolve((this.server.address() as AddressInfo).port);
+      });
+    });
+  }
+
+  /** Tells all connected nodes what this node now says of itself. */
+  announceStatus(): void {
+    const status = this.options.status();
+    for (const link of this.connections) link.send({ type: 'status', status });
+  }
+
+  /** Refuses new connections and closes the others. */
+  close(): void {
+    this.server.close();
+    for (const link of this.connections) link.close();
+  }
+}
+
+/** One connection of another node. */
+class IncomingLink {
+  private socket: LinkSocket | undefined;
+  private readonly running = new Map<number, () => void>();
+
+  constructor(
+    private readonly options: LinkServerOptions,
+    private readonly onEnded: () => void,
+  ) {}
+
+  attach(socket: LinkSocket): void {
+    this.socket = socket;
+    const { status, clock } = this.options;
+    socket.send({ type: 'hello', status: status(), clock: clock.now() });
+  }
+
+  send(message: LinkMessage): void {
+    this.socket?.send(message);
+  }
+
+  close(): void {
+    this.socket?.end('stopped');
+  }
+
+  onMessage(message: LinkMessage): void {
+    switch (message.type) {
+      case 'call':
+        this.onCall(message);
+        break;
+      case 'cancel':
+        this.cancel(message.id);
+        break;
+      case 'ping':
+        this.send({ type: 'pong' });
+        break;
+      case 'rules-wanted':
+        this.sendRules();
+        break;
+      case 'hello':
+      case 'status':
+        // The other node's target is reached over a link of this node's own.
+        break;
+      default:
+        this.socket?.close(`unexpected message ${message.type}`);
+    }
+  }
+
+  onClosed(): void {
+    for (const cancel of this.running.values()) cancel();
+    this.running.clear();
+    this.onEnded();
+  }
+
+  private onCall({ id, sentAt, call }: Extract<LinkMessage, { type: 'call' }>): void {
+    const transitMs = this.options.clock.now() - sentAt;
+    if (transitMs > MAX_TRANSIT_MS) {
+      const detail = `the call was ${Math.round(transitMs)} ms on its way`;
+      const end = createNotOffered('unreachable', ResultCode.DeadlineUnreachable, detail);
+      this.sendEnd(id, end);
+      return;
+    }
+    let ended = false;
+    const timeLeftMs = call.timeLeftMs - Math.max(0, transitMs);
+    const cancel = this.options.target.dispatch({ ...call, timeLeftMs }, (end) => {
+      ended = true;
+      this.running.delete(id);
+      this.sendEnd(id, end);
+    });
+    if (!ended) this.running.set(id, cancel);
+  }
+
+  private sendEnd(id: number, end: AttemptEnd): void {
+    this.send({ type: 'end', id, clock: this.options.clock.now(), end });
+  }
+
+  private cancel(id: number): void {
+    this.running.get(id)?.();
+    this.running.delete(id);
+  }
+
+  private sendRules(): void {
+    const document = this.options.rulesDocument();
+    if (document !== undefined) this.send({ type: 'rules', document });
+  }
+}
--- /dev/null
+++ b/src/sidecar/plugins/directory-plugin.ts
@@ -0,0 +1,70 @@
+/** Plug-in of the directory of nodes. */
+import { createRandom } from '../../core/random.js';
+import { registerPlugin } from '../../kernel/plugin.js';
+import { Token } from '../../kernel/token.js';
+import { NodeDirectory } from '../directory/node-directory.js';
+import { NODE_RECORD_PREFIX } from '../directory/node-record.js';
+import { PrefixWatch } from '../directory/prefix-watch.js';
+import { seedOf } from '../seed.js';
+import { SidecarOrder, SidecarToken } from './tokens.js';
+
+/** Longest wait of one call for changes, in milliseconds. */
+const WAIT_MS = 10_000;
+
+let watch: PrefixWatch | undefined;
+
+registerPlugin(
+  {
+    name: 'directory',
+    order: SidecarOrder.Directory,
+    bind: (container) => {
+      container.bind(SidecarToken.Directory).toDynamicValue(({ get }) => {
+        const { node, target } = get(SidecarToken.Settings);
+        return new NodeDirectory({
+          node: node.id,
+          zone: node.zone,
+          region: node.region,
+          service: target.service,
+          clock: get(Token.Clock),
+          log: get(Token.EventLog),
+          localTarget: get(SidecarToken.Gateway),
+          status: get(SidecarToken.Status),
+          onServiceChanged: (service) => {
+            get(SidecarToken.Routers).refresh(service);
+          },
+          onPeerRules: (version, request) => {
+            if (version > get(SidecarToken.Rules).version) request();
+          },
+          onRulesDocument: (document) => {
+            get(SidecarToken.Rules).offer(Buffer.from(document), 'peer');
+          },
+        });
+      });
+    },
+    start: (container) => {
+      const directory = container.get(SidecarToken.Directory);
+      watch = new PrefixWatch({
+        prefix: NODE_RECORD_PREFIX,
+        store: container.get(SidecarToken.Store),
+        clock: container.get(Token.Clock),
+        log: container.get(Token.EventLog),
+        random: createRandom(seedOf(`${container.get(SidecarToken.Settings).node.id} nodes`)),
+        waitMs: WAIT_MS,
+        onListing: (items) => {
+          directory.replaceAll(items);
+        },
+        onEvents: (events) => {
+          directory.apply(events);
+        },
+      });
+      void watch.run();
+      return Promise.resolve();
+    },
+    stop: (container) => {
+      watch?.close();
+      container.get(SidecarToken.Directory).close();
+      return Promise.resolve();
+    },
+  },
+  'sidecar',
+);
--- /dev/null
+++ b/src/sidecar/plugins/link-plugin.ts
@@ -0,0 +1,47 @@
+/** Plug-in of the links: the accepting end, and what this node says of itself on them. */
+import { registerPlugin } from '../../kernel/plugin.js';
+import { Token } from '../../kernel/token.js';
+import { LinkServer } from '../link/link-server.js';
+import { SidecarOrder, SidecarToken } from './tokens.js';
+
+registerPlugin(
+  {
+    name: 'link',
+    order: SidecarOrder.Link,
+    bind: (container) => {
+      container.bind(SidecarToken.Status).toDynamicValue(({ get }) => {
+        const { node, target } = get(SidecarToken.Settings);
+        const kernel = get(Token.Kernel);
+        const registration = get(SidecarToken.Registration);
+        return () => ({
+          node: node.id,
+          service: target.service,
+          target: kernel.draining ? 'leaving' : (registration.current?.state ?? 'unknown'),
+          rulesVersion: get(SidecarToken.Rules).version,
+        });
+      });
+      container.bind(SidecarToken.LinkServer).toDynamicValue(
+        ({ get }) =>
+          new LinkServer({
+            clock: get(Token.Clock),
+            target: get(SidecarToken.Gateway),
+            status: get(SidecarToken.Status),
+            rulesDocument: () => get(SidecarToken.Rules).document,
+          }),
+      );
+    },
+    start: async (container) => {
+      const { host, ports } = container.get(SidecarToken.Settings).listen;
+      await container.get(SidecarToken.LinkServer).listen(host, ports[0]);
+    },
+    drain: (container) => {
+      container.get(SidecarToken.LinkServer).announceStatus();
+      return Promise.resolve();
+    },
+    stop: (container) => {
+      container.get(SidecarToken.LinkServer).close();
+      return Promise.resolve();
+    },
+  },
+  'sidecar',
+);
--- /dev/null
+++ b/src/sidecar/plugins/plugins.ts
@@ -0,0 +1,9 @@
+/** The parts of a sidecar: importing a plug-in's module registers it. */
+import './observability-plugin.js';
+import './store-plugin.js';
+import './target-plugin.js';
+import './link-plugin.js';
+import './directory-plugin.js';
+import './rules-plugin.js';
+import './entry-plugin.js';
+import './readiness-plugin.js';
--- /dev/null
+++ b/src/sidecar/plugins/target-plugin.ts
@@ -0,0 +1,110 @@
+/** Plug-in of the target beside this node: its registration and the gateway to it. */
+import type { ResolutionContext } from 'inversify';
+import '../../core/policies/adaptive.js';
+import { findOverloadPolicy } from '../../core/overload-policy-registry.js';
+import { registerPlugin } from '../../kernel/plugin.js';
+import { Token } from '../../kernel/token.js';
+import { splitAddress } from '../address.js';
+import type { NodeRecord } from '../directory/node-record.js';
+import { RecordPublisher } from '../directory/record-publisher.js';
+import { RegistrationServer } from '../directory/registration-server.js';
+import { TargetKeeper } from '../directory/target-keeper.js';
+import { TargetRegistration, type RegisteredTarget } from '../directory/target-registration.js';
+import { seedOf } from '../seed.js';
+import { TargetGateway } from '../target/target-gateway.js';
+import { SidecarOrder, SidecarToken } from './tokens.js';
+
+const POLICY = 'adaptive';
+
+let server: RegistrationServer | undefined;
+
+registerPlugin(
+  {
+    name: 'target',
+    order: SidecarOrder.Target,
+    bind: (container) => {
+      container.bind(SidecarToken.Registration).toDynamicValue(({ get }) => {
+        const { target } = get(SidecarToken.Settings);
+        return new TargetRegistration(target.service, target.address);
+      });
+      container.bind(SidecarToken.Publisher).toDynamicValue(({ get }) => {
+        const { node } = get(SidecarToken.Settings);
+        const [store, clock, log] = [
+          get(SidecarToken.Store),
+          get(Token.Clock),
+          get(Token.EventLog),
+        ];
+        return new RecordPublisher({ node: node.id, store, clock, log });
+      });
+      container.bind(SidecarToken.Gateway).toDynamicValue(createGateway);
+      container.bind(SidecarToken.TargetKeeper).toDynamicValue(createKeeper);
+    },
+    start: async (container) => {
+      const keeper = container.get(SidecarToken.TargetKeeper);
+      server = new RegistrationServer(container.get(SidecarToken.Adapter), (message) =>
+        keeper.onReport(message),
+      );
+      const { listen } = container.get(SidecarToken.Settings);
+      const { host, port } = splitAddress(listen.registration);
+      await server.listen(host, port);
+      container.get(SidecarToken.Publisher).start();
+      void keeper.restore();
+    },
+    stop: (container) => {
+      server?.close();
+      container.get(SidecarToken.Publisher).close();
+      return Promise.resolve();
+    },
+  },
+  'sidecar',
+);
+
+function createGateway({ get }: ResolutionContext): TargetGateway {
+  const { target, node } = get(SidecarToken.Settings);
+  const policy = findOverloadPolicy(POLICY);
+  if (policy === undefined) throw new Error(`no policy ${POLICY}`);
+  return new TargetGateway({
+    service: target.service,
+    address: target.address,
+    fields: get(SidecarToken.Adapter).fields,
+    policy,
+    clock: get(Token.Clock),
+    log: get(Token.EventLog),
+    seed: seedOf(`${node.id} gate`),
+    onIdentityMismatch: (targetId) => {
+      get(SidecarToken.TargetKeeper).onIdentityMismatch(targetId);
+    },
+  });
+}
+
+function createKeeper({ get }: ResolutionContext): TargetKeeper {
+  const gateway = get(SidecarToken.Gateway);
+  const settings = get(SidecarToken.Settings);
+  const { service } = settings.target;
+  const registration = get(SidecarToken.Registration);
+  const record = (): NodeRecord => ({
+    node: settings.node.id,
+    address: `${settings.listen.host}:${settings.listen.ports[0]}`,
+    zone: settings.node.zone,
+    region: settings.node.region,
+    service,
+    targetId: registration.current?.id ?? '',
+    target: registration.current?.state ?? 'unknown',
+  });
+  return new TargetKeeper({
+    registration,
+    publisher: get(SidecarToken.Publisher),
+    clock: get(Token.Clock),
+    log: get(Token.EventLog),
+    record,
+    probe: async (timeoutMs) => {
+      const path = get(SidecarToken.Rules).table?.rules.services.get(service)?.healthPath;
+      return path === undefined ? undefined : await gateway.probe(path, timeoutMs);
+    },
+    onChanged: (target: RegisteredTarget | undefined) => {
+      gateway.setTarget(target);
+      get(SidecarToken.LinkServer).announceStatus();
+      get(SidecarToken.Routers).refresh(service);
+    },
+  });
+}
--- /dev/null
+++ b/src/sidecar/plugins/tokens.ts
@@ -0,0 +1,52 @@
+/** Typed identifiers under which the sidecar's plug-ins find each other's services. */
+import type { ByteBudget } from '../../core/byte-budget.js';
+import { createToken } from '../../kernel/token.js';
+import type { MetadataStore } from '../../store/metadata-store.js';
+import type { NodeDirectory } from '../directory/node-directory.js';
+import type { RecordPublisher } from '../directory/record-publisher.js';
+import type { TargetKeeper } from '../directory/target-keeper.js';
+import type { TargetRegistration } from '../directory/target-registration.js';
+import type { EntryListener } from '../entry/entry-listener.js';
+import type { ServiceRouters } from '../entry/service-routers.js';
+import type { LinkServer } from '../link/link-server.js';
+import type { NodeStatus } from '../link/link-messages.js';
+import type { PlatformAdapter } from '../platform-adapter.js';
+import type { RulesKeeper } from '../rules/rules-keeper.js';
+import type { SidecarMetrics } from '../sidecar-metrics.js';
+import type { SidecarSettings } from '../settings.js';
+import type { TargetGateway } from '../target/target-gateway.js';
+
+/** Says what this node is now; see {@link NodeStatus}. */
+export type StatusSource = () => NodeStatus;
+
+/** One token a service. */
+export const SidecarToken = {
+  Settings: createToken<SidecarSettings>('sidecar.Settings'),
+  Adapter: createToken<PlatformAdapter>('sidecar.Adapter'),
+  Metrics: createToken<SidecarMetrics>('sidecar.Metrics'),
+  Store: createToken<MetadataStore>('sidecar.Store'),
+  Rules: createToken<RulesKeeper>('sidecar.Rules'),
+  Status: createToken<StatusSource>('sidecar.Status'),
+  Directory: createToken<NodeDirectory>('sidecar.Directory'),
+  Publisher: createToken<RecordPublisher>('sidecar.Publisher'),
+  Registration: createToken<TargetRegistration>('sidecar.Registration'),
+  TargetKeeper: createToken<TargetKeeper>('sidecar.TargetKeeper'),
+  Gateway: createToken<TargetGateway>('sidecar.Gateway'),
+  LinkServer: createToken<LinkServer>('sidecar.LinkServer'),
+  Routers: createToken<ServiceRouters>('sidecar.Routers'),
+  Listener: createToken<EntryListener>('sidecar.Listener'),
+  Buffers: createToken<ByteBudget>('sidecar.Buffers'),
+} as const;
+
+/** Positions of the sidecar's plug-ins in the start sequence. */
+export enum SidecarOrder {
+  Settings = 0,
+  Observability = 10,
+  Store = 20,
+  Target = 30,
+  Link = 40,
+  Directory = 50,
+  Rules = 60,
+  Entry = 70,
+  Readiness = 80,
+}
--- /dev/null
+++ b/src/sidecar/rules/routing-rules.ts
@@ -0,0 +1,86 @@
+/** Routing rules: which requests exist, which services run them and under which bounds. */
+import { Result } from 'true-myth';
+import { createFailure, type Failure } from '../../core/failure.js';
+import type { Criticality } from '../../core/request.js';
+import { CRITICALITIES } from '../../core/request.js';
+import { ResultCode } from '../../core/result-code.js';
+
+/** Share of a route's requests that a service runs. */
+export interface ServiceShare {
+  readonly service: string;
+  /** Part of the sum of all weights of the route; at least 0. */
+  readonly weight: number;
+}
+
+/** One route: requests of a host below a path. */
+export interface RouteRules {
+  readonly name: string;
+  /** Value of the Host field, without port, in lower case. */
+  readonly host: string;
+  /** Begins and ends with a slash. */
+  readonly pathPrefix: string;
+  /** Whether a request that may have run can be repeated. */
+  readonly idempotent: boolean;
+  /** Rank among the routes; 0 is the most important. */
+  readonly rank: number;
+  /** Longest time that a request is held, in milliseconds. */
+  readonly timeoutMs: number;
+  /** Time within which an answer is worth most, in milliseconds. */
+  readonly aimMs: number;
+  /** Most targets that one request may be sent to. */
+  readonly maxAttempts: number;
+  readonly shares: readonly ServiceShare[];
+}
+
+/** A service as the rules know it. */
+export interface MeshServiceRules {
+  /** Path of the targets' health check. */
+  readonly healthPath: string;
+  /** Connections that one target accepts from all callers together. */
+  readonly maxConnections: number;
+}
+
+/** Bounds on what callers send. */
+export interface CallerLimits {
+  readonly maxBodyBytes: number;
+  /** Time in which the head of a request must be there, in milliseconds. */
+  readonly headerTimeoutMs: number;
+  /** Time for which a connection may rest, in milliseconds. */
+  readonly idleTimeoutMs: number;
+}
+
+/** A whole document. */
+export interface RoutingRules {
+  /** Rises with each change, in uneven steps. */
+  readonly version: number;
+  readonly routes: readonly RouteRules[];
+  readonly services: ReadonlyMap<string, MeshServiceRules>;
+  readonly limits: CallerLimits;
+}
+
+/** Checks what the parts of a document say of each other; see {@link checkRules}. */
+function findDefect({ routes, services }: RoutingRules): string | undefined {
+  const places = new Set<string>();
+  for (const { name, host, pathPrefix, shares } of routes) {
+    const place = `${host}${pathPrefix}`;
+    if (places.has(place)) return `two routes at ${place}`;
+    places.add(place);
+    const unknown = shares.find(({ service }) => !services.has(service));
+    if (unknown !== undefined) return `route ${name} names unknown service ${unknown.service}`;
+    if (!shares.some(({ weight }) => weight > 0)) return `route ${name} goes nowhere`;
+  }
+  return undefined;
+}
+
+/** Refuses a document as a whole when it contradicts itself (4001). */
+export function checkRules(rules: RoutingRules): Result<RoutingRules, Failure> {
+  const defect = findDefect(rules);
+  if (defect === undefined) return Result.ok(rules);
+  return Result.err(createFailure(ResultCode.RulesInvalid, defect));
+}
+
+/** Class of a rank; ranks beyond the last class share it. */
+export function criticalityOfRank(rank: number): Criticality {
+  const last = CRITICALITIES.length - 1;
+  return CRITICALITIES[Math.min(last, Math.max(0, Math.trunc(rank)))]!;
+}
--- /dev/null
+++ b/src/sidecar/rules/rules-keeper.ts
@@ -0,0 +1,64 @@
+/**
+ * The routing rules in force. They come from the store and, while it is away, from other nodes;
+ * within one life of the process the version only rises.
+ */
+import type { Result } from 'true-myth';
+import type { Failure } from '../../core/failure.js';
+import { Event, type EventLog } from '../../kernel/event.js';
+import { RouteTable } from './route-table.js';
+import { checkRules, type RoutingRules } from './routing-rules.js';
+
+/** What the keeper works with. */
+export interface RulesKeeperOptions {
+  readonly log: EventLog;
+  parse(document: Buffer): Result<RoutingRules, Failure>;
+  /** Called after rules have come into force. */
+  onChanged(rules: RoutingRules): void;
+}
+
+/** See the module comment. */
+export class RulesKeeper {
+  private current: RouteTable | undefined;
+  private currentDocument: Buffer | undefined;
+
+  constructor(private readonly options: RulesKeeperOptions) {}
+
+  /** Routes in force; undefined until there are rules. */
+  get table(): RouteTable | undefined {
+    return this.current;
+  }
+
+  /** Version in force; 0 until there are rules. */
+  get version(): number {
+    return this.current?.rules.version ?? 0;
+  }
+
+  /** The document in force, as it was received. */
+  get document(): Buffer | undefined {
+    return this.currentDocument;
+  }
+
+  /**
+   * Takes a document in if it is newer than the one in force and can be read as a whole.
+   *
+   * @param source where it came from, for the log
+   */
+  offer(document: Buffer, source: string): void {
+    const rules = this.options.parse(document).andThen(checkRules);
+    if (rules.isErr) {
+      const { code, detail } = rules.error;
+      this.options.log.emit(Event.RulesRejected, { source, code, detail, kept: this.version });
+      return;
+    }
+    const { version } = rules.value;
+    if (version <= this.version) {
+      this.options.log.emit(Event.OlderRevisionIgnored, { source, version, kept: this.version });
+      return;
+    }
+    // The bytes may be a view into a larger buffer.
+    this.currentDocument = Buffer.from(document);
+    this.current = new RouteTable(rules.value);
+    this.options.log.emit(Event.RulesInForce, { source, version });
+    this.options.onChanged(rules.value);
+  }
+}
--- /dev/null
+++ b/src/sidecar/sidecar-metrics.ts
@@ -0,0 +1,61 @@
+/** Prometheus metrics of a sidecar (prom-client). */
+import { Counter, Gauge, Histogram, Registry } from 'prom-client';
+
+const LATENCY_BUCKETS_SECONDS = [0.005, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5];
+
+/** See the module comment. */
+export interface SidecarMetrics {
+  readonly registry: Registry;
+  /** Requests of callers, by route and result code; 0 is an answer of a target. */
+  readonly requests: Counter<'kind' | 'code'>;
+  /** Time from a request's head to its answer, in seconds. */
+  readonly latency: Histogram<'kind'>;
+  /** Requests that wait for or run at the own target. */
+  readonly inProgress: Gauge;
+  /** Version of the rules in force. */
+  readonly rulesVersion: Gauge;
+}
+
+/** Values that are read when the metrics are asked for. */
+export interface MetricSources {
+  inProgress(): number;
+  rulesVersion(): number;
+}
+
+/** Creates the metrics in a registry of their own. */
+export function createSidecarMetrics(sources: MetricSources): SidecarMetrics {
+  const registry = new Registry();
+  const registers = [registry];
+  return {
+    registry,
+    requests: new Counter({
+      name: 'sillshore_requests_total',
+      help: 'Requests of callers by route and result code',
+      labelNames: ['kind', 'code'],
+      registers,
+    }),
+    latency: new Histogram({
+      name: 'sillshore_request_seconds',
+      help: 'Time from the head of a request to its answer',
+      labelNames: ['kind'],
+      buckets: LATENCY_BUCKETS_SECONDS,
+      registers,
+    }),
+    inProgress: new Gauge({
+      name: 'sillshore_target_in_progress',
+      help: 'Requests that wait for or run at the own target',
+      registers,
+      collect() {
+        this.set(sources.inProgress());
+      },
+    }),
+    rulesVersion: new Gauge({
+      name: 'sillshore_rules_version',
+      help: 'Version of the rules in force',
+      registers,
+      collect() {
+        this.set(sources.rulesVersion());
+      },
+    }),
+  };
+}
--- /dev/null
+++ b/src/sidecar/start-sidecar.ts
@@ -0,0 +1,41 @@
+/** Makes a sidecar from its settings and the platform's adapter. */
+import './plugins/plugins.js';
+import { BoundedEventLog } from '../kernel/bounded-event-log.js';
+import { systemClock, type Clock } from '../kernel/clock.js';
+import { createPinoEventLog, LogStream, type EventLog } from '../kernel/event.js';
+import { Kernel } from '../kernel/kernel.js';
+import { listPlugins, type Plugin } from '../kernel/plugin.js';
+import type { PlatformAdapter } from './platform-adapter.js';
+import { SidecarOrder, SidecarToken } from './plugins/tokens.js';
+import type { SidecarSettings } from './settings.js';
+
+/** What a caller may put in place of the defaults. */
+export interface SidecarOptions {
+  readonly clock?: Clock;
+  readonly log?: EventLog;
+}
+
+/** Creates a sidecar that has not started. */
+export function createSidecar(
+  settings: SidecarSettings,
+  adapter: PlatformAdapter,
+  options: SidecarOptions = {},
+): Kernel {
+  const clock = options.clock ?? systemClock;
+  const bind = (container: Parameters<Plugin['bind']>[0]): void => {
+    container.bind(SidecarToken.Settings).toConstantValue(settings);
+    container.bind(SidecarToken.Adapter).toConstantValue(adapter);
+  };
+  const settingsPlugin: Plugin = { name: 'settings', order: SidecarOrder.Settings, bind };
+  return new Kernel({
+    clock,
+    log: options.log ?? createLog(settings, clock),
+    plugins: [settingsPlugin, ...listPlugins('sidecar')],
+  });
+}
+
+function createLog({ node, log }: SidecarSettings, clock: Clock): EventLog {
+  const bindings = { node: node.id, zone: node.zone };
+  const lines = createPinoEventLog(log.level, bindings, LogStream.Output);
+  return new BoundedEventLog(lines, clock, log.maxLinesPerSecond);
+}
--- /dev/null
+++ b/src/sidecar/target/target-gateway.ts
@@ -0,0 +1,288 @@
+/**
+ * The only way to the target beside this node, for its own machine's requests and those that come
+ * over links: admission, queue, leaving, deadline and the identity of the target are decided here.
+ */
+import type { GateAction, OverloadPolicy, Refusal, TargetGate } from '../../core/overload.js';
+import { CRITICALITIES, type AttemptOutcome, type RequestContext } from '../../core/request.js';
+import { ResultCode } from '../../core/result-code.js';
+import type { CancelTimer, Clock } from '../../kernel/clock.js';
+import { Event, type EventLog } from '../../kernel/event.js';
+import type { FieldNames } from '../platform-adapter.js';
+import type { RegisteredTarget } from '../directory/target-registration.js';
+import { createAttemptFailure, createNotOffered, type AttemptPort } from '../link/attempt-port.js';
+import type { AttemptCall, AttemptEnd, AttemptFailure } from '../link/link-messages.js';
+import { answerFields, requestFields } from './forwarded-fields.js';
+import { TargetClient, type ExchangeEnd } from './target-client.js';
+
+/** What the gateway works with. */
+export interface TargetGatewayOptions {
+  readonly service: string;
+  /** IP address and port of the target. */
+  readonly address: string;
+  readonly fields: FieldNames;
+  readonly policy: OverloadPolicy;
+  readonly clock: Clock;
+  readonly log: EventLog;
+  readonly seed: number;
+  /** The target has answered as another incarnation than the one that is registered. */
+  onIdentityMismatch(targetId: string): void;
+}
+
+interface Ticket {
+  readonly call: AttemptCall;
+  /** Local monotonic time at which the request ends. */
+  readonly deadline: number;
+  readonly context: RequestContext;
+  readonly onEnd: (end: AttemptEnd) => void;
+  /** Gate of the incarnation that the request was admitted for. */
+  readonly gate: TargetGate;
+  /** Breaks the exchange off; undefined while the request waits. */
+  abort: (() => void) | undefined;
+}
+
+const BAD_STATUS = 421;
+const LEAVING_RETRY_MS = 50;
+const UNKNOWN_RETRY_MS = 500;
+
+/** See the module comment. */
+export class TargetGateway implements AttemptPort {
+  private target: RegisteredTarget | undefined;
+  private gate: TargetGate | undefined;
+  private client: TargetClient | undefined;
+  private readonly tickets = new Map<number, Ticket>();
+  private lastTicket = 0;
+  private cancelTimer: CancelTimer = () => {};
+  private timerAt = Infinity;
+  private stopping = false;
+
+  constructor(private readonly options: TargetGatewayOptions) {}
+
+  /** Requests that wait or run. */
+  get inProgress(): number {
+    return this.tickets.size;
+  }
+
+  /** Takes in what is known of the target; a new incarnation gets a gate of its own. */
+  setTarget(target: RegisteredTarget | undefined): void {
+    const isNew = target !== undefined && target.id !== this.target?.id;
+    this.target = target;
+    if (isNew || target?.state !== 'ready') this.refuseWaiting();
+    if (isNew) this.openGate(target);
+  }
+
+  /** Takes no new work from now on; running work goes on. */
+  stop(): void {
+    this.stopping = true;
+    this.refuseWaiting();
+  }
+
+  /** Asks the target for its identity. */
+  probe(path: string, timeoutMs: number): Promise<string | undefined> {
+    const { address, fields, clock } = this.options;
+    const identityField = fields.attemptId;
+    const client = this.client ?? new TargetClient({ address, identityField, clock });
+    return client.probe(path, fields.targetId, timeoutMs);
+  }
+
+  dispatch(call: AttemptCall, onEnd: (end: AttemptEnd) => void): () => void {
+    const refusal = this.checkOpen(call);
+    const { gate } = this;
+    if (refusal !== undefined || gate === undefined) {
+      onEnd(refusal ?? this.unknownTarget());
+      return () => {};
+    }
+    const now = this.options.clock.now();
+    this.lastTicket += 1;
+    const ticket = this.lastTicket;
+    const deadline = now + call.timeLeftMs;
+    const context = createContext(call, deadline);
+    this.tickets.set(ticket, { call, deadline, context, onEnd, gate, abort: undefined });
+    this.apply(gate.offer(now, ticket, context));
+    this.armTimer();
+    return () => {
+      this.cancel(ticket);
+    };
+  }
+
+  private checkOpen(call: AttemptCall): AttemptFailure | undefined {
+    if (call.service !== this.options.service) {
+      const detail = `this node fronts ${this.options.service}`;
+      return createNotOffered('unreachable', ResultCode.NoTargetAvailable, detail);
+    }
+    if (this.target === undefined) return this.unknownTarget();
+    if (this.stopping || this.target.state === 'leaving') return leaving();
+    if (call.timeLeftMs <= 0) {
+      return createNotOffered('overloaded', ResultCode.DeadlineExceeded, 'no time left');
+    }
+    return undefined;
+  }
+
+  private unknownTarget(): AttemptFailure {
+    const code = ResultCode.NoTargetAvailable;
+    return createNotOffered('unreachable', code, 'no target has registered', UNKNOWN_RETRY_MS);
+  }
+
+  private openGate(target: RegisteredTarget): void {
+    const { policy, address, fields, clock, seed } = this.options;
+    this.client?.close();
+    this.client = new TargetClient({ address, identityField: fields.attemptId, clock });
+    this.gate = policy.createTargetGate({
+      initialLimit: target.slots,
+      maxLimit: target.slots,
+      seed,
+    });
+  }
+
+  private apply(actions: readonly GateAction[]): void {
+    for (const action of actions) {
+      if (action.type === 'dispatch') this.start(action.ticket);
+      else this.refuse(action.ticket, action.refusal);
+    }
+  }
+
+  private start(ticketId: number): void {
+    const ticket = this.tickets.get(ticketId);
+    const { client, target } = this;
+    if (ticket === undefined || client === undefined || target === undefined) return;
+    const timeoutMs = ticket.deadline - this.options.clock.now();
+    const { call } = ticket;
+    const fields = requestFields(call, this.options.fields, target.id, timeoutMs);
+    const { attemptId, method, path, body } = call;
+    const request = { attemptId, method, path, fields, body, timeoutMs };
+    ticket.abort = client.send(request, (end) => {
+      this.onExchangeEnd(ticketId, target.id, end);
+    });
+  }
+
+  private onExchangeEnd(ticketId: number, targetId: string, exchange: ExchangeEnd): void {
+    const ticket = this.tickets.get(ticketId);
+    if (ticket === undefined) return;
+    const { gate } = ticket;
+    this.tickets.delete(ticketId);
+    const now = this.options.clock.now();
+    const end = this.toAttemptEnd(exchange, targetId);
+    const outcome = end.type === 'answer' ? 'success' : end.outcome;
+    const actions = gate.complete(now, ticketId, outcome);
+    const load = gate.report(now, ticket.context);
+    if (end.type === 'failure') this.logFailure(ticket, end);
+    ticket.onEnd({ ...end, load });
+    this.apply(actions);
+    this.armTimer();
+  }
+
+  private toAttemptEnd(exchange: ExchangeEnd, targetId: string): AttemptEnd {
+    if (exchange.type === 'failure') return toFailure(exchange);
+    const { status, fields, headers, body } = exchange;
+    const { notExecuted, targetId: idField } = this.options.fields;
+    if (status === BAD_STATUS) {
+      const found = headers[idField];
+      if (typeof found === 'string' && found !== targetId) {
+        this.options.onIdentityMismatch(targetId);
+      }
+    }
+    if (status === BAD_STATUS || headers[notExecuted] !== undefined) {
+      return refusedByTarget(status);
+    }
+    return { type: 'answer', status, fields: answerFields(fields), body };
+  }
+
+  private refuse(ticketId: number, { code, detail, retryAfterMs }: Refusal): void {
+    const ticket = this.tickets.get(ticketId);
+    if (ticket === undefined) return;
+    this.tickets.delete(ticketId);
+    const load = ticket.gate.report(this.options.clock.now(), ticket.context);
+    ticket.onEnd({ ...createNotOffered('overloaded', code, detail, retryAfterMs), load });
+  }
+
+  private cancel(ticketId: number): void {
+    const ticket = this.tickets.get(ticketId);
+    if (ticket === undefined) return;
+    this.tickets.delete(ticketId);
+    const now = this.options.clock.now();
+    if (ticket.abort === undefined) {
+      this.apply(ticket.gate.cancel(now, ticketId));
+      return;
+    }
+    ticket.abort();
+    this.apply(ticket.gate.complete(now, ticketId, 'cancelled'));
+  }
+
+  private refuseWaiting(): void {
+    const now = this.options.clock.now();
+    for (const [ticketId, ticket] of [...this.tickets]) {
+      if (ticket.abort !== undefined) continue;
+      this.tickets.delete(ticketId);
+      ticket.gate.cancel(now, ticketId);
+      ticket.onEnd(leaving());
+    }
+  }
+
+  private armTimer(): void {
+    const next = this.gate?.nextTimer();
+    if (next === undefined || next >= this.timerAt) return;
+    this.cancelTimer();
+    this.timerAt = next;
+    const { clock } = this.options;
+    this.cancelTimer = clock.schedule(Math.max(1, next - clock.now()), () => {
+      this.timerAt = Infinity;
+      this.apply(this.gate?.onTimer(clock.now()) ?? []);
+      this.armTimer();
+    });
+  }
+
+  private logFailure({ call }: Ticket, { outcome, code, detail }: AttemptFailure): void {
+    const { attemptId: id, kind } = call;
+    this.options.log.emit(Event.AttemptFailed, { id, kind, outcome, code, detail });
+  }
+}
+
+function createContext(call: AttemptCall, deadline: number): RequestContext {
+  return {
+    requestId: call.attemptId,
+    tenant: '',
+    service: call.service,
+    kind: call.kind,
+    criticality: CRITICALITIES[call.rank] ?? 'normal',
+    deadline,
+    idempotent: call.idempotent,
+    depth: call.depth,
+  };
+}
+
+function leaving(): AttemptFailure {
+  const code = ResultCode.NoTargetAvailable;
+  return createNotOffered('draining', code, 'the target is leaving', LEAVING_RETRY_MS);
+}
+
+function refusedByTarget(status: number): AttemptFailure {
+  const outcome: AttemptOutcome = status === BAD_STATUS ? 'unreachable' : 'overloaded';
+  return createAttemptFailure({
+    outcome,
+    execution: 'not-run',
+    code: ResultCode.TargetRefused,
+    detail: `the target refused with status ${status}`,
+    offered: true,
+  });
+}
+
+const FAILURE_CODES = {
+  unreachable: ResultCode.TargetUnreachable,
+  broken: ResultCode.AnswerIncomplete,
+  timeout: ResultCode.AnswerTimeout,
+} as const;
+
+const FAILURE_OUTCOMES = {
+  unreachable: 'unreachable',
+  broken: 'failed',
+  timeout: 'timeout',
+} as const;
+
+function toFailure({ cause, detail, sent }: Extract<ExchangeEnd, { type: 'failure' }>): AttemptFailure {
+  return createAttemptFailure({
+    outcome: FAILURE_OUTCOMES[cause],
+    execution: sent ? 'unknown' : 'not-run',
+    code: FAILURE_CODES[cause],
+    detail,
+    offered: sent,
+  });
+}
