Stand-ins of the machines' store and target; tests of whole sidecars over them

Plug-ins keep their services in the container, so that several nodes can share a process. The directory's watch pauses 1 s after changes (each of the first records cost every node one call).

--- a/src/sidecar/directory/prefix-watch.ts
+++ b/src/sidecar/directory/prefix-watch.ts
@@ -17,6 +17,8 @@
   readonly random: Random;
   /** Longest wait of one call, in milliseconds. */
   readonly waitMs: number;
+  /** Pause after changes, so that those that follow come with one call, in milliseconds. */
+  readonly pauseAfterEventsMs: number;
   /** All items, after the start and after a gap. */
   onListing(items: readonly StoreItem[]): void;
   onEvents(events: readonly StoreEvent[]): void;
@@ -69,7 +71,9 @@
       return;
     }
     this.revision = result.value.at;
-    if (result.value.events.length > 0) this.options.onEvents(result.value.events);
+    if (result.value.events.length === 0) return;
+    this.options.onEvents(result.value.events);
+    await this.pause(this.options.pauseAfterEventsMs);
   }
 
   private onSuccess(): void {
@@ -80,12 +84,17 @@
   }
 
   private async onFailure(detail: string): Promise<void> {
-    const { log, prefix, clock } = this.options;
+    const { log, prefix } = this.options;
     if (this.available) log.emit(Event.PlatformUnavailable, { prefix, detail });
     this.available = false;
-    await new Promise<void>((resolve) => {
-      clock.schedule(this.pauseMs, resolve);
-    });
+    await this.pause(this.pauseMs);
     this.pauseMs = Math.min(MAX_PAUSE_MS, this.pauseMs * 2);
   }
+
+  private pause(delayMs: number): Promise<void> {
+    if (delayMs === 0 || this.closed) return Promise.resolve();
+    return new Promise((resolve) => {
+      this.options.clock.schedule(delayMs, resolve);
+    });
+  }
 }
--- /dev/null
+++ b/src/sidecar/directory/target-registration.test.ts
@@ -0,0 +1,91 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import type { Heartbeat } from '../platform-adapter.js';
+import { TargetRegistration } from './target-registration.js';
+
+const ADDRESS = '10.0.0.1:80';
+
+function beat(overrides: Partial<Heartbeat> = {}): Heartbeat {
+  return {
+    type: 'heartbeat',
+    targetId: 'i-1',
+    address: ADDRESS,
+    service: 'guide',
+    zone: 'z',
+    slots: 8,
+    state: 'ready',
+    sequence: 1,
+    warmUpMs: 0,
+    ...overrides,
+  };
+}
+
+function create(): TargetRegistration {
+  return new TargetRegistration('guide', ADDRESS);
+}
+
+test('the first report of a target is taken in', () => {
+  const registration = create();
+  assert.equal(registration.onHeartbeat(0, beat({ warmUpMs: 500 }), false), 'accepted');
+  const expected = { id: 'i-1', state: 'ready', slots: 8, warmUntil: 500 };
+  assert.deepEqual(registration.current, expected);
+});
+
+test('reports of another service or address are foreign', () => {
+  const registration = create();
+  assert.equal(registration.onHeartbeat(0, beat({ service: 'other' }), false), 'foreign');
+  assert.equal(registration.onHeartbeat(0, beat({ address: '10.0.0.2:80' }), false), 'foreign');
+  assert.equal(registration.current, undefined);
+});
+
+test('a late report changes nothing', () => {
+  const registration = create();
+  registration.onHeartbeat(0, beat({ sequence: 5 }), false);
+  assert.equal(registration.onHeartbeat(1, beat({ sequence: 4, slots: 99 }), false), 'outdated');
+  assert.equal(registration.current?.slots, 8);
+});
+
+test('a leave is final for its incarnation, in whatever order reports come', () => {
+  const registration = create();
+  registration.onHeartbeat(0, beat({ sequence: 9 }), false);
+  registration.onHeartbeat(1, beat({ sequence: 7, state: 'draining' }), false);
+  assert.equal(registration.current?.state, 'leaving');
+  registration.onHeartbeat(2, beat({ sequence: 10 }), false);
+  assert.equal(registration.current?.state, 'leaving');
+});
+
+test('a departure without draining ends the work', () => {
+  const registration = create();
+  registration.onHeartbeat(0, beat(), false);
+  assert.equal(registration.onDeparture('i-1'), 'accepted');
+  assert.equal(registration.current?.state, 'leaving');
+  assert.equal(registration.onDeparture('i-9'), 'foreign');
+});
+
+test('another incarnation counts once it is confirmed, and its predecessor never again', () => {
+  const registration = create();
+  registration.onHeartbeat(0, beat(), false);
+  const next = beat({ targetId: 'i-2' });
+  assert.equal(registration.onHeartbeat(1, next, false), 'unconfirmed');
+  assert.equal(registration.current?.id, 'i-1');
+  assert.equal(registration.onHeartbeat(2, next, true), 'accepted');
+  assert.equal(registration.onHeartbeat(3, beat({ sequence: 99 }), true), 'outdated');
+  assert.equal(registration.current?.id, 'i-2');
+});
+
+test('a leave that an earlier process acknowledged holds for a late report', () => {
+  const registration = create();
+  registration.restoreLeft('i-1');
+  assert.equal(registration.onHeartbeat(0, beat({ sequence: 3 }), false), 'outdated');
+  assert.equal(registration.current, undefined);
+  assert.equal(registration.onHeartbeat(1, beat({ targetId: 'i-2' }), false), 'accepted');
+});
+
+test('a target that answered as another one is forgotten until it reports', () => {
+  const registration = create();
+  registration.onHeartbeat(0, beat(), false);
+  registration.forget('i-1');
+  assert.equal(registration.current, undefined);
+  assert.equal(registration.onHeartbeat(1, beat({ sequence: 2 }), false), 'outdated');
+  assert.equal(registration.onHeartbeat(2, beat({ targetId: 'i-2' }), false), 'accepted');
+});
--- /dev/null
+++ b/src/sidecar/link/link-messages.test.ts
@@ -0,0 +1,86 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { ResultCode } from '../../core/result-code.js';
+import { decodeMessage, encodeMessage, type LinkMessage } from './link-messages.js';
+import { PeerClock } from './peer-clock.js';
+
+const STATUS = { node: 'n', service: 's', target: 'ready', rulesVersion: 3 } as const;
+const LOAD = { inFlight: 1, queued: 2, limit: 3, latencyMs: 4.5, threshold: 0.25 };
+
+const MESSAGES: readonly LinkMessage[] = [
+  { type: 'hello', status: STATUS, clock: 12.5 },
+  { type: 'status', status: STATUS },
+  {
+    type: 'call',
+    id: 7,
+    sentAt: 99.5,
+    call: {
+      attemptId: 'a',
+      service: 's',
+      kind: 'k',
+      rank: 2,
+      idempotent: true,
+      depth: 1,
+      timeLeftMs: 10.5,
+      callerService: 'c',
+      method: 'POST',
+      path: '/p?q',
+      fields: ['Host', 'h', 'X-Odd', 'ä: b'],
+      body: Buffer.from('body'),
+    },
+  },
+  { type: 'cancel', id: 7 },
+  {
+    type: 'end',
+    id: 7,
+    clock: 3,
+    end: { type: 'answer', status: 200, fields: [], body: Buffer.alloc(0), load: LOAD },
+  },
+  {
+    type: 'end',
+    id: 8,
+    clock: 3,
+    end: {
+      type: 'failure',
+      outcome: 'overloaded',
+      execution: 'not-run',
+      code: ResultCode.QueueFull,
+      detail: 'full',
+      offered: false,
+      retryAfterMs: 100,
+    },
+  },
+  { type: 'ping' },
+  { type: 'pong' },
+  { type: 'rules-wanted' },
+  { type: 'rules', document: Buffer.from('{}') },
+];
+
+for (const message of MESSAGES) {
+  test(`a message comes back as it was: ${message.type}`, () => {
+    assert.deepEqual(decodeMessage(encodeMessage(message)), message);
+  });
+}
+
+test('a large body passes', () => {
+  const document = Buffer.alloc(3 * 1024 * 1024, 7);
+  const decoded = decodeMessage(encodeMessage({ type: 'rules', document }));
+  assert.deepEqual(decoded, { type: 'rules', document });
+  assert.deepEqual(decodeMessage(encodeMessage({ type: 'ping' })), { type: 'ping' });
+});
+
+test('what is no message is told', () => {
+  assert.equal(decodeMessage(Buffer.from([5, 0, 0, 0, 0])), undefined);
+  assert.equal(decodeMessage(Buffer.from([9, 9])), undefined);
+});
+
+test('the reckoned time at the other end is never late, and comes close', () => {
+  const clock = new PeerClock();
+  assert.equal(clock.at(5), 0);
+  clock.note(100, 1_000);
+  assert.equal(clock.at(150), 1_050);
+  clock.note(200, 1_090);
+  assert.equal(clock.at(200), 1_100);
+  clock.note(300, 1_230);
+  assert.equal(clock.at(300), 1_230);
+});
--- a/src/sidecar/plugins/directory-plugin.ts
+++ b/src/sidecar/plugins/directory-plugin.ts
@@ -10,8 +10,8 @@
 
 /** Longest wait of one call for changes, in milliseconds. */
 const WAIT_MS = 10_000;
-
-let watch: PrefixWatch | undefined;
+/** Changes often come together, and links tell what is urgent; one call then takes many. */
+const PAUSE_AFTER_EVENTS_MS = 1_000;
 
 registerPlugin(
   {
@@ -40,28 +40,31 @@
           },
         });
       });
+      container.bind(SidecarToken.DirectoryWatch).toDynamicValue(({ get }) => {
+        const directory = get(SidecarToken.Directory);
+        return new PrefixWatch({
+          prefix: NODE_RECORD_PREFIX,
+          store: get(SidecarToken.Store),
+          clock: get(Token.Clock),
+          log: get(Token.EventLog),
+          random: createRandom(seedOf(`${get(SidecarToken.Settings).node.id} nodes`)),
+          waitMs: WAIT_MS,
+          pauseAfterEventsMs: PAUSE_AFTER_EVENTS_MS,
+          onListing: (items) => {
+            directory.replaceAll(items);
+          },
+          onEvents: (events) => {
+            directory.apply(events);
+          },
+        });
+      });
     },
     start: (container) => {
-      const directory = container.get(SidecarToken.Directory);
-      watch = new PrefixWatch({
-        prefix: NODE_RECORD_PREFIX,
-        store: container.get(SidecarToken.Store),
-        clock: container.get(Token.Clock),
-        log: container.get(Token.EventLog),
-        random: createRandom(seedOf(`${container.get(SidecarToken.Settings).node.id} nodes`)),
-        waitMs: WAIT_MS,
-        onListing: (items) => {
-          directory.replaceAll(items);
-        },
-        onEvents: (events) => {
-          directory.apply(events);
-        },
-      });
-      void watch.run();
+      void container.get(SidecarToken.DirectoryWatch).run();
       return Promise.resolve();
     },
     stop: (container) => {
-      watch?.close();
+      container.get(SidecarToken.DirectoryWatch).close();
       container.get(SidecarToken.Directory).close();
       return Promise.resolve();
     },
--- a/src/sidecar/plugins/readiness-plugin.ts
+++ b/src/sidecar/plugins/readiness-plugin.ts
@@ -5,28 +5,27 @@
 import { ReadinessServer } from '../readiness-server.js';
 import { SidecarOrder, SidecarToken } from './tokens.js';
 
-let server: ReadinessServer | undefined;
-
 registerPlugin(
   {
     name: 'readiness',
     order: SidecarOrder.Readiness,
-    bind: () => {
-      // Other plug-ins need nothing of it.
+    bind: (container) => {
+      container.bind(SidecarToken.ReadinessServer).toDynamicValue(({ get }) => {
+        const kernel = get(Token.Kernel);
+        const rules = get(SidecarToken.Rules);
+        const { readinessPath } = get(SidecarToken.Adapter);
+        return new ReadinessServer(
+          readinessPath,
+          () => !kernel.draining && rules.table !== undefined,
+        );
+      });
     },
     start: async (container) => {
-      const kernel = container.get(Token.Kernel);
-      const rules = container.get(SidecarToken.Rules);
-      const { readinessPath } = container.get(SidecarToken.Adapter);
-      server = new ReadinessServer(
-        readinessPath,
-        () => !kernel.draining && rules.table !== undefined,
-      );
       const { host, port } = splitAddress(container.get(SidecarToken.Settings).listen.readiness);
-      await server.listen(host, port);
+      await container.get(SidecarToken.ReadinessServer).listen(host, port);
     },
-    stop: () => {
-      server?.close();
+    stop: (container) => {
+      container.get(SidecarToken.ReadinessServer).close();
       return Promise.resolve();
     },
   },
--- a/src/sidecar/plugins/rules-plugin.ts
+++ b/src/sidecar/plugins/rules-plugin.ts
@@ -10,8 +10,6 @@
 /** Longest wait of one call for changes, in milliseconds. */
 const WAIT_MS = 5_000;
 
-let watch: PrefixWatch | undefined;
-
 registerPlugin(
   {
     name: 'rules',
@@ -29,32 +27,35 @@
           },
         });
       });
+      container.bind(SidecarToken.RulesWatch).toDynamicValue(({ get }) => {
+        const rules = get(SidecarToken.Rules);
+        const { rulesKey } = get(SidecarToken.Adapter);
+        const offer = (key: string, value: Buffer): void => {
+          if (key === rulesKey) rules.offer(value, 'store');
+        };
+        return new PrefixWatch({
+          prefix: rulesKey,
+          store: get(SidecarToken.Store),
+          clock: get(Token.Clock),
+          log: get(Token.EventLog),
+          random: createRandom(seedOf(`${get(SidecarToken.Settings).node.id} rules`)),
+          waitMs: WAIT_MS,
+          pauseAfterEventsMs: 0,
+          onListing: (items) => {
+            for (const { key, value } of items) offer(key, value);
+          },
+          onEvents: (events) => {
+            for (const event of events) if (event.type === 'put') offer(event.key, event.value);
+          },
+        });
+      });
     },
     start: (container) => {
-      const rules = container.get(SidecarToken.Rules);
-      const { rulesKey } = container.get(SidecarToken.Adapter);
-      const offer = (key: string, value: Buffer): void => {
-        if (key === rulesKey) rules.offer(value, 'store');
-      };
-      watch = new PrefixWatch({
-        prefix: rulesKey,
-        store: container.get(SidecarToken.Store),
-        clock: container.get(Token.Clock),
-        log: container.get(Token.EventLog),
-        random: createRandom(seedOf(`${container.get(SidecarToken.Settings).node.id} rules`)),
-        waitMs: WAIT_MS,
-        onListing: (items) => {
-          for (const { key, value } of items) offer(key, value);
-        },
-        onEvents: (events) => {
-          for (const event of events) if (event.type === 'put') offer(event.key, event.value);
-        },
-      });
-      void watch.run();
+      void container.get(SidecarToken.RulesWatch).run();
       return Promise.resolve();
     },
-    stop: () => {
-      watch?.close();
+    stop: (container) => {
+      container.get(SidecarToken.RulesWatch).close();
       return Promise.resolve();
     },
   },
--- a/src/sidecar/plugins/target-plugin.ts
+++ b/src/sidecar/plugins/target-plugin.ts
@@ -16,8 +16,6 @@
 
 const POLICY = 'adaptive';
 
-let server: RegistrationServer | undefined;
-
 registerPlugin(
   {
     name: 'target',
@@ -38,20 +36,21 @@
       });
       container.bind(SidecarToken.Gateway).toDynamicValue(createGateway);
       container.bind(SidecarToken.TargetKeeper).toDynamicValue(createKeeper);
+      container.bind(SidecarToken.RegistrationServer).toDynamicValue(({ get }) => {
+        const keeper = get(SidecarToken.TargetKeeper);
+        const adapter = get(SidecarToken.Adapter);
+        return new RegistrationServer(adapter, (message) => keeper.onReport(message));
+      });
     },
     start: async (container) => {
-      const keeper = container.get(SidecarToken.TargetKeeper);
-      server = new RegistrationServer(container.get(SidecarToken.Adapter), (message) =>
-        keeper.onReport(message),
-      );
       const { listen } = container.get(SidecarToken.Settings);
       const { host, port } = splitAddress(listen.registration);
-      await server.listen(host, port);
+      await container.get(SidecarToken.RegistrationServer).listen(host, port);
       container.get(SidecarToken.Publisher).start();
-      void keeper.restore();
+      void container.get(SidecarToken.TargetKeeper).restore();
     },
     stop: (container) => {
-      server?.close();
+      container.get(SidecarToken.RegistrationServer).close();
       container.get(SidecarToken.Publisher).close();
       return Promise.resolve();
     },
--- a/src/sidecar/plugins/tokens.ts
+++ b/src/sidecar/plugins/tokens.ts
@@ -3,7 +3,9 @@
 import { createToken } from '../../kernel/token.js';
 import type { MetadataStore } from '../../store/metadata-store.js';
 import type { NodeDirectory } from '../directory/node-directory.js';
+import type { PrefixWatch } from '../directory/prefix-watch.js';
 import type { RecordPublisher } from '../directory/record-publisher.js';
+import type { RegistrationServer } from '../directory/registration-server.js';
 import type { TargetKeeper } from '../directory/target-keeper.js';
 import type { TargetRegistration } from '../directory/target-registration.js';
 import type { EntryListener } from '../entry/entry-listener.js';
@@ -11,6 +13,7 @@
 import type { LinkServer } from '../link/link-server.js';
 import type { NodeStatus } from '../link/link-messages.js';
 import type { PlatformAdapter } from '../platform-adapter.js';
+import type { ReadinessServer } from '../readiness-server.js';
 import type { RulesKeeper } from '../rules/rules-keeper.js';
 import type { SidecarMetrics } from '../sidecar-metrics.js';
 import type { SidecarSettings } from '../settings.js';
@@ -30,6 +33,10 @@
   Directory: createToken<NodeDirectory>('sidecar.Directory'),
   Publisher: createToken<RecordPublisher>('sidecar.Publisher'),
   Registration: createToken<TargetRegistration>('sidecar.Registration'),
+  RegistrationServer: createToken<RegistrationServer>('sidecar.RegistrationServer'),
+  DirectoryWatch: createToken<PrefixWatch>('sidecar.DirectoryWatch'),
+  RulesWatch: createToken<PrefixWatch>('sidecar.RulesWatch'),
+  ReadinessServer: createToken<ReadinessServer>('sidecar.ReadinessServer'),
   TargetKeeper: createToken<TargetKeeper>('sidecar.TargetKeeper'),
   Gateway: createToken<TargetGateway>('sidecar.Gateway'),
   LinkServer: createToken<LinkServer>('sidecar.LinkServer'),
--- /dev/null
+++ b/src/sidecar/rules/route-table.test.ts
@@ -0,0 +1,70 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { RouteTable } from './route-table.js';
+import { checkRules, criticalityOfRank, type RouteRules, type RoutingRules } from './routing-rules.js';
+
+function route(overrides: Partial<RouteRules>): RouteRules {
+  return {
+    name: 'r',
+    host: 'a.example',
+    pathPrefix: '/x/',
+    idempotent: true,
+    rank: 1,
+    timeoutMs: 1_000,
+    aimMs: 500,
+    maxAttempts: 2,
+    shares: [{ service: 's', weight: 1 }],
+    ...overrides,
+  };
+}
+
+function rules(routes: readonly RouteRules[]): RoutingRules {
+  const service = { healthPath: '/health', maxConnections: 10 };
+  return {
+    version: 1,
+    routes,
+    services: new Map([
+      ['s', service],
+      ['t', service],
+    ]),
+    limits: { maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
+  };
+}
+
+test('the longest prefix of the host wins', () => {
+  const table = new RouteTable(
+    rules([route({ name: 'short' }), route({ name: 'long', pathPrefix: '/x/y/' })]),
+  );
+  assert.equal(table.find('a.example', '/x/y/z?q=1')?.rules.name, 'long');
+  assert.equal(table.find('A.example:80', '/x/1')?.rules.name, 'short');
+  assert.equal(table.find('a.example', '/x'), undefined);
+  assert.equal(table.find('b.example', '/x/1'), undefined);
+});
+
+test('shares are kept in every stretch of turns', () => {
+  const shares = [
+    { service: 's', weight: 90 },
+    { service: 't', weight: 10 },
+    { service: 'never', weight: 0 },
+  ];
+  const found = new RouteTable(rules([route({ shares })])).find('a.example', '/x/1')!;
+  for (let stretch = 0; stretch < 5; stretch += 1) {
+    const services = Array.from({ length: 100 }, () => found.nextService());
+    assert.equal(services.filter((service) => service === 's').length, 90);
+    assert.equal(services.filter((service) => service === 't').length, 10);
+  }
+});
+
+test('a document that contradicts itself is refused as a whole', () => {
+  const unknown = route({ shares: [{ service: 'u', weight: 1 }] });
+  const nowhere = route({ shares: [{ service: 's', weight: 0 }] });
+  assert.ok(checkRules(rules([route({})])).isOk);
+  assert.ok(checkRules(rules([unknown])).isErr);
+  assert.ok(checkRules(rules([nowhere])).isErr);
+  assert.ok(checkRules(rules([route({}), route({ name: 'q' })])).isErr);
+});
+
+test('ranks become classes; those beyond the last share it', () => {
+  const classes = [0, 1, 2, 3, 7].map(criticalityOfRank);
+  assert.deepEqual(classes, ['critical', 'high', 'normal', 'sheddable', 'sheddable']);
+});
--- /dev/null
+++ b/test/sidecar-mesh.test.ts
@@ -0,0 +1,166 @@
+/** Whole nodes over stand-ins: the path of a request, and the promises that hold on it. */
+import assert from 'node:assert/strict';
+import { after, before, test } from 'node:test';
+import { Mesh, waitUntil, type Machine } from './stand-ins/mesh.js';
+
+const OPTIONS = { zone: 'z', slots: 4, workMs: 1 };
+
+let mesh: Mesh;
+let caller: Machine;
+let first: Machine;
+let second: Machine;
+
+before(async () => {
+  mesh = new Mesh();
+  await mesh.start();
+  mesh.putRules(1, [
+    { path: '/read/', service: 'ledger' },
+    { path: '/write/', service: 'ledger', kind: 'non_idempotent', timeoutMs: 300 },
+  ]);
+  caller = await mesh.add({ ...OPTIONS, service: 'guide' });
+  first = await mesh.add({ ...OPTIONS, service: 'ledger' });
+  second = await mesh.add({ ...OPTIONS, service: 'ledger' });
+  await mesh.beatAll();
+  await waitUntil(async () => {
+    await mesh.send(caller, { path: '/read/warm' });
+    return first.target.receivedCount > 0 && second.target.receivedCount > 0;
+  });
+});
+after(() => mesh.stop());
+
+test('a request reaches a target as it was, with the fields that the node sets', async () => {
+  const answer = await mesh.send(caller, {
+    method: 'POST',
+    path: '/read/1?q=2',
+    attemptId: 'one',
+    body: 'text',
+  });
+  assert.equal(answer.status, 200);
+  assert.equal(answer.body, 'answer to one');
+  assert.match(String(answer.headers['x-server-stamp']), /^stamp i-1$/);
+  const received = [...first.target.received, ...second.target.received];
+  const found = received.find(({ attemptId }) => attemptId === 'one')!;
+  assert.equal(found.path, '/read/1?q=2');
+  assert.equal(found.body, 'text');
+  assert.equal(found.headers['x-caller-service'], 'guide');
+  assert.equal(found.headers['x-expected-instance'], 'i-1');
+  const left = Number(found.headers['x-deadline-ms']);
+  assert.ok(left > 0 && left <= 5_000);
+});
+
+test('an unknown route gets 404 with its code', async () => {
+  const answer = await mesh.send(caller, { path: '/none/' });
+  assert.equal(answer.status, 404);
+  assert.equal(answer.headers['sillshore-result'], '1002');
+});
+
+test('an answer that belongs to another request is never passed on', async () => {
+  for (const { target } of [first, second]) {
+    target.behaviour = ({ attemptId }, response) => {
+      if (!attemptId.startsWith('foreign')) return false;
+      response.writeHead(200, { 'X-Attempt-Id': 'other', 'X-Server-Stamp': 's' }).end('wrong');
+      return true;
+    };
+  }
+  const read = await mesh.send(caller, { path: '/read/1', attemptId: 'foreign-read' });
+  assert.equal(read.status, 502);
+  const write = await mesh.send(caller, {
+    method: 'POST',
+    path: '/write/1',
+    attemptId: 'foreign-write',
+  });
+  assert.equal(write.status, 502);
+  const writes = [...first.target.received, ...second.target.received].filter(
+    ({ attemptId }) => attemptId === 'foreign-write',
+  );
+  assert.equal(writes.length, 1);
+});
+
+test('a request is answered when the time of its route is over, and ended at the target', async () => {
+  const cancelledBefore = first.target.cancelled + second.target.cancelled;
+  for (const { target } of [first, second]) {
+    target.behaviour = ({ attemptId }) => attemptId.startsWith('stuck');
+  }
+  const answer = await mesh.send(caller, {
+    method: 'POST',
+    path: '/write/1',
+    attemptId: 'stuck-write',
+  });
+  assert.equal(answer.status, 504);
+  await waitUntil(() => first.target.cancelled + second.target.cancelled > cancelledBefore);
+});
+
+test('a target that says it has not run a request lets another one run it', async () => {
+  let refused = 0;
+  for (const { target } of [first, second]) {
+    target.behaviour = ({ attemptId }, response) => {
+      if (attemptId !== 'shed-write' || refused > 0) return false;
+      refused += 1;
+      response.writeHead(503, { 'X-Attempt-Id': attemptId, 'X-Not-Executed': '1' }).end();
+      return true;
+    };
+  }
+  const answer = await mesh.send(caller, {
+    method: 'POST',
+    path: '/write/1',
+    attemptId: 'shed-write',
+  });
+  assert.equal(refused, 1);
+  assert.equal(answer.status, 200);
+});
+
+test('an acknowledged leave ends new work, also after a restart of the node', async () => {
+  assert.equal(await first.target.beat(first.registration, 'draining'), 200);
+  const before = first.target.receivedCount;
+  for (let count = 0; count < 20; count += 1) {
+    const answer = await mesh.send(caller, { path: '/read/after' });
+    assert.equal(answer.status, 200);
+  }
+  assert.equal(first.target.receivedCount, before);
+  await first.kernel.stop();
+  await first.restart();
+  assert.equal(await first.target.beat(first.registration, 'ready', { sequence: 1 }), 200);
+  for (let count = 0; count < 20; count += 1) {
+    const answer = await mesh.send(caller, { path: '/read/restarted' });
+    assert.equal(answer.status, 200);
+  }
+  assert.equal(first.target.receivedCount, before);
+});
+
+test('a leave is not acknowledged while the store does not hold it', async () => {
+  mesh.store.faults.refuseWith = 503;
+  assert.equal(await second.target.beat(second.registration, 'draining'), 503);
+  mesh.store.faults.refuseWith = 0;
+  await waitUntil(
+    async () => (await second.target.beat(second.registration, 'draining')) === 200,
+  );
+  assert.match(mesh.store.get(`sillshore/nodes/${second.id}`) ?? '', /"target":"leaving"/);
+});
+
+test('a new start of a target takes its place once it has confirmed itself', async () => {
+  second.target.restart('i-2');
+  await waitUntil(async () => (await second.target.beat(second.registration)) === 200);
+  const answer = await mesh.sendUntil(
+    caller,
+    { path: '/read/new' },
+    ({ status }) => status === 200,
+  );
+  assert.equal(answer.headers['x-server-stamp'], 'stamp i-2');
+});
+
+test('reports of others are refused', async () => {
+  assert.equal(await second.target.beat(second.registration, 'ready', { service: 'x' }), 409);
+  assert.equal(await second.target.beat(second.registration, 'ready', { id: 'i-forged' }), 409);
+});
+
+test('new rules are in force, older ones never again', async () => {
+  mesh.putRules(2, [{ path: '/read/', service: 'ledger' }]);
+  await mesh.sendUntil(caller, { path: '/write/gone' }, ({ status }) => status === 404);
+  mesh.putRules(1, [{ path: '/write/', service: 'ledger' }]);
+  mesh.putRules(3, [
+    { path: '/read/', service: 'ledger' },
+    { path: '/new/', service: 'ledger' },
+  ]);
+  await mesh.sendUntil(caller, { path: '/new/' }, ({ status }) => status !== 404);
+  assert.equal((await mesh.send(caller, { path: '/write/' })).status, 404);
+});
--- /dev/null
+++ b/test/stand-ins/mesh.ts
@@ -0,0 +1,213 @@
+/** A small deployment in one process: a store, targets, and the node beside each of them. */
+import { request as httpRequest, type IncomingHttpHeaders } from 'node:http';
+import assert from 'node:assert/strict';
+import { platformAdapter } from '../../platform/adapter.js';
+import type { EventLog } from '../../src/kernel/event.js';
+import { silentEventLog } from '../../src/kernel/event.js';
+import type { Kernel } from '../../src/kernel/kernel.js';
+import { createSidecar } from '../../src/sidecar/start-sidecar.js';
+import { validateSidecarSettings } from '../../src/sidecar/settings.js';
+import { findFreePorts } from '../../src/testing/free-ports.js';
+import { StoreStandIn } from './store-stand-in.js';
+import { TargetStandIn, type TargetStandInOptions } from './target-stand-in.js';
+
+const PORTS_PER_NODE = 4;
+const WAIT_STEP_MS = 10;
+const WAIT_LIMIT_MS = 10_000;
+
+/** One machine: a target and the node beside it. */
+export interface Machine {
+  readonly id: string;
+  readonly target: TargetStandIn;
+  readonly entry: string;
+  readonly readiness: string;
+  readonly registration: string;
+  readonly linkPort: number;
+  kernel: Kernel;
+  /** Starts the node again with the same settings. */
+  restart(): Promise<void>;
+}
+
+/** An answer as a caller gets it. */
+export interface CallerAnswer {
+  readonly status: number;
+  readonly headers: IncomingHttpHeaders;
+  readonly body: string;
+}
+
+/** A caller's request. */
+export interface CallerRequest {
+  readonly method?: string;
+  readonly host?: string;
+  readonly path: string;
+  readonly attemptId?: string;
+  readonly deadlineMs?: number;
+  readonly body?: string;
+}
+
+/** One route of the operators' document; times in milliseconds. */
+export interface RouteOptions {
+  readonly path: string;
+  readonly service: string;
+  readonly kind?: 'idempotent' | 'non_idempotent' | 'download';
+  readonly timeoutMs?: number;
+  readonly priority?: number;
+  readonly maxAttempts?: number;
+}
+
+/** Host of all routes. */
+export const HOST = 'mesh.example';
+
+/** See the module comment. */
+export class Mesh {
+  readonly store = new StoreStandIn();
+  readonly machines: Machine[] = [];
+  private storeAddress = '';
+  private attempts = 0;
+
+  async start(): Promise<void> {
+    this.storeAddress = await this.store.listen();
+  }
+
+  /** Adds a machine; its target registers when `beat` is called. */
+  async add(options: TargetStandInOptions, log: EventLog = silentEventLog): Promise<Machine> {
+    const target = new TargetStandIn(options);
+    await target.listen();
+    const [entry, readiness, registration, link] = await findFreePorts(PORTS_PER_NODE);
+    const id = `node-${this.machines.length + 1}`;
+    const settings = validateSidecarSettings({
+      node: { id, zone: options.zone, region: 'r' },
+      listen: {
+        entry: `127.0.0.1:${entry}`,
+        readiness: `127.0.0.1:${readiness}`,
+        registration: `127.0.0.1:${registration}`,
+        host: '127.0.0.1',
+        ports: [link, link],
+      },
+      target: { service: options.service, address: target.address },
+      store: { address: this.storeAddress },
+      limits: { memoryMb: 350 },
+      bounds: { gracePeriod: '6s', retryRatio: 0.2, retryWindow: '10s', retrySlack: 60 },
+    }).unwrapOrElse((failure) => assert.fail(JSON.stringify(failure)));
+    const create = (): Kernel => createSidecar(settings, platformAdapter, { log });
+    const machine: Machine = {
+      id,
+      target,
+      entry: settings.listen.entry,
+      readiness: settings.listen.readiness,
+      registration: settings.listen.registration,
+      linkPort: link!,
+      kernel: create(),
+      restart: async () => {
+        machine.kernel = create();
+        await machine.kernel.start();
+      },
+    };
+    this.machines.push(machine);
+    await machine.kernel.start();
+    return machine;
+  }
+
+  /** Writes the operators' document. */
+  putRules(version: number, routes: readonly RouteOptions[]): void {
+    this.store.put('op/config', createRulesDocument(version, routes));
+  }
+
+  /** All targets report once. */
+  async beatAll(): Promise<void> {
+    for (const { target, registration } of this.machines) await target.beat(registration);
+  }
+
+  /** Sends a request to a machine's entry. */
+  send(machine: Machine, request: CallerRequest): Promise<CallerAnswer> {
+    this.attempts += 1;
+    return sendRequest(machine.entry, {
+      attemptId: `attempt-${this.attempts}`,
+      ...request,
+    });
+  }
+
+  /** Sends until the answer is as wanted. */
+  async sendUntil(
+    machine: Machine,
+    request: CallerRequest,
+    wanted: (answer: CallerAnswer) => boolean,
+  ): Promise<CallerAnswer> {
+    let last: CallerAnswer | undefined;
+    await waitUntil(async () => {
+      last = await this.send(machine, request);
+      return wanted(last);
+    });
+    return last!;
+  }
+
+  async stop(): Promise<void> {
+    await Promise.all(this.machines.map(({ kernel }) => kernel.stop()));
+    for (const { target } of this.machines) target.close();
+    this.store.close();
+  }
+}
+
+/** Sends one request on a connection of its own. */
+export function sendRequest(address: string, options: CallerRequest): Promise<CallerAnswer> {
+  const { method = 'GET', host = HOST, path, attemptId, deadlineMs = 5_000, body } = options;
+  const [hostname = '', port = '0'] = address.split(':');
+  const headers: Record<string, string> = { Host: host, 'X-Deadline-Ms': String(deadlineMs) };
+  if (attemptId !== undefined) headers['X-Attempt-Id'] = attemptId;
+  if (body !== undefined) headers['Content-Length'] = String(Buffer.byteLength(body));
+  return new Promise((resolve, reject) => {
+    const request = httpRequest(
+      { host: hostname, port, method, path, headers, agent: false },
+      (response) => {
+        const chunks: Buffer[] = [];
+        response.on('data', (chunk: Buffer) => chunks.push(chunk));
+        response.on('end', () => {
+          const { statusCode = 0, headers: fields } = response;
+          resolve({ status: statusCode, headers: fields, body: Buffer.concat(chunks).toString() });
+        });
+        response.on('error', reject);
+      },
+    );
+    request.on('error', reject);
+    request.end(body);
+  });
+}
+
+/** Waits until something holds; fails after ten seconds. */
+export async function waitUntil(holds: () => boolean | Promise<boolean>): Promise<void> {
+  const end = performance.now() + WAIT_LIMIT_MS;
+  while (!(await holds())) {
+    assert.ok(performance.now() < end, 'waited too long');
+    await new Promise((resolve) => setTimeout(resolve, WAIT_STEP_MS));
+  }
+}
+
+function createRulesDocument(version: number, routes: readonly RouteOptions[]): string {
+  const services = [...new Set(routes.map(({ service }) => service))];
+  return JSON.stringify({
+    version,
+    routes: Object.fromEntries(routes.map((route, index) => [`route-${index + 1}`, toRoute(route)])),
+    services: Object.fromEntries(
+      services.map((name) => [name, { healthPath: '/health', maxConnections: 100 }]),
+    ),
+    limits: {
+      maxHeaderBytes: 16_384,
+      maxBodyBytes: 1_000_000,
+      headerTimeout: '3000ms',
+      idleTimeout: '15000ms',
+    },
+  });
+}
+
+function toRoute({ path, service, kind, timeoutMs, priority, maxAttempts }: RouteOptions): unknown {
+  return {
+    host: HOST,
+    pathPrefix: path,
+    kind: kind ?? 'idempotent',
+    timeout: `${timeoutMs ?? 5_000}ms`,
+    aim: '1000ms',
+    priority: priority ?? 1,
+    service,
+    maxAttempts: maxAttempts ?? 2,
+  };
+}
--- /dev/null
+++ b/test/stand-ins/store-stand-in.ts
@@ -0,0 +1,274 @@
+/**
+ * Stand-in of the platform's metadata store, by its published protocol: conditions, leases,
+ * watches, paging, history, refusals and answers that are lost. For tests and benchmarks only.
+ */
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import type { AddressInfo } from 'node:net';
+
+interface Entry {
+  readonly value: string;
+  readonly revision: number;
+  readonly made: number;
+  readonly lease: number;
+}
+
+interface Change {
+  readonly key: string;
+  readonly revision: number;
+  readonly entry: Entry | undefined;
+}
+
+interface Condition {
+  readonly privateKey: string;
+  readonly revision: number;
+}
+
+interface Put {
+  readonly privateKey: string;
+  readonly value: string;
+  readonly lease?: number;
+}
+
+/** What the stand-in does wrong; change it between requests. */
+export interface StoreFaults {
+  /** No request is answered. */
+  silent: boolean;
+  /** Every request gets this status; 0: none. */
+  refuseWith: number;
+  /** Writes are done and their answers lost. */
+  loseWriteAnswers: boolean;
+}
+
+const PAGE = 500;
+const MS_PER_SECOND = 1_000;
+
+/** See the module comment. */
+export class StoreStandIn {
+  readonly faults: StoreFaults = { silent: false, refuseWith: 0, loseWriteAnswers: false };
+  /** Calls by method and path without query. */
+  readonly calls = new Map<string, number>();
+  private readonly server: Server;
+  private readonly entries = new Map<string, Entry>();
+  private readonly leases = new Map<number, { ttlMs: number; timer: NodeJS.Timeout }>();
+  private history: Change[] = [];
+  private oldestKept = 0;
+  private revision = 1;
+  private lastLease = 0;
+  private readonly watchers = new Set<() => void>();
+
+  constructor() {
+    this.server = createServer((request, response) => {
+      this.receive(request, response);
+    });
+  }
+
+  /** Listens on loopback; resolves with the address. */
+  listen(): Promise<string> {
+    return new Promise((resolve) => {
+      this.server.listen(0, '127.0.0.1', () => {
+        resolve(`127.0.0.1:${(this.server.address() as AddressInfo).port}`);
+      });
+    });
+  }
+
+  close(): void {
+    for (const { timer } of this.leases.values()) clearTimeout(timer);
+    this.server.close();
+    this.server.closeAllConnections();
+  }
+
+  /** Writes as the operator does; returns the revision. */
+  put(key: string, value: string): number {
+    this.revision += 1;
+    this.write(key, Buffer.from(value).toString('base64'), 0);
+    this.wake();
+    return this.revision;
+  }
+
+  /** The value of a key; undefined when it is not there. */
+  get(key: string): string | undefined {
+    const entry = this.entries.get(key);
+    return entry && Buffer.from(entry.value, 'base64').toString();
+  }
+
+  /** Keys that begin so. */
+  keys(prefix: string): readonly string[] {
+    return [...this.entries.keys()].filter((key) => key.startsWith(prefix)).sort();
+  }
+
+  /** Forgets the history and ends all watches. */
+  compact(): void {
+    this.history = [];
+    this.oldestKept = this.revision;
+    this.wake();
+  }
+
+  /** Ends a lease and its keys. */
+  endLease(lease: number): void {
+    clearTimeout(this.leases.get(lease)?.timer);
+    this.leases.delete(lease);
+    for (const [key, entry] of this.entries) {
+      if (entry.lease !== lease) continue;
+      this.revision += 1;
+      this.entries.delete(key);
+      this.history.push({ key, revision: this.revision, entry: undefined });
+    }
+    this.wake();
+  }
+
+  /** Ends all leases and their keys. */
+  endAllLeases(): void {
+    for (const lease of [...this.leases.keys()]) this.endLease(lease);
+  }
+
+  private receive(request: IncomingMessage, response: ServerResponse): void {
+    const chunks: Buffer[] = [];
+    request.on('data', (chunk: Buffer) => chunks.push(chunk));
+    request.on('end', () => {
+      const url = new URL(request.url ?? '', 'http://store');
+      const name = `${request.method ?? ''} ${url.pathname}`;
+      this.calls.set(name, (this.calls.get(name) ?? 0) + 1);
+      if (this.faults.silent) return;
+      if (this.faults.refuseWith > 0) {
+        response.writeHead(this.faults.refuseWith).end();
+        return;
+      }
+      const text = Buffer.concat(chunks).toString();
+      const body = (text === '' ? {} : JSON.parse(text)) as Record<string, unknown>;
+      this.serve(url, body, response);
+    });
+  }
+
+  private serve(url: URL, body: Record<string, unknown>, response: ServerResponse): void {
+    const path = url.pathname;
+    if (path === '/v1/kv-key') this.serveKey(url, response);
+    else if (path === '/v1/kv-range') this.serveRange(url, response);
+    else if (path === '/v1/kv-watch') this.serveWatch(url, response);
+    else if (path === '/v1/kv-txn') this.serveTransaction(body, response);
+    else if (path === '/v1/kv-lease') this.serveLease(body, response);
+    else if (path.startsWith('/v1/kv-keep/')) this.serveKeep(Number(path.slice(12)), response);
+    else answer(response, 404, {});
+  }
+
+  private serveKey(url: URL, response: ServerResponse): void {
+    const key = url.searchParams.get('privateKey') ?? '';
+    const entry = this.entries.get(key);
+    if (entry === undefined) answer(response, 404, {});
+    else answer(response, 200, { ...toItem(key, entry), at: this.revision });
+  }
+
+  private serveRange(url: URL, response: ServerResponse): void {
+    const prefix = url.searchParams.get('pathPrefix') ?? '';
+    const after = url.searchParams.get('after') ?? '';
+    const keys = this.keys(prefix).filter((key) => key > after);
+    const items = keys.slice(0, PAGE).map((key) => toItem(key, this.entries.get(key)!));
+    answer(response, 200, { items, more: keys.length > PAGE, at: this.revision });
+  }
+
+  private serveWatch(url: URL, response: ServerResponse): void {
+    const prefix = url.searchParams.get('pathPrefix') ?? '';
+    const after = Number(url.searchParams.get('after'));
+    const waitMs = Number(url.searchParams.get('waitMs'));
+    const check = (last: boolean): void => {
+      if (after < this.oldestKept) {
+        end(410, {});
+        return;
+      }
+      const changes = this.history.filter(
+        ({ key, revision }) => revision > after && key.startsWith(prefix),
+      );
+      if (changes.length === 0 && !last) return;
+      end(200, { events: changes.map(toEvent), at: this.revision });
+    };
+    const timer = setTimeout(() => {
+      check(true);
+    }, waitMs);
+    const onChange = (): void => {
+      check(false);
+    };
+    const end = (status: number, document: unknown): void => {
+      clearTimeout(timer);
+      this.watchers.delete(onChange);
+      answer(response, status, document);
+    };
+    response.on('close', () => {
+      clearTimeout(timer);
+      this.watchers.delete(onChange);
+    });
+    this.watchers.add(onChange);
+    check(false);
+  }
+
+  private serveTransaction(body: Record<string, unknown>, response: ServerResponse): void {
+    const conditions = body['expectedRevision'] as readonly Condition[];
+    const puts = body['put'] as readonly Put[];
+    const held = conditions.every(
+      ({ privateKey, revision }) => (this.entries.get(privateKey)?.revision ?? 0) === revision,
+    );
+    if (!held) {
+      answer(response, 412, { items: [] });
+      return;
+    }
+    if (puts.some(({ lease }) => lease !== undefined && !this.leases.has(lease))) {
+      answer(response, 404, {});
+      return;
+    }
+    this.revision += 1;
+    for (const { privateKey, value, lease } of puts) this.write(privateKey, value, lease ?? 0);
+    this.wake();
+    if (this.faults.loseWriteAnswers) return;
+    answer(response, 200, { revision: this.revision });
+  }
+
+  private serveLease(body: Record<string, unknown>, response: ServerResponse): void {
+    this.lastLease += 1;
+    const text = String(body['ttl_time']);
+    const ttlMs = text.endsWith('ms') ? parseFloat(text) : parseFloat(text) * MS_PER_SECOND;
+    this.startLease(this.lastLease, ttlMs);
+    answer(response, 200, { lease: this.lastLease, ttl_time: text });
+  }
+
+  private serveKeep(lease: number, response: ServerResponse): void {
+    const known = this.leases.get(lease);
+    if (known === undefined) {
+      answer(response, 404, {});
+      return;
+    }
+    clearTimeout(known.timer);
+    this.startLease(lease, known.ttlMs);
+    answer(response, 200, { ttl_time: `${known.ttlMs}ms` });
+  }
+
+  private startLease(lease: number, ttlMs: number): void {
+    const timer = setTimeout(() => {
+      this.endLease(lease);
+    }, ttlMs);
+    timer.unref();
+    this.leases.set(lease, { ttlMs, timer });
+  }
+
+  private write(key: string, value: string, lease: number): void {
+    const { revision } = this;
+    const made = this.entries.get(key)?.made ?? revision;
+    const entry = { value, revision, made, lease };
+    this.entries.set(key, entry);
+    this.history.push({ key, revision, entry });
+  }
+
+  private wake(): void {
+    for (const watcher of [...this.watchers]) watcher();
+  }
+}
+
+function toItem(privateKey: string, entry: Entry): object {
+  return { privateKey, ...entry };
+}
+
+function toEvent({ key, revision, entry }: Change): unknown {
+  return entry === undefined ? { privateKey: key, revision, gone: true } : toItem(key, entry);
+}
+
+function answer(response: ServerResponse, status: number, document: unknown): void {
+  response.writeHead(status, { 'Content-Type': 'application/json' });
+  response.end(JSON.stringify(document));
+}
--- /dev/null
+++ b/test/stand-ins/target-stand-in.ts
@@ -0,0 +1,152 @@
+/**
+ * Stand-in of an application target, by its published protocol: it registers with the node beside
+ * it, serves requests for some time and signs its answers. For tests and benchmarks only.
+ */
+import {
+  createServer,
+  request as httpRequest,
+  type IncomingMessage,
+  type Server,
+  type ServerResponse,
+} from 'node:http';
+import type { AddressInfo } from 'node:net';
+
+/** What a stand-in is made from. */
+export interface TargetStandInOptions {
+  readonly service: string;
+  readonly zone: string;
+  readonly slots: number;
+  /** Time that a request takes, in milliseconds. */
+  readonly workMs: number;
+}
+
+/** A request as the stand-in got it. */
+export interface ReceivedRequest {
+  readonly attemptId: string;
+  readonly path: string;
+  readonly headers: IncomingMessage['headers'];
+  readonly body: string;
+}
+
+/** Answers in its own way; returns false for the usual answer. */
+export type TargetBehaviour = (request: ReceivedRequest, response: ServerResponse) => boolean;
+
+/** See the module comment. */
+export class TargetStandIn {
+  readonly received: ReceivedRequest[] = [];
+  /** Requests whose connection closed before their answer. */
+  cancelled = 0;
+  behaviour: TargetBehaviour = () => false;
+  id = 'i-1';
+  keepReceived = true;
+  private count = 0;
+  private sequence = 0;
+  private readonly server: Server;
+  private port = 0;
+
+  constructor(private readonly options: TargetStandInOptions) {
+    this.server = createServer((request, response) => {
+      this.receive(request, response);
+    });
+  }
+
+  get address(): string {
+    return `127.0.0.1:${this.port}`;
+  }
+
+  /** Requests that were received, kept or not. */
+  get receivedCount(): number {
+    return this.count;
+  }
+
+  listen(): Promise<void> {
+    return new Promise((resolve) => {
+      this.server.listen(0, '127.0.0.1', () => {
+        this.port = (this.server.address() as AddressInfo).port;
+        resolve();
+      });
+    });
+  }
+
+  close(): void {
+    this.server.close();
+    this.server.closeAllConnections();
+  }
+
+  /** A new start: another identity. */
+  restart(id: string): void {
+    this.id = id;
+    this.sequence = 0;
+  }
+
+  /** Reports to a registration address; resolves with the status, 0 without an answer. */
+  beat(
+    registration: string,
+    state: 'ready' | 'draining' = 'ready',
+    overrides: { readonly id?: string; readonly sequence?: number; readonly service?: string } = {},
+  ): Promise<number> {
+    this.sequence += 1;
+    const { service, zone, slots } = this.options;
+    const information = { service: overrides.service ?? service, version: 'v1', zone, slots };
+    const callCount = overrides.sequence ?? this.sequence;
+    const status = { state, callCount, coldRemaining: '0ms' };
+    const body = JSON.stringify({ address: this.address, information, status });
+    return post(registration, `/v1/instances/${overrides.id ?? this.id}/heartbeat`, body);
+  }
+
+  /** Says that it leaves. */
+  leave(registration: string): Promise<number> {
+    return post(registration, `/v1/instances/${this.id}/deregister`, '');
+  }
+
+  private receive(request: IncomingMessage, response: ServerResponse): void {
+    if (request.url === '/health') {
+      response.writeHead(200, { 'X-Instance-Id': this.id }).end();
+      return;
+    }
+    const chunks: Buffer[] = [];
+    request.on('data', (chunk: Buffer) => chunks.push(chunk));
+    request.on('end', () => {
+      const attemptId = String(request.headers['x-attempt-id']);
+      const body = Buffer.concat(chunks).toString();
+      const received = { attemptId, path: request.url ?? '', headers: request.headers, body };
+      this.count += 1;
+      if (this.keepReceived) this.received.push(received);
+      response.on('close', () => {
+        if (!response.writableFinished) this.cancelled += 1;
+      });
+      if (this.behaviour(received, response)) return;
+      this.answerLater(received, response);
+    });
+  }
+
+  private answerLater({ attemptId, headers }: ReceivedRequest, response: ServerResponse): void {
+    const expected = headers['x-expected-instance'];
+    if (expected !== undefined && expected !== this.id) {
+      response
+        .writeHead(421, { 'X-Attempt-Id': attemptId, 'X-Instance-Id': this.id })
+        .end('another');
+      return;
+    }
+    setTimeout(() => {
+      response.writeHead(200, { 'X-Attempt-Id': attemptId, 'X-Server-Stamp': `stamp ${this.id}` });
+      response.end(`answer to ${attemptId}`);
+    }, this.options.workMs);
+  }
+}
+
+function post(address: string, path: string, body: string): Promise<number> {
+  const [host = '', port = '0'] = address.split(':');
+  return new Promise((resolve) => {
+    const request = httpRequest({ host, port, method: 'POST', path, agent: false }, (response) => {
+      response.resume();
+      response.on('end', () => {
+        resolve(response.statusCode ?? 0);
+      });
+    });
+    request.on('error', () => {
+      resolve(0);
+    });
+    request.end(body);
+  });
+}
