Hold the platform's words in platform/ by a lint rule; rename the etcd client's folder

Cause: two folders were called platform, and nothing kept the machines' names out of the product. Change: src/platform is src/etcd; eslint refuses the platform's words and imports of platform/ in src/ (the sidecar command composes the two and is excepted), and imports of product logic in platform/.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -6,7 +6,7 @@
   'kernel',
   'config',
   'peer',
-  'platform',
+  'etcd',
   'admin',
   'cli',
   'entry',
@@ -20,10 +20,16 @@
   'node',
   'observability',
   'gen',
+  'sidecar',
+  'store',
 ];
 
+/** Words of the machines' platform; only platform/ and the stand-ins in test/ may know them. */
+const platformWords =
+  '/x-attempt-id|x-deadline-ms|x-expected-instance|x-caller-service|x-not-executed|x-server-stamp|x-instance-|v1.(instances|kv-|readiness)|kv-(key|range|watch|txn|lease|keep)|privateKey/i';
+
 export default tseslint.config(
-  { ignores: ['dist', 'out', 'src/gen', 'node_modules'] },
+  { ignores: ['dist', 'out', 'target', 'src/gen', 'node_modules'] },
   js.configs.recommended,
   ...tseslint.configs.strict,
   ...tseslint.configs.stylistic,
@@ -64,4 +70,54 @@
       ],
     },
   },
+  {
+    // The product knows nothing of the machines' platform but its port.
+    files: ['src/**/*.ts'],
+    rules: {
+      'no-restricted-syntax': [
+        'error',
+        ...['Literal[value=', 'TemplateElement[value.raw='].map((selector) => ({
+          selector: `${selector}${platformWords}]`,
+          message: 'Words of the platform stand in platform/ alone.',
+        })),
+        {
+          selector: `Identifier[name=${platformWords}]`,
+          message: 'Words of the platform stand in platform/ alone.',
+        },
+      ],
+    },
+  },
+  {
+    files: ['src/**/*.ts'],
+    ignores: ['src/core/**', 'src/cli/sidecar-command.ts'],
+    rules: {
+      'no-restricted-imports': [
+        'error',
+        {
+          patterns: [
+            { regex: '/\\.\\./platform/|^\\.\\./\\.\\./platform/', message: 'Use the port.' },
+          ],
+        },
+      ],
+    },
+  },
+  {
+    // The adapter translates; it takes types and value constructors, and no logic.
+    files: ['platform/**/*.ts'],
+    ignores: ['platform/**/*.test.ts'],
+    rules: {
+      'no-restricted-imports': [
+        'error',
+        {
+          patterns: [
+            {
+              regex:
+                '/src/(?!store/metadata-store|sidecar/platform-adapter|sidecar/rules/routing-rules|core/(failure|result-code|duration))',
+              message: 'The adapter translates and decides nothing.',
+            },
+          ],
+        },
+      ],
+    },
+  },
 );
--- a/scripts/bundle-sidecar.mjs
+++ b/scripts/bundle-sidecar.mjs
@@ -2,7 +2,8 @@
 import { build } from 'esbuild';
 
 // Libraries in CommonJS form ask for `require`.
-const REQUIRE = "import { createRequire } from 'node:module';\nconst require = createRequire(import.meta.url);";
+const REQUIRE =
+  "import { createRequire } from 'node:module';\nconst require = createRequire(import.meta.url);";
 
 await build({
   entryPoints: ['src/cli/sidecar-main.ts'],
--- a/src/admin/admin-node.ts
+++ b/src/admin/admin-node.ts
@@ -11,7 +11,7 @@
 import { Token } from '../kernel/token.js';
 import type { Membership } from '../membership/membership.js';
 import type { PeerNetwork } from '../peer/peer-network.js';
-import type { PlatformClient } from '../platform/platform-client.js';
+import type { PlatformClient } from '../etcd/platform-client.js';
 import type { TargetAdministration } from '../target/target-administration.js';
 import type { TargetDispatcher } from '../target/target-dispatcher.js';
 import type { ServiceIdentifier } from 'inversify';
--- a/src/claims/claim-task.ts
+++ b/src/claims/claim-task.ts
@@ -10,7 +10,7 @@
 import type { Metrics } from '../kernel/metrics.js';
 import type { Membership } from '../membership/membership.js';
 import type { PeerNetwork } from '../peer/peer-network.js';
-import type { PlatformClient } from '../platform/platform-client.js';
+import type { PlatformClient } from '../etcd/platform-client.js';
 import { ChargeRequester } from './charge-requester.js';
 import { ClaimRequester } from './claim-requester.js';
 import type {
--- a/src/claims/group-restarter.ts
+++ b/src/claims/group-restarter.ts
@@ -12,7 +12,7 @@
 import type { ReplicaReply } from '../core/claim/replica-messages.js';
 import type { Clock } from '../kernel/clock.js';
 import type { Membership } from '../membership/membership.js';
-import type { PlatformClient } from '../platform/platform-client.js';
+import type { PlatformClient } from '../etcd/platform-client.js';
 import type { ClaimTiming } from './claim-timing.js';
 import type { EpochChanger } from './epoch-changer.js';
 import type { PlacementStore } from './placement-store.js';
--- a/src/claims/groups-keeper.ts
+++ b/src/claims/groups-keeper.ts
@@ -9,7 +9,7 @@
 import type { CancelTimer, Clock } from '../kernel/clock.js';
 import type { Member, Membership } from '../membership/membership.js';
 import type { PeerNetwork } from '../peer/peer-network.js';
-import type { PlatformClient } from '../platform/platform-client.js';
+import type { PlatformClient } from '../etcd/platform-client.js';
 import type { ClaimTiming } from './claim-timing.js';
 import type { GroupDirectory, LocalGroup } from './group-directory.js';
 import { PlacementKeeper } from './placement-keeper.js';
--- a/src/claims/placement-keeper.ts
+++ b/src/claims/placement-keeper.ts
@@ -14,7 +14,7 @@
 import type { Random } from '../core/random.js';
 import type { Clock } from '../kernel/clock.js';
 import type { Membership } from '../membership/membership.js';
-import type { PlatformClient } from '../platform/platform-client.js';
+import type { PlatformClient } from '../etcd/platform-client.js';
 import type { ClaimTiming } from './claim-timing.js';
 import { EpochChanger } from './epoch-changer.js';
 import { GroupRestarter } from './group-restarter.js';
--- a/src/claims/placement-store.ts
+++ b/src/claims/placement-store.ts
@@ -1,7 +1,7 @@
 /** The groups' records in the platform's key-value service. */
 import { MAX_GROUPS } from '../core/claim/claim-groups.js';
 import type { PlacementRecord } from '../core/claim/placement.js';
-import type { PlatformClient } from '../platform/platform-client.js';
+import type { PlatformClient } from '../etcd/platform-client.js';
 import { validateLayout, validatePlacement } from './claim-messages.js';
 
 /** Prefix of all keys of the claims. */
--- a/src/config/config-distribution.ts
+++ b/src/config/config-distribution.ts
@@ -11,7 +11,7 @@
 import type { Membership } from '../membership/membership.js';
 import { isZoneWatcher } from '../membership/zone-watchers.js';
 import type { PeerNetwork } from '../peer/peer-network.js';
-import type { PlatformClient } from '../platform/platform-client.js';
+import type { PlatformClient } from '../etcd/platform-client.js';
 import type { ConfigStore, RevisionRecord } from './config-store.js';
 import { PeerRulesPull } from './peer-rules-pull.js';
 import { PlatformRulesWatch } from './platform-rules-watch.js';
--- a/src/config/platform-rules-repository.ts
+++ b/src/config/platform-rules-repository.ts
@@ -13,7 +13,7 @@
 import { ResultCode } from '../core/result-code.js';
 import type { Clock } from '../kernel/clock.js';
 import { Event, type EventLog } from '../kernel/event.js';
-import type { PlatformClient, Put } from '../platform/platform-client.js';
+import type { PlatformClient, Put } from '../etcd/platform-client.js';
 import {
   checkFields,
   reportConflict,
--- a/src/config/platform-rules-watch.ts
+++ b/src/config/platform-rules-watch.ts
@@ -6,7 +6,7 @@
 import type { Random } from '../core/random.js';
 import type { CancelTimer, Clock } from '../kernel/clock.js';
 import { Event, type EventLog } from '../kernel/event.js';
-import type { PlatformClient, WatchEvent } from '../platform/platform-client.js';
+import type { PlatformClient, WatchEvent } from '../etcd/platform-client.js';
 import type { RevisionRecord } from './config-store.js';
 import { CURRENT_PREFIX, decodeRevision, HEAD_KEY, readSnapshot } from './stored-revision.js';
 
--- a/src/config/rules-between-nodes.test.ts
+++ b/src/config/rules-between-nodes.test.ts
@@ -3,7 +3,7 @@
 import { test } from 'node:test';
 import '../membership/membership-plugin.js';
 import '../peer/peer-plugin.js';
-import '../platform/platform-plugin.js';
+import '../etcd/platform-plugin.js';
 import './config-plugin.js';
 import { systemClock } from '../kernel/clock.js';
 import { silentEventLog } from '../kernel/event.js';
--- a/src/config/rules-startup.ts
+++ b/src/config/rules-startup.ts
@@ -10,7 +10,7 @@
 import type { CancelTimer, Clock } from '../kernel/clock.js';
 import type { Member, Membership } from '../membership/membership.js';
 import type { PeerNetwork } from '../peer/peer-network.js';
-import type { PlatformClient } from '../platform/platform-client.js';
+import type { PlatformClient } from '../etcd/platform-client.js';
 import type { RevisionRecord } from './config-store.js';
 import { fetchRules } from './rules-fetch.js';
 import { readSnapshot } from './stored-revision.js';
--- a/src/config/stored-revision.ts
+++ b/src/config/stored-revision.ts
@@ -11,7 +11,7 @@
 import { z } from 'zod';
 import { Result } from 'true-myth';
 import type { Failure } from '../core/failure.js';
-import type { KeyValue, PlatformClient } from '../platform/platform-client.js';
+import type { KeyValue, PlatformClient } from '../etcd/platform-client.js';
 import type { RevisionRecord } from './config-store.js';
 import { rulesSchema } from './rules.js';
 
--- a/src/hollow/fleet-benchmark.ts
+++ b/src/hollow/fleet-benchmark.ts
@@ -3,7 +3,7 @@
 import { PlatformRulesRepository } from '../config/platform-rules-repository.js';
 import { systemClock } from '../kernel/clock.js';
 import { silentEventLog } from '../kernel/event.js';
-import { EtcdPlatformClient } from '../platform/etcd-platform-client.js';
+import { EtcdPlatformClient } from '../etcd/etcd-platform-client.js';
 import {
   startPlatformStandIn,
   type PlatformStandIn,
--- a/src/kernel/token.ts
+++ b/src/kernel/token.ts
@@ -10,7 +10,7 @@
 import type { LeavingTargets } from '../membership/leaving-targets.js';
 import type { Membership } from '../membership/membership.js';
 import type { PeerNetwork } from '../peer/peer-network.js';
-import type { PlatformClient } from '../platform/platform-client.js';
+import type { PlatformClient } from '../etcd/platform-client.js';
 import type { TargetAdministration } from '../target/target-administration.js';
 import type { TargetDispatcher } from '../target/target-dispatcher.js';
 import type { Clock } from './clock.js';
--- a/src/node/plugins.ts
+++ b/src/node/plugins.ts
@@ -3,7 +3,7 @@
 import '../observability/observability-plugin.js';
 import '../peer/peer-plugin.js';
 import '../membership/membership-plugin.js';
-import '../platform/platform-plugin.js';
+import '../etcd/platform-plugin.js';
 import '../config/config-plugin.js';
 import '../claims/claim-plugin.js';
 import '../target/target-plugin.js';
--- a/src/sidecar/entry/routed-request.ts
+++ b/src/sidecar/entry/routed-request.ts
@@ -7,7 +7,12 @@
 import { ResultCode, type Execution } from '../../core/result-code.js';
 import type { CancelTimer, Clock } from '../../kernel/clock.js';
 import type { AttemptPort } from '../link/attempt-port.js';
-import type { AttemptAnswer, AttemptCall, AttemptEnd, AttemptFailure } from '../link/link-messages.js';
+import type {
+  AttemptAnswer,
+  AttemptCall,
+  AttemptEnd,
+  AttemptFailure,
+} from '../link/link-messages.js';
 import type { CalledService } from './service-routers.js';
 
 /** The final result of a request. */
@@ -165,4 +170,3 @@
 } {
   return retryAfterMs === undefined ? { execution } : { execution, retryAfterMs };
 }
-
--- a/src/sidecar/link/attempt-port.ts
+++ b/src/sidecar/link/attempt-port.ts
@@ -21,7 +21,10 @@
   detail: string,
   retryAfterMs?: number,
 ): AttemptFailure {
-  return createAttemptFailure({ outcome, code, detail, execution: 'not-run', offered: false }, retryAfterMs);
+  return createAttemptFailure(
+    { outcome, code, detail, execution: 'not-run', offered: false },
+    retryAfterMs,
+  );
 }
 
 /** Makes a failure; `retryAfterMs` is left out when undefined. */
--- a/src/sidecar/rules/route-table.test.ts
+++ b/src/sidecar/rules/route-table.test.ts
@@ -1,7 +1,12 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { RouteTable } from './route-table.js';
-import { checkRules, criticalityOfRank, type RouteRules, type RoutingRules } from './routing-rules.js';
+import {
+  checkRules,
+  criticalityOfRank,
+  type RouteRules,
+  type RoutingRules,
+} from './routing-rules.js';
 
 function route(overrides: Partial<RouteRules>): RouteRules {
   return {
--- a/src/sidecar/target/target-gateway.ts
+++ b/src/sidecar/target/target-gateway.ts
@@ -277,7 +277,11 @@
   timeout: 'timeout',
 } as const;
 
-function toFailure({ cause, detail, sent }: Extract<ExchangeEnd, { type: 'failure' }>): AttemptFailure {
+function toFailure({
+  cause,
+  detail,
+  sent,
+}: Extract<ExchangeEnd, { type: 'failure' }>): AttemptFailure {
   return createAttemptFailure({
     outcome: FAILURE_OUTCOMES[cause],
     execution: sent ? 'unknown' : 'not-run',
--- a/src/stand-ins/platform/machine-list.ts
+++ b/src/stand-ins/platform/machine-list.ts
@@ -1,5 +1,5 @@
 /** The platform's list of machines; a change shows only after the lag. */
-import type { Machine } from '../../platform/platform-client.js';
+import type { Machine } from '../../etcd/platform-client.js';
 
 /** Longest lag that readers may ask for. */
 export const MAX_LAG_MS = 600_000;
--- a/src/stand-ins/platform/platform-stand-in.ts
+++ b/src/stand-ins/platform/platform-stand-in.ts
@@ -7,7 +7,7 @@
 import type { AddressInfo } from 'node:net';
 import express, { type ErrorRequestHandler, type Express, type RequestHandler } from 'express';
 import { systemClock, type Clock } from '../../kernel/clock.js';
-import type { Machine } from '../../platform/platform-client.js';
+import type { Machine } from '../../etcd/platform-client.js';
 import { controlSchema, FaultInjector, type ControlRequest, type Faults } from './faults.js';
 import { createGateway } from './gateway.js';
 import { KeyValueStore } from './key-value-store.js';
--- a/src/testing/deployment-plan.ts
+++ b/src/testing/deployment-plan.ts
@@ -7,7 +7,7 @@
 import { parseRules, type Rules } from '../config/rules.js';
 import { parseSettings, type Settings } from '../config/settings.js';
 import type { Failure } from '../core/failure.js';
-import type { Machine } from '../platform/platform-client.js';
+import type { Machine } from '../etcd/platform-client.js';
 import { parseWorkload, type Workload } from '../stand-ins/workload.js';
 import { reservePorts } from './free-ports.js';
 
--- a/src/testing/in-memory-platform.ts
+++ b/src/testing/in-memory-platform.ts
@@ -11,7 +11,7 @@
   RangeResult,
   TransactionResult,
   WatchEvent,
-} from '../platform/platform-client.js';
+} from '../etcd/platform-client.js';
 import { KeyValueStore, type StoredValue } from '../stand-ins/platform/key-value-store.js';
 
 /** What happens to one write: `late` takes effect only when {@link InMemoryPlatform.deliverLate} runs. */
