Calls of targets inherit the importance of their request; thresholds go up the chain

Change: a call of the own target takes request id, class and depth of the request it is made for; the gate above learns the threshold of the called service, as in the product's node.

--- a/src/sidecar/entry/entry-service.ts
+++ b/src/sidecar/entry/entry-service.ts
@@ -13,14 +13,17 @@
 import type { RulesKeeper } from '../rules/rules-keeper.js';
 import type { CallerAnswer, CallerExchange } from './caller-exchange.js';
 import { createOwnAnswer } from './refusal-answer.js';
+import type { TargetGateway } from '../target/target-gateway.js';
 import { RoutedRequest, type RequestEnd } from './routed-request.js';
 import type { ServiceRouters } from './service-routers.js';
 
 /** What the entry works with. */
 export interface EntryServiceOptions {
   readonly fields: FieldNames;
-  /** See {@link PlatformAdapter.depthOf}. */
-  depthOf(attemptId: string): number;
+  /** See {@link PlatformAdapter.parentOf}. */
+  parentOf(attemptId: string): string | undefined;
+  /** The own target's requests, under which it makes calls. */
+  readonly gateway: TargetGateway;
   /** Service of the machine on which requests begin here. */
   readonly callerService: string;
   readonly rules: RulesKeeper;
@@ -103,39 +106,45 @@
     const context = this.createContext(route, service, attemptId);
     this.routed = new RoutedRequest({
       context,
-      call: this.createCall(context, body),
+      call: this.createCall(context, attemptId, body),
       maxAttempts: route.rules.maxAttempts,
       service: routers.of(service),
       clock,
       repeatSlack: this.options.repeatSlack() / directory.size,
       portOf: (node) => directory.portOf(node),
       onEnd: (end) => {
+        this.noteDownstream(context, attemptId);
         this.onEnd(context, end);
       },
     });
     this.routed.start();
   }
 
-  private createContext({ rules }: Route, service: string, requestId: string): RequestContext {
+  /** A call of the own target has the importance of the request that it is made for. */
+  private createContext({ rules }: Route, service: string, attemptId: string): RequestContext {
+    const { parentOf, gateway } = this.options;
+    const parentId = parentOf(attemptId);
+    const parent = parentId === undefined ? undefined : gateway.contextOf(parentId);
     const told = Number(this.exchange.field(this.options.fields.timeLeft));
     const wait = told > 0 ? Math.min(told, rules.timeoutMs) : rules.timeoutMs;
     return {
-      requestId,
+      requestId: parent?.requestId ?? attemptId,
       tenant: '',
       service,
       kind: rules.name,
-      criticality: criticalityOfRank(rules.rank),
+      criticality: parent?.criticality ?? criticalityOfRank(rules.rank),
       deadline: this.receivedAt + wait,
       idempotent: rules.idempotent,
-      depth: this.options.depthOf(requestId),
+      depth: parentId === undefined ? 0 : (parent?.depth ?? 0) + 1,
     };
   }
 
-  private createCall(context: RequestContext, body: Uint8Array): AttemptCall {
+  private createCall(context: RequestContext, attemptId: string, body: Uint8Array): AttemptCall {
     const { method, path, fields } = this.exchange;
     const { requestId, service, kind, idempotent, depth, criticality } = context;
     return {
-      attemptId: requestId,
+      attemptId,
+      requestId,
       service,
       kind,
       rank: rankOf(criticality),
@@ -150,6 +159,15 @@
     };
   }
 
+  /** The own target's gate refuses, before work is spent, what would be refused below it. */
+  private noteDownstream({ service, kind }: RequestContext, attemptId: string): void {
+    const { parentOf, gateway, routers, clock } = this.options;
+    const parentId = parentOf(attemptId);
+    if (parentId === undefined) return;
+    const threshold = routers.of(service).router.threshold(clock.now(), kind);
+    gateway.noteDownstream(parentId, service, threshold);
+  }
+
   private onEnd(context: RequestContext, end: RequestEnd): void {
     if (end.type === 'refusal') {
       this.refuse(end.failure, context);
@@ -177,7 +195,8 @@
   ): void {
     const { fields, log, clock, rules } = this.options;
     log.emit(event, {
-      id: context?.requestId ?? this.exchange.field(fields.attemptId),
+      id: this.exchange.field(fields.attemptId),
+      request: context?.requestId,
       kind: context?.kind,
       service: context?.service,
       rules: rules.version,
--- a/src/sidecar/link/link-messages.test.ts
+++ b/src/sidecar/link/link-messages.test.ts
@@ -16,6 +16,7 @@
     sentAt: 99.5,
     call: {
       attemptId: 'a',
+      requestId: 'q',
       service: 's',
       kind: 'k',
       rank: 2,
--- a/src/sidecar/link/link-messages.ts
+++ b/src/sidecar/link/link-messages.ts
@@ -24,6 +24,8 @@
 /** One try of a request, on its way to the node beside the target. */
 export interface AttemptCall {
   readonly attemptId: string;
+  /** Identity of the caller's request at the head of the chain of calls. */
+  readonly requestId: string;
   readonly service: string;
   /** Name of the route. */
   readonly kind: string;
@@ -168,6 +170,7 @@
     i: id,
     c: sentAt,
     a: call.attemptId,
+    q: call.requestId,
     s: call.service,
     k: call.kind,
     r: call.rank,
@@ -247,6 +250,7 @@
 function callFromDocument(document: Document): AttemptCall {
   return {
     attemptId: document['a'] as string,
+    requestId: document['q'] as string,
     service: document['s'] as string,
     kind: document['k'] as string,
     rank: document['r'] as number,
--- a/src/sidecar/platform-adapter.ts
+++ b/src/sidecar/platform-adapter.ts
@@ -60,8 +60,11 @@
   readonly rulesKey: string;
   /** Content type and body of the answer to an acknowledged registration call. */
   readonly acknowledgement: { readonly contentType: string; readonly body: string };
-  /** Calls above the request that has this identity; 0 for a caller's own request. */
-  depthOf(attemptId: string): number;
+  /**
+   * Identity of the request that a target serves when it makes the call of this identity;
+   * undefined for a caller's own request.
+   */
+  parentOf(attemptId: string): string | undefined;
   /** Reads a registration call; undefined when it is none. */
   parseRegistration(method: string, path: string, body: Buffer): RegistrationMessage | undefined;
   /** Reads a document of routing rules. */
--- a/src/sidecar/plugins/entry-plugin.ts
+++ b/src/sidecar/plugins/entry-plugin.ts
@@ -82,7 +82,8 @@
   const adapter = get(SidecarToken.Adapter);
   const service = new EntryService({
     fields: adapter.fields,
-    depthOf: (attemptId) => adapter.depthOf(attemptId),
+    parentOf: (attemptId) => adapter.parentOf(attemptId),
+    gateway: get(SidecarToken.Gateway),
     callerService: target.service,
     rules: get(SidecarToken.Rules),
     routers: get(SidecarToken.Routers),
--- a/src/sidecar/target/target-gateway.ts
+++ b/src/sidecar/target/target-gateway.ts
@@ -50,6 +50,8 @@
   private gate: TargetGate | undefined;
   private client: TargetClient | undefined;
   private readonly tickets = new Map<number, Ticket>();
+  /** Tickets by the identity of their try, for the calls that the target makes meanwhile. */
+  private readonly byAttempt = new Map<string, Ticket>();
   private lastTicket = 0;
   private cancelTimer: CancelTimer = () => {};
   private timerAt = Infinity;
@@ -96,7 +98,7 @@
     const ticket = this.lastTicket;
     const deadline = now + call.timeLeftMs;
     const context = createContext(call, deadline);
-    this.tickets.set(ticket, { call, deadline, context, onEnd, gate, abort: undefined });
+    this.add(ticket, { call, deadline, context, onEnd, gate, abort: undefined });
     this.apply(gate.offer(now, ticket, context));
     this.armTimer();
     return () => {
@@ -104,6 +106,31 @@
     };
   }
 
+  /** The request that the target serves under this identity. */
+  contextOf(attemptId: string): RequestContext | undefined {
+    return this.byAttempt.get(attemptId)?.context;
+  }
+
+  /** Takes in the admission threshold of a service that the target calls for a request. */
+  noteDownstream(attemptId: string, service: string, threshold: number): void {
+    const ticket = this.byAttempt.get(attemptId);
+    ticket?.gate.noteDownstream(this.options.clock.now(), service, threshold, ticket.context.kind);
+  }
+
+  private add(ticketId: number, ticket: Ticket): void {
+    this.tickets.set(ticketId, ticket);
+    this.byAttempt.set(ticket.call.attemptId, ticket);
+  }
+
+  private take(ticketId: number): Ticket | undefined {
+    const ticket = this.tickets.get(ticketId);
+    if (ticket === undefined) return undefined;
+    this.tickets.delete(ticketId);
+    const { attemptId } = ticket.call;
+    if (this.byAttempt.get(attemptId) === ticket) this.byAttempt.delete(attemptId);
+    return ticket;
+  }
+
   private checkOpen(call: AttemptCall): AttemptFailure | undefined {
     if (call.service !== this.options.service) {
       const detail = `this node fronts ${this.options.service}`;
@@ -155,10 +182,9 @@
   }
 
   private onExchangeEnd(ticketId: number, targetId: string, exchange: ExchangeEnd): void {
-    const ticket = this.tickets.get(ticketId);
+    const ticket = this.take(ticketId);
     if (ticket === undefined) return;
     const { gate } = ticket;
-    this.tickets.delete(ticketId);
     const now = this.options.clock.now();
     const end = this.toAttemptEnd(exchange, targetId);
     const outcome = end.type === 'answer' ? 'success' : end.outcome;
@@ -187,17 +213,15 @@
   }
 
   private refuse(ticketId: number, { code, detail, retryAfterMs }: Refusal): void {
-    const ticket = this.tickets.get(ticketId);
+    const ticket = this.take(ticketId);
     if (ticket === undefined) return;
-    this.tickets.delete(ticketId);
     const load = ticket.gate.report(this.options.clock.now(), ticket.context);
     ticket.onEnd({ ...createNotOffered('overloaded', code, detail, retryAfterMs), load });
   }
 
   private cancel(ticketId: number): void {
-    const ticket = this.tickets.get(ticketId);
+    const ticket = this.take(ticketId);
     if (ticket === undefined) return;
-    this.tickets.delete(ticketId);
     const now = this.options.clock.now();
     if (ticket.abort === undefined) {
       this.apply(ticket.gate.cancel(now, ticketId));
@@ -211,7 +235,7 @@
     const now = this.options.clock.now();
     for (const [ticketId, ticket] of [...this.tickets]) {
       if (ticket.abort !== undefined) continue;
-      this.tickets.delete(ticketId);
+      this.take(ticketId);
       ticket.gate.cancel(now, ticketId);
       ticket.onEnd(leaving());
     }
@@ -238,7 +262,7 @@
 
 function createContext(call: AttemptCall, deadline: number): RequestContext {
   return {
-    requestId: call.attemptId,
+    requestId: call.requestId,
     tenant: '',
     service: call.service,
     kind: call.kind,
