A request that no target got is refused as not run at its deadline; one more try under load

Change: cancelling a try tells whether the target may have run it; after a refusal for load one more node is tried. Checking of values no longer loads the YAML library.

--- a/src/admin/drain-commands.ts
+++ b/src/admin/drain-commands.ts
@@ -1,7 +1,7 @@
 /** Operators' drain commands: carried out here or passed on to the node concerned. */
 import { Result, Unit } from 'true-myth';
 import { z } from 'zod';
-import { validateValue } from '../config/document.js';
+import { validateValue } from '../config/validate-value.js';
 import { createFailure, type Failure } from '../core/failure.js';
 import { selectFrontingNode } from '../core/placement.js';
 import { ResultCode } from '../core/result-code.js';
--- a/src/claims/claim-messages.ts
+++ b/src/claims/claim-messages.ts
@@ -8,7 +8,7 @@
 import type { Failure } from '../core/failure.js';
 import { ResultCode } from '../core/result-code.js';
 import type { TransferRef } from './table-transfers.js';
-import { validateValue } from '../config/document.js';
+import { validateValue } from '../config/validate-value.js';
 
 /** Request and reply type of each claim call. */
 export interface ClaimCalls {
--- a/src/config/document.ts
+++ b/src/config/document.ts
@@ -2,8 +2,9 @@
 import { Result } from 'true-myth';
 import { parseDocument } from 'yaml';
 import type { z } from 'zod';
-import { createFailure, type Failure, type Violation } from '../core/failure.js';
+import { createFailure, type Failure } from '../core/failure.js';
 import type { ResultCode } from '../core/result-code.js';
+import { validateValue } from './validate-value.js';
 
 /** Longest document accepted, in characters; a guard against mistaken input. */
 export const MAX_DOCUMENT_LENGTH = 4 * 1024 * 1024;
@@ -30,20 +31,3 @@
   }
   return validateValue(document.toJS(), schema, code);
 }
-
-/** Validates an already parsed value; see {@link parseAndValidate}. */
-export function validateValue<T>(
-  value: unknown,
-  schema: z.ZodType<T>,
-  code: ResultCode,
-): Result<T, Failure> {
-  const parsed = schema.safeParse(value);
-  if (parsed.success) {
-    return Result.ok(parsed.data);
-  }
-  const violations: Violation[] = parsed.error.issues.map((issue) => ({
-    path: issue.path.join('.'),
-    message: issue.message,
-  }));
-  return Result.err(createFailure(code, `${violations.length} invalid member(s)`, { violations }));
-}
--- a/src/config/rules-fetch.ts
+++ b/src/config/rules-fetch.ts
@@ -5,7 +5,7 @@
 import { ResultCode } from '../core/result-code.js';
 import type { PeerNetwork } from '../peer/peer-network.js';
 import type { ConfigStore, RevisionRecord } from './config-store.js';
-import { validateValue } from './document.js';
+import { validateValue } from './validate-value.js';
 import { revisionRecordSchema } from './stored-revision.js';
 
 /** Time limit of one call in milliseconds. */
--- a/src/emulator/scenario.ts
+++ b/src/emulator/scenario.ts
@@ -1,7 +1,8 @@
 /** The scenario file of an experiment: YAML or JSON, checked strictly, all errors at once. */
 import type { Result } from 'true-myth';
 import { z } from 'zod';
-import { parseAndValidate, validateValue } from '../config/document.js';
+import { parseAndValidate } from '../config/document.js';
+import { validateValue } from '../config/validate-value.js';
 import { listOverloadPolicies } from '../core/overload-policy-registry.js';
 import './policies.js';
 import type { Failure } from '../core/failure.js';
--- a/src/sidecar/entry/routed-request.ts
+++ b/src/sidecar/entry/routed-request.ts
@@ -6,7 +6,7 @@
 import type { AttemptOutcome, RequestContext } from '../../core/request.js';
 import { ResultCode, type Execution } from '../../core/result-code.js';
 import type { CancelTimer, Clock } from '../../kernel/clock.js';
-import type { AttemptPort } from '../link/attempt-port.js';
+import type { AttemptPort, CancelTry } from '../link/attempt-port.js';
 import type {
   AttemptAnswer,
   AttemptCall,
@@ -35,6 +35,8 @@
 
 /** Tries at other nodes that refuse without offering the request to their target. */
 const MAX_TRIES = 6;
+/** The same when nodes refuse for load: each further try would cost all of them processor time. */
+const MAX_TRIES_UNDER_LOAD = 2;
 /** The other side ends this much earlier, so that its result still arrives, in milliseconds. */
 const LINK_MARGIN_MS = 8;
 const LINK_MARGIN_SHARE = 0.1;
@@ -43,7 +45,7 @@
 /** See the module comment. */
 export class RoutedRequest {
   private ended = false;
-  private cancelTry: (() => void) | undefined;
+  private cancelTry: CancelTry | undefined;
   private cancelDeadline: CancelTimer = () => {};
   private readonly tried: string[] = [];
   /** Targets that the request was offered to. */
@@ -136,6 +138,7 @@
     if (this.mayHaveRun && !context.idempotent) return false;
     if (this.tried.length >= MAX_TRIES || this.offers >= maxAttempts) return false;
     if (outcome === 'timeout' || outcome === 'cancelled') return false;
+    if (outcome === 'overloaded' && this.tried.length >= MAX_TRIES_UNDER_LOAD) return false;
     const now = clock.now();
     if (now >= context.deadline) return false;
     if (this.offers === 0) return true;
@@ -144,10 +147,10 @@
 
   private onDeadline(): void {
     if (this.ended) return;
-    // A try that is under way may run at this moment.
-    if (this.cancelTry !== undefined) this.mayHaveRun = true;
-    this.cancelTry?.();
-    this.refuse(createFailure(ResultCode.DeadlineExceeded, 'no answer within the time'));
+    if (this.cancelTry?.() === true) this.mayHaveRun = true;
+    const execution = this.mayHaveRun ? 'unknown' : 'not-run';
+    const detail = 'no answer within the time';
+    this.refuse(createFailure(ResultCode.DeadlineExceeded, detail, { execution }));
   }
 
   private refuse(failure: Failure): void {
--- a/src/sidecar/link/attempt-port.ts
+++ b/src/sidecar/link/attempt-port.ts
@@ -3,6 +3,13 @@
 import type { Execution, ResultCode } from '../../core/result-code.js';
 import type { AttemptOutcome } from '../../core/request.js';
 
+/**
+ * Cancels a try.
+ *
+ * @returns whether the target may have run it; false: it has not and never will
+ */
+export type CancelTry = () => boolean;
+
 /** Takes tries of requests. */
 export interface AttemptPort {
   /**
@@ -11,7 +18,7 @@
    * @param onEnd called exactly once, possibly before this returns, unless it is cancelled first
    * @returns cancels the try; what it has begun at the target is broken off
    */
-  dispatch(call: AttemptCall, onEnd: (end: AttemptEnd) => void): () => void;
+  dispatch(call: AttemptCall, onEnd: (end: AttemptEnd) => void): CancelTry;
 }
 
 /** Makes a failure of a try that was never offered to a target. */
--- a/src/sidecar/link/link-server.ts
+++ b/src/sidecar/link/link-server.ts
@@ -2,7 +2,7 @@
 import { createServer, type AddressInfo, type Server } from 'node:net';
 import type { Clock } from '../../kernel/clock.js';
 import { ResultCode } from '../../core/result-code.js';
-import { createNotOffered, type AttemptPort } from './attempt-port.js';
+import { createNotOffered, type AttemptPort, type CancelTry } from './attempt-port.js';
 import type { AttemptEnd, LinkMessage, NodeStatus } from './link-messages.js';
 import { LinkSocket } from './link-socket.js';
 
@@ -59,7 +59,7 @@
 /** One connection of another node. */
 class IncomingLink {
   private socket: LinkSocket | undefined;
-  private readonly running = new Map<number, () => void>();
+  private readonly running = new Map<number, CancelTry>();
 
   constructor(
     private readonly options: LinkServerOptions,
--- a/src/sidecar/link/peer-link.ts
+++ b/src/sidecar/link/peer-link.ts
@@ -5,7 +5,12 @@
 import { connect } from 'node:net';
 import { ResultCode } from '../../core/result-code.js';
 import type { CancelTimer, Clock } from '../../kernel/clock.js';
-import { createAttemptFailure, createNotOffered, type AttemptPort } from './attempt-port.js';
+import {
+  createAttemptFailure,
+  createNotOffered,
+  type AttemptPort,
+  type CancelTry,
+} from './attempt-port.js';
 import type { AttemptCall, AttemptEnd, LinkMessage, NodeStatus } from './link-messages.js';
 import { LinkSocket } from './link-socket.js';
 import { PeerClock } from './peer-clock.js';
@@ -101,10 +106,10 @@
     if (this.phase === 'open') this.socket?.send({ type: 'status', status });
   }
 
-  dispatch(call: AttemptCall, onEnd: (end: AttemptEnd) => void): () => void {
+  dispatch(call: AttemptCall, onEnd: (end: AttemptEnd) => void): CancelTry {
     if (this.closed || this.socket?.hasRoom === false) {
       onEnd(createNotOffered('unreachable', ResultCode.PeerUnreachable, 'the link takes no calls'));
-      return () => {};
+      return () => false;
     }
     this.lastId += 1;
     const id = this.lastId;
@@ -113,9 +118,7 @@
     this.open();
     if (this.phase === 'open') this.sendCall(id, pending);
     this.scheduleCheck();
-    return () => {
-      this.cancel(id);
-    };
+    return () => this.cancel(id);
   }
 
   /** Ends the link for good. */
@@ -208,11 +211,12 @@
     pending?.onEnd(end);
   }
 
-  private cancel(id: number): void {
+  private cancel(id: number): boolean {
     const pending = this.pending.get(id);
-    if (pending === undefined) return;
+    if (pending === undefined) return false;
     this.pending.delete(id);
     if (pending.sent) this.socket?.send({ type: 'cancel', id });
+    return pending.sent;
   }
 
   private retryLater(): void {
--- a/src/sidecar/settings.ts
+++ b/src/sidecar/settings.ts
@@ -1,7 +1,7 @@
 /** Settings of a sidecar: a node that stands beside one target on a machine of its own. */
 import type { Result } from 'true-myth';
 import { z } from 'zod';
-import { validateValue } from '../config/document.js';
+import { validateValue } from '../config/validate-value.js';
 import { parseDuration } from '../core/duration.js';
 import type { Failure } from '../core/failure.js';
 import { ResultCode } from '../core/result-code.js';
--- a/src/sidecar/target/target-gateway.ts
+++ b/src/sidecar/target/target-gateway.ts
@@ -9,7 +9,12 @@
 import { Event, type EventLog } from '../../kernel/event.js';
 import type { FieldNames } from '../platform-adapter.js';
 import type { RegisteredTarget } from '../directory/target-registration.js';
-import { createAttemptFailure, createNotOffered, type AttemptPort } from '../link/attempt-port.js';
+import {
+  createAttemptFailure,
+  createNotOffered,
+  type AttemptPort,
+  type CancelTry,
+} from '../link/attempt-port.js';
 import type { AttemptCall, AttemptEnd, AttemptFailure } from '../link/link-messages.js';
 import { answerFields, requestFields } from './forwarded-fields.js';
 import { TargetClient, type ExchangeEnd } from './target-client.js';
@@ -86,12 +91,12 @@
     return client.probe(path, fields.targetId, timeoutMs);
   }
 
-  dispatch(call: AttemptCall, onEnd: (end: AttemptEnd) => void): () => void {
+  dispatch(call: AttemptCall, onEnd: (end: AttemptEnd) => void): CancelTry {
     const refusal = this.checkOpen(call);
     const { gate } = this;
     if (refusal !== undefined || gate === undefined) {
       onEnd(refusal ?? this.unknownTarget());
-      return () => {};
+      return () => false;
     }
     const now = this.options.clock.now();
     this.lastTicket += 1;
@@ -101,9 +106,7 @@
     this.add(ticket, { call, deadline, context, onEnd, gate, abort: undefined });
     this.apply(gate.offer(now, ticket, context));
     this.armTimer();
-    return () => {
-      this.cancel(ticket);
-    };
+    return () => this.cancel(ticket);
   }
 
   /** The request that the target serves under this identity. */
@@ -219,16 +222,17 @@
     ticket.onEnd({ ...createNotOffered('overloaded', code, detail, retryAfterMs), load });
   }
 
-  private cancel(ticketId: number): void {
+  private cancel(ticketId: number): boolean {
     const ticket = this.take(ticketId);
-    if (ticket === undefined) return;
+    if (ticket === undefined) return false;
     const now = this.options.clock.now();
     if (ticket.abort === undefined) {
       this.apply(ticket.gate.cancel(now, ticketId));
-      return;
+      return false;
     }
     ticket.abort();
     this.apply(ticket.gate.complete(now, ticketId, 'cancelled'));
+    return true;
   }
 
   private refuseWaiting(): void {
--- a/src/stand-ins/backend/start-backend.ts
+++ b/src/stand-ins/backend/start-backend.ts
@@ -5,7 +5,7 @@
 import { hash32 } from '../../core/hash.js';
 import { createRandom } from '../../core/random.js';
 import { ResultCode } from '../../core/result-code.js';
-import { validateValue } from '../../config/document.js';
+import { validateValue } from '../../config/validate-value.js';
 import { closeServer, listenOn, readBody, sendJson } from '../http-server.js';
 import { backendControlSchema, NO_FAULTS, type BackendControl } from './backend-faults.js';
 import { matchesRequest, type BackendOptions } from './backend-options.js';
