--- a/src/sidecar/directory/prefix-watch.ts
+++ b/src/sidecar/directory/prefix-watch.ts
@@ -27,12 +27,18 @@
 /** See the module comment. */
 export class PrefixWatch {
   private closed = false;
+  private listed = false;
   private available = true;
   private pauseMs = FIRST_PAUSE_MS;
   private revision: number | undefined;
 
   constructor(private readonly options: PrefixWatchOptions) {}
 
+  /** Whether a listing has been taken in. */
+  get isListed(): boolean {
+    return this.listed;
+  }
+
   /** Follows until it is closed. */
   async run(): Promise<void> {
     while (!this.closed) {
@@ -55,6 +61,7 @@
     this.onSuccess();
     this.revision = listing.value.at;
     this.options.onListing(listing.value.items);
+    this.listed = true;
   }
 
   private async watch(revision: number): Promise<void> {
--- a/src/sidecar/entry/entry-listener.ts
+++ b/src/sidecar/entry/entry-listener.ts
@@ -130,7 +130,8 @@
   /** An answer that closes the connection would lose the answers behind it. */
   private connectionFields(isLast: boolean, request: IncomingMessage): RawFields {
     if (isLast && (this.closing || !request.complete)) return ['Connection', 'close'];
-    if (request.headers.connection === 'close') return ['Connection', 'close'];
+    const wish = request.headers.connection?.toLowerCase();
+    if (wish === 'close') return ['Connection', 'close'];
     return this.keepAliveFields;
   }
 }
--- a/src/sidecar/plugins/readiness-plugin.ts
+++ b/src/sidecar/plugins/readiness-plugin.ts
@@ -13,10 +13,11 @@
       container.bind(SidecarToken.ReadinessServer).toDynamicValue(({ get }) => {
         const kernel = get(Token.Kernel);
         const rules = get(SidecarToken.Rules);
+        const nodes = get(SidecarToken.DirectoryWatch);
         const { readinessPath } = get(SidecarToken.Adapter);
         return new ReadinessServer(
           readinessPath,
-          () => !kernel.draining && rules.table !== undefined,
+          () => !kernel.draining && rules.table !== undefined && nodes.isListed,
         );
       });
     },
--- a/src/sidecar/rules/route-table.test.ts
+++ b/src/sidecar/rules/route-table.test.ts
@@ -43,6 +43,9 @@
   assert.equal(table.find('a.example', '/x/y/z?q=1')?.rules.name, 'long');
   assert.equal(table.find('A.example:80', '/x/1')?.rules.name, 'short');
   assert.equal(table.find('a.example', '/x'), undefined);
+  assert.equal(table.find('a.example', '/x/')?.rules.name, 'short');
+  assert.equal(table.find('a.example', '/x?a=/x/y/'), undefined);
+  assert.equal(table.find('a.example', '/x/1?a=/x/y/')?.rules.name, 'short');
   assert.equal(table.find('b.example', '/x/1'), undefined);
 });
 
--- a/src/sidecar/rules/route-table.ts
+++ b/src/sidecar/rules/route-table.ts
@@ -11,11 +11,11 @@
 
 /** Routes of one document. */
 export class RouteTable {
-  private readonly byHost = new Map<string, Route[]>();
+  /** Routes by host, then by prefix. */
+  private readonly byHost = new Map<string, Map<string, Route>>();
 
   constructor(readonly rules: RoutingRules) {
     for (const route of rules.routes) this.add(route);
-    for (const routes of this.byHost.values()) routes.sort(byLongestPrefix);
   }
 
   /**
@@ -24,22 +24,27 @@
    */
   find(host: string, path: string): Route | undefined {
     const routes = this.byHost.get(normalizeHost(host));
-    return routes?.find(({ rules }) => path.startsWith(rules.pathPrefix));
+    if (routes === undefined) return undefined;
+    const end = path.indexOf('?');
+    // A prefix ends with a slash, so only what ends with one can match; the longest first.
+    let slash = path.lastIndexOf('/', end < 0 ? path.length : end - 1);
+    while (slash >= 0) {
+      const route = routes.get(path.slice(0, slash + 1));
+      if (route !== undefined || slash === 0) return route;
+      slash = path.lastIndexOf('/', slash - 1);
+    }
+    return undefined;
   }
 
   private add(rules: RouteRules): void {
     const host = normalizeHost(rules.host);
-    const routes = this.byHost.get(host) ?? [];
+    const routes = this.byHost.get(host) ?? new Map<string, Route>();
     const turns = new WeightedTurns(rules.shares);
-    routes.push({ rules, nextService: () => turns.next() });
+    routes.set(rules.pathPrefix, { rules, nextService: () => turns.next() });
     this.byHost.set(host, routes);
   }
 }
 
-function byLongestPrefix(a: Route, b: Route): number {
-  return b.rules.pathPrefix.length - a.rules.pathPrefix.length;
-}
-
 function normalizeHost(host: string): string {
   const colon = host.lastIndexOf(':');
   const name = colon < 0 ? host : host.slice(0, colon);
--- a/src/sidecar/target/target-client.ts
+++ b/src/sidecar/target/target-client.ts
@@ -14,6 +14,9 @@
 /** Time for a new connection, in milliseconds. */
 const CONNECT_TIMEOUT_MS = 1_000;
 
+/** Longest answer that is held, in bytes. */
+const MAX_ANSWER_BYTES = 32 * 1024 * 1024;
+
 /** Statuses whose answers have no body (RFC 9110, section 6.4.1). */
 const STATUSES_WITHOUT_BODY: ReadonlySet<number> = new Set([204, 304]);
 
@@ -133,6 +136,7 @@
   private cancelTimer: CancelTimer = () => {};
   private cancelConnectTimer: CancelTimer = () => {};
   private readonly chunks: Buffer[] = [];
+  private received = 0;
 
   constructor(
     private readonly message: TargetRequest,
@@ -147,7 +151,13 @@
       this.fail(this.sent ? 'timeout' : 'unreachable', 'no answer in time');
     });
     const headers = fields as unknown as OutgoingHttpHeaders;
-    const request = httpRequest({ agent, host, port, method, path, headers });
+    let request: ClientRequest;
+    try {
+      request = httpRequest({ agent, host, port, method, path, headers });
+    } catch (error) {
+      this.fail('unreachable', String(error));
+      return;
+    }
     this.request = request;
     request.on('socket', (socket) => {
       this.onSocket(socket);
@@ -198,7 +208,9 @@
       return;
     }
     response.on('data', (chunk: Buffer) => {
-      this.chunks.push(chunk);
+      this.received += chunk.length;
+      if (this.received > MAX_ANSWER_BYTES) this.fail('broken', 'the answer is too long');
+      else this.chunks.push(chunk);
     });
     response.on('error', (error) => {
       this.fail('broken', error.message);
