Metrics address of the sidecar; story of a request; one HTTP listener for low traffic

Cause: counters existed and were served nowhere; a failed request could not be followed over the logs of several nodes; three small servers had the same beginning and end. Change: listen.metrics, HttpListener, command story (order by cause, since clocks differ).

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -21,6 +21,7 @@
   'observability',
   'gen',
   'sidecar',
+  'logs',
   'store',
 ];
 
--- a/src/cli/registered-commands.ts
+++ b/src/cli/registered-commands.ts
@@ -20,6 +20,7 @@
 import { drainCommands } from './drain-commands.js';
 import { nodeCommands } from './node-command.js';
 import { sidecarCommands } from './sidecar-command.js';
+import { storyCommands } from './story-command.js';
 import { statusCommands } from './status-command.js';
 import { versionCommands } from './version-command.js';
 
@@ -28,6 +29,7 @@
   Builtins.HelpCommand,
   ...nodeCommands,
   ...sidecarCommands,
+  ...storyCommands,
   ConfigCheckCommand,
   ConfigApplyCommand,
   ConfigGetCommand,
--- /dev/null
+++ b/src/cli/story-command.ts
@@ -0,0 +1,53 @@
+/** `sillshore story`: what the logs of several nodes say of one request, in order of cause. */
+import { createReadStream } from 'node:fs';
+import { createInterface } from 'node:readline';
+import { Command, Option } from 'clipanion';
+import { describeLine, parseLogLine, storyOf, type LogLine } from '../logs/request-story.js';
+import { SillshoreCommand } from './command.js';
+import { ExitCode } from './exit-code.js';
+
+/** Prints the story of a request. */
+export class StoryCommand extends SillshoreCommand {
+  static override paths = [['story']];
+  static override usage = Command.Usage({
+    description: 'print what logs say of one request',
+    details: `
+      Reads log files of any number of nodes, or standard input, and prints the lines about one
+      request and the calls that were made for it. Clocks of nodes differ, so the order is that
+      of causes: tries first, the end that the caller saw last.
+    `,
+    examples: [['From the files of all nodes', '$0 story 9c41d07be2a35f68 logs/*.log']],
+  });
+
+  id = Option.String({ name: 'id' });
+  files = Option.Rest({ name: 'file' });
+
+  protected async run(): Promise<ExitCode> {
+    const lines = await this.readLines();
+    const story = storyOf(lines, this.id);
+    if (story.length === 0) {
+      this.context.stderr.write(`no line about ${this.id}\n`);
+      return ExitCode.OperationFailed;
+    }
+    for (const line of story) this.print(describeLine(line));
+    return ExitCode.Ok;
+  }
+
+  private async readLines(): Promise<readonly LogLine[]> {
+    const inputs =
+      this.files.length === 0
+        ? [this.context.stdin]
+        : this.files.map((file) => createReadStream(file));
+    const lines: LogLine[] = [];
+    for (const input of inputs) {
+      for await (const text of createInterface({ input })) {
+        const line = parseLogLine(text);
+        if (line !== undefined) lines.push(line);
+      }
+    }
+    return lines;
+  }
+}
+
+/** Commands of this module. */
+export const storyCommands = [StoryCommand];
--- a/src/sidecar/directory/registration-server.ts
+++ b/src/sidecar/directory/registration-server.ts
@@ -1,5 +1,6 @@
-/** The address at which the target beside this node registers; low traffic, on `node:http`. */
-import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+/** The address at which the target beside this node registers. */
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import { HttpListener } from '../http-listener.js';
 import type { PlatformAdapter, RegistrationMessage } from '../platform-adapter.js';
 
 /** Largest report that is read, in bytes. */
@@ -14,34 +15,27 @@
  */
 export type RegistrationHandler = (message: RegistrationMessage) => Promise<number>;
 
-/** See the module comment. */
-export class RegistrationServer {
-  private readonly server: Server;
+/** Creates the server; it does not listen yet. */
+export function createRegistrationServer(
+  adapter: PlatformAdapter,
+  handle: RegistrationHandler,
+): HttpListener {
+  return new HttpListener((request, response) => {
+    new RegistrationCall(adapter, handle, request, response).read();
+  });
+}
 
+/** One call from its head to its answer. */
+class RegistrationCall {
   constructor(
     private readonly adapter: PlatformAdapter,
     private readonly handle: RegistrationHandler,
-  ) {
-    this.server = createServer((request, response) => {
-      this.read(request, response);
-    });
-    this.server.on('clientError', (_error, socket) => socket.destroy());
-  }
-
-  /** Rejects when the address cannot be bound. */
-  listen(host: string, port: number): Promise<void> {
-    return new Promise((resolve, reject) => {
-      this.server.once('error', reject);
-      this.server.listen(port, host, resolve);
-    });
-  }
-
-  close(): void {
-    this.server.close();
-    this.server.closeAllConnections();
-  }
+    private readonly request: IncomingMessage,
+    private readonly response: ServerResponse,
+  ) {}
 
-  private read(request: IncomingMessage, response: ServerResponse): void {
+  read(): void {
+    const { request } = this;
     const chunks: Buffer[] = [];
     let length = 0;
     request.on('data', (chunk: Buffer) => {
@@ -53,18 +47,15 @@
       // The sender went away; it calls again.
     });
     request.on('end', () => {
-      void this.answer(request, response, Buffer.concat(chunks));
+      void this.answer(Buffer.concat(chunks));
     });
   }
 
-  private async answer(
-    request: IncomingMessage,
-    response: ServerResponse,
-    body: Buffer,
-  ): Promise<void> {
-    const message = this.adapter.parseRegistration(request.method ?? '', request.url ?? '', body);
+  private async answer(body: Buffer): Promise<void> {
+    const { adapter, request, response } = this;
+    const message = adapter.parseRegistration(request.method ?? '', request.url ?? '', body);
     const status = message === undefined ? BAD_REQUEST : await this.handle(message);
-    const { contentType, body: answer } = this.adapter.acknowledgement;
+    const { contentType, body: answer } = adapter.acknowledgement;
     if (status === OK) response.writeHead(OK, { 'Content-Type': contentType }).end(answer);
     else response.writeHead(status).end();
   }
--- a/src/sidecar/plugins/observability-plugin.ts
+++ b/src/sidecar/plugins/observability-plugin.ts
@@ -1,5 +1,7 @@
 /** Plug-in of the metrics. */
 import { registerPlugin } from '../../kernel/plugin.js';
+import { splitAddress } from '../address.js';
+import { createMetricsServer } from '../metrics-server.js';
 import { createSidecarMetrics } from '../sidecar-metrics.js';
 import { SidecarOrder, SidecarToken } from './tokens.js';
 
@@ -14,6 +16,19 @@
           rulesVersion: () => get(SidecarToken.Rules).version,
         }),
       );
+      container
+        .bind(SidecarToken.MetricsServer)
+        .toDynamicValue(({ get }) => createMetricsServer(get(SidecarToken.Metrics)));
+    },
+    start: async (container) => {
+      const { metrics } = container.get(SidecarToken.Settings).listen;
+      if (metrics === undefined) return;
+      const { host, port } = splitAddress(metrics);
+      await container.get(SidecarToken.MetricsServer).listen(host, port);
+    },
+    stop: (container) => {
+      container.get(SidecarToken.MetricsServer).close();
+      return Promise.resolve();
     },
   },
   'sidecar',
--- a/src/sidecar/plugins/readiness-plugin.ts
+++ b/src/sidecar/plugins/readiness-plugin.ts
@@ -2,7 +2,7 @@
 import { registerPlugin } from '../../kernel/plugin.js';
 import { Token } from '../../kernel/token.js';
 import { splitAddress } from '../address.js';
-import { ReadinessServer } from '../readiness-server.js';
+import { createReadinessServer } from '../readiness-server.js';
 import { SidecarOrder, SidecarToken } from './tokens.js';
 
 registerPlugin(
@@ -15,7 +15,7 @@
         const rules = get(SidecarToken.Rules);
         const nodes = get(SidecarToken.DirectoryWatch);
         const { readinessPath } = get(SidecarToken.Adapter);
-        return new ReadinessServer(
+        return createReadinessServer(
           readinessPath,
           () => !kernel.draining && rules.table !== undefined && nodes.isListed,
         );
--- a/src/sidecar/plugins/target-plugin.ts
+++ b/src/sidecar/plugins/target-plugin.ts
@@ -7,7 +7,7 @@
 import { splitAddress } from '../address.js';
 import type { NodeRecord } from '../directory/node-record.js';
 import { RecordPublisher } from '../directory/record-publisher.js';
-import { RegistrationServer } from '../directory/registration-server.js';
+import { createRegistrationServer } from '../directory/registration-server.js';
 import { TargetKeeper } from '../directory/target-keeper.js';
 import { TargetRegistration, type RegisteredTarget } from '../directory/target-registration.js';
 import { seedOf } from '../seed.js';
@@ -39,7 +39,7 @@
       container.bind(SidecarToken.RegistrationServer).toDynamicValue(({ get }) => {
         const keeper = get(SidecarToken.TargetKeeper);
         const adapter = get(SidecarToken.Adapter);
-        return new RegistrationServer(adapter, (message) => keeper.onReport(message));
+        return createRegistrationServer(adapter, (message) => keeper.onReport(message));
       });
     },
     start: async (container) => {
--- a/src/sidecar/plugins/tokens.ts
+++ b/src/sidecar/plugins/tokens.ts
@@ -6,7 +6,6 @@
 import type { NodeDirectory } from '../directory/node-directory.js';
 import type { PrefixWatch } from '../directory/prefix-watch.js';
 import type { RecordPublisher } from '../directory/record-publisher.js';
-import type { RegistrationServer } from '../directory/registration-server.js';
 import type { TargetKeeper } from '../directory/target-keeper.js';
 import type { TargetRegistration } from '../directory/target-registration.js';
 import type { EntryListener } from '../entry/entry-listener.js';
@@ -14,8 +13,8 @@
 import type { LinkServer } from '../link/link-server.js';
 import type { NodeStatus } from '../link/link-messages.js';
 import type { PlatformAdapter } from '../platform-adapter.js';
-import type { ReadinessServer } from '../readiness-server.js';
 import type { RulesKeeper } from '../rules/rules-keeper.js';
+import type { HttpListener } from '../http-listener.js';
 import type { SidecarMetrics } from '../sidecar-metrics.js';
 import type { SidecarSettings } from '../settings.js';
 import type { TargetGateway } from '../target/target-gateway.js';
@@ -29,16 +28,17 @@
   CurrentSettings: createToken<CurrentSettings>('sidecar.CurrentSettings'),
   Adapter: createToken<PlatformAdapter>('sidecar.Adapter'),
   Metrics: createToken<SidecarMetrics>('sidecar.Metrics'),
+  MetricsServer: createToken<HttpListener>('sidecar.MetricsServer'),
   Store: createToken<MetadataStore>('sidecar.Store'),
   Rules: createToken<RulesKeeper>('sidecar.Rules'),
   Status: createToken<StatusSource>('sidecar.Status'),
   Directory: createToken<NodeDirectory>('sidecar.Directory'),
   Publisher: createToken<RecordPublisher>('sidecar.Publisher'),
   Registration: createToken<TargetRegistration>('sidecar.Registration'),
-  RegistrationServer: createToken<RegistrationServer>('sidecar.RegistrationServer'),
+  RegistrationServer: createToken<HttpListener>('sidecar.RegistrationServer'),
   DirectoryWatch: createToken<PrefixWatch>('sidecar.DirectoryWatch'),
   RulesWatch: createToken<PrefixWatch>('sidecar.RulesWatch'),
-  ReadinessServer: createToken<ReadinessServer>('sidecar.ReadinessServer'),
+  ReadinessServer: createToken<HttpListener>('sidecar.ReadinessServer'),
   TargetKeeper: createToken<TargetKeeper>('sidecar.TargetKeeper'),
   Gateway: createToken<TargetGateway>('sidecar.Gateway'),
   LinkServer: createToken<LinkServer>('sidecar.LinkServer'),
--- a/src/sidecar/settings.ts
+++ b/src/sidecar/settings.ts
@@ -36,6 +36,8 @@
     readiness: address,
     /** The own target registers here. */
     registration: address,
+    /** Metrics are served here, at /metrics; absent: nowhere. */
+    metrics: address.optional(),
     /** IP address for other nodes; the ports follow. */
     host: z.string().min(1),
     /** Ports that are free for messages between nodes, first and last. */
--- a/test/sidecar-mesh.test.ts
+++ b/test/sidecar-mesh.test.ts
@@ -1,7 +1,7 @@
 /** Whole nodes over stand-ins: the path of a request, and the promises that hold on it. */
 import assert from 'node:assert/strict';
 import { after, before, test } from 'node:test';
-import { Mesh, waitUntil, type Machine } from './stand-ins/mesh.js';
+import { Mesh, sendRequest, waitUntil, type Machine } from './stand-ins/mesh.js';
 
 const OPTIONS = { zone: 'z', slots: 4, workMs: 1 };
 
@@ -48,6 +48,13 @@
   assert.ok(left > 0 && left <= 5_000);
 });
 
+test('metrics tell how requests ended, readiness that the node takes them', async () => {
+  const metrics = await sendRequest(caller.metrics, { path: '/metrics' });
+  assert.match(metrics.body, /sillshore_requests_total\{kind="route-1",code="0"\} \d+/);
+  const ready = await sendRequest(caller.readiness, { path: '/v1/readiness' });
+  assert.equal(ready.status, 200);
+});
+
 test('an unknown route gets 404 with its code', async () => {
   const answer = await mesh.send(caller, { path: '/none/' });
   assert.equal(answer.status, 404);
--- a/test/stand-ins/mesh.ts
+++ b/test/stand-ins/mesh.ts
@@ -11,7 +11,7 @@
 import { StoreStandIn } from './store-stand-in.js';
 import { TargetStandIn, type TargetStandInOptions } from './target-stand-in.js';
 
-const PORTS_PER_NODE = 4;
+const PORTS_PER_NODE = 5;
 const WAIT_STEP_MS = 10;
 const WAIT_LIMIT_MS = 30_000;
 
@@ -22,6 +22,7 @@
   readonly entry: string;
   readonly readiness: string;
   readonly registration: string;
+  readonly metrics: string;
   readonly linkPort: number;
   kernel: Kernel;
   /** Starts the node again with the same settings. */
@@ -73,7 +74,7 @@
   async add(options: TargetStandInOptions, log: EventLog = silentEventLog): Promise<Machine> {
     const target = new TargetStandIn(options);
     await target.listen();
-    const [entry, readiness, registration, link] = await findFreePorts(PORTS_PER_NODE);
+    const [entry, readiness, registration, link, metrics] = await findFreePorts(PORTS_PER_NODE);
     const id = `node-${this.machines.length + 1}`;
     const settings = validateSidecarSettings({
       node: { id, zone: options.zone, region: 'r' },
@@ -81,6 +82,7 @@
         entry: `127.0.0.1:${entry}`,
         readiness: `127.0.0.1:${readiness}`,
         registration: `127.0.0.1:${registration}`,
+        metrics: `127.0.0.1:${metrics}`,
         host: '127.0.0.1',
         ports: [link, link],
       },
@@ -96,6 +98,7 @@
       entry: settings.listen.entry,
       readiness: settings.listen.readiness,
       registration: settings.listen.registration,
+      metrics: settings.listen.metrics!,
       linkPort: link!,
       kernel: create(),
       restart: async () => {
