A restarted node keeps its record and lease when nothing has changed

Change: the record that an earlier process left is kept when it says the same, its lease renewed. Test: a restart makes no write (failed before: one write).

--- a/src/sidecar/directory/record-publisher.ts
+++ b/src/sidecar/directory/record-publisher.ts
@@ -4,7 +4,7 @@
  */
 import { Event, type EventLog } from '../../kernel/event.js';
 import type { Clock } from '../../kernel/clock.js';
-import type { MetadataStore, StoreFailure } from '../../store/metadata-store.js';
+import type { MetadataStore, StoreFailure, StoreItem } from '../../store/metadata-store.js';
 import { decodeNodeRecord, encodeNodeRecord, keyOfNode, type NodeRecord } from './node-record.js';
 
 /** Life of the lease; a node that is gone for good disappears from the store after it. */
@@ -29,6 +29,8 @@
   private written: NodeRecord | undefined;
   private revision: number | undefined;
   private lease: string | undefined;
+  /** What an earlier process left, until the first write. */
+  private previous: StoreItem | undefined;
   private running = false;
   private closed = false;
   private pauseMs = FIRST_PAUSE_MS;
@@ -42,6 +44,7 @@
       const item = await this.options.store.read(keyOfNode(this.options.node));
       if (item.isOk) {
         this.revision = item.value?.revision ?? 0;
+        this.previous = item.value;
         return item.value && decodeNodeRecord(item.value.value);
       }
       if (this.closed) return undefined;
@@ -91,8 +94,24 @@
     await this.pause();
   }
 
+  /**
+   * A record that already says the same is kept with its lease: a write would cost every other
+   * node a call.
+   */
+  private async adoptPrevious(record: NodeRecord): Promise<boolean> {
+    const { previous } = this;
+    this.previous = undefined;
+    if (previous?.lease === undefined) return false;
+    if (!previous.value.equals(encodeNodeRecord(record))) return false;
+    const kept = await this.options.store.keepLease(previous.lease);
+    if (kept.isErr || !kept.value) return false;
+    this.lease = previous.lease;
+    return true;
+  }
+
   private async tryWrite(record: NodeRecord): Promise<StoreFailure | undefined> {
     const { store } = this.options;
+    if (await this.adoptPrevious(record)) return undefined;
     const key = keyOfNode(this.options.node);
     if (this.revision === undefined) {
       // What became of the last write is not known: the next condition needs a fresh reading.
--- a/src/store/metadata-store.ts
+++ b/src/store/metadata-store.ts
@@ -14,6 +14,8 @@
   readonly value: Buffer;
   /** Revision of the last change of the key; revisions rise over the whole store. */
   readonly revision: number;
+  /** Lease that the key ends with; absent: none. */
+  readonly lease?: string;
 }
 
 /** A change of one key, as a watch reports it. */
--- a/test/sidecar-mesh.test.ts
+++ b/test/sidecar-mesh.test.ts
@@ -166,6 +166,18 @@
   assert.equal(answer.headers['x-server-stamp'], 'stamp i-2');
 });
 
+test('a restarted node keeps its record when nothing has changed', async () => {
+  const key = `sillshore/nodes/${caller.id}`;
+  const writes = mesh.store.calls.get('POST /v1/kv-txn');
+  const record = mesh.store.get(key);
+  await caller.kernel.stop();
+  await caller.restart();
+  assert.equal(await caller.target.beat(caller.registration), 200);
+  await mesh.sendUntil(caller, { path: '/read/kept' }, ({ status }) => status === 200);
+  assert.equal(mesh.store.get(key), record);
+  assert.equal(mesh.store.calls.get('POST /v1/kv-txn'), writes);
+});
+
 test('reports of others are refused', async () => {
   assert.equal(await second.target.beat(second.registration, 'ready', { service: 'x' }), 409);
   assert.equal(await second.target.beat(second.registration, 'ready', { id: 'i-forged' }), 409);
