Rules over links in both directions; a first report is confirmed by the target; more tests

Change: either end of a link may ask for rules; while nothing is known of the target, its health check is asked for its identity.

--- a/src/sidecar/directory/node-directory.ts
+++ b/src/sidecar/directory/node-directory.ts
@@ -23,6 +23,8 @@
   /** The own target. */
   readonly localTarget: AttemptPort;
   status(): NodeStatus;
+  /** The rules in force as a document; undefined: none. */
+  rulesDocument(): Buffer | undefined;
   /** Targets of a service came, left or changed. */
   onServiceChanged(service: string): void;
   /** A peer knows rules of this version. */
@@ -133,6 +135,7 @@
       address,
       clock,
       status: () => this.options.status(),
+      rulesDocument: () => this.options.rulesDocument(),
       listener: {
         onStatus: (status) => {
           this.onStatus(node, status);
--- a/src/sidecar/directory/target-keeper.ts
+++ b/src/sidecar/directory/target-keeper.ts
@@ -72,9 +72,15 @@
   private async judge(message: RegistrationMessage): Promise<Verdict> {
     const { registration, clock, probe } = this.options;
     if (message.type === 'departure') return registration.onDeparture(message.targetId);
-    const verdict = registration.onHeartbeat(clock.now(), message, false);
-    if (verdict !== 'unconfirmed') return verdict;
-    const confirmed = (await probe(PROBE_TIMEOUT_MS)) === message.targetId;
+    // Reports come late and from others: while nothing is known, the target itself is asked.
+    const isFirst = registration.current === undefined;
+    if (!isFirst) {
+      const verdict = registration.onHeartbeat(clock.now(), message, false);
+      if (verdict !== 'unconfirmed') return verdict;
+    }
+    const found = await probe(PROBE_TIMEOUT_MS);
+    if (found !== undefined && found !== message.targetId) return 'unconfirmed';
+    const confirmed = found === message.targetId;
     return registration.onHeartbeat(clock.now(), message, confirmed);
   }
 
--- /dev/null
+++ b/src/sidecar/link/link-server.test.ts
@@ -0,0 +1,128 @@
+/** The accepting end of a link over a real connection, with a scripted target. */
+import assert from 'node:assert/strict';
+import { connect, type Socket } from 'node:net';
+import { after, before, test } from 'node:test';
+import { FrameReader } from '../../peer/frame-reader.js';
+import { ManualClock } from '../../kernel/clock.js';
+import type { AttemptCall, AttemptEnd, LinkMessage } from './link-messages.js';
+import { decodeMessage, encodeMessage } from './link-messages.js';
+import { LinkServer } from './link-server.js';
+
+const CALL: AttemptCall = {
+  attemptId: 'a',
+  requestId: 'a',
+  service: 's',
+  kind: 'k',
+  rank: 0,
+  idempotent: false,
+  depth: 0,
+  timeLeftMs: 1_000,
+  callerService: 'c',
+  method: 'GET',
+  path: '/',
+  fields: [],
+  body: Buffer.alloc(0),
+};
+
+const clock = new ManualClock();
+const dispatched: AttemptCall[] = [];
+let cancelled = 0;
+let answer: ((end: AttemptEnd) => void) | undefined;
+let server: LinkServer;
+let socket: Socket;
+const received: LinkMessage[] = [];
+const rules: string[] = [];
+
+before(async () => {
+  clock.advance(10_000);
+  server = new LinkServer({
+    clock,
+    target: {
+      dispatch: (call, onEnd) => {
+        dispatched.push(call);
+        answer = onEnd;
+        return () => {
+          cancelled += 1;
+          return true;
+        };
+      },
+    },
+    status: () => ({ node: 'n', service: 's', target: 'ready', rulesVersion: 1 }),
+    rulesDocument: () => Buffer.from('{}'),
+    onPeerStatus: ({ rulesVersion }, requestRules) => {
+      if (rulesVersion > 1) requestRules();
+    },
+    onRules: (document) => rules.push(Buffer.from(document).toString()),
+  });
+  const port = await server.listen('127.0.0.1', 0);
+  socket = connect(port, '127.0.0.1');
+  const reader = new FrameReader(1_000_000);
+  socket.on('data', (chunk: Buffer) => {
+    reader.read(chunk, (frame) => {
+      received.push(decodeMessage(frame)!);
+      return true;
+    });
+  });
+  await next('hello');
+});
+after(() => {
+  socket.destroy();
+  server.close();
+});
+
+async function next<T extends LinkMessage['type']>(
+  type: T,
+): Promise<Extract<LinkMessage, { type: T }>> {
+  for (;;) {
+    const index = received.findIndex((message) => message.type === type);
+    if (index >= 0) return received.splice(index, 1)[0] as Extract<LinkMessage, { type: T }>;
+    await new Promise((resolve) => setTimeout(resolve, 1));
+  }
+}
+
+test('a call reaches the target with the time that is left', async () => {
+  socket.write(encodeMessage({ type: 'call', id: 1, sentAt: clock.now() - 100, call: CALL }));
+  while (dispatched.length === 0) await new Promise((resolve) => setTimeout(resolve, 1));
+  assert.equal(dispatched[0]?.timeLeftMs, 900);
+  answer?.({ type: 'answer', status: 200, fields: [], body: Buffer.alloc(0) });
+  const { id, clock: stamp } = await next('end');
+  assert.deepEqual([id, stamp], [1, clock.now()]);
+});
+
+test('a call that was too long on its way is refused as not run', async () => {
+  const before = dispatched.length;
+  socket.write(encodeMessage({ type: 'call', id: 2, sentAt: clock.now() - 500, call: CALL }));
+  const { end } = await next('end');
+  assert.equal(end.type === 'failure' && end.execution, 'not-run');
+  assert.equal(end.type === 'failure' && end.offered, false);
+  assert.equal(dispatched.length, before);
+});
+
+test('a question is answered, rules are sent, a call is cancelled', async () => {
+  socket.write(encodeMessage({ type: 'ping' }));
+  await next('pong');
+  socket.write(encodeMessage({ type: 'rules-wanted' }));
+  assert.equal(Buffer.from((await next('rules')).document).toString(), '{}');
+  socket.write(encodeMessage({ type: 'call', id: 3, sentAt: clock.now(), call: CALL }));
+  socket.write(encodeMessage({ type: 'cancel', id: 3 }));
+  while (cancelled === 0) await new Promise((resolve) => setTimeout(resolve, 1));
+  assert.equal(cancelled, 1);
+});
+
+test('a node that has newer rules is asked for them', async () => {
+  const status = { node: 'm', service: 't', target: 'unknown', rulesVersion: 2 } as const;
+  socket.write(encodeMessage({ type: 'status', status }));
+  await next('rules-wanted');
+  socket.write(encodeMessage({ type: 'rules', document: Buffer.from('newer') }));
+  while (rules.length === 0) await new Promise((resolve) => setTimeout(resolve, 1));
+  assert.deepEqual(rules, ['newer']);
+});
+
+test('the end of the connection cancels what runs for it', async () => {
+  const before = dispatched.length;
+  socket.write(encodeMessage({ type: 'call', id: 4, sentAt: clock.now(), call: CALL }));
+  while (dispatched.length === before) await new Promise((resolve) => setTimeout(resolve, 1));
+  socket.destroy();
+  while (cancelled < 2) await new Promise((resolve) => setTimeout(resolve, 1));
+  assert.equal(cancelled, 2);
+});
--- a/src/sidecar/link/link-server.ts
+++ b/src/sidecar/link/link-server.ts
@@ -17,6 +17,14 @@
   status(): NodeStatus;
   /** The rules in force as a document; undefined: none. */
   rulesDocument(): Buffer | undefined;
+  /**
+   * Another node has said something about itself.
+   *
+   * @param requestRules asks it for its rules
+   */
+  onPeerStatus(status: NodeStatus, requestRules: () => void): void;
+  /** The rules that were asked for. */
+  onRules(document: Uint8Array): void;
 }
 
 /** See the module comment. */
@@ -97,6 +105,12 @@
       case 'hello':
       case 'status':
         // The other node's target is reached over a link of this node's own.
+        this.options.onPeerStatus(message.status, () => {
+          this.send({ type: 'rules-wanted' });
+        });
+        break;
+      case 'rules':
+        this.options.onRules(message.document);
         break;
       default:
         this.socket?.close(`unexpected message ${message.type}`);
--- a/src/sidecar/link/peer-link.ts
+++ b/src/sidecar/link/peer-link.ts
@@ -45,6 +45,8 @@
   readonly clock: Clock;
   /** What this node says of itself now. */
   status(): NodeStatus;
+  /** The rules in force as a document; undefined: none. */
+  rulesDocument(): Buffer | undefined;
   readonly listener: PeerLinkListener;
 }
 
@@ -147,6 +149,9 @@
       case 'rules':
         this.options.listener.onRules(message.document);
         break;
+      case 'rules-wanted':
+        this.sendRules();
+        break;
       case 'pong':
         break;
       default:
@@ -197,6 +202,11 @@
     for (const [id, pending] of this.pending) if (!pending.sent) this.sendCall(id, pending);
   }
 
+  private sendRules(): void {
+    const document = this.options.rulesDocument();
+    if (document !== undefined) this.socket?.send({ type: 'rules', document });
+  }
+
   private sendCall(id: number, pending: PendingCall): void {
     const now = this.options.clock.now();
     const timeLeftMs = pending.call.timeLeftMs - (now - pending.createdAt);
--- a/src/sidecar/plugins/directory-plugin.ts
+++ b/src/sidecar/plugins/directory-plugin.ts
@@ -29,6 +29,7 @@
           log: get(Token.EventLog),
           localTarget: get(SidecarToken.Gateway),
           status: get(SidecarToken.Status),
+          rulesDocument: () => get(SidecarToken.Rules).document,
           onServiceChanged: (service) => {
             get(SidecarToken.Routers).refresh(service);
           },
--- a/src/sidecar/plugins/link-plugin.ts
+++ b/src/sidecar/plugins/link-plugin.ts
@@ -27,6 +27,12 @@
             target: get(SidecarToken.Gateway),
             status: get(SidecarToken.Status),
             rulesDocument: () => get(SidecarToken.Rules).document,
+            onPeerStatus: ({ rulesVersion }, requestRules) => {
+              if (rulesVersion > get(SidecarToken.Rules).version) requestRules();
+            },
+            onRules: (document) => {
+              get(SidecarToken.Rules).offer(Buffer.from(document), 'peer');
+            },
           }),
       );
     },
--- a/test/sidecar-mesh.test.ts
+++ b/test/sidecar-mesh.test.ts
@@ -178,6 +178,17 @@
   assert.equal(mesh.store.calls.get('POST /v1/kv-txn'), writes);
 });
 
+test('a late report of an earlier start is not taken for the target after a restart', async () => {
+  await second.kernel.stop();
+  await second.restart();
+  await waitUntil(async () => {
+    const answer = await sendRequest(second.readiness, { path: '/v1/readiness' });
+    return answer.status === 200;
+  });
+  assert.equal(await second.target.beat(second.registration, 'ready', { id: 'i-0' }), 409);
+  assert.equal(await second.target.beat(second.registration), 200);
+});
+
 test('reports of others are refused', async () => {
   assert.equal(await second.target.beat(second.registration, 'ready', { service: 'x' }), 409);
   assert.equal(await second.target.beat(second.registration, 'ready', { id: 'i-forged' }), 409);
--- /dev/null
+++ b/test/sidecar-outage.test.ts
@@ -0,0 +1,108 @@
+/** Whole nodes over stand-ins: the store away, forgetful or wrong; stops and restarts. */
+import assert from 'node:assert/strict';
+import { after, before, test } from 'node:test';
+import { Mesh, sendRequest, waitUntil, type CallerAnswer, type Machine } from './stand-ins/mesh.js';
+
+const OPTIONS = { zone: 'z', slots: 4, workMs: 1 };
+const READ = { path: '/read/1' };
+
+let mesh: Mesh;
+let caller: Machine;
+let first: Machine;
+let second: Machine;
+
+function isServed({ status }: CallerAnswer): boolean {
+  return status === 200;
+}
+
+before(async () => {
+  mesh = new Mesh();
+  await mesh.start();
+  mesh.putRules(1, [{ path: '/read/', service: 'ledger' }]);
+  caller = await mesh.add({ ...OPTIONS, service: 'guide' });
+  first = await mesh.add({ ...OPTIONS, service: 'ledger' });
+  second = await mesh.add({ ...OPTIONS, service: 'ledger' });
+  await mesh.beatAll();
+  await mesh.sendUntil(caller, READ, isServed);
+});
+after(() => mesh.stop());
+
+test('requests are served while the store is away', async () => {
+  mesh.store.faults.refuseWith = 503;
+  for (let count = 0; count < 10; count += 1) {
+    assert.equal((await mesh.send(caller, READ)).status, 200);
+  }
+  mesh.store.faults.refuseWith = 0;
+});
+
+test('nodes whose leases have lapsed stay, and write their records again', async () => {
+  mesh.store.endAllLeases();
+  for (let count = 0; count < 10; count += 1) {
+    assert.equal((await mesh.send(caller, READ)).status, 200);
+  }
+});
+
+test('rules written while the history is lost are found', async () => {
+  mesh.putRules(4, [
+    { path: '/read/', service: 'ledger' },
+    { path: '/compacted/', service: 'ledger' },
+  ]);
+  mesh.store.compact();
+  await mesh.sendUntil(caller, { path: '/compacted/' }, isServed);
+});
+
+test('a node that starts while the store is away gets the rules from others', async () => {
+  mesh.store.faults.refuseWith = 503;
+  await first.kernel.stop();
+  await first.restart();
+  const readRoute = async (): Promise<boolean> => {
+    const answer = await sendRequest(first.entry, { path: '/none/', attemptId: 'x' });
+    return answer.status === 404;
+  };
+  await waitUntil(async () => {
+    await mesh.send(caller, READ);
+    return await readRoute();
+  });
+  const readiness = await sendRequest(first.readiness, { path: '/v1/readiness' });
+  assert.equal(readiness.status, 503);
+  mesh.store.faults.refuseWith = 0;
+  await waitUntil(async () => {
+    const answer = await sendRequest(first.readiness, { path: '/v1/readiness' });
+    return answer.status === 200;
+  });
+  assert.equal(await first.target.beat(first.registration), 200);
+});
+
+test('a write whose answer is lost is found out, and the leave acknowledged', async () => {
+  mesh.store.faults.loseWriteAnswers = true;
+  assert.equal(await second.target.beat(second.registration, 'draining'), 503);
+  mesh.store.faults.loseWriteAnswers = false;
+  await waitUntil(async () => (await second.target.beat(second.registration, 'draining')) === 200);
+});
+
+test('a planned stop serves what comes, sends its target nothing new, and ends', async () => {
+  second.target.restart('i-2');
+  await waitUntil(async () => (await second.target.beat(second.registration)) === 200);
+  first.target.behaviour = ({ attemptId }, response) => {
+    if (!attemptId.startsWith('slow')) return false;
+    setTimeout(() => response.writeHead(200, { 'X-Attempt-Id': attemptId }).end('done'), 300);
+    return true;
+  };
+  const slow: Promise<CallerAnswer>[] = [];
+  const isRunning = (): boolean =>
+    first.target.received.some(({ attemptId }) => attemptId.startsWith('slow'));
+  await waitUntil(() => {
+    if (!isRunning()) slow.push(mesh.send(first, { ...READ, attemptId: `slow-${slow.length}` }));
+    return isRunning();
+  });
+  const stopped = first.kernel.drainAndStop();
+  const before = first.target.receivedCount;
+  const readiness = await sendRequest(first.readiness, { path: '/v1/readiness' });
+  assert.equal(readiness.status, 503);
+  const during = await mesh.send(first, READ);
+  assert.equal(during.headers.connection, 'close');
+  assert.equal(during.status, 200);
+  for (const { status } of await Promise.all(slow)) assert.equal(status, 200);
+  assert.equal(first.target.receivedCount, before);
+  assert.equal(await stopped, true);
+});
