Routing hears of the end of every try

Cause: read as a newcomer: a try whose caller went away, or whose time was over, was never reported to the router. Its outstanding requests grew for good, so that its target looked full, and a target that was being probed after an ejection stayed out. Ruled out: that the deadline of the target side ends all tries first (cancelled callers, silent links and lost targets don't). Change: a request keeps its current try and reports its end in every case; a node that is not known any more ends the try at once.

--- a/src/core/forwarded-fields.ts
+++ b/src/core/forwarded-fields.ts
@@ -5,7 +5,8 @@
  */
 import type { HeaderFields } from './http-message.js';
 
-const HOP_BY_HOP_FIELDS: ReadonlySet<string> = new Set([
+/** Fields of one connection only, in lower case (RFC 9110, section 7.6.1). */
+export const HOP_BY_HOP_FIELDS: ReadonlySet<string> = new Set([
   'connection',
   'keep-alive',
   'proxy-connection',
--- a/src/sidecar/entry/routed-request.ts
+++ b/src/sidecar/entry/routed-request.ts
@@ -3,10 +3,10 @@
  * the bounds, the end at the deadline. What is known of execution is kept over all tries.
  */
 import { createFailure, type Failure } from '../../core/failure.js';
-import type { AttemptOutcome, RequestContext } from '../../core/request.js';
+import type { AttemptOutcome, LoadReport, RequestContext } from '../../core/request.js';
 import { ResultCode, type Execution } from '../../core/result-code.js';
 import type { CancelTimer, Clock } from '../../kernel/clock.js';
-import type { AttemptPort, CancelTry } from '../link/attempt-port.js';
+import { createNotOffered, type AttemptPort, type CancelTry } from '../link/attempt-port.js';
 import type {
   AttemptAnswer,
   AttemptCall,
@@ -42,10 +42,18 @@
 const LINK_MARGIN_SHARE = 0.1;
 const DEFAULT_RETRY_MS = 200;
 
+/** The try that is under way. */
+interface CurrentTry {
+  readonly node: string;
+  /** Local monotonic time at which it was sent. */
+  readonly startedAt: number;
+  cancel: CancelTry;
+}
+
 /** See the module comment. */
 export class RoutedRequest {
   private ended = false;
-  private cancelTry: CancelTry | undefined;
+  private current: CurrentTry | undefined;
   private cancelDeadline: CancelTimer = () => {};
   private readonly tried: string[] = [];
   /** Targets that the request was offered to. */
@@ -79,7 +87,7 @@
   cancel(): void {
     if (this.ended) return;
     this.finish();
-    this.cancelTry?.();
+    this.breakOff('cancelled');
   }
 
   private tryOnce(): void {
@@ -96,18 +104,33 @@
     const timeLeftMs = context.deadline - now;
     const margin = Math.min(LINK_MARGIN_MS, timeLeftMs * LINK_MARGIN_SHARE);
     const call = { ...this.options.call, timeLeftMs: timeLeftMs - margin };
-    let tryEnded = false;
-    const cancel = portOf(node)?.dispatch(call, (end) => {
-      tryEnded = true;
-      this.onTryEnd(node, now, end);
+    const current: CurrentTry = { node, startedAt: now, cancel: () => false };
+    this.current = current;
+    const port = portOf(node);
+    if (port === undefined) {
+      const detail = `${node} is not known any more`;
+      this.onTryEnd(createNotOffered('unreachable', ResultCode.NoTargetAvailable, detail));
+      return;
+    }
+    current.cancel = port.dispatch(call, (end) => {
+      if (this.current === current) this.onTryEnd(end);
     });
-    if (!tryEnded) this.cancelTry = cancel;
   }
 
-  private onTryEnd(node: string, startedAt: number, end: AttemptEnd): void {
-    if (this.ended) return;
-    this.cancelTry = undefined;
-    this.report(node, startedAt, end);
+  /** Ends the try that is under way; routing must hear of the end of every try. */
+  private breakOff(outcome: AttemptOutcome): void {
+    const { current } = this;
+    if (current === undefined) return;
+    this.current = undefined;
+    if (current.cancel()) this.mayHaveRun = true;
+    this.report(current, this.mayHaveRun ? outcome : 'cancelled');
+  }
+
+  private onTryEnd(end: AttemptEnd): void {
+    const { current } = this;
+    if (current === undefined) return;
+    this.current = undefined;
+    this.report(current, end.type === 'answer' ? 'success' : end.outcome, end.load);
     if (end.type === 'answer') {
       this.finish();
       this.options.onEnd(end);
@@ -119,10 +142,12 @@
     else this.refuse(createFailure(end.code, end.detail, toOptions(end)));
   }
 
-  private report(node: string, startedAt: number, end: AttemptEnd): void {
+  private report(
+    { node, startedAt }: CurrentTry,
+    outcome: AttemptOutcome,
+    load?: LoadReport,
+  ): void {
     const now = this.options.clock.now();
-    const { load } = end;
-    const outcome: AttemptOutcome = end.type === 'answer' ? 'success' : end.outcome;
     this.options.service.router.onOutcome(now, {
       target: node,
       kind: this.options.context.kind,
@@ -147,7 +172,7 @@
 
   private onDeadline(): void {
     if (this.ended) return;
-    if (this.cancelTry?.() === true) this.mayHaveRun = true;
+    this.breakOff('timeout');
     const execution = this.mayHaveRun ? 'unknown' : 'not-run';
     const detail = 'no answer within the time';
     this.refuse(createFailure(ResultCode.DeadlineExceeded, detail, { execution }));
--- a/src/sidecar/target/forwarded-fields.ts
+++ b/src/sidecar/target/forwarded-fields.ts
@@ -3,18 +3,10 @@
  * (RFC 9110, section 7.6.1), message framing, which is written anew because bodies are held
  * whole, and the fields that the node itself sets.
  */
+import { HOP_BY_HOP_FIELDS } from '../../core/forwarded-fields.js';
 import type { AttemptCall, RawFields } from '../link/link-messages.js';
 import type { FieldNames } from '../platform-adapter.js';
 
-const HOP_BY_HOP: ReadonlySet<string> = new Set([
-  'connection',
-  'keep-alive',
-  'proxy-connection',
-  'te',
-  'trailer',
-  'transfer-encoding',
-  'upgrade',
-]);
 const FRAMING: ReadonlySet<string> = new Set(['content-length', 'expect']);
 const METHODS_WITHOUT_BODY: ReadonlySet<string> = new Set(['GET', 'HEAD', 'DELETE', 'OPTIONS']);
 
@@ -46,7 +38,7 @@
   const kept: string[] = [];
   for (let index = 0; index + 1 < fields.length; index += 2) {
     const name = fields[index]!.toLowerCase();
-    if (HOP_BY_HOP.has(name) || tokens?.has(name) === true || !passes(name)) continue;
+    if (HOP_BY_HOP_FIELDS.has(name) || tokens?.has(name) === true || !passes(name)) continue;
     kept.push(fields[index]!, fields[index + 1]!);
   }
   return kept;
