--- a/test/benchmark-sidecar.ts
+++ b/test/benchmark-sidecar.ts
@@ -1,6 +1,6 @@
 /**
- * Processor time of the path of a request: one machine's node in this process, a target and
- * callers in another (`node dist/test/benchmark-sidecar.js`). Prints microseconds a call.
+ * Processor time of the path of a request over two nodes, with targets, store and callers in the
+ * same process (`node dist/test/benchmark-sidecar.js`). Prints microseconds a call.
  */
 import { Worker, isMainThread, parentPort, workerData } from 'node:worker_threads';
 import { Agent, request as httpRequest } from 'node:http';
