--- a/test/sidecar-chain.test.ts
+++ b/test/sidecar-chain.test.ts
@@ -78,8 +78,11 @@
   await waitUntil(() => holding.length === 1);
   const other = mesh.send(caller, { path: '/lower/1', attemptId: 'other' });
   const head = mesh.send(caller, { path: '/upper/1', attemptId: 'head' });
-  await waitUntil(() => upper.target.received.some(({ attemptId }) => attemptId === 'head'));
-  await new Promise((resolve) => setTimeout(resolve, 30));
+  // One runs at the lower target and two wait for it.
+  await waitUntil(async () => {
+    const { body } = await sendRequest(lower.metrics, { path: '/metrics' });
+    return body.includes('sillshore_target_in_progress 3');
+  });
   holding[0]!();
   await waitUntil(() => holding.length === 2);
   holding[1]!();
