--- /dev/null
+++ b/src/sidecar/directory/record-publisher.test.ts
@@ -0,0 +1,123 @@
+/** The publisher with a scripted store. */
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { Result } from 'true-myth';
+import { ManualClock } from '../../kernel/clock.js';
+import { silentEventLog } from '../../kernel/event.js';
+import type {
+  MetadataStore,
+  StoreFailure,
+  StoreTransaction,
+  TransactionResult,
+} from '../../store/metadata-store.js';
+import type { NodeRecord } from './node-record.js';
+import { RecordPublisher } from './record-publisher.js';
+
+type TransactionEnd = Result<TransactionResult, StoreFailure>;
+
+const READY: NodeRecord = {
+  node: 'n',
+  address: '10.0.0.1:1',
+  zone: 'z',
+  region: 'r',
+  service: 's',
+  targetId: 'i-1',
+  target: 'ready',
+};
+const LEAVING: NodeRecord = { ...READY, target: 'leaving' };
+
+/** A store whose writes end when the test says so. */
+class HeldStore implements MetadataStore {
+  readonly writes: { readonly target: string; readonly end: (result: TransactionEnd) => void }[] =
+    [];
+
+  read(): ReturnType<MetadataStore['read']> {
+    return Promise.resolve(Result.ok(undefined));
+  }
+  list(): ReturnType<MetadataStore['list']> {
+    return assert.fail('not used');
+  }
+  watch(): ReturnType<MetadataStore['watch']> {
+    return assert.fail('not used');
+  }
+  transact({ puts }: StoreTransaction): Promise<TransactionEnd> {
+    const { target } = JSON.parse(puts[0]!.value.toString()) as NodeRecord;
+    return new Promise((end) => {
+      this.writes.push({ target, end });
+    });
+  }
+  grantLease(): ReturnType<MetadataStore['grantLease']> {
+    return Promise.resolve(Result.ok({ id: '1', ttlMs: 1_000 }));
+  }
+  keepLease(): ReturnType<MetadataStore['keepLease']> {
+    return Promise.resolve(Result.ok(true));
+  }
+  close(): void {
+    // Holds nothing.
+  }
+}
+
+async function settle(): Promise<void> {
+  await new Promise((resolve) => setImmediate(resolve));
+}
+
+function committed(revision: number): TransactionEnd {
+  return Result.ok({ type: 'committed', revision });
+}
+
+function create(): { store: HeldStore; clock: ManualClock; publisher: RecordPublisher } {
+  const store = new HeldStore();
+  const clock = new ManualClock();
+  const publisher = new RecordPublisher({ node: 'n', store, clock, log: silentEventLog });
+  return { store, clock, publisher };
+}
+
+test('a leave counts as stored only when its own write is acknowledged', async () => {
+  const { store, publisher } = create();
+  void publisher.publish(READY);
+  await settle();
+  let stored = false;
+  void publisher.publish(LEAVING).then(() => {
+    stored = true;
+  });
+  store.writes[0]?.end(committed(5));
+  await settle();
+  assert.equal(stored, false);
+  assert.equal(store.writes[1]?.target, 'leaving');
+  store.writes[1].end(committed(6));
+  await settle();
+  assert.equal(stored, true);
+});
+
+test('a write without answer is tried again', async () => {
+  const { store, clock, publisher } = create();
+  let stored = false;
+  void publisher.publish(LEAVING).then(() => {
+    stored = true;
+  });
+  await settle();
+  store.writes[0]?.end(Result.err({ cause: 'unknown', detail: 'lost' }));
+  await settle();
+  assert.equal(stored, false);
+  clock.advance(1_000);
+  await settle();
+  store.writes[1]?.end(committed(7));
+  await settle();
+  assert.equal(stored, true);
+});
+
+test('records that were overtaken before they were written count with the newer one', async () => {
+  const { store, publisher } = create();
+  const done: string[] = [];
+  void publisher.publish(READY).then(() => done.push('first'));
+  await settle();
+  const second = { ...READY };
+  void publisher.publish(second).then(() => done.push('second'));
+  void publisher.publish(LEAVING).then(() => done.push('third'));
+  store.writes[0]?.end(committed(5));
+  await settle();
+  assert.deepEqual(done, ['first']);
+  store.writes[1]?.end(committed(6));
+  await settle();
+  assert.deepEqual(done, ['first', 'second', 'third']);
+});
--- a/src/sidecar/directory/record-publisher.ts
+++ b/src/sidecar/directory/record-publisher.ts
@@ -87,13 +87,19 @@
     if (failure === undefined) {
       this.pauseMs = FIRST_PAUSE_MS;
       this.written = record;
-      for (const { done } of this.waiters.splice(0)) done();
+      this.release(record);
       return;
     }
     this.report(failure);
     await this.pause();
   }
 
+  /** Ends the waits for this record and for those before it; newer ones are not stored yet. */
+  private release(record: NodeRecord): void {
+    const last = this.waiters.findLastIndex((waiter) => waiter.record === record);
+    for (const { done } of this.waiters.splice(0, last + 1)) done();
+  }
+
   /**
    * A record that already says the same is kept with its lease: a write would cost every other
    * node a call.
