An empty answer of a watch moves no revision

While the store loses its history, watches hear nothing; one that ends in that time brings a newer revision without the change, and the change was passed over. Ruled out: a watch that hangs (17 nodes ask at different times, and links pass newer rules on). Change: the revision moves only with changes; an old one shows the gap (410) and all is listed again.

--- /dev/null
+++ b/src/sidecar/directory/prefix-watch.test.ts
@@ -0,0 +1,69 @@
+/** The watch with a scripted store. */
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { Result } from 'true-myth';
+import { createRandom } from '../../core/random.js';
+import { ManualClock } from '../../kernel/clock.js';
+import { silentEventLog } from '../../kernel/event.js';
+import type {
+  MetadataStore,
+  StoreEvent,
+  StoreFailure,
+  WatchResult,
+} from '../../store/metadata-store.js';
+import { PrefixWatch } from './prefix-watch.js';
+
+type WatchEnd = Result<WatchResult, StoreFailure>;
+
+const EVENT: StoreEvent = { type: 'put', key: 'k', value: Buffer.from('v'), revision: 12 };
+
+/** Runs a watch over scripted answers; returns what it asked for and what it was told. */
+async function follow(answers: readonly WatchEnd[]): Promise<{ asked: string[]; heard: number }> {
+  const asked: string[] = [];
+  let heard = 0;
+  let next = 0;
+  const store = {
+    list: () => {
+      asked.push('list');
+      return Promise.resolve(Result.ok({ items: [], at: asked.length === 1 ? 10 : 20 }));
+    },
+    watch: (_prefix: string, after: number) => {
+      asked.push(`after ${after}`);
+      const answer = answers[next];
+      next += 1;
+      if (answer === undefined) watch.close();
+      return Promise.resolve(answer ?? Result.ok({ type: 'events', events: [], at: 99 }));
+    },
+  } as unknown as MetadataStore;
+  const watch = new PrefixWatch({
+    prefix: 'k',
+    store,
+    clock: new ManualClock(),
+    log: silentEventLog,
+    random: createRandom(0x5eed),
+    waitMs: 100,
+    pauseAfterEventsMs: 0,
+    onListing: () => {},
+    onEvents: (events) => {
+      heard += events.length;
+    },
+  });
+  await watch.run();
+  return { asked, heard };
+}
+
+test('an answer without changes moves nothing: a change may have been kept from it', async () => {
+  const { asked } = await follow([Result.ok({ type: 'events', events: [], at: 15 })]);
+  assert.deepEqual(asked, ['list', 'after 10', 'after 10']);
+});
+
+test('changes are handed on, and what follows them is asked for', async () => {
+  const { asked, heard } = await follow([Result.ok({ type: 'events', events: [EVENT], at: 12 })]);
+  assert.deepEqual(asked, ['list', 'after 10', 'after 12']);
+  assert.equal(heard, 1);
+});
+
+test('when history is gone everything is listed again', async () => {
+  const { asked } = await follow([Result.ok({ type: 'compacted' })]);
+  assert.deepEqual(asked, ['list', 'after 10', 'list', 'after 20']);
+});
--- a/src/sidecar/directory/prefix-watch.ts
+++ b/src/sidecar/directory/prefix-watch.ts
@@ -77,8 +77,10 @@
       this.revision = undefined;
       return;
     }
-    this.revision = result.value.at;
+    // Without changes the revision stays: while the store loses its history, watches may end with
+    // a newer revision and without the changes that led to it. The old one then shows the gap.
     if (result.value.events.length === 0) return;
+    this.revision = result.value.at;
     this.options.onEvents(result.value.events);
     await this.pause(this.options.pauseAfterEventsMs);
   }
