--- a/src/sidecar/directory/prefix-watch.test.ts
+++ b/src/sidecar/directory/prefix-watch.test.ts
@@ -3,7 +3,7 @@
 import { test } from 'node:test';
 import { Result } from 'true-myth';
 import { createRandom } from '../../core/random.js';
-import { ManualClock } from '../../kernel/clock.js';
+import { systemClock, type CancelTimer } from '../../kernel/clock.js';
 import { silentEventLog } from '../../kernel/event.js';
 import type {
   MetadataStore,
@@ -17,6 +17,12 @@
 
 const EVENT: StoreEvent = { type: 'put', key: 'k', value: Buffer.from('v'), revision: 12 };
 
+/** Timers that fire at once. */
+function immediately(_delayMs: number, callback: () => void): CancelTimer {
+  callback();
+  return () => {};
+}
+
 /** Runs a watch over scripted answers; returns what it asked for and what it was told. */
 async function follow(answers: readonly WatchEnd[]): Promise<{ asked: string[]; heard: number }> {
   const asked: string[] = [];
@@ -38,7 +44,7 @@
   const watch = new PrefixWatch({
     prefix: 'k',
     store,
-    clock: new ManualClock(),
+    clock: { ...systemClock, schedule: immediately },
     log: silentEventLog,
     random: createRandom(0x5eed),
     waitMs: 100,
@@ -63,6 +69,11 @@
   assert.equal(heard, 1);
 });
 
+test('after a failure everything is listed again, since another wait could be cut as well', async () => {
+  const { asked } = await follow([Result.err({ cause: 'unknown', detail: 'cut' })]);
+  assert.deepEqual(asked, ['list', 'after 10', 'list', 'after 20']);
+});
+
 test('when history is gone everything is listed again', async () => {
   const { asked } = await follow([Result.ok({ type: 'compacted' })]);
   assert.deepEqual(asked, ['list', 'after 10', 'list', 'after 20']);
--- a/src/sidecar/directory/prefix-watch.ts
+++ b/src/sidecar/directory/prefix-watch.ts
@@ -69,6 +69,8 @@
     const jittered = Math.round(waitMs * (0.75 + 0.5 * random.next()));
     const result = await store.watch(prefix, revision, jittered);
     if (result.isErr) {
+      // What happened meanwhile is not known, and another wait could be cut as well.
+      this.revision = undefined;
       await this.onFailure(result.error.detail);
       return;
     }
