--- a/src/sidecar/directory/prefix-watch.ts
+++ b/src/sidecar/directory/prefix-watch.ts
@@ -79,8 +79,8 @@
       this.revision = undefined;
       return;
     }
-    // Without changes the revision stays: while the store loses its history, watches may end with
-    // a newer revision and without the changes that led to it. The old one then shows the gap.
+    // Without changes the revision stays, as a guard: an answer that was kept from hearing a change
+    // must not lead past it.
     if (result.value.events.length === 0) return;
     this.revision = result.value.at;
     this.options.onEvents(result.value.events);
