Refused requests leave a line; lines are gathered; the publisher's timer ends with it

Cause: event 400 (request refused) was at level debug, so that the story of a request refused under load was empty with the logs as they are, against docs/OPERATIONS.md. Second cause: each line was a write of its own over the thread pool.

Ruled out: writing synchronously (blocks on a reader that does not read). Change: RequestRefused at level info, bounded as before in the sidecar and now in the product's node too (200 lines a second); lines gathered; 1 MB held for a reader that does not read, what is over counted in event 105 as notRead.

--- a/src/kernel/event.test.ts
+++ b/src/kernel/event.test.ts
@@ -1,5 +1,8 @@
 import assert from 'node:assert/strict';
+import { spawn, type ChildProcessWithoutNullStreams } from 'node:child_process';
+import { once } from 'node:events';
 import { readFileSync } from 'node:fs';
+import { text } from 'node:stream/consumers';
 import { test } from 'node:test';
 import { Event, EVENTS } from './event.js';
 
@@ -11,3 +14,42 @@
   );
   assert.deepEqual(rows, expected);
 });
+
+/** Starts a process that runs these steps with a log on its standard output. */
+function startLogger(steps: string): ChildProcessWithoutNullStreams {
+  const module = new URL('./event.js', import.meta.url).href;
+  const script = `
+    import { createPinoEventLog, Event, LogStream } from '${module}';
+    const log = createPinoEventLog('info', {}, LogStream.Output);
+    ${steps}`;
+  return spawn(process.execPath, ['--input-type=module', '-e', script]);
+}
+
+test('lines that were gathered are written when the process ends', async () => {
+  const child = startLogger('log.emit(Event.NodeStarted); log.emit(Event.NodeStopped);');
+  const lines = (await text(child.stdout)).trim().split('\n');
+  assert.deepEqual(
+    lines.map((line) => (JSON.parse(line) as { event: number }).event),
+    [Event.NodeStarted, Event.NodeStopped],
+  );
+});
+
+test('lines that nobody reads are left out and counted; the process does not wait', async () => {
+  const child = startLogger(`
+    for (let index = 0; index < 20_000; index += 1) {
+      log.emit(Event.NodeStarted, { filler: 'x'.repeat(100) });
+    }
+    process.stderr.write('done');
+    process.stdin.on('end', () => process.exit()).resume();`);
+  await once(child.stderr, 'data');
+  let output = '';
+  child.stdout.on('data', (chunk: Buffer) => {
+    output += chunk.toString();
+    if (output.includes('"notRead":')) child.stdin.end();
+  });
+  await once(child, 'close');
+  const written = output.trim().split('\n').length - 1;
+  const leftOut = Number(/"notRead":(\d+)/.exec(output)?.[1]);
+  assert.ok(leftOut > 0);
+  assert.equal(written + leftOut, 20_000);
+});
--- a/src/kernel/event.ts
+++ b/src/kernel/event.ts
@@ -2,7 +2,7 @@
  * Numbered log events. docs/EVENTS.md holds the same catalogue; a test fails when the
  * two differ. Numbers are never reused.
  */
-import pino from 'pino';
+import pino, { type DestinationStream } from 'pino';
 
 /** 1xx node, 2xx configuration, 3xx membership, 4xx requests, 5xx claims, 6xx peers, 7xx operators. */
 export enum Event {
@@ -73,7 +73,7 @@
   [Event.MemberFailed]: ['warn', 'member considered failed'],
   [Event.MemberLeaving]: ['info', 'member is leaving'],
   [Event.MemberRefuted]: ['info', 'suspicion of this node refuted'],
-  [Event.RequestRefused]: ['debug', 'request refused'],
+  [Event.RequestRefused]: ['info', 'request refused'],
   [Event.RequestFailed]: ['info', 'request failed'],
   [Event.TargetDraining]: ['info', 'target is leaving'],
   [Event.TargetUnreachable]: ['warn', 'target unreachable'],
@@ -110,13 +110,44 @@
   Error = 2,
 }
 
-/** Writes events as pino JSON lines, to standard error unless told otherwise. */
+/** Lines are gathered up to this many bytes, or for this long, so that few writes are made. */
+const GATHER_BYTES = 8 * 1024;
+const GATHER_MS = 250;
+/** Lines held for a reader that does not read; what is over is left out and counted, in bytes. */
+const MAX_HELD_BYTES = 1024 * 1024;
+
+/** Writes events as pino JSON lines, to standard error unless told otherwise; never blocks. */
 export function createPinoEventLog(
   level: string,
   bindings: EventFields = {},
   stream: LogStream = LogStream.Error,
 ): EventLog {
-  const destination = pino.destination({ fd: stream, sync: false });
+  const destination = pino.destination({
+    fd: stream,
+    sync: false,
+    minLength: GATHER_BYTES,
+    periodicFlush: GATHER_MS,
+    maxLength: MAX_HELD_BYTES,
+  });
+  const log = createEventLogTo(destination, level, bindings);
+  let leftOut = 0;
+  destination.on('drop', () => {
+    leftOut += 1;
+  });
+  destination.on('drain', () => {
+    if (leftOut === 0) return;
+    log.emit(Event.LinesLeftOut, { notRead: leftOut });
+    leftOut = 0;
+  });
+  return log;
+}
+
+/** Writes events as pino JSON lines to a destination. */
+export function createEventLogTo(
+  destination: DestinationStream,
+  level: string,
+  bindings: EventFields = {},
+): EventLog {
   const logger = pino({ level, base: { ...bindings } }, destination);
   return {
     emit: (event, fields = {}) => {
--- a/src/node/start-node.ts
+++ b/src/node/start-node.ts
@@ -1,11 +1,15 @@
 /** Makes a node from its settings: a kernel with the registered plug-ins, started. */
 import './plugins.js';
 import type { Settings } from '../config/settings.js';
+import { BoundedEventLog } from '../kernel/bounded-event-log.js';
 import { systemClock, type Clock } from '../kernel/clock.js';
 import { createPinoEventLog, type EventLog } from '../kernel/event.js';
 import { Kernel } from '../kernel/kernel.js';
 import { listPlugins, type Plugin } from '../kernel/plugin.js';
 
+/** Lines that a node writes a second, errors excepted; what is over is counted in one line. */
+const MAX_LINES_PER_SECOND = 200;
+
 /** What a caller may put in place of the defaults. */
 export interface NodeOptions {
   readonly clock?: Clock;
@@ -15,11 +19,11 @@
 
 /** Creates a node that has not started. */
 export function createNode(settings: Settings, options: NodeOptions = {}): Kernel {
-  const { id, zone } = settings.node;
+  const clock = options.clock ?? systemClock;
   return new Kernel({
     settings,
-    clock: options.clock ?? systemClock,
-    log: options.log ?? createPinoEventLog(settings.log.level, { node: id, zone }),
+    clock,
+    log: options.log ?? createLog(settings, clock),
     plugins: options.plugins ?? listPlugins(),
   });
 }
@@ -30,3 +34,8 @@
   await kernel.start();
   return kernel;
 }
+
+function createLog({ node, log }: Settings, clock: Clock): EventLog {
+  const lines = createPinoEventLog(log.level, { node: node.id, zone: node.zone });
+  return new BoundedEventLog(lines, clock, MAX_LINES_PER_SECOND);
+}
--- a/src/sidecar/directory/record-publisher.ts
+++ b/src/sidecar/directory/record-publisher.ts
@@ -3,7 +3,7 @@
  * is the one that was last seen, so that a write of an earlier process that arrives late loses.
  */
 import { Event, type EventLog } from '../../kernel/event.js';
-import type { Clock } from '../../kernel/clock.js';
+import type { CancelTimer, Clock } from '../../kernel/clock.js';
 import type { MetadataStore, StoreFailure, StoreItem } from '../../store/metadata-store.js';
 import { decodeNodeRecord, encodeNodeRecord, keyOfNode, type NodeRecord } from './node-record.js';
 
@@ -33,6 +33,7 @@
   private previous: StoreItem | undefined;
   private running = false;
   private closed = false;
+  private cancelRenewal: CancelTimer = () => {};
   private pauseMs = FIRST_PAUSE_MS;
   private readonly waiters: { readonly record: NodeRecord; readonly done: Waiter }[] = [];
 
@@ -64,7 +65,7 @@
 
   /** Starts to renew the lease. */
   start(): void {
-    this.options.clock.schedule(RENEW_INTERVAL_MS, () => {
+    this.cancelRenewal = this.options.clock.schedule(RENEW_INTERVAL_MS, () => {
       void this.renew();
     });
   }
@@ -72,6 +73,7 @@
   /** Ends all attempts. */
   close(): void {
     this.closed = true;
+    this.cancelRenewal();
   }
 
   private async run(): Promise<void> {
@@ -155,7 +157,7 @@
         void this.run();
       }
     }
-    this.start();
+    if (!this.closed) this.start();
   }
 
   private report({ cause, detail }: StoreFailure): void {
