--- a/src/admin/admin-node.ts
+++ b/src/admin/admin-node.ts
@@ -6,7 +6,7 @@
 import type { CallRouter } from '../entry/call-router.js';
 import type { Clock } from '../kernel/clock.js';
 import type { EventLog } from '../kernel/event.js';
-import type { Kernel } from '../kernel/kernel.js';
+import type { KernelControl } from '../kernel/kernel-control.js';
 import type { Metrics } from '../kernel/metrics.js';
 import { Token } from '../kernel/token.js';
 import type { Membership } from '../membership/membership.js';
@@ -21,7 +21,7 @@
   readonly settings: Settings;
   readonly clock: Clock;
   readonly log: EventLog;
-  readonly kernel: Pick<Kernel, 'draining' | 'requestStop'>;
+  readonly kernel: KernelControl;
   readonly metrics: Metrics;
   readonly configStore?: ConfigStore | undefined;
   readonly rulesRepository?: RulesRepository | undefined;
--- a/src/admin/admin-plugin.ts
+++ b/src/admin/admin-plugin.ts
@@ -1,18 +1,21 @@
 /** Plug-in of the operators' interface. */
 import { registerPlugin, StartOrder } from '../kernel/plugin.js';
-import { Token } from '../kernel/token.js';
+import { createToken } from '../kernel/token.js';
 import { resolveAdminNode } from './admin-node.js';
 import { AdminServer } from './admin-server.js';
 
+/** The server of the operators' interface. */
+export const AdminServerToken = createToken<AdminServer>('AdminServer');
+
 registerPlugin({
   name: 'admin',
   order: StartOrder.Admin,
   bind: (container) => {
     container
-      .bind(Token.AdminServer)
+      .bind(AdminServerToken)
       .toDynamicValue(() => new AdminServer(resolveAdminNode(container)))
       .inSingletonScope();
   },
-  start: (container) => container.get(Token.AdminServer).start(),
-  stop: (container) => container.get(Token.AdminServer).stop(),
+  start: (container) => container.get(AdminServerToken).start(),
+  stop: (container) => container.get(AdminServerToken).stop(),
 });
--- a/src/claims/charge-requester.ts
+++ b/src/claims/charge-requester.ts
@@ -6,7 +6,8 @@
 import { createFailure, type Failure } from '../core/failure.js';
 import { ResultCode } from '../core/result-code.js';
 import type { AttemptCharge, ChargeGrant } from './claim-service.js';
-import { pause, settleRound, type RequesterOptions } from './requester.js';
+import { settleRound, type RequesterOptions } from './requester.js';
+import { pause } from '../kernel/pause.js';
 
 /** Rounds of one charge in which concurrent charges split the slots. */
 const MAX_SPLITS = 4;
--- a/src/claims/claim-requester.ts
+++ b/src/claims/claim-requester.ts
@@ -9,7 +9,9 @@
 import { Event } from '../kernel/event.js';
 import type { ClaimDecision, ClaimRequest } from './claim-service.js';
 import { GrantedClaims } from './granted-claims.js';
-import { pause, settleRound, type GroupAccess, type RequesterOptions } from './requester.js';
+import type { GroupAccess } from './group-access.js';
+import { settleRound, type RequesterOptions } from './requester.js';
+import { pause } from '../kernel/pause.js';
 
 /** Time after which a caller may repeat a claim that could not be decided, in milliseconds. */
 const RETRY_AFTER_MS = 1_000;
--- a/src/claims/claim-task.ts
+++ b/src/claims/claim-task.ts
@@ -25,7 +25,7 @@
 import { serveGroups } from './group-service.js';
 import { GroupsKeeper } from './groups-keeper.js';
 import { ReplicaDelivery } from './replica-delivery.js';
-import type { GroupAccess } from './requester.js';
+import type { GroupAccess } from './group-access.js';
 
 /** What the claims of a node need. */
 export interface ClaimTaskOptions {
--- a/src/claims/placement-keeper.ts
+++ b/src/claims/placement-keeper.ts
@@ -21,7 +21,7 @@
 import type { PlacementStore } from './placement-store.js';
 import type { ReplicaClient } from './replica-client.js';
 import type { ReplicaTask } from './replica-task.js';
-import { pause } from './requester.js';
+import { pause } from '../kernel/pause.js';
 
 /** What the keeper needs. */
 export interface PlacementKeeperOptions {
--- a/src/claims/replica-delivery.test.ts
+++ b/src/claims/replica-delivery.test.ts
@@ -4,7 +4,7 @@
 import type { ReplicaReply, ReplicaRequest } from '../core/claim/replica-messages.js';
 import { ManualClock } from '../kernel/clock.js';
 import { DEFAULT_CLAIM_TIMING } from './claim-timing.js';
-import type { GroupAccess } from './requester.js';
+import type { GroupAccess } from './group-access.js';
 import { ReplicaDelivery } from './replica-delivery.js';
 
 const RELEASE = { type: 'release', key: 'k', attemptId: 'round-1' } as const;
--- a/src/claims/replica-delivery.ts
+++ b/src/claims/replica-delivery.ts
@@ -5,8 +5,9 @@
 import { KEY_HORIZON_MS } from '../core/claim/claim-limits.js';
 import type { DeliveredMessage } from '../core/claim/replica-messages.js';
 import type { Clock } from '../kernel/clock.js';
+import { pause } from '../kernel/pause.js';
 import type { ClaimTiming } from './claim-timing.js';
-import { pause, type GroupAccess, type RequesterOptions } from './requester.js';
+import type { GroupAccess } from './group-access.js';
 
 /** Messages under way at most; the oldest are given up first. */
 const MAX_PENDING = 20_000;
@@ -25,7 +26,7 @@
   readonly clock: Clock;
   readonly timing: ClaimTiming;
   /** The group of a key; its members may change between two sends. */
-  readonly groupOf: RequesterOptions['groupOf'];
+  readonly groupOf: (key: string) => GroupAccess | undefined;
 }
 
 /** A message without the epoch, which changes between sends. */
--- a/src/claims/requester.ts
+++ b/src/claims/requester.ts
@@ -5,7 +5,7 @@
 import type { Clock } from '../kernel/clock.js';
 import type { EventLog } from '../kernel/event.js';
 import type { ClaimTiming } from './claim-timing.js';
-import type { ReplicaClient } from './replica-client.js';
+import type { GroupAccess } from './group-access.js';
 import type { ReplicaDelivery } from './replica-delivery.js';
 
 /** What a requester needs. */
@@ -19,28 +19,12 @@
   readonly groupOf: (key: string) => GroupAccess | undefined;
 }
 
-/** One group as its coordinators use it. */
-export interface GroupAccess {
-  readonly client: Pick<ReplicaClient, 'ask' | 'askAll'>;
-  /** Newest established placement record. */
-  readonly placement: PlacementRecord | undefined;
-  /** Takes in a newer record that a replica told about. */
-  observe(record: PlacementRecord): void;
-}
-
 /** A round that collects one reply per member. */
 export interface Round {
   readonly record: PlacementRecord;
   onReply(nodeId: string, reply: ReplicaReply | undefined): void;
 }
 
-/** Waits on the given clock. */
-export function pause(clock: Clock, delayMs: number): Promise<void> {
-  return new Promise((resolve) => {
-    clock.schedule(delayMs, resolve);
-  });
-}
-
 /**
  * Sends a request to all members and resolves once `isSettled` says so, every member has
  * answered, the round's time is over or the deadline has come. Later replies are ignored.
--- a/src/core/membership/membership-message.ts
+++ b/src/core/membership/membership-message.ts
@@ -1,6 +1,6 @@
 /** Datagrams of the membership protocol; see docs/design/membership.md. */
 import type { MemberUpdate } from './member-update.js';
-import type { VersionDigest } from './version-map.js';
+import type { VersionDigest } from './version-digest.js';
 
 interface MessageBase {
   /** The sending node. */
--- a/src/core/membership/protocol-state.ts
+++ b/src/core/membership/protocol-state.ts
@@ -15,7 +15,8 @@
   PingRequestMessage,
 } from './membership-message.js';
 import type { MembershipOptions } from './membership-options.js';
-import { VersionMap, type VersionDigest } from './version-map.js';
+import type { VersionDigest } from './version-digest.js';
+import { VersionMap } from './version-map.js';
 
 type Header = 'from' | 'incarnation' | 'configVersion' | 'stateHash' | 'versions' | 'updates';
 
--- a/src/core/membership/version-map.ts
+++ b/src/core/membership/version-map.ts
@@ -4,23 +4,25 @@
  * whole budget, while the bits of 1,000 members take 125 bytes and merge by a logical or.
  */
 import { combineHashes, hash32 } from '../hash.js';
-import type { ProtocolState } from './protocol-state.js';
-
-/** What a datagram says about rules versions. */
-export interface VersionDigest {
-  /** Hash of the sender's list of members; the bits mean something to an equal list only. */
-  readonly view: number;
-  /** Highest version that the sender knows of. */
-  readonly version: number;
-  /** Bit i: member i of the list, by node id, has it in force. Empty: all have. */
-  readonly bits: Uint8Array;
-}
-
-/** Largest bit field that is sent, in bytes; a larger fleet relies on state exchanges. */
-export const MAX_VERSION_BITS_BYTES = 160;
+import type { MemberFacts } from '../member.js';
+import type { MemberTable } from './member-table.js';
+import { MAX_VERSION_BITS_BYTES, type VersionDigest } from './version-digest.js';
 
 const NO_BITS = new Uint8Array(0);
 
+/** What a version map reads and changes of the protocol's state. */
+export interface VersionState {
+  readonly self: MemberFacts;
+  readonly table: Pick<MemberTable, 'find' | 'listLive'>;
+  /** Counts changes of the list of members. */
+  readonly viewChanges: number;
+  /** Counts changes of what is known of rules versions. */
+  readonly versionChanges: number;
+  /** Highest rules version that this node knows of. */
+  readonly highestVersion: number;
+  raiseVersion(nodeId: string, configVersion: number): void;
+}
+
 /** Builds and takes in digests. */
 export class VersionMap {
   /** Node ids of the list; this node's own among them. */
@@ -30,7 +32,7 @@
   private versionChanges = -1;
   private digest: VersionDigest = { view: 0, version: 0, bits: NO_BITS };
 
-  constructor(private readonly state: ProtocolState) {}
+  constructor(private readonly state: VersionState) {}
 
   /** This node's digest; undefined when the fleet is too large for one. */
   describe(): VersionDigest | undefined {
--- a/src/emulator/caller-request.ts
+++ b/src/emulator/caller-request.ts
@@ -1,5 +1,5 @@
 /** One caller's request with its repeats, up to its single end. */
-import type { CallersOptions } from './callers.js';
+import type { CallersOptions } from './callers-options.js';
 import { EmulatedCall } from './emulated-call.js';
 import type { EmulatedNode } from './emulated-node.js';
 import type { ScheduledEvent } from './event-queue.js';
--- a/src/emulator/dispatched-job.ts
+++ b/src/emulator/dispatched-job.ts
@@ -3,8 +3,7 @@
 import { ResultCode } from '../core/result-code.js';
 import type { BackEndJob, BackEndRefusal } from './back-end.js';
 import type { ServiceKind } from './deployment.js';
-import { DownstreamCalls } from './downstream-calls.js';
-import type { TargetSide } from './target-side.js';
+import { DownstreamCalls, type CallingSide } from './downstream-calls.js';
 import type { IncomingAttempt, World } from './world.js';
 
 /** How a back end ended a job; told after the delay between back end and node. */
@@ -20,7 +19,7 @@
 
   constructor(
     private readonly world: World,
-    private readonly side: TargetSide,
+    private readonly side: CallingSide,
     private readonly attempt: IncomingAttempt,
     private readonly ledger: AttemptLedger,
     private readonly serviceIndex: number,
--- a/src/emulator/downstream-calls.ts
+++ b/src/emulator/downstream-calls.ts
@@ -5,9 +5,15 @@
 import type { CallSite } from './deployment.js';
 import { EmulatedCall } from './emulated-call.js';
 import type { CallEnd } from './request-record.js';
-import type { TargetSide } from './target-side.js';
+import type { EmulatedNode } from './emulated-node.js';
 import type { IncomingAttempt, World } from './world.js';
 
+/** The target side whose back end makes the calls. */
+export interface CallingSide {
+  readonly node: EmulatedNode;
+  noteDownstream(service: string, threshold: number, kind: string): void;
+}
+
 /** Calls of one attempt: one after another, or all at once. */
 export class DownstreamCalls {
   /** Code of the call that failed last. */
@@ -19,7 +25,7 @@
 
   constructor(
     private readonly world: World,
-    private readonly parent: TargetSide,
+    private readonly parent: CallingSide,
     private readonly attempt: IncomingAttempt,
     private readonly ledger: AttemptLedger,
   ) {}
--- a/src/emulator/emulated-call.ts
+++ b/src/emulator/emulated-call.ts
@@ -12,8 +12,7 @@
 import type { ScheduledEvent } from './event-queue.js';
 import type { CallEnd, RequestRecord } from './request-record.js';
 import { UnsharedAttempts } from './unshared-attempts.js';
-import type { TargetSide } from './target-side.js';
-import type { IncomingAttempt, World } from './world.js';
+import type { AttemptReceiver, IncomingAttempt, World } from './world.js';
 
 /** Bound on tries of one call at one hop, as in `src/entry/routed-call.ts`. */
 const MAX_TRIES = 16;
@@ -31,7 +30,7 @@
 
 interface CurrentAttempt {
   readonly incoming: IncomingAttempt;
-  readonly side: TargetSide;
+  readonly side: AttemptReceiver;
   readonly target: string;
   readonly sentAt: number;
   readonly granted: number;
--- a/src/emulator/emulated-node.ts
+++ b/src/emulator/emulated-node.ts
@@ -1,16 +1,23 @@
 /** An emulated node: the calling side's routers, made when a service is first called. */
 import type { OverloadPolicy, ServiceRouter, TargetView } from '../core/overload.js';
 import { deriveSeed } from './sampling.js';
-import type { EmulatedCall } from './emulated-call.js';
 
 /** What a node knows of the targets of a service. */
 export type ViewOf = (service: string) => readonly TargetView[];
 
+/** A call that a node routes, as faults of machines and zones act on it. */
+export interface RoutedCall {
+  /** The machine is gone, and the call with it. */
+  discard(): void;
+  /** The zone of the call's target may be gone. */
+  onZoneLost(zone: string): void;
+}
+
 /** One node. */
 export class EmulatedNode {
   private readonly routers = new Map<string, ServiceRouter>();
   /** Calls that this node routes now. */
-  readonly calls = new Set<EmulatedCall>();
+  readonly calls = new Set<RoutedCall>();
 
   constructor(
     readonly id: string,
--- a/src/emulator/service-sampler.ts
+++ b/src/emulator/service-sampler.ts
@@ -3,11 +3,16 @@
 import type { TargetSide } from './target-side.js';
 import type { World } from './world.js';
 
+/** A run whose target sides can be looked at. */
+type SampledRun = Pick<World, 'queue' | 'deployment' | 'recorder'> & {
+  readonly targetSide: (target: string) => TargetSide;
+};
+
 /** Time before the end of a window at which it is sampled, so that the sample falls into it. */
 const BEFORE_END_MS = 1;
 
 /** Samples a run until `endMs`. */
-export function startSampling(world: World, endMs: number): void {
+export function startSampling(world: SampledRun, endMs: number): void {
   const { queue } = world;
   const sampleWindow = (end: number): void => {
     if (end > endMs) return;
@@ -19,7 +24,7 @@
   sampleWindow(WINDOW_MS);
 }
 
-function sampleServices({ deployment, recorder, targetSide }: World): void {
+function sampleServices({ deployment, recorder, targetSide }: SampledRun): void {
   for (const [index, service] of deployment.services.entries()) {
     const sides = service.targets.map(({ id }) => targetSide(id));
     recorder.sampleService(index, sampleOf(sides));
--- a/src/emulator/world.ts
+++ b/src/emulator/world.ts
@@ -1,6 +1,6 @@
 /** What all parts of one emulated run share. */
 import type { CallGraph } from '../core/attempt-budget.js';
-import type { RequestContext } from '../core/request.js';
+import type { AttemptOutcome, RequestContext } from '../core/request.js';
 import type { AttemptEnd } from './attempt-end.js';
 import type { CallSite, Deployment } from './deployment.js';
 import type { EmulatedNode } from './emulated-node.js';
@@ -8,7 +8,6 @@
 import type { PolicyProfile } from './policy-profile.js';
 import type { Recorder } from './recorder.js';
 import type { RequestRecord } from './request-record.js';
-import type { TargetSide } from './target-side.js';
 
 /** An attempt as the node that fronts its target sees it. */
 export interface IncomingAttempt {
@@ -21,6 +20,13 @@
   reply(end: AttemptEnd): void;
 }
 
+/** The target side as calls see it that send their attempts there. */
+export interface AttemptReceiver {
+  readonly node: EmulatedNode;
+  receive(attempt: IncomingAttempt): void;
+  cancel(attempt: IncomingAttempt, outcome: AttemptOutcome): void;
+}
+
 /** Shared state of one run. */
 export interface World {
   readonly queue: EventQueue;
@@ -30,7 +36,7 @@
   /** Sends a message between zones; it is lost when either zone is lost meanwhile. */
   send(fromZone: string, toZone: string, deliver: () => void): void;
   /** The target side of a target on the node that fronts it. */
-  readonly targetSide: (target: string) => TargetSide;
+  readonly targetSide: (target: string) => AttemptReceiver;
   /** The services that a service calls. */
   readonly callsOf: CallGraph;
   /** Fewest attempts with which a call of a service can succeed. */
@@ -39,5 +45,4 @@
   nextAttemptId(): string;
   /** Called when a target's node saw a sign that the target is leaving. */
   onLeavingSign(target: string): void;
-  readonly nodes: readonly EmulatedNode[];
 }
--- a/src/kernel/kernel.ts
+++ b/src/kernel/kernel.ts
@@ -4,6 +4,7 @@
 import type { Settings } from '../config/settings.js';
 import type { CancelTimer, Clock } from './clock.js';
 import { Event, type EventLog } from './event.js';
+import type { KernelControl } from './kernel-control.js';
 import type { Plugin } from './plugin.js';
 import { Token } from './token.js';
 import { TrafficMeter } from './traffic-meter.js';
@@ -21,7 +22,7 @@
 }
 
 /** Runs the plug-ins of one node. */
-export class Kernel {
+export class Kernel implements KernelControl {
   readonly container = new Container({ defaultScope: 'Singleton' });
   /** Resolves when a planned stop was asked for from inside the node. */
   readonly stopRequested: Promise<void>;
--- a/src/kernel/token.ts
+++ b/src/kernel/token.ts
@@ -1,6 +1,5 @@
 /** Typed identifiers under which plug-ins find each other's services in the container. */
 import type { ServiceIdentifier } from 'inversify';
-import type { AdminServer } from '../admin/admin-server.js';
 import type { ClaimService } from '../claims/claim-service.js';
 import type { ByteBudget } from '../core/byte-budget.js';
 import type { ConfigStore } from '../config/config-store.js';
@@ -15,7 +14,7 @@
 import type { TargetDispatcher } from '../target/target-dispatcher.js';
 import type { Clock } from './clock.js';
 import type { EventLog } from './event.js';
-import type { Kernel } from './kernel.js';
+import type { KernelControl } from './kernel-control.js';
 import type { Metrics } from './metrics.js';
 import type { TrafficMeter } from './traffic-meter.js';
 
@@ -31,7 +30,7 @@
   EventLog: createToken<EventLog>('EventLog'),
   Metrics: createToken<Metrics>('Metrics'),
   TrafficMeter: createToken<TrafficMeter>('TrafficMeter'),
-  Kernel: createToken<Kernel>('Kernel'),
+  Kernel: createToken<KernelControl>('Kernel'),
   PeerNetwork: createToken<PeerNetwork>('PeerNetwork'),
   Membership: createToken<Membership>('Membership'),
   LeavingTargets: createToken<LeavingTargets>('LeavingTargets'),
@@ -42,6 +41,5 @@
   TargetDispatcher: createToken<TargetDispatcher>('TargetDispatcher'),
   TargetAdministration: createToken<TargetAdministration>('TargetAdministration'),
   CallRouter: createToken<CallRouter>('CallRouter'),
-  AdminServer: createToken<AdminServer>('AdminServer'),
   ByteBudget: createToken<ByteBudget>('ByteBudget'),
 } as const;
--- a/src/membership/datagram-codec.ts
+++ b/src/membership/datagram-codec.ts
@@ -6,7 +6,7 @@
 import { deserialize, serialize } from 'bson';
 import type { MemberUpdate } from '../core/membership/member-update.js';
 import type { MembershipMessage } from '../core/membership/membership-message.js';
-import { MAX_VERSION_BITS_BYTES, type VersionDigest } from '../core/membership/version-map.js';
+import { MAX_VERSION_BITS_BYTES, type VersionDigest } from '../core/membership/version-digest.js';
 import { isCount, isMemberUpdate, isText } from './membership-calls.js';
 
 /** Largest datagram: fits an Ethernet frame with room for tunnels. */
--- a/src/node/run-node.test.ts
+++ b/src/node/run-node.test.ts
@@ -4,7 +4,7 @@
 import { createTestSettings } from '../admin/admin-test-support.js';
 import { ManualClock } from '../kernel/clock.js';
 import { silentEventLog } from '../kernel/event.js';
-import type { Kernel } from '../kernel/kernel.js';
+import type { KernelControl } from '../kernel/kernel-control.js';
 import type { Plugin } from '../kernel/plugin.js';
 import { Token } from '../kernel/token.js';
 import type { NodeEnd } from '../kernel/run-kernel.js';
@@ -16,7 +16,7 @@
   readonly signals = new EventEmitter();
   readonly steps: string[] = [];
   endDrain: () => void = () => {};
-  kernel: Kernel | undefined;
+  kernel: KernelControl | undefined;
   readonly end: Promise<NodeEnd>;
 
   constructor(startFails = false, signalDuringStart = false) {
--- a/src/node/start-node.test.ts
+++ b/src/node/start-node.test.ts
@@ -4,6 +4,7 @@
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { after, before, test } from 'node:test';
+import { AdminServerToken } from '../admin/admin-plugin.js';
 import { createRulesDocument, TEST_TOKEN } from '../admin/admin-test-support.js';
 import { runCaptured, type CommandOutcome } from '../cli/command-line-test-support.js';
 import { ExitCode } from '../cli/exit-code.js';
@@ -11,7 +12,6 @@
 import { silentEventLog } from '../kernel/event.js';
 import type { Kernel } from '../kernel/kernel.js';
 import { listPlugins } from '../kernel/plugin.js';
-import { Token } from '../kernel/token.js';
 import { startPlatformStandIn } from '../stand-ins/platform/platform-stand-in.js';
 import type { PlatformStandIn } from '../stand-ins/platform/platform-stand-in.js';
 import { findFreePorts } from '../testing/free-ports.js';
@@ -61,7 +61,7 @@
 });
 
 function operate(...argv: string[]): Promise<CommandOutcome> {
-  const { port } = nodes[0]!.container.get(Token.AdminServer);
+  const { port } = nodes[0]!.container.get(AdminServerToken);
   const env = { SILLSHORE_ADMIN: `127.0.0.1:${port}`, SILLSHORE_TOKEN: TEST_TOKEN };
   return runCaptured(argv, env);
 }
