--- a/eslint.config.js
+++ b/eslint.config.js
@@ -15,7 +15,7 @@
   'stand-ins',
   'membership',
   'claims',
-  'testing',
+  'trials',
   'hollow',
   'node',
   'observability',
@@ -29,6 +29,17 @@
 const platformWords =
   '/x-attempt-id|x-deadline-ms|x-expected-instance|x-caller-service|x-not-executed|x-server-stamp|x-instance-|v1.(instances|kv-|readiness)|kv-(key|range|watch|txn|lease|keep)|privateKey/i';
 
+const testFiles = ['src/**/*.test.ts', 'src/**/*-test-support.ts'];
+
+const usePort = {
+  regex: '/\\.\\./platform/|^\\.\\./\\.\\./platform/',
+  message: 'Use the port.',
+};
+const noTestSupport = {
+  regex: '^(\\.\\./)+test/',
+  message: 'What only tests use is not part of the product.',
+};
+
 export default tseslint.config(
   { ignores: ['dist', 'out', 'target', 'src/gen', 'node_modules'] },
   js.configs.recommended,
@@ -90,17 +101,13 @@
   },
   {
     files: ['src/**/*.ts'],
-    ignores: ['src/core/**', 'src/cli/sidecar-command.ts'],
-    rules: {
-      'no-restricted-imports': [
-        'error',
-        {
-          patterns: [
-            { regex: '/\\.\\./platform/|^\\.\\./\\.\\./platform/', message: 'Use the port.' },
-          ],
-        },
-      ],
-    },
+    ignores: ['src/core/**', 'src/cli/sidecar-command.ts', ...testFiles],
+    rules: { 'no-restricted-imports': ['error', { patterns: [usePort, noTestSupport] }] },
+  },
+  {
+    files: testFiles,
+    ignores: ['src/core/**'],
+    rules: { 'no-restricted-imports': ['error', { patterns: [usePort] }] },
   },
   {
     // The adapter translates; it takes types and value constructors, and no logic.
--- a/scripts/bench-http-libraries.mjs
+++ b/scripts/bench-http-libraries.mjs
@@ -114,7 +114,7 @@
 }
 
 async function runNode(backendPort) {
-  const { DataPathFleet } = await import('../dist/src/testing/data-path-node.js');
+  const { DataPathFleet } = await import('../dist/test/support/data-path-node.js');
   const fleet = new DataPathFleet();
   const kind = { criticality: 'normal', attempts: 3, idempotent: true, deadlineMs: 2000 };
   const address = `127.0.0.1:${backendPort}`;
--- a/src/admin/admin-tls.test.ts
+++ b/src/admin/admin-tls.test.ts
@@ -10,7 +10,7 @@
 import { AdminService } from '../gen/sillshore/admin/v1/admin_pb.js';
 import { ManualClock } from '../kernel/clock.js';
 import { Event, type EventFields } from '../kernel/event.js';
-import { STRANGER_TLS, TEST_TLS } from '../testing/test-certificates.js';
+import { STRANGER_TLS, TEST_TLS } from '../../test/support/test-certificates.js';
 import { createTestSettings, startTestAdmin, TEST_TOKEN } from './admin-test-support.js';
 import type { TestAdmin } from './admin-test-support.js';
 import { toFailure } from './connect-error.js';
--- a/src/admin/drain-commands.test.ts
+++ b/src/admin/drain-commands.test.ts
@@ -3,7 +3,7 @@
 import type { TargetAdministration } from '../target/target-administration.js';
 import { ResultCode } from '../core/result-code.js';
 import { ManualClock } from '../kernel/clock.js';
-import { InMemoryPeerHub } from '../peer/in-memory-peer-network.js';
+import { InMemoryPeerHub } from '../../test/support/in-memory-peer-network.js';
 import {
   createMember,
   createRulesDocument,
--- a/src/claims/claim-groups.test.ts
+++ b/src/claims/claim-groups.test.ts
@@ -1,7 +1,7 @@
 /** Several replica groups: one layout, members by zone, constant cost, changes of each by itself. */
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { ClaimFleet, READY_AFTER_MS } from '../testing/claim-fleet.js';
+import { ClaimFleet, READY_AFTER_MS } from '../../test/support/claim-fleet.js';
 
 const GROUPS = 8;
 
--- a/src/claims/claim-release.test.ts
+++ b/src/claims/claim-release.test.ts
@@ -1,7 +1,11 @@
 /** Claims that end while a planned stop changes the epoch leave their keys free. */
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { createClaimFleet, VIRTUAL_STEP_MS, type ClaimFleet } from '../testing/claim-fleet.js';
+import {
+  createClaimFleet,
+  VIRTUAL_STEP_MS,
+  type ClaimFleet,
+} from '../../test/support/claim-fleet.js';
 
 /** Claims keys at two nodes, one or both at once, and releases what was granted. */
 async function claimThroughout(
--- a/src/claims/claim-task.test.ts
+++ b/src/claims/claim-task.test.ts
@@ -4,7 +4,7 @@
 import type { Failure } from '../core/failure.js';
 import type { HttpAnswer } from '../core/http-message.js';
 import { ResultCode } from '../core/result-code.js';
-import { createClaimFleet, VIRTUAL_STEP_MS } from '../testing/claim-fleet.js';
+import { createClaimFleet, VIRTUAL_STEP_MS } from '../../test/support/claim-fleet.js';
 import type { ClaimTask } from './claim-task.js';
 import { DEFAULT_CLAIM_TIMING } from './claim-timing.js';
 
--- a/src/config/config-distribution.test.ts
+++ b/src/config/config-distribution.test.ts
@@ -1,14 +1,14 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import fc from 'fast-check';
-import { createSampleRules } from '../testing/sample-rules.js';
+import { createSampleRules } from '../../test/support/sample-rules.js';
 import type { RevisionRecord } from './config-store.js';
 import { HEAD_POLL_INTERVAL_MS } from './platform-rules-watch.js';
 import { parseRules } from './rules.js';
 import {
   SimulatedConfigFleet,
   type SimulatedConfigNode,
-} from '../testing/simulated-config-fleet.js';
+} from '../../test/support/simulated-config-fleet.js';
 
 const ZONES = ['zone-a', 'zone-b', 'zone-c'];
 const TENANT = 'recife';
--- a/src/config/in-memory-config-store.test.ts
+++ b/src/config/in-memory-config-store.test.ts
@@ -3,7 +3,7 @@
 import fc from 'fast-check';
 import type { RevisionRecord } from './config-store.js';
 import { InMemoryConfigStore } from './in-memory-config-store.js';
-import { createSampleRules } from '../testing/sample-rules.js';
+import { createSampleRules } from '../../test/support/sample-rules.js';
 import { parseRules, type Rules } from './rules.js';
 
 function createRules(tenant: string, host?: string, target?: string): Rules {
--- a/src/config/rules-between-nodes.test.ts
+++ b/src/config/rules-between-nodes.test.ts
@@ -14,8 +14,8 @@
   startPlatformStandIn,
   type PlatformStandIn,
 } from '../stand-ins/platform/platform-stand-in.js';
-import { findFreePorts } from '../testing/free-ports.js';
-import { createSampleRules } from '../testing/sample-rules.js';
+import { findFreePorts } from '../trials/free-ports.js';
+import { createSampleRules } from '../../test/support/sample-rules.js';
 import { validateSettings } from './settings.js';
 
 const TEST_TIMEOUT_MS = 30_000;
--- a/src/core/membership/membership-faults.test.ts
+++ b/src/core/membership/membership-faults.test.ts
@@ -1,7 +1,7 @@
 /** Faults of nodes and network against the whole protocol, under virtual time. */
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { SimulatedFleet, type SimulatedNode } from '../../testing/simulated-fleet.js';
+import { SimulatedFleet, type SimulatedNode } from '../../trials/simulated-fleet.js';
 
 const SECOND = 1_000;
 const LATER_START = 1_800_000_000_000;
--- a/src/core/membership/membership-traffic.test.ts
+++ b/src/core/membership/membership-traffic.test.ts
@@ -2,7 +2,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { MAX_DATAGRAM_BYTES } from '../../membership/datagram-codec.js';
-import { SimulatedFleet } from '../../testing/simulated-fleet.js';
+import { SimulatedFleet } from '../../trials/simulated-fleet.js';
 
 const SECOND = 1_000;
 const SETTLE_MS = 10 * SECOND;
--- a/src/entry/chain.test.ts
+++ b/src/entry/chain.test.ts
@@ -2,14 +2,14 @@
 import assert from 'node:assert/strict';
 import { after, before, beforeEach, test } from 'node:test';
 import { ResultCode } from '../core/result-code.js';
-import { DataPathFleet, type DataPathNode } from '../testing/data-path-node.js';
-import { send, type TestAnswer } from '../testing/raw-http.js';
+import { DataPathFleet, type DataPathNode } from '../../test/support/data-path-node.js';
+import { send, type TestAnswer } from '../../test/support/raw-http.js';
 import {
   answerPlain,
   startScriptedBackend,
   type RawRequest,
   type ScriptedBackend,
-} from '../testing/scripted-backend.js';
+} from '../../test/support/scripted-backend.js';
 
 const BOUND = 6;
 
--- a/src/entry/entry-contract.test.ts
+++ b/src/entry/entry-contract.test.ts
@@ -8,10 +8,10 @@
   MAX_REQUEST_BYTES,
   startEntryContract,
   type EntryContract,
-} from '../testing/contract-fleets.js';
-import type { DataPathNode } from '../testing/data-path-node.js';
-import { send, sendRaw } from '../testing/raw-http.js';
-import { answerPlain, type ScriptedBackend } from '../testing/scripted-backend.js';
+} from '../../test/support/contract-fleets.js';
+import type { DataPathNode } from '../../test/support/data-path-node.js';
+import { send, sendRaw } from '../../test/support/raw-http.js';
+import { answerPlain, type ScriptedBackend } from '../../test/support/scripted-backend.js';
 
 let contract: EntryContract;
 let backend: ScriptedBackend;
--- a/src/entry/entry-path.test.ts
+++ b/src/entry/entry-path.test.ts
@@ -1,9 +1,9 @@
 /** The path of a call over real loopback HTTP, with raw back ends. */
 import assert from 'node:assert/strict';
 import { after, before, test } from 'node:test';
-import { DataPathFleet, type DataPathNode } from '../testing/data-path-node.js';
-import { send } from '../testing/raw-http.js';
-import { startScriptedBackend, type ScriptedBackend } from '../testing/scripted-backend.js';
+import { DataPathFleet, type DataPathNode } from '../../test/support/data-path-node.js';
+import { send } from '../../test/support/raw-http.js';
+import { startScriptedBackend, type ScriptedBackend } from '../../test/support/scripted-backend.js';
 
 const fleet = new DataPathFleet();
 let backend: ScriptedBackend;
--- a/src/entry/entry-server.test.ts
+++ b/src/entry/entry-server.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { systemClock } from '../kernel/clock.js';
-import { send, sendRaw } from '../testing/raw-http.js';
+import { send, sendRaw } from '../../test/support/raw-http.js';
 import { startEntryServer, type EntryFramework } from './entry-server.js';
 
 const FRAMEWORKS: readonly EntryFramework[] = ['node-http', 'express'];
--- a/src/entry/idempotency.test.ts
+++ b/src/entry/idempotency.test.ts
@@ -2,10 +2,10 @@
 import assert from 'node:assert/strict';
 import { after, before, beforeEach, test } from 'node:test';
 import { ResultCode } from '../core/result-code.js';
-import { startEntryContract, type EntryContract } from '../testing/contract-fleets.js';
-import type { DataPathNode } from '../testing/data-path-node.js';
-import { send } from '../testing/raw-http.js';
-import { answerPlain, type ScriptedBackend } from '../testing/scripted-backend.js';
+import { startEntryContract, type EntryContract } from '../../test/support/contract-fleets.js';
+import type { DataPathNode } from '../../test/support/data-path-node.js';
+import { send } from '../../test/support/raw-http.js';
+import { answerPlain, type ScriptedBackend } from '../../test/support/scripted-backend.js';
 
 const UUID_V7 = '018f0000-0000-7000-8000-000000000001';
 /** The bound of the kind of `/promises` in the contract's rules. */
--- a/src/entry/planned-stop.test.ts
+++ b/src/entry/planned-stop.test.ts
@@ -5,13 +5,13 @@
 import { ResultCode } from '../core/result-code.js';
 import { Token } from '../kernel/token.js';
 import { REFRESH_INTERVAL_MS } from '../target/target-plugin.js';
-import { DataPathFleet, type DataPathNode } from '../testing/data-path-node.js';
-import { send, type TestAnswer } from '../testing/raw-http.js';
+import { DataPathFleet, type DataPathNode } from '../../test/support/data-path-node.js';
+import { send, type TestAnswer } from '../../test/support/raw-http.js';
 import {
   answerPlain,
   startScriptedBackend,
   type ScriptedBackend,
-} from '../testing/scripted-backend.js';
+} from '../../test/support/scripted-backend.js';
 
 let fleet: DataPathFleet;
 let first: ScriptedBackend;
--- a/src/etcd/machine-list-poller.test.ts
+++ b/src/etcd/machine-list-poller.test.ts
@@ -3,7 +3,7 @@
 import { createRandom } from '../core/random.js';
 import { silentEventLog } from '../kernel/event.js';
 import { LeavingTargets } from '../membership/leaving-targets.js';
-import { SimulatedConfigFleet } from '../testing/simulated-config-fleet.js';
+import { SimulatedConfigFleet } from '../../test/support/simulated-config-fleet.js';
 import { MachineListPoller } from './machine-list-poller.js';
 import type { Machine } from './platform-client.js';
 
--- a/src/hollow/hollow-nodes.test.ts
+++ b/src/hollow/hollow-nodes.test.ts
@@ -1,8 +1,8 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { startPlatformStandIn } from '../stand-ins/platform/platform-stand-in.js';
-import { findFreePorts } from '../testing/free-ports.js';
-import { poll } from '../testing/http-json.js';
+import { findFreePorts } from '../trials/free-ports.js';
+import { poll } from '../trials/http-json.js';
 import { HollowNodes } from './hollow-nodes.js';
 import { createHollowSettings } from './hollow-settings.js';
 
--- a/src/node/start-node.test.ts
+++ b/src/node/start-node.test.ts
@@ -14,7 +14,7 @@
 import { listPlugins } from '../kernel/plugin.js';
 import { startPlatformStandIn } from '../stand-ins/platform/platform-stand-in.js';
 import type { PlatformStandIn } from '../stand-ins/platform/platform-stand-in.js';
-import { findFreePorts } from '../testing/free-ports.js';
+import { findFreePorts } from '../trials/free-ports.js';
 import { startNode } from './start-node.js';
 
 const TEST_TIMEOUT_MS = 30_000;
--- a/src/peer/peer-network.test.ts
+++ b/src/peer/peer-network.test.ts
@@ -7,7 +7,7 @@
 import { ResultCode } from '../core/result-code.js';
 import { ManualClock } from '../kernel/clock.js';
 import { silentEventLog } from '../kernel/event.js';
-import { InMemoryPeerHub } from './in-memory-peer-network.js';
+import { InMemoryPeerHub } from '../../test/support/in-memory-peer-network.js';
 import type { ConfigFetchMessage, ConfigFetchReply } from './messages.js';
 import type { PeerNetwork } from './peer-network.js';
 import { TcpPeerNetwork } from './tcp-peer-network.js';
--- a/src/peer/tcp-peer-authentication.test.ts
+++ b/src/peer/tcp-peer-authentication.test.ts
@@ -16,7 +16,7 @@
   fetchCode,
   encode,
   openRaw,
-} from '../testing/tcp-peer-nodes.js';
+} from '../../test/support/tcp-peer-nodes.js';
 
 const oversized = Buffer.alloc(4);
 oversized.writeInt32LE(MAX_FRAME_BYTES + 1);
--- a/src/peer/tcp-peer-network.test.ts
+++ b/src/peer/tcp-peer-network.test.ts
@@ -6,7 +6,12 @@
 import { ManualClock } from '../kernel/clock.js';
 import { Event } from '../kernel/event.js';
 import { IDLE_CLOSE_MS } from './tcp-peer-network.js';
-import { MAX_FRAME_BYTES, startNode, serveEcho, fetchCode } from '../testing/tcp-peer-nodes.js';
+import {
+  MAX_FRAME_BYTES,
+  startNode,
+  serveEcho,
+  fetchCode,
+} from '../../test/support/tcp-peer-nodes.js';
 
 test('a message above the frame limit is refused here and the link stays up', async (context) => {
   const caller = await startNode(context, 'node-a');
--- a/src/peer/tls-peer-network.test.ts
+++ b/src/peer/tls-peer-network.test.ts
@@ -11,7 +11,7 @@
 import { ResultCode } from '../core/result-code.js';
 import { ManualClock } from '../kernel/clock.js';
 import { Event } from '../kernel/event.js';
-import { STRANGER_TLS, TEST_TLS } from '../testing/test-certificates.js';
+import { STRANGER_TLS, TEST_TLS } from '../../test/support/test-certificates.js';
 import { TcpPeerNetwork } from './tcp-peer-network.js';
 
 interface Node {
--- a/src/target/backend-contract.test.ts
+++ b/src/target/backend-contract.test.ts
@@ -9,15 +9,15 @@
   MAX_ANSWER_BYTES,
   startBackendContract,
   type BackendContract,
-} from '../testing/contract-fleets.js';
-import type { DataPathNode } from '../testing/data-path-node.js';
-import { send, type TestAnswer } from '../testing/raw-http.js';
+} from '../../test/support/contract-fleets.js';
+import type { DataPathNode } from '../../test/support/data-path-node.js';
+import { send, type TestAnswer } from '../../test/support/raw-http.js';
 import {
   answerPlain,
   replyWith,
   type BackendScript,
   type ScriptedBackend,
-} from '../testing/scripted-backend.js';
+} from '../../test/support/scripted-backend.js';
 
 let contract: BackendContract;
 let backend: ScriptedBackend;
--- a/src/target/backend-sequences.test.ts
+++ b/src/target/backend-sequences.test.ts
@@ -10,15 +10,15 @@
   BACKEND_DEADLINE_MS,
   startBackendContract,
   type BackendContract,
-} from '../testing/contract-fleets.js';
-import type { DataPathNode } from '../testing/data-path-node.js';
-import { send } from '../testing/raw-http.js';
+} from '../../test/support/contract-fleets.js';
+import type { DataPathNode } from '../../test/support/data-path-node.js';
+import { send } from '../../test/support/raw-http.js';
 import {
   answerPlain,
   replyWith,
   type BackendScript,
   type ScriptedBackend,
-} from '../testing/scripted-backend.js';
+} from '../../test/support/scripted-backend.js';
 
 const OK = 'HTTP/1.1 200 OK\r\n';
 
--- a/src/target/local-target-dispatcher.test.ts
+++ b/src/target/local-target-dispatcher.test.ts
@@ -9,7 +9,7 @@
 import { ManualClock } from '../kernel/clock.js';
 import { silentEventLog } from '../kernel/event.js';
 import { createMetrics, type Metrics } from '../kernel/metrics.js';
-import { PLAIN_POLICY } from '../testing/plain-policy.js';
+import { PLAIN_POLICY } from '../../test/support/plain-policy.js';
 import { LocalTargetDispatcher } from './local-target-dispatcher.js';
 
 interface Bench {
--- a/src/testing/configuration.process.test.ts
+++ b/src/trials/configuration.process.test.ts
@@ -5,8 +5,8 @@
  */
 import assert from 'node:assert/strict';
 import { after, before, test, type TestContext } from 'node:test';
-import { NodeFleet, type FleetNode } from './node-fleet.js';
-import { createSampleRules } from './sample-rules.js';
+import { NodeFleet, type FleetNode } from '../../test/support/node-fleet.js';
+import { createSampleRules } from '../../test/support/sample-rules.js';
 
 const TENANT = 'recife';
 const TIMEOUT_MS = 120_000;
--- a/src/testing/deployment.process.test.ts
+++ b/src/trials/deployment.process.test.ts
@@ -7,7 +7,7 @@
   assertGuarantees,
   RATE_FACTOR,
   withDeployment,
-} from './process-test-deployment.js';
+} from '../../test/support/process-test-deployment.js';
 
 const LEAVING_LIMIT_MS = 3_000;
 /**
--- a/src/testing/failures.process.test.ts
+++ b/src/trials/failures.process.test.ts
@@ -2,7 +2,11 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { setTimeout as delay } from 'node:timers/promises';
-import { assertGuarantees, RATE_FACTOR, withDeployment } from './process-test-deployment.js';
+import {
+  assertGuarantees,
+  RATE_FACTOR,
+  withDeployment,
+} from '../../test/support/process-test-deployment.js';
 
 /** Longer than the time limits of the links and of the failure detection. */
 const PAUSE_MS = 4_000;
--- a/src/testing/fault-run.process.test.ts
+++ b/src/trials/fault-run.process.test.ts
@@ -5,7 +5,11 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { runFaults } from './fault-run.js';
-import { assertGuarantees, RATE_FACTOR, withDeployment } from './process-test-deployment.js';
+import {
+  assertGuarantees,
+  RATE_FACTOR,
+  withDeployment,
+} from '../../test/support/process-test-deployment.js';
 
 const TIMEOUT_MS = 120_000;
 /** The second loses two of three claim replicas at once. */
--- a/src/testing/faults.process.test.ts
+++ b/src/trials/faults.process.test.ts
@@ -14,9 +14,12 @@
   startAgain,
   stopNode,
   waitForVote,
-} from './fault-actions.js';
-import { runFaultCase, type FaultScript } from './fault-case.js';
-import { assertGuarantees, startTestDeployment } from './process-test-deployment.js';
+} from '../../test/support/fault-actions.js';
+import { runFaultCase, type FaultScript } from '../../test/support/fault-case.js';
+import {
+  assertGuarantees,
+  startTestDeployment,
+} from '../../test/support/process-test-deployment.js';
 
 const TIMEOUT_MS = 120_000;
 /** Longer than the promises' deadline and than it takes peers to consider a node failed. */
--- a/test/stand-ins/mesh.ts
+++ b/test/stand-ins/mesh.ts
@@ -7,7 +7,7 @@
 import type { Kernel } from '../../src/kernel/kernel.js';
 import { createSidecar } from '../../src/sidecar/start-sidecar.js';
 import { validateSidecarSettings } from '../../src/sidecar/settings.js';
-import { findFreePorts } from '../../src/testing/free-ports.js';
+import { findFreePorts } from '../../src/trials/free-ports.js';
 import { StoreStandIn } from './store-stand-in.js';
 import { TargetStandIn, type TargetStandInOptions } from './target-stand-in.js';
 
--- a/src/testing/claim-fleet.ts
+++ b/test/support/claim-fleet.ts
@@ -1,14 +1,14 @@
 /** Claim tasks of several nodes under virtual time, for tests. */
 import assert from 'node:assert/strict';
-import type { ReplicaReply, ReplicaRequest } from '../core/claim/replica-messages.js';
-import type { ClaimDecision, ClaimRequest } from '../claims/claim-service.js';
-import { ClaimTask, createIncarnation } from '../claims/claim-task.js';
-import { ManualClock } from '../kernel/clock.js';
-import { silentEventLog } from '../kernel/event.js';
-import { createMetrics } from '../kernel/metrics.js';
-import type { Member, Membership } from '../membership/membership.js';
-import { InMemoryPeerHub, type InMemoryPeerNetwork } from '../peer/in-memory-peer-network.js';
-import type { PeerNetwork } from '../peer/peer-network.js';
+import type { ReplicaReply, ReplicaRequest } from '../../src/core/claim/replica-messages.js';
+import type { ClaimDecision, ClaimRequest } from '../../src/claims/claim-service.js';
+import { ClaimTask, createIncarnation } from '../../src/claims/claim-task.js';
+import { ManualClock } from '../../src/kernel/clock.js';
+import { silentEventLog } from '../../src/kernel/event.js';
+import { createMetrics } from '../../src/kernel/metrics.js';
+import type { Member, Membership } from '../../src/membership/membership.js';
+import { InMemoryPeerHub, type InMemoryPeerNetwork } from './in-memory-peer-network.js';
+import type { PeerNetwork } from '../../src/peer/peer-network.js';
 import { InMemoryPlatform, type WriteFate } from './in-memory-platform.js';
 
 /** How a fleet is made. */
--- a/src/testing/data-path-node.ts
+++ b/test/support/data-path-node.ts
@@ -1,20 +1,20 @@
 /** Nodes with the real entry and target side, and all else in memory; for tests. */
 import type { Container } from 'inversify';
-import { InMemoryConfigStore } from '../config/in-memory-config-store.js';
-import { parseRules, type Rules } from '../config/rules.js';
-import { validateSettings, type Settings } from '../config/settings.js';
-import '../entry/entry-plugin.js';
-import { systemClock } from '../kernel/clock.js';
-import { silentEventLog } from '../kernel/event.js';
-import { Kernel } from '../kernel/kernel.js';
-import { createMetrics } from '../kernel/metrics.js';
-import { StartOrder, listPlugins, type Plugin } from '../kernel/plugin.js';
-import { Token } from '../kernel/token.js';
-import { LeavingTargets } from '../membership/leaving-targets.js';
-import type { Member } from '../membership/membership.js';
-import '../target/target-plugin.js';
+import { InMemoryConfigStore } from '../../src/config/in-memory-config-store.js';
+import { parseRules, type Rules } from '../../src/config/rules.js';
+import { validateSettings, type Settings } from '../../src/config/settings.js';
+import '../../src/entry/entry-plugin.js';
+import { systemClock } from '../../src/kernel/clock.js';
+import { silentEventLog } from '../../src/kernel/event.js';
+import { Kernel } from '../../src/kernel/kernel.js';
+import { createMetrics } from '../../src/kernel/metrics.js';
+import { StartOrder, listPlugins, type Plugin } from '../../src/kernel/plugin.js';
+import { Token } from '../../src/kernel/token.js';
+import { LeavingTargets } from '../../src/membership/leaving-targets.js';
+import type { Member } from '../../src/membership/membership.js';
+import '../../src/target/target-plugin.js';
 import { FakeClaimService, FakeFleet, FakeMembership, FakePeerNetwork } from './fake-services.js';
-import { findFreePort } from './free-ports.js';
+import { findFreePort } from '../../src/trials/free-ports.js';
 import { PLAIN_POLICY } from './plain-policy.js';
 
 const ZONE = 'zone-a';
--- a/src/testing/fake-services.ts
+++ b/test/support/fake-services.ts
@@ -6,19 +6,19 @@
   ClaimDecision,
   ClaimRequest,
   ClaimService,
-} from '../claims/claim-service.js';
-import { createFailure, type Failure } from '../core/failure.js';
-import type { HttpAnswer } from '../core/http-message.js';
-import { ResultCode } from '../core/result-code.js';
-import type { Clock } from '../kernel/clock.js';
-import type { Member, Membership, MutableFacts } from '../membership/membership.js';
-import type { PeerCallName, PeerCalls } from '../peer/messages.js';
+} from '../../src/claims/claim-service.js';
+import { createFailure, type Failure } from '../../src/core/failure.js';
+import type { HttpAnswer } from '../../src/core/http-message.js';
+import { ResultCode } from '../../src/core/result-code.js';
+import type { Clock } from '../../src/kernel/clock.js';
+import type { Member, Membership, MutableFacts } from '../../src/membership/membership.js';
+import type { PeerCallName, PeerCalls } from '../../src/peer/messages.js';
 import type {
   BodyValidator,
   PeerCallHandler,
   PeerCallOptions,
   PeerNetwork,
-} from '../peer/peer-network.js';
+} from '../../src/peer/peer-network.js';
 
 /** The members of one fleet, seen at once by all nodes. */
 export class FakeFleet {
--- a/src/testing/fault-actions.ts
+++ b/test/support/fault-actions.ts
@@ -1,9 +1,9 @@
 /** Faults over the processes of a deployment, each with its end. */
 import { setTimeout as delay } from 'node:timers/promises';
-import { NO_FAULTS, type BackendControl } from '../stand-ins/backend/backend-faults.js';
-import { Event } from '../kernel/event.js';
-import type { Deployment, RunningNode } from './deployment.js';
-import { poll } from './http-json.js';
+import { NO_FAULTS, type BackendControl } from '../../src/stand-ins/backend/backend-faults.js';
+import { Event } from '../../src/kernel/event.js';
+import type { Deployment, RunningNode } from '../../src/trials/deployment.js';
+import { poll } from '../../src/trials/http-json.js';
 
 /** Longest time that a node may take to start while faults last; the recovery starts it later. */
 const RESTART_LIMIT_MS = 6_000;
--- a/src/testing/fault-case.ts
+++ b/test/support/fault-case.ts
@@ -3,8 +3,8 @@
  * Random schedules are in fault-run.ts.
  */
 import { setTimeout as delay } from 'node:timers/promises';
-import type { Deployment } from './deployment.js';
-import type { GuaranteeReport } from './guarantees.js';
+import type { Deployment } from '../../src/trials/deployment.js';
+import type { GuaranteeReport } from '../../src/trials/guarantees.js';
 import { RATE_FACTOR } from './process-test-deployment.js';
 
 /** Load before the first fault, in milliseconds. */
--- a/src/peer/in-memory-peer-network.ts
+++ b/test/support/in-memory-peer-network.ts
@@ -4,19 +4,19 @@
  * receiver never shares objects with the sender.
  */
 import { Result } from 'true-myth';
-import { createFailure, type Failure } from '../core/failure.js';
-import { ResultCode } from '../core/result-code.js';
-import type { Clock } from '../kernel/clock.js';
-import { decodeFrame, encodeFrame } from './frame-codec.js';
-import { HandlerRegistry } from './handler-registry.js';
-import { callLocally } from './local-call.js';
-import type { PeerCallName, PeerCalls } from './messages.js';
+import { createFailure, type Failure } from '../../src/core/failure.js';
+import { ResultCode } from '../../src/core/result-code.js';
+import type { Clock } from '../../src/kernel/clock.js';
+import { decodeFrame, encodeFrame } from '../../src/peer/frame-codec.js';
+import { HandlerRegistry } from '../../src/peer/handler-registry.js';
+import { callLocally } from '../../src/peer/local-call.js';
+import type { PeerCallName, PeerCalls } from '../../src/peer/messages.js';
 import type {
   BodyValidator,
   PeerCallHandler,
   PeerCallOptions,
   PeerNetwork,
-} from './peer-network.js';
+} from '../../src/peer/peer-network.js';
 
 const MAX_FRAME_BYTES = 16 * 1024 * 1024;
 
--- a/src/testing/in-memory-platform.ts
+++ b/test/support/in-memory-platform.ts
@@ -1,7 +1,7 @@
 /** PlatformClient over an in-memory store with planned faults, for tests of decision logic. */
 import { Result } from 'true-myth';
-import { createFailure, type Failure } from '../core/failure.js';
-import { ResultCode } from '../core/result-code.js';
+import { createFailure, type Failure } from '../../src/core/failure.js';
+import { ResultCode } from '../../src/core/result-code.js';
 import type {
   Compare,
   KeyValue,
@@ -11,8 +11,8 @@
   RangeResult,
   TransactionResult,
   WatchEvent,
-} from '../etcd/platform-client.js';
-import { KeyValueStore, type StoredValue } from '../stand-ins/platform/key-value-store.js';
+} from '../../src/etcd/platform-client.js';
+import { KeyValueStore, type StoredValue } from '../../src/stand-ins/platform/key-value-store.js';
 
 /** What happens to one write: `late` takes effect only when {@link InMemoryPlatform.deliverLate} runs. */
 export type WriteFate = 'ok' | 'refused' | 'lost-before' | 'lost-after' | 'late';
--- a/src/testing/node-fleet.ts
+++ b/test/support/node-fleet.ts
@@ -2,16 +2,16 @@
 import { mkdtempSync, rmSync, writeFileSync } from 'node:fs';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
-import { HEAD_KEY } from '../config/stored-revision.js';
-import { validateSettings, type Settings } from '../config/settings.js';
+import { HEAD_KEY } from '../../src/config/stored-revision.js';
+import { validateSettings, type Settings } from '../../src/config/settings.js';
 import {
   startPlatformStandIn,
   type PlatformStandIn,
-} from '../stand-ins/platform/platform-stand-in.js';
-import { AdminClient } from './admin-client.js';
-import { findFreePorts } from './free-ports.js';
-import { FatalError, poll } from './http-json.js';
-import { ManagedProcess } from './managed-process.js';
+} from '../../src/stand-ins/platform/platform-stand-in.js';
+import { AdminClient } from '../../src/trials/admin-client.js';
+import { findFreePorts } from '../../src/trials/free-ports.js';
+import { FatalError, poll } from '../../src/trials/http-json.js';
+import { ManagedProcess } from '../../src/trials/managed-process.js';
 
 const HOST = '127.0.0.1';
 const START_TIMEOUT_MS = 20_000;
--- a/src/testing/plain-policy.ts
+++ b/test/support/plain-policy.ts
@@ -1,5 +1,5 @@
 /** The simplest overload policy, for tests of the path of a call: no queue, retries at once. */
-import { registerOverloadPolicy } from '../core/overload-policy-registry.js';
+import { registerOverloadPolicy } from '../../src/core/overload-policy-registry.js';
 import type {
   GateAction,
   OverloadPolicy,
@@ -8,8 +8,8 @@
   TargetGate,
   TargetGateOptions,
   TargetView,
-} from '../core/overload.js';
-import { ResultCode } from '../core/result-code.js';
+} from '../../src/core/overload.js';
+import { ResultCode } from '../../src/core/result-code.js';
 
 /** Name under which the policy is registered. */
 export const PLAIN_POLICY = 'test-plain';
--- a/src/testing/process-test-deployment.ts
+++ b/test/support/process-test-deployment.ts
@@ -3,11 +3,11 @@
  * speed of the machine.
  */
 import assert from 'node:assert/strict';
-import type { Rules } from '../config/rules.js';
-import type { CallersResult } from '../stand-ins/callers/start-callers.js';
-import type { Workload } from '../stand-ins/workload.js';
-import { Deployment } from './deployment.js';
-import type { GuaranteeReport } from './guarantees.js';
+import type { Rules } from '../../src/config/rules.js';
+import type { CallersResult } from '../../src/stand-ins/callers/start-callers.js';
+import type { Workload } from '../../src/stand-ins/workload.js';
+import { Deployment } from '../../src/trials/deployment.js';
+import type { GuaranteeReport } from '../../src/trials/guarantees.js';
 
 /** Default factor on the example's deadlines and on the callers' patience. */
 const STRETCH = 10;
--- a/src/testing/simulated-config-fleet.ts
+++ b/test/support/simulated-config-fleet.ts
@@ -3,15 +3,20 @@
  * peers and membership, under virtual time; zones can be cut off, nodes die and are replaced.
  */
 import { Result } from 'true-myth';
-import { ConfigDistribution } from '../config/config-distribution.js';
-import { InMemoryConfigStore } from '../config/in-memory-config-store.js';
-import { PlatformRulesRepository } from '../config/platform-rules-repository.js';
-import { createFailure, type Failure } from '../core/failure.js';
-import { ResultCode } from '../core/result-code.js';
-import { ManualClock } from '../kernel/clock.js';
-import { silentEventLog } from '../kernel/event.js';
-import type { Member, MemberFacts, Membership, MutableFacts } from '../membership/membership.js';
-import type { BodyValidator, PeerCallHandler, PeerNetwork } from '../peer/peer-network.js';
+import { ConfigDistribution } from '../../src/config/config-distribution.js';
+import { InMemoryConfigStore } from '../../src/config/in-memory-config-store.js';
+import { PlatformRulesRepository } from '../../src/config/platform-rules-repository.js';
+import { createFailure, type Failure } from '../../src/core/failure.js';
+import { ResultCode } from '../../src/core/result-code.js';
+import { ManualClock } from '../../src/kernel/clock.js';
+import { silentEventLog } from '../../src/kernel/event.js';
+import type {
+  Member,
+  MemberFacts,
+  Membership,
+  MutableFacts,
+} from '../../src/membership/membership.js';
+import type { BodyValidator, PeerCallHandler, PeerNetwork } from '../../src/peer/peer-network.js';
 import { InMemoryPlatform } from './in-memory-platform.js';
 
 /** Time after which an unheard member counts as failed. */
--- a/src/testing/tcp-peer-nodes.ts
+++ b/test/support/tcp-peer-nodes.ts
@@ -3,21 +3,21 @@
 import { connect, type Socket } from 'node:net';
 import { type TestContext } from 'node:test';
 import { Result } from 'true-myth';
-import { createRandom } from '../core/random.js';
-import { ResultCode } from '../core/result-code.js';
-import { splitAddress } from '../config/settings.js';
-import { ManualClock } from '../kernel/clock.js';
-import { Event, type EventFields, type EventLog } from '../kernel/event.js';
-import { decodeFrame, encodeFrame, type Envelope } from '../peer/frame-codec.js';
-import { FrameReader } from '../peer/frame-reader.js';
+import { createRandom } from '../../src/core/random.js';
+import { ResultCode } from '../../src/core/result-code.js';
+import { splitAddress } from '../../src/config/settings.js';
+import { ManualClock } from '../../src/kernel/clock.js';
+import { Event, type EventFields, type EventLog } from '../../src/kernel/event.js';
+import { decodeFrame, encodeFrame, type Envelope } from '../../src/peer/frame-codec.js';
+import { FrameReader } from '../../src/peer/frame-reader.js';
 import {
   createHelloFrame,
   createNonce,
   createProof,
   createProofFrame,
   readHello,
-} from '../peer/handshake.js';
-import { TcpPeerNetwork } from '../peer/tcp-peer-network.js';
+} from '../../src/peer/handshake.js';
+import { TcpPeerNetwork } from '../../src/peer/tcp-peer-network.js';
 
 export const KEY = 'a key of the TCP tests';
 export const MAX_FRAME_BYTES = 20_000;
