A target that leaves attempts without an answer gets fewer of them

The ejection of outliers wants five failures in a row, which answers in between start anew, and an entry sees one or two attempts a second a target. Ruled out: fewer failures in a row for an ejection (a single lost answer in a burst would take a target out); counting at the entries (too few samples there). Change: the gate counts the share of attempts without an answer, decaying over 2 s, and reports it with its load; routing adds twice the share to a target's score, fading with the report's age.

--- a/src/core/policies/adaptive-gate.test.ts
+++ b/src/core/policies/adaptive-gate.test.ts
@@ -252,3 +252,12 @@
   }
   assert.equal(gate.report(0).queued, MAX_QUEUED_PER_SLOT * LIMIT);
 });
+
+test('reports the share of attempts that were sent and not answered', () => {
+  const gate = createGate();
+  for (let ticket = 1; ticket <= 40; ticket += 1) {
+    gate.offer(ticket, ticket, createRequest(ticket, 'normal', 10_000));
+    gate.complete(ticket, ticket, ticket % 2 === 0 ? 'failed' : 'success');
+  }
+  assert.ok(Math.abs(gate.report(40).failureShare! - 0.45) < 0.05);
+});
--- a/src/core/policies/adaptive-gate.ts
+++ b/src/core/policies/adaptive-gate.ts
@@ -11,6 +11,7 @@
 import type { ConcurrencyLimit } from '../limit/concurrency-limit.js';
 import { ServiceTime } from '../limit/service-time.js';
 import type { GateAction, TargetGate } from '../overload.js';
+import { FailureShare } from '../routing/failure-share.js';
 import { NestedReserve } from '../queue/nested-reserve.js';
 import type { WaitingQueue, WaitingRequest } from '../queue/waiting-queue.js';
 import type { AttemptOutcome, LoadReport, RequestContext } from '../request.js';
@@ -45,6 +46,7 @@
   private readonly downstream = new DownstreamThresholds();
   private readonly reserve = new NestedReserve();
   private readonly retryAfter = new RetryAfterEstimate();
+  private readonly failures = new FailureShare();
 
   constructor(private readonly options: AdaptiveGateOptions) {}
 
@@ -71,6 +73,7 @@
     const ended = this.inFlight.end(ticket);
     if (ended === undefined) return [];
     const latencyMs = now - ended.startedAt;
+    this.failures.note(now, outcome);
     this.serviceTime.note(now, ended.kind, latencyMs, outcome);
     const { limit, queue } = this.options;
     const queued = queue.length > 0 && inFlight >= limit.current();
@@ -103,6 +106,7 @@
       limit: limit.current(),
       latencyMs: this.serviceTime.mean(),
       threshold: Math.max(controller.threshold, below),
+      failureShare: this.failures.at(now),
     };
   }
 
--- a/src/core/policies/adaptive-router.test.ts
+++ b/src/core/policies/adaptive-router.test.ts
@@ -54,6 +54,26 @@
   }
 });
 
+test('a target that loses a part of its answers gets little while the others have room', () => {
+  const router = createRouter([createView('good'), createView('lossy'), createView('other')]);
+  const lossy = { ...LOAD, failureShare: 0.4 };
+  const end = (target: string) => (target === 'lossy' ? { load: lossy } : {});
+  pickMany(router, 30, 1, end);
+  assert.deepEqual(Object.keys(pickMany(router, 100, 2, end)).sort(), ['good', 'other']);
+  const full = { ...LOAD, inFlight: 10, queued: 5 };
+  const endFull = (target: string) => ({ load: target === 'lossy' ? lossy : full });
+  pickMany(router, 30, 3, endFull);
+  assert.ok((pickMany(router, 100, 4, endFull)['lossy'] ?? 0) > 50);
+});
+
+test('a target whose failures are over is tried again', () => {
+  const router = createRouter([createView('good'), createView('lossy')]);
+  const lossy = { ...LOAD, failureShare: 0.5 };
+  pickMany(router, 30, 1, (target) => (target === 'lossy' ? { load: lossy } : {}));
+  assert.equal(pickMany(router, 50, 2)['lossy'], undefined);
+  assert.ok((pickMany(router, 50, 8_000)['lossy'] ?? 0) > 0);
+});
+
 test('prefers the own zone and spills over when it is loaded', () => {
   const router = createRouter([createView('near', 'a'), createView('far', 'b')]);
   assert.deepEqual(pickMany(router, 50, 1), { near: 50 });
--- a/src/core/request.ts
+++ b/src/core/request.ts
@@ -62,4 +62,6 @@
    * requests with {@link admissionPriority} below the threshold would be refused.
    */
   readonly threshold: number;
+  /** Share of late attempts that were sent and not answered, 0 to 1; absent: not counted. */
+  readonly failureShare?: number;
 }
--- a/src/core/routing/load-score.ts
+++ b/src/core/routing/load-score.ts
@@ -1,10 +1,17 @@
 /**
  * Share of a target's limit that is taken: the measure by which routing compares targets.
  * A slow target stays full for longer and so gets fewer requests; latency itself is left out,
- * because its noise over different kinds unbalances equal targets.
+ * because its noise over different kinds unbalances equal targets. A target that leaves attempts
+ * without an answer counts as fuller.
  */
 import type { TargetState } from './target-state.js';
 
+/**
+ * Weight of the share of attempts that a target leaves without an answer. At 0.4 of them the
+ * others are preferred until they are 0.8 fuller: work is lost there, but so it is in a queue.
+ */
+const FAILURE_WEIGHT = 2;
+
 /** Where the router stands. */
 export interface Locality {
   readonly zone: string;
@@ -36,7 +43,8 @@
 ): number {
   const limit = target.lastReport()?.limit ?? defaultLimit;
   const share = (target.load(now) + 1) / limit;
-  return (share + distanceShare(target, locality)) * slowStartFactor(now, target);
+  const placed = (share + distanceShare(target, locality)) * slowStartFactor(now, target);
+  return placed + FAILURE_WEIGHT * target.failureShare(now);
 }
 
 /** Weighs much while targets are idle and little while they are full, so that load spills over. */
--- a/src/core/routing/target-state.ts
+++ b/src/core/routing/target-state.ts
@@ -4,6 +4,8 @@
 import type { LoadReport } from '../request.js';
 import { Outliers } from './outliers.js';
 
+/** Time after which a reported share of failures counts for a third, in milliseconds. */
+const FAILURES_FADE_MS = 2_000;
 /** A load report older than this says nothing any more, in milliseconds. */
 const REPORT_VALID_MS = 1_000;
 
@@ -43,6 +45,12 @@
     return Math.max(this.outstanding, report.inFlight + report.queued + since);
   }
 
+  /** Share of its attempts that the target left without an answer of late, 0 to 1. */
+  failureShare(now: number): number {
+    const share = this.report?.failureShare ?? 0;
+    return share === 0 ? 0 : share * Math.exp((this.reportedAt - now) / FAILURES_FADE_MS);
+  }
+
   /** Last known concurrency limit and latency, however old. */
   lastReport(): LoadReport | undefined {
     return this.report;
--- a/src/sidecar/link/link-messages.test.ts
+++ b/src/sidecar/link/link-messages.test.ts
@@ -5,7 +5,14 @@
 import { PeerClock } from './peer-clock.js';
 
 const STATUS = { node: 'n', service: 's', target: 'ready', rulesVersion: 3 } as const;
-const LOAD = { inFlight: 1, queued: 2, limit: 3, latencyMs: 4.5, threshold: 0.25 };
+const LOAD = {
+  inFlight: 1,
+  queued: 2,
+  limit: 3,
+  latencyMs: 4.5,
+  threshold: 0.25,
+  failureShare: 0.125,
+};
 
 const MESSAGES: readonly LinkMessage[] = [
   { type: 'hello', status: STATUS, clock: 12.5 },
--- a/src/sidecar/link/link-messages.ts
+++ b/src/sidecar/link/link-messages.ts
@@ -187,7 +187,7 @@
 
 function endToDocument(id: number, end: AttemptEnd): Document {
   const { load } = end;
-  const l = load && [load.inFlight, load.queued, load.limit, load.latencyMs, load.threshold];
+  const l = load && loadToArray(load);
   if (end.type === 'answer') {
     const { status, fields, body } = end;
     return { t: FrameCode.Answer, i: id, s: status, h: fields.join(FIELD_SEPARATOR), l, b: body };
@@ -206,6 +206,11 @@
   };
 }
 
+function loadToArray(load: LoadReport): readonly number[] {
+  const { inFlight, queued, limit, latencyMs, threshold, failureShare = 0 } = load;
+  return [inFlight, queued, limit, latencyMs, threshold, failureShare];
+}
+
 function fromDocument(document: Document): LinkMessage | undefined {
   const id = document['i'] as number;
   switch (document['t'] as FrameCode) {
@@ -292,8 +297,9 @@
 function loadFromDocument(document: Document): { readonly load?: LoadReport } {
   const values = document['l'] as readonly number[] | undefined;
   if (values === undefined) return {};
-  const [inFlight = 0, queued = 0, limit = 1, latencyMs = 0, threshold = 0] = values;
-  return { load: { inFlight, queued, limit, latencyMs, threshold } };
+  const [inFlight = 0, queued = 0, limit = 1, latencyMs = 0, threshold = 0, failureShare = 0] =
+    values;
+  return { load: { inFlight, queued, limit, latencyMs, threshold, failureShare } };
 }
 
 function splitFields(text: string): RawFields {
