The emulator stands a node beside each target, and loses answers

Ruled out: the fault misleading-health, which resets before the work is done. Change: nodesPerZone: one-per-target; fault lost-answers; policy adaptive-ejection-alone (the gate's reports without the share of failures: ejection in a row, as in Envoy) for comparison; scenario sidecars-lost-answers.

--- a/src/core/policies/adaptive-variants.ts
+++ b/src/core/policies/adaptive-variants.ts
@@ -8,6 +8,7 @@
 import { AimdLimit } from '../limit/aimd-limit.js';
 import { createFixedLimit } from '../limit/fixed-limit.js';
 import { GradientLimit } from '../limit/gradient-limit.js';
+import type { TargetGate } from '../overload.js';
 import { registerOverloadPolicy } from '../overload-policy-registry.js';
 import { AdaptiveLifoQueue } from '../queue/adaptive-lifo-queue.js';
 import { FifoQueue } from '../queue/fifo-queue.js';
@@ -40,3 +41,26 @@
 for (const [name, parts] of Object.entries(VARIANTS)) {
   registerOverloadPolicy(createAdaptivePolicy(name, { ...ADAPTIVE_PARTS, ...parts }));
 }
+
+const { createTargetGate, createServiceRouter } = createAdaptivePolicy('adaptive', ADAPTIVE_PARTS);
+
+/** Ejection of outliers alone, as in Envoy: routing hears of no share of failures. */
+registerOverloadPolicy({
+  name: 'adaptive-ejection-alone',
+  createServiceRouter,
+  createTargetGate: (options) => withoutFailureShare(createTargetGate(options)),
+});
+
+function withoutFailureShare(gate: TargetGate): TargetGate {
+  return {
+    offer: (now, ticket, request) => gate.offer(now, ticket, request),
+    complete: (now, ticket, outcome) => gate.complete(now, ticket, outcome),
+    cancel: (now, ticket) => gate.cancel(now, ticket),
+    onTimer: (now) => gate.onTimer(now),
+    nextTimer: () => gate.nextTimer(),
+    report: (now, request) => ({ ...gate.report(now, request), failureShare: 0 }),
+    noteDownstream: (now, service, threshold, kind) => {
+      gate.noteDownstream(now, service, threshold, kind);
+    },
+  };
+}
--- a/src/emulator/back-end.ts
+++ b/src/emulator/back-end.ts
@@ -49,6 +49,8 @@
   slowdown = 1;
   /** Share of requests whose connection is reset at once (a fault). */
   resetShare = 0;
+  /** Share of requests that are run and then reset before their answer (a fault). */
+  lostAnswerShare = 0;
   /** Queue length from which requests are shed; `Infinity` never sheds. */
   shedAbove = Infinity;
   private coldUntil = 0;
@@ -152,7 +154,11 @@
   private finish(running: RunningJob, succeeded: boolean): void {
     if (this.running.get(running.job) !== running) return;
     this.releaseSlot(running);
-    running.job.onAnswer(succeeded);
+    if (this.lostAnswerShare > 0 && this.random.next() < this.lostAnswerShare) {
+      running.job.onReset();
+    } else {
+      running.job.onAnswer(succeeded);
+    }
   }
 
   private releaseSlot(running: RunningJob): void {
--- a/src/emulator/deployment.ts
+++ b/src/emulator/deployment.ts
@@ -68,6 +68,9 @@
   readonly root: CallSite;
 }
 
+/** In place of a number of nodes: a node beside each target, as sidecars stand. */
+export const ONE_PER_TARGET = 'one-per-target';
+
 /** A whole deployment. */
 export interface Deployment {
   readonly name: string;
@@ -83,7 +86,8 @@
   readonly localDelayMs: number;
   /** Cost of a new connection to a target, in milliseconds. */
   readonly connectMs: number;
-  readonly nodesPerZone: number;
+  /** Nodes of each zone, among which its targets are shared. */
+  readonly nodesPerZone: number | typeof ONE_PER_TARGET;
   readonly services: readonly ServiceModel[];
   readonly kinds: readonly CallerKind[];
 }
--- a/src/emulator/faults.ts
+++ b/src/emulator/faults.ts
@@ -54,6 +54,16 @@
     case 'misleading-health':
       scheduleMisleadingHealth(simulation, fault);
       break;
+    case 'lost-answers':
+      between(
+        () => {
+          for (const side of sidesOf(simulation, fault)) side.backEnd.lostAnswerShare = fault.share;
+        },
+        () => {
+          for (const side of sidesOf(simulation, fault)) side.backEnd.lostAnswerShare = 0;
+        },
+      );
+      break;
     case 'platform-outage':
       // Its effect is on the delay of the list of machines; see listedAt.
       break;
--- a/src/emulator/phases.ts
+++ b/src/emulator/phases.ts
@@ -98,6 +98,7 @@
   if (fault.type === 'misleading-health') {
     return active && fault.mode === 'looks-healthy' ? 1 - fault.resetShare : 1;
   }
+  if (fault.type === 'lost-answers') return active ? 1 - fault.share : 1;
   if (fault.type === 'shedding' || fault.type === 'platform-outage') return 1;
   if (active) return 0;
   const warmUpLeft = fault.toMs + fault.warmUpMs - at;
--- a/src/emulator/scenario.ts
+++ b/src/emulator/scenario.ts
@@ -7,7 +7,7 @@
 import './policies.js';
 import type { Failure } from '../core/failure.js';
 import { ResultCode } from '../core/result-code.js';
-import type { Deployment } from './deployment.js';
+import { ONE_PER_TARGET, type Deployment } from './deployment.js';
 import { EXAMPLE_NAMES, readExampleDeployment } from './example-deployments.js';
 import { createSyntheticFleet } from './synthetic-fleet.js';
 
@@ -115,6 +115,13 @@
     mode: z.enum(['looks-healthy', 'looks-down']),
     resetShare: z.number().min(0).max(1).default(0.8),
   }),
+  /** A share of the requests is run, and its connection reset in place of an answer. */
+  z.strictObject({
+    type: z.literal('lost-answers'),
+    ...targetsOf,
+    ...period,
+    share: z.number().min(0).max(1).default(0.4),
+  }),
 ]);
 
 /** One fault over time. */
@@ -126,7 +133,7 @@
     name: z.string().regex(/^[a-z][a-z0-9-]{0,62}$/),
     description: z.string().max(1_000).default(''),
     deployment: deploymentSchema,
-    nodesPerZone: z.int().min(1).max(200).default(1),
+    nodesPerZone: z.union([z.int().min(1).max(200), z.literal(ONE_PER_TARGET)]).default(1),
     durationMs: z.number().min(100).max(MAX_DURATION_MS),
     /** Requests sent before are not counted. */
     warmUpMs: time.default(2_000),
--- a/src/emulator/simulation.test.ts
+++ b/src/emulator/simulation.test.ts
@@ -33,6 +33,7 @@
   - { type: shedding, service: script-guide, fromMs: 500, toMs: 3500, queueAbove: 5 }
   - { type: misleading-health, service: objection-answers, target: objection-answers-2, fromMs: 2000, toMs: 3000, mode: looks-healthy }
   - { type: misleading-health, service: objection-answers, target: objection-answers-3, fromMs: 2000, toMs: 3000, mode: looks-down }
+  - { type: lost-answers, service: promise-ledger, target: promise-ledger-1, fromMs: 1000, toMs: 3000, share: 0.3 }
 `);
 
 for (const policy of POLICIES) {
@@ -78,3 +79,25 @@
   const { recoveryMs } = runScenario(short, 'adaptive', 1);
   assert.ok(typeof recoveryMs === 'number' && recoveryMs <= 2_000, `recovery ${recoveryMs}`);
 });
+
+/** Requests of a kind that did not complete. */
+function countLost(scenario: Scenario, policy: string, kind: string): number {
+  const result = runScenario(scenario, policy, 1);
+  const { ends, sent } = result.kinds.find((row) => row.kind === kind)!;
+  return sent - (ends.complete ?? 0);
+}
+
+test('with a node beside each target, a target that loses answers gets fewer requests', () => {
+  const text = readFileSync('examples/experiments/sidecars-lost-answers.yaml', 'utf8');
+  const scenario = scenarioOf(text);
+  const kind = 'deployment-trigger';
+  const lost = countLost(scenario, 'adaptive', kind);
+  assert.ok(lost > 0);
+  assert.ok(lost < 0.8 * countLost(scenario, 'adaptive-ejection-alone', kind));
+});
+
+test('a node beside each target: each target has a node of its own, and its entry counts', () => {
+  const calm = { ...EVERYTHING, load: { multiple: 0.4, surges: [] }, faults: [] };
+  const result = runScenario({ ...calm, nodesPerZone: 'one-per-target' }, 'adaptive', 7);
+  for (const { kind, ends, sent } of result.kinds) assert.equal(ends.complete, sent, kind);
+});
--- a/src/emulator/simulation.ts
+++ b/src/emulator/simulation.ts
@@ -6,7 +6,12 @@
 import { Callers } from './callers.js';
 import type { CallerBehaviour } from './callers-options.js';
 import { ConnectionPool } from './connection-pool.js';
-import type { Deployment, ServiceModel, TargetModel } from './deployment.js';
+import {
+  ONE_PER_TARGET,
+  type Deployment,
+  type ServiceModel,
+  type TargetModel,
+} from './deployment.js';
 import { EmulatedNode } from './emulated-node.js';
 import { EventQueue } from './event-queue.js';
 import type { LoadProfile } from './load-profile.js';
@@ -168,7 +173,7 @@
     const all: EmulatedNode[] = [];
     for (const { name, region } of deployment.zones) {
       const nodes = Array.from(
-        { length: deployment.nodesPerZone },
+        { length: this.countNodes(name) },
         (_, index) =>
           new EmulatedNode(`${name}-node-${index + 1}`, name, region, policy, seed, viewOf),
       );
@@ -178,6 +183,12 @@
     return all;
   }
 
+  private countNodes(zone: string): number {
+    const { nodesPerZone } = this.deployment;
+    if (nodesPerZone !== ONE_PER_TARGET) return nodesPerZone;
+    return Math.max(1, this.targetsIn(zone).length);
+  }
+
   private createSides(service: ServiceModel): void {
     for (const target of service.targets) this.createSide(service, target);
   }
