--- a/src/kernel/event.ts
+++ b/src/kernel/event.ts
@@ -113,7 +113,7 @@
 /** Lines are gathered up to this many bytes, or for this long, so that few writes are made. */
 const GATHER_BYTES = 8 * 1024;
 const GATHER_MS = 250;
-/** Lines held for a reader that does not read; what is over is left out and counted, in bytes. */
+/** Bytes held for a reader that does not read; lines beyond are left out and counted. */
 const MAX_HELD_BYTES = 1024 * 1024;
 
 /** Writes events as pino JSON lines, to standard error unless told otherwise; never blocks. */
