A call that cannot be repeated waits for a sign of life of a silent link

Ruled out: acknowledging each call at its receipt (a lost acknowledgement leaves the same doubt); a shorter time until a link counts as silent (a busy node would fall out). Change: a call that cannot be repeated, on a link that has not been heard of for 100 ms, is held and the other node is asked; any message lets it go out. When the link falls silent or ends, what was held is known not to have run and goes to another target. Repeatable calls do not wait, nor any call on a link that is in use. Before/after: the new test file: with the old link its first test waits in vain for the question (file failed); now 5 passed.

--- /dev/null
+++ b/src/sidecar/link/peer-link.test.ts
@@ -0,0 +1,153 @@
+/** The connecting end of a link over a real connection, with a scripted node at the other end. */
+import assert from 'node:assert/strict';
+import { createServer, type Server, type Socket } from 'node:net';
+import { afterEach, beforeEach, test } from 'node:test';
+import { ManualClock } from '../../kernel/clock.js';
+import { FrameReader } from '../../peer/frame-reader.js';
+import {
+  decodeMessage,
+  encodeMessage,
+  type AttemptCall,
+  type AttemptEnd,
+  type LinkMessage,
+} from './link-messages.js';
+import { PeerLink } from './peer-link.js';
+
+const STATUS = { node: 'other', service: 's', target: 'ready', rulesVersion: 1 } as const;
+
+let clock: ManualClock;
+let server: Server;
+let peer: Socket;
+let received: LinkMessage[];
+let reachable: boolean;
+let link: PeerLink;
+
+beforeEach(async () => {
+  clock = new ManualClock();
+  clock.advance(10_000);
+  received = [];
+  reachable = false;
+  server = createServer((socket) => {
+    peer = socket;
+    const reader = new FrameReader(1_000_000);
+    socket.on('data', (chunk: Buffer) => {
+      reader.read(chunk, (frame) => {
+        received.push(decodeMessage(frame)!);
+        return true;
+      });
+    });
+    say({ type: 'hello', status: STATUS, clock: 0 });
+  });
+  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
+  const { port } = server.address() as { port: number };
+  link = new PeerLink({
+    node: 'other',
+    address: `127.0.0.1:${port}`,
+    clock,
+    status: () => ({ ...STATUS, node: 'own' }),
+    rulesDocument: () => undefined,
+    listener: {
+      onStatus: () => {},
+      onReachableChanged: (now) => {
+        reachable = now;
+      },
+      onRules: () => {},
+    },
+  });
+  link.open();
+  await until(() => reachable);
+});
+
+afterEach(() => {
+  link.close('test ends');
+  peer.destroy();
+  server.close();
+});
+
+function say(message: LinkMessage): void {
+  peer.write(encodeMessage(message));
+}
+
+async function until(condition: () => boolean): Promise<void> {
+  while (!condition()) await new Promise((resolve) => setTimeout(resolve, 1));
+}
+
+function has(type: LinkMessage['type']): boolean {
+  return received.some((message) => message.type === type);
+}
+
+function createCall(idempotent: boolean): AttemptCall {
+  return {
+    attemptId: 'a',
+    requestId: 'a',
+    service: 's',
+    kind: 'k',
+    rank: 0,
+    idempotent,
+    depth: 0,
+    timeLeftMs: 5_000,
+    callerService: 'c',
+    method: 'POST',
+    path: '/',
+    fields: [],
+    body: Buffer.alloc(0),
+  };
+}
+
+/** Lets the checks of the link run for a time. */
+function pass(ms: number): void {
+  for (let passed = 0; passed < ms; passed += 5) clock.advance(5);
+}
+
+test('into a silent link no call is sent that cannot be repeated: it is known not to have run', async () => {
+  pass(300);
+  const ends: AttemptEnd[] = [];
+  link.dispatch(createCall(false), (end) => ends.push(end));
+  await until(() => has('ping'));
+  assert.equal(has('call'), false);
+  pass(600);
+  const [end] = ends;
+  assert.deepEqual(end?.type === 'failure' && [end.execution, end.offered], ['not-run', false]);
+  assert.equal(reachable, false);
+  assert.equal(has('call'), false);
+});
+
+test('after a sign of life the call goes out with the time that is left', async () => {
+  pass(300);
+  link.dispatch(createCall(false), () => {});
+  await until(() => has('ping'));
+  pass(20);
+  say({ type: 'pong' });
+  await until(() => has('call'));
+  const call = received.find((message) => message.type === 'call');
+  assert.equal(call?.call.timeLeftMs, 4_980);
+});
+
+test('a repeatable call does not wait, nor does any call on a link heard of late', async () => {
+  link.dispatch(createCall(false), () => {});
+  await until(() => has('call'));
+  received.length = 0;
+  pass(300);
+  link.dispatch(createCall(true), () => {});
+  await until(() => has('call'));
+});
+
+test('a call that waits can be taken back and is never sent', async () => {
+  pass(300);
+  const cancel = link.dispatch(createCall(false), () => assert.fail('it was taken back'));
+  await until(() => has('ping'));
+  assert.equal(cancel(), false);
+  say({ type: 'pong' });
+  link.dispatch(createCall(true), () => {});
+  await until(() => has('call'));
+  assert.equal(received.filter(({ type }) => type === 'call').length, 1);
+});
+
+test('what was sent into a link that falls silent may have run; a repeatable call ends then', async () => {
+  const ends: AttemptEnd[] = [];
+  link.dispatch(createCall(true), (end) => ends.push(end));
+  await until(() => has('call'));
+  pass(1_000);
+  const [end] = ends;
+  assert.equal(end?.type === 'failure' && end.execution, 'unknown');
+});
--- a/src/sidecar/link/peer-link.ts
+++ b/src/sidecar/link/peer-link.ts
@@ -11,7 +11,13 @@
   type AttemptPort,
   type CancelTry,
 } from './attempt-port.js';
-import type { AttemptCall, AttemptEnd, LinkMessage, NodeStatus } from './link-messages.js';
+import type {
+  AttemptCall,
+  AttemptEnd,
+  AttemptFailure,
+  LinkMessage,
+  NodeStatus,
+} from './link-messages.js';
 import { LinkSocket } from './link-socket.js';
 import { PeerClock } from './peer-clock.js';
 
@@ -19,6 +25,11 @@
 const CONNECT_TIMEOUT_MS = 600;
 const FIRST_PAUSE_MS = 50;
 const MAX_PAUSE_MS = 1_000;
+/**
+ * Silence after which a call that cannot be repeated waits for a sign of life of the other node,
+ * in milliseconds: into a cut link it would be lost without anyone knowing whether it ran.
+ */
+const TRUSTED_SILENCE_MS = 100;
 /** Silence after which a node that owes an answer is asked whether it is there, in milliseconds. */
 const PROBE_AFTER_MS = 250;
 /** Silence after that question at which the link counts as silent, in milliseconds. */
@@ -66,6 +77,8 @@
   private socket: LinkSocket | undefined;
   private readonly peerClock = new PeerClock();
   private readonly pending = new Map<number, PendingCall>();
+  /** Calls that wait for a sign of life of the other node. */
+  private readonly held = new Set<number>();
   private lastId = 0;
   private pauseMs = FIRST_PAUSE_MS;
   private cancelRetry: CancelTimer = () => {};
@@ -118,7 +131,7 @@
     const pending = { call, onEnd, sent: false, createdAt: this.options.clock.now() };
     this.pending.set(id, pending);
     this.open();
-    if (this.phase === 'open') this.sendCall(id, pending);
+    if (this.phase === 'open') this.sendOrHold(id, pending);
     this.scheduleCheck();
     return () => this.cancel(id);
   }
@@ -158,6 +171,7 @@
         this.socket?.close(`unexpected message ${message.type}`);
     }
     if (this.silent) this.setSilent(false, 'heard again');
+    this.sendHeld();
   }
 
   onClosed(detail: string): void {
@@ -199,7 +213,7 @@
     this.socket?.send({ type: 'status', status: own });
     this.options.listener.onStatus(status);
     this.updateReachable('connected');
-    for (const [id, pending] of this.pending) if (!pending.sent) this.sendCall(id, pending);
+    for (const [id, { sent }] of this.pending) if (!sent) this.held.add(id);
   }
 
   private sendRules(): void {
@@ -207,6 +221,34 @@
     if (document !== undefined) this.socket?.send({ type: 'rules', document });
   }
 
+  /** A call that cannot be repeated is not sent before the other node has been heard of late. */
+  private sendOrHold(id: number, pending: PendingCall): void {
+    const isTrusted = this.options.clock.now() - this.lastHeard <= TRUSTED_SILENCE_MS;
+    if (pending.call.idempotent || isTrusted) {
+      this.sendCall(id, pending);
+      return;
+    }
+    this.held.add(id);
+    this.ask();
+  }
+
+  private sendHeld(): void {
+    if (this.held.size === 0 || this.phase !== 'open') return;
+    const ids = [...this.held];
+    this.held.clear();
+    for (const id of ids) {
+      const pending = this.pending.get(id);
+      if (pending !== undefined) this.sendCall(id, pending);
+    }
+  }
+
+  /** Asks the other node for a sign of life, unless it has been asked. */
+  private ask(): void {
+    if (this.probedAt !== undefined) return;
+    this.probedAt = this.options.clock.now();
+    this.socket?.send({ type: 'ping' });
+  }
+
   private sendCall(id: number, pending: PendingCall): void {
     const now = this.options.clock.now();
     const timeLeftMs = pending.call.timeLeftMs - (now - pending.createdAt);
@@ -225,6 +267,7 @@
     const pending = this.pending.get(id);
     if (pending === undefined) return false;
     this.pending.delete(id);
+    this.held.delete(id);
     if (pending.sent) this.socket?.send({ type: 'cancel', id });
     return pending.sent;
   }
@@ -241,16 +284,10 @@
   private failAll(detail: string): void {
     const all = [...this.pending.values()];
     this.pending.clear();
+    this.held.clear();
+    const lost = `link to ${this.options.node}: ${detail}`;
     for (const { onEnd, sent } of all) {
-      onEnd(
-        createAttemptFailure({
-          outcome: sent ? 'failed' : 'unreachable',
-          execution: sent ? 'unknown' : 'not-run',
-          code: sent ? ResultCode.PeerLost : ResultCode.PeerUnreachable,
-          detail: `link to ${this.options.node}: ${detail}`,
-          offered: sent,
-        }),
-      );
+      onEnd(sent ? createLost(ResultCode.PeerLost, lost) : createUnsent(lost));
     }
   }
 
@@ -268,9 +305,7 @@
     if (this.pending.size === 0 && !this.silent && this.probedAt === undefined) return;
     this.scheduleCheck();
     if (this.probedAt === undefined) {
-      if (now - this.lastHeard < PROBE_AFTER_MS) return;
-      this.probedAt = now;
-      this.socket?.send({ type: 'ping' });
+      if (now - this.lastHeard >= PROBE_AFTER_MS) this.ask();
     } else if (now - this.probedAt > DEAD_AFTER_MS) {
       this.socket?.close('silent');
     } else if (now - this.probedAt > SILENT_AFTER_MS && !this.silent) {
@@ -282,19 +317,13 @@
     this.silent = silent;
     this.updateReachable(detail);
     if (!silent) return;
-    // Repeatable requests need not wait for an answer that may never come.
-    for (const [id, { call, onEnd }] of [...this.pending]) {
-      if (!call.idempotent) continue;
+    const lost = `link to ${this.options.node} is silent`;
+    // What was not sent can go elsewhere, and repeatable requests need not wait for an answer that
+    // may never come.
+    for (const [id, { call, onEnd, sent }] of [...this.pending]) {
+      if (sent && !call.idempotent) continue;
       this.cancel(id);
-      onEnd(
-        createAttemptFailure({
-          outcome: 'failed',
-          execution: 'unknown',
-          code: ResultCode.PeerTimeout,
-          detail: `link to ${this.options.node} is silent`,
-          offered: true,
-        }),
-      );
+      onEnd(sent ? createLost(ResultCode.PeerTimeout, lost) : createUnsent(lost));
     }
   }
 
@@ -305,3 +334,19 @@
     this.options.listener.onReachableChanged(reachable, detail);
   }
 }
+
+/** The call was written and its answer is lost. */
+function createLost(code: ResultCode, detail: string): AttemptFailure {
+  return createAttemptFailure({
+    outcome: 'failed',
+    execution: 'unknown',
+    code,
+    detail,
+    offered: true,
+  });
+}
+
+/** The call was never written. */
+function createUnsent(detail: string): AttemptFailure {
+  return createNotOffered('unreachable', ResultCode.PeerUnreachable, detail);
+}
