Addresses are taken apart, and answers' lengths judged, in one place each

The border of platform/ (lint rule and test) now also lets the adapter import host-and-port, a constructor of values like duration; nothing else of it changed.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -120,7 +120,7 @@
           patterns: [
             {
               regex:
-                '/src/(?!store/metadata-store|sidecar/platform-adapter|sidecar/rules/routing-rules|core/(failure|result-code|duration))',
+                '/src/(?!store/metadata-store|sidecar/platform-adapter|sidecar/rules/routing-rules|core/(failure|result-code|duration|host-and-port))',
               message: 'The adapter translates and decides nothing.',
             },
           ],
--- a/src/admin/admin-server.ts
+++ b/src/admin/admin-server.ts
@@ -4,7 +4,7 @@
 import type { AddressInfo, Socket } from 'node:net';
 import express, { type Express, type Request } from 'express';
 import type { ErrorRequestHandler, RequestHandler } from 'express';
-import { splitAddress } from '../config/settings.js';
+import { splitAddress } from '../core/host-and-port.js';
 import { createFailure } from '../core/failure.js';
 import { ResultCode } from '../core/result-code.js';
 import { AdminService } from '../gen/sillshore/admin/v1/admin_pb.js';
--- a/src/config/settings.ts
+++ b/src/config/settings.ts
@@ -99,16 +99,3 @@
 export function validateSettings(value: unknown): Result<Settings, Failure> {
   return validateValue(value, settingsSchema, ResultCode.SettingsInvalid);
 }
-
-/** An address split into its parts. */
-export interface HostAndPort {
-  readonly host: string;
-  readonly port: number;
-}
-
-/** Splits `127.0.0.1:8080` or `[::1]:8080`; the schema has checked the form. */
-export function splitAddress(value: string): HostAndPort {
-  const separator = value.lastIndexOf(':');
-  const host = value.slice(0, separator).replace(/^\[|\]$/g, '');
-  return { host, port: Number(value.slice(separator + 1)) };
-}
--- a/src/entry/entry-plugin.ts
+++ b/src/entry/entry-plugin.ts
@@ -1,7 +1,7 @@
 /** Plug-in of the callers' interface: the listener, its task and the call router. */
 import { randomInt } from 'node:crypto';
 import type { Container } from 'inversify';
-import { splitAddress } from '../config/settings.js';
+import { splitAddress } from '../core/host-and-port.js';
 import { createFailure, type Failure } from '../core/failure.js';
 import type { HttpAnswer } from '../core/http-message.js';
 import { ResultCode } from '../core/result-code.js';
--- a/src/entry/http-exchange.ts
+++ b/src/entry/http-exchange.ts
@@ -1,4 +1,5 @@
 /** One HTTP request at the entry and its answer, on top of `node:http`'s objects. */
+import { hasBody } from '../core/answer-body.js';
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { Result } from 'true-myth';
 import type { BufferReservation } from '../core/byte-budget.js';
@@ -14,8 +15,6 @@
 /** Time in which a caller must have taken the whole answer. */
 const ANSWER_WRITE_TIMEOUT_MS = 30_000;
 
-const STATUSES_WITHOUT_BODY: ReadonlySet<number> = new Set([204, 304]);
-
 /** Limits of reading one body. */
 export interface BodyLimits {
   readonly maxBytes: number;
@@ -107,7 +106,7 @@
   }
 
   private needsLength({ status, headers }: HttpAnswer): boolean {
-    if (STATUSES_WITHOUT_BODY.has(status)) return false;
+    if (!hasBody(status)) return false;
     if (this.method === 'HEAD') return false;
     return !headers.some(([name]) => name.toLowerCase() === 'content-length');
   }
--- a/src/membership/membership-task.test.ts
+++ b/src/membership/membership-task.test.ts
@@ -2,7 +2,7 @@
 import assert from 'node:assert/strict';
 import { createSocket } from 'node:dgram';
 import { test, type TestContext } from 'node:test';
-import { splitAddress } from '../config/settings.js';
+import { splitAddress } from '../core/host-and-port.js';
 import type { MemberFacts } from '../core/member.js';
 import { createRandom } from '../core/random.js';
 import { systemClock } from '../kernel/clock.js';
--- a/src/membership/membership-task.ts
+++ b/src/membership/membership-task.ts
@@ -1,7 +1,7 @@
 /** Runs the membership protocol of one node: its UDP socket, its timer and its exchanges. */
 import { createSocket, type RemoteInfo, type Socket } from 'node:dgram';
 import { Result } from 'true-myth';
-import { splitAddress } from '../config/settings.js';
+import { splitAddress } from '../core/host-and-port.js';
 import type { Member, MemberFacts, MutableFacts } from '../core/member.js';
 import { MembershipProtocol } from '../core/membership/membership-protocol.js';
 import type { MemberUpdate } from '../core/membership/member-update.js';
--- a/src/peer/outgoing-link.ts
+++ b/src/peer/outgoing-link.ts
@@ -1,6 +1,6 @@
 /** The calling end of a link: connects, proves itself, sends calls and matches their replies. */
 import { Result } from 'true-myth';
-import { splitAddress } from '../config/settings.js';
+import { splitAddress } from '../core/host-and-port.js';
 import { createFailure, type Failure } from '../core/failure.js';
 import { ResultCode } from '../core/result-code.js';
 import type { CancelTimer } from '../kernel/clock.js';
--- a/src/peer/tcp-peer-network.ts
+++ b/src/peer/tcp-peer-network.ts
@@ -1,7 +1,7 @@
 /** Calls between nodes over TCP; see docs/PEER-PROTOCOL.md. */
 import { createServer, type Server, type Socket } from 'node:net';
 import { Result } from 'true-myth';
-import { splitAddress } from '../config/settings.js';
+import { splitAddress } from '../core/host-and-port.js';
 import { createFailure, type Failure } from '../core/failure.js';
 import type { Random } from '../core/random.js';
 import { ResultCode } from '../core/result-code.js';
--- a/src/peer/tls-options.ts
+++ b/src/peer/tls-options.ts
@@ -1,7 +1,7 @@
 /** What both ends of a link between nodes have in common in TLS. */
 import { connect as connectTcp, type Socket } from 'node:net';
 import { connect as connectTls, type SecureContextOptions } from 'node:tls';
-import type { HostAndPort } from '../config/settings.js';
+import type { HostAndPort } from '../core/host-and-port.js';
 import type { MutualTls } from '../config/tls-settings.js';
 
 /** Options of either end. */
--- a/src/peer/tls-peer-network.test.ts
+++ b/src/peer/tls-peer-network.test.ts
@@ -5,7 +5,7 @@
 import { test, type TestContext } from 'node:test';
 import { connect as connectTls } from 'node:tls';
 import { Result } from 'true-myth';
-import { splitAddress } from '../config/settings.js';
+import { splitAddress } from '../core/host-and-port.js';
 import type { MutualTls } from '../config/tls-settings.js';
 import { createRandom } from '../core/random.js';
 import { ResultCode } from '../core/result-code.js';
--- a/src/sidecar/entry/caller-exchange.ts
+++ b/src/sidecar/entry/caller-exchange.ts
@@ -1,12 +1,11 @@
 /** One request of a caller and its answer, on top of `node:http`'s objects. */
+import { hasBody } from '../../core/answer-body.js';
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { BufferReservation } from '../../core/byte-budget.js';
 import { createFailure, type Failure } from '../../core/failure.js';
 import { ResultCode } from '../../core/result-code.js';
 import type { RawFields } from '../link/link-messages.js';
 
-const STATUSES_WITHOUT_BODY: ReadonlySet<number> = new Set([204, 304]);
-
 /** An answer as a caller gets it. */
 export interface CallerAnswer {
   readonly status: number;
@@ -90,10 +89,10 @@
     if (this.answered || response.destroyed) return;
     this.answered = true;
     const all = [...fields, ...connectionFields];
-    const hasBody = !STATUSES_WITHOUT_BODY.has(status);
-    if (hasBody) all.push('Content-Length', String(body.length));
+    const bodied = hasBody(status);
+    if (bodied) all.push('Content-Length', String(body.length));
     response.writeHead(status, all);
-    if (hasBody && this.method !== 'HEAD' && body.length > 0) response.end(body);
+    if (bodied && this.method !== 'HEAD' && body.length > 0) response.end(body);
     else response.end();
   }
 }
--- a/src/sidecar/link/peer-link.ts
+++ b/src/sidecar/link/peer-link.ts
@@ -3,6 +3,7 @@
  * Connects when it is wanted, and again with growing pauses while it stays wanted.
  */
 import { connect } from 'node:net';
+import { splitAddress } from '../../core/host-and-port.js';
 import { ResultCode } from '../../core/result-code.js';
 import type { CancelTimer, Clock } from '../../kernel/clock.js';
 import {
@@ -188,9 +189,7 @@
   private connect(): void {
     this.phase = 'connecting';
     const { address, clock } = this.options;
-    const separator = address.lastIndexOf(':');
-    const host = address.slice(0, separator);
-    const socket = connect({ host, port: Number(address.slice(separator + 1)) });
+    const socket = connect(splitAddress(address));
     const link = new LinkSocket(socket, this);
     this.socket = link;
     this.cancelConnectTimer = clock.schedule(CONNECT_TIMEOUT_MS, () => {
--- a/src/sidecar/plugins/entry-plugin.ts
+++ b/src/sidecar/plugins/entry-plugin.ts
@@ -5,7 +5,7 @@
 import type { Clock } from '../../kernel/clock.js';
 import { registerPlugin } from '../../kernel/plugin.js';
 import { Token } from '../../kernel/token.js';
-import { splitAddress } from '../address.js';
+import { splitAddress } from '../../core/host-and-port.js';
 import { EntryListener } from '../entry/entry-listener.js';
 import { EntryService } from '../entry/entry-service.js';
 import { ServiceRouters } from '../entry/service-routers.js';
--- a/src/sidecar/plugins/observability-plugin.ts
+++ b/src/sidecar/plugins/observability-plugin.ts
@@ -1,6 +1,6 @@
 /** Plug-in of the metrics. */
 import { registerPlugin } from '../../kernel/plugin.js';
-import { splitAddress } from '../address.js';
+import { splitAddress } from '../../core/host-and-port.js';
 import { createMetricsServer } from '../metrics-server.js';
 import { createSidecarMetrics } from '../sidecar-metrics.js';
 import { SidecarOrder, SidecarToken } from './tokens.js';
--- a/src/sidecar/plugins/readiness-plugin.ts
+++ b/src/sidecar/plugins/readiness-plugin.ts
@@ -1,7 +1,7 @@
 /** Plug-in of the readiness question. */
 import { registerPlugin } from '../../kernel/plugin.js';
 import { Token } from '../../kernel/token.js';
-import { splitAddress } from '../address.js';
+import { splitAddress } from '../../core/host-and-port.js';
 import { createReadinessServer } from '../readiness-server.js';
 import { SidecarOrder, SidecarToken } from './tokens.js';
 
--- a/src/sidecar/plugins/target-plugin.ts
+++ b/src/sidecar/plugins/target-plugin.ts
@@ -4,7 +4,7 @@
 import { findOverloadPolicy } from '../../core/overload-policy-registry.js';
 import { registerPlugin } from '../../kernel/plugin.js';
 import { Token } from '../../kernel/token.js';
-import { splitAddress } from '../address.js';
+import { splitAddress } from '../../core/host-and-port.js';
 import type { NodeRecord } from '../directory/node-record.js';
 import { RecordPublisher } from '../directory/record-publisher.js';
 import { createRegistrationServer } from '../directory/registration-server.js';
--- a/src/sidecar/target/target-client.ts
+++ b/src/sidecar/target/target-client.ts
@@ -6,6 +6,8 @@
 import { Agent, request as httpRequest, type ClientRequest, type IncomingMessage } from 'node:http';
 import type { OutgoingHttpHeaders } from 'node:http';
 import type { Socket } from 'node:net';
+import { hasKnownLength } from '../../core/answer-body.js';
+import { splitAddress } from '../../core/host-and-port.js';
 import type { CancelTimer, Clock } from '../../kernel/clock.js';
 import type { RawFields } from '../link/link-messages.js';
 
@@ -17,9 +19,6 @@
 /** Longest answer that is held, in bytes. */
 const MAX_ANSWER_BYTES = 32 * 1024 * 1024;
 
-/** Statuses whose answers have no body (RFC 9110, section 6.4.1). */
-const STATUSES_WITHOUT_BODY: ReadonlySet<number> = new Set([204, 304]);
-
 /** A request as it goes to the target. */
 export interface TargetRequest {
   readonly attemptId: string;
@@ -64,9 +63,9 @@
   private readonly port: number;
 
   constructor(private readonly options: TargetClientOptions) {
-    const separator = options.address.lastIndexOf(':');
-    this.host = options.address.slice(0, separator);
-    this.port = Number(options.address.slice(separator + 1));
+    const { host, port } = splitAddress(options.address);
+    this.host = host;
+    this.port = port;
     // First in, first out: bytes that nobody asked for show while a connection rests.
     this.agent = new Agent({
       keepAlive: true,
@@ -222,7 +221,7 @@
 
   private onAnswerEnd(response: IncomingMessage): void {
     if (this.ended) return;
-    if (!response.complete || !this.hasKnownLength(response)) {
+    if (!response.complete || !hasKnownLength(this.message.method, response)) {
       this.fail('broken', 'the answer ended early or has no length');
       return;
     }
@@ -237,15 +236,6 @@
     });
   }
 
-  /**
-   * An answer that ends with its connection can't be told from one that was cut off: both end
-   * with a plain close (measured; see docs/design/new-machines.md).
-   */
-  private hasKnownLength({ headers, statusCode }: IncomingMessage): boolean {
-    if (this.message.method === 'HEAD' || STATUSES_WITHOUT_BODY.has(statusCode ?? 0)) return true;
-    return headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined;
-  }
-
   private fail(cause: 'unreachable' | 'broken' | 'timeout', detail: string): void {
     if (this.ended) return;
     this.finish();
--- a/src/stand-ins/http-server.ts
+++ b/src/stand-ins/http-server.ts
@@ -1,7 +1,7 @@
 /** Small helpers on node:http that the stand-ins share. */
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import type { AddressInfo } from 'node:net';
-import { splitAddress } from '../config/settings.js';
+import { splitAddress } from '../core/host-and-port.js';
 
 /** Listens on `host:port` and resolves with the address taken. */
 export async function listenOn(server: Server, listen: string): Promise<string> {
--- a/src/stand-ins/link/start-link.test.ts
+++ b/src/stand-ins/link/start-link.test.ts
@@ -2,7 +2,7 @@
 import { once } from 'node:events';
 import { connect, createServer, type AddressInfo, type Socket } from 'node:net';
 import { test } from 'node:test';
-import { splitAddress } from '../../config/settings.js';
+import { splitAddress } from '../../core/host-and-port.js';
 import { startLink, type Link } from './start-link.js';
 
 async function withLink(use: (link: Link, socket: Socket) => Promise<void>): Promise<void> {
--- a/src/stand-ins/link/start-link.ts
+++ b/src/stand-ins/link/start-link.ts
@@ -2,7 +2,7 @@
 import { connect, createServer, type Server, type Socket } from 'node:net';
 import type { AddressInfo } from 'node:net';
 import { z } from 'zod';
-import { splitAddress } from '../../config/settings.js';
+import { splitAddress } from '../../core/host-and-port.js';
 
 /** Schema of the faults of a link. */
 export const linkFaultsSchema = z.strictObject({
--- a/src/stand-ins/platform/commands.ts
+++ b/src/stand-ins/platform/commands.ts
@@ -3,7 +3,7 @@
 import * as t from 'typanion';
 import { SillshoreCommand } from '../../cli/command.js';
 import { ExitCode } from '../../cli/exit-code.js';
-import { splitAddress } from '../../config/settings.js';
+import { splitAddress } from '../../core/host-and-port.js';
 
 const isAddress = t.cascade(t.isString(), [t.matchesRegExp(/^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$/)]);
 
--- a/src/target/node-backend-client.ts
+++ b/src/target/node-backend-client.ts
@@ -2,6 +2,7 @@
  * Back-end client on `node:http`. It was chosen because it tells exactly whether a byte has
  * been sent and whether an answer is complete; see docs/design/data-path.md.
  */
+import { hasBody, hasKnownLength } from '../core/answer-body.js';
 import {
   Agent,
   request as httpRequest,
@@ -26,9 +27,6 @@
 /** Idle connections are closed well before back ends usually close them (5 s in Node). */
 const FREE_SOCKET_TIMEOUT_MS = 4_000;
 
-/** Statuses whose answers have no body (RFC 9110, section 6.4.1). */
-const STATUSES_WITHOUT_BODY: ReadonlySet<number> = new Set([204, 304]);
-
 /**
  * Creates the client of one back end. Bytes that arrive on an idle connection close it: the
  * parser stays attached and takes them for a second answer (a contract test relies on it).
@@ -158,7 +156,8 @@
 
   private onResponse(response: IncomingMessage): void {
     const declared = Number(response.headers['content-length'] ?? 0);
-    if (this.expectsBody(response) && declared > this.limits.maxAnswerBytes) {
+    const bodied = this.message.method !== 'HEAD' && hasBody(response.statusCode ?? 0);
+    if (bodied && declared > this.limits.maxAnswerBytes) {
       this.fail('too-large', `answer of ${declared} bytes`);
       return;
     }
@@ -190,7 +189,7 @@
   private onEnd(response: IncomingMessage): void {
     if (this.ended) return;
     const headers = pairUp(response.rawHeaders);
-    if (!response.complete || !this.hasKnownLength(response)) {
+    if (!response.complete || !hasKnownLength(this.message.method, response)) {
       this.fail('failed', 'the answer ended early or has no length');
       return;
     }
@@ -202,18 +201,6 @@
     });
   }
 
-  private expectsBody(response: IncomingMessage): boolean {
-    const status = response.statusCode ?? 0;
-    return this.message.method !== 'HEAD' && !STATUSES_WITHOUT_BODY.has(status);
-  }
-
-  /** An answer that ends with the connection can't be told from one that was cut off. */
-  private hasKnownLength(response: IncomingMessage): boolean {
-    const { headers } = response;
-    if (!this.expectsBody(response)) return true;
-    return headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined;
-  }
-
   private fail(cause: BackendErrorCause, detail: string): void {
     if (this.ended) return;
     this.finish();
--- a/test/bare-relay.ts
+++ b/test/bare-relay.ts
@@ -18,7 +18,7 @@
 import { createRandom } from '../src/core/random.js';
 import { systemClock } from '../src/kernel/clock.js';
 import { silentEventLog } from '../src/kernel/event.js';
-import { splitAddress } from '../src/sidecar/address.js';
+import { splitAddress } from '../src/core/host-and-port.js';
 import {
   decodeNodeRecord,
   NODE_RECORD_PREFIX,
--- a/test/platform-words.test.ts
+++ b/test/platform-words.test.ts
@@ -16,6 +16,7 @@
   'src/core/failure.js',
   'src/core/result-code.js',
   'src/core/duration.js',
+  'src/core/host-and-port.js',
 ];
 
 function listSources(directory: string): readonly string[] {
--- a/test/support/tcp-peer-nodes.ts
+++ b/test/support/tcp-peer-nodes.ts
@@ -5,7 +5,7 @@
 import { Result } from 'true-myth';
 import { createRandom } from '../../src/core/random.js';
 import { ResultCode } from '../../src/core/result-code.js';
-import { splitAddress } from '../../src/config/settings.js';
+import { splitAddress } from '../../src/core/host-and-port.js';
 import { ManualClock } from '../../src/kernel/clock.js';
 import { Event, type EventFields, type EventLog } from '../../src/kernel/event.js';
 import { decodeFrame, encodeFrame, type Envelope } from '../../src/peer/frame-codec.js';
