Calls of other services are refused less lightly than callers of their class

Each wastes the work above it and costs the caller a retry. Change: under a full queue callers are displaced before the calls of other services of their class (before: by priority alone), and such calls pass a threshold that is above them by up to a third of a class (0.08, before 0.02).

--- a/src/core/policies/adaptive-gate.ts
+++ b/src/core/policies/adaptive-gate.ts
@@ -35,9 +35,10 @@
 
 /**
  * Requests from a service above pass when they are below the threshold by no more than
- * this: they were admitted a moment ago, and work has been spent on them.
+ * this, a third of a class: they were admitted a moment ago, and work has been spent on them,
+ * which a refusal would waste. With a whole class the requests of callers starve at the gate.
  */
-const DEEP_TOLERANCE = 0.02;
+const DEEP_TOLERANCE = 0.08;
 
 /** Limit, queue and admission of one target. */
 export class AdaptiveGate implements TargetGate {
--- a/src/core/queue/criticality-queue.test.ts
+++ b/src/core/queue/criticality-queue.test.ts
@@ -69,6 +69,16 @@
   );
 });
 
+test('gives up callers before the calls of other services in their class', () => {
+  const queue = createQueue();
+  const request = createRequest('normal', 1);
+  queue.add({ ticket: 11, request, giveUpAt: 500, priority: 0.26, serviceMs: 5 });
+  assert.deepEqual(
+    drain(() => queue.takeLowest()),
+    [1, 5, 4, 11, 3, 2],
+  );
+});
+
 test('expires by latest useful start and knows the next time', () => {
   const queue = createQueue();
   assert.equal(queue.earliestGiveUp(), 10);
--- a/src/core/queue/criticality-queue.ts
+++ b/src/core/queue/criticality-queue.ts
@@ -31,11 +31,12 @@
   }
 
   takeLowest(): WaitingRequest | undefined {
-    let lowest: WaitingRequest | undefined;
-    for (const waiting of this.levels.flat()) {
-      if (lowest === undefined || waiting.priority <= lowest.priority) lowest = waiting;
-    }
-    return lowest === undefined ? undefined : this.remove(lowest.ticket);
+    const level = this.levels.findLast((sorted) => sorted.length > 0);
+    if (level === undefined) return undefined;
+    const lowest = level.reduce((least, waiting) =>
+      waiting.priority <= least.priority ? waiting : least,
+    );
+    return this.remove(lowest.ticket);
   }
 
   remove(ticket: number): WaitingRequest | undefined {
