The admin and command-line test servers stand with the other test support

Cause: read as a newcomer: what only tests use stands in test/support, but for two files under src that the package and the lint rules had to leave out by name.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -29,7 +29,7 @@
 const platformWords =
   '/x-attempt-id|x-deadline-ms|x-expected-instance|x-caller-service|x-not-executed|x-server-stamp|x-instance-|v1.(instances|kv-|readiness)|kv-(key|range|watch|txn|lease|keep)|privateKey/i';
 
-const testFiles = ['src/**/*.test.ts', 'src/**/*-test-support.ts'];
+const testFiles = ['src/**/*.test.ts'];
 
 const usePort = {
   regex: '/\\.\\./platform/|^\\.\\./\\.\\./platform/',
--- a/src/admin/admin-api.test.ts
+++ b/src/admin/admin-api.test.ts
@@ -11,7 +11,7 @@
   startTestAdmin,
   TEST_TOKEN,
   type TestAdmin,
-} from './admin-test-support.js';
+} from '../../test/support/test-admin.js';
 import { toFailure } from './connect-error.js';
 
 let admin: TestAdmin;
--- a/src/admin/admin-port.test.ts
+++ b/src/admin/admin-port.test.ts
@@ -12,7 +12,7 @@
   startTestAdmin,
   TEST_TOKEN,
   type TestAdmin,
-} from './admin-test-support.js';
+} from '../../test/support/test-admin.js';
 
 let admin: TestAdmin;
 before(async () => {
--- a/src/admin/admin-tls.test.ts
+++ b/src/admin/admin-tls.test.ts
@@ -11,8 +11,8 @@
 import { ManualClock } from '../kernel/clock.js';
 import { Event, type EventFields } from '../kernel/event.js';
 import { STRANGER_TLS, TEST_TLS } from '../../test/support/test-certificates.js';
-import { createTestSettings, startTestAdmin, TEST_TOKEN } from './admin-test-support.js';
-import type { TestAdmin } from './admin-test-support.js';
+import { createTestSettings, startTestAdmin, TEST_TOKEN } from '../../test/support/test-admin.js';
+import type { TestAdmin } from '../../test/support/test-admin.js';
 import { toFailure } from './connect-error.js';
 
 const { certificate, key } = TEST_TLS;
--- a/src/admin/authorization.test.ts
+++ b/src/admin/authorization.test.ts
@@ -10,7 +10,7 @@
   startTestAdmin,
   TEST_TOKEN,
   type TestAdmin,
-} from './admin-test-support.js';
+} from '../../test/support/test-admin.js';
 
 const tenant = 'roteiro-vivo';
 const document = createRulesDocument();
--- a/src/admin/drain-commands.test.ts
+++ b/src/admin/drain-commands.test.ts
@@ -9,7 +9,7 @@
   createRulesDocument,
   createTestNode,
   createTestSettings,
-} from './admin-test-support.js';
+} from '../../test/support/test-admin.js';
 import { DrainCommands } from './drain-commands.js';
 
 /** Node a1, which is asked, and node b1 in zone-b, which fronts guide-2. */
--- a/src/admin/in-force.test.ts
+++ b/src/admin/in-force.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { createMember } from './admin-test-support.js';
+import { createMember } from '../../test/support/test-admin.js';
 import { computeInForce } from './in-force.js';
 
 test('a zone counts its nodes, those in force, and its lowest version', () => {
--- a/src/admin/revision-watch.test.ts
+++ b/src/admin/revision-watch.test.ts
@@ -3,7 +3,7 @@
 import type { RevisionRecord } from '../config/config-store.js';
 import { InMemoryConfigStore } from '../config/in-memory-config-store.js';
 import { parseRules } from '../config/rules.js';
-import { createRulesDocument } from './admin-test-support.js';
+import { createRulesDocument } from '../../test/support/test-admin.js';
 import { watchRevisions } from './revision-watch.js';
 
 function createRecord(tenant: string, revision: number, version: number): RevisionRecord {
--- a/src/cli/operator-commands.test.ts
+++ b/src/cli/operator-commands.test.ts
@@ -9,10 +9,10 @@
   startTestAdmin,
   TEST_TOKEN,
   type TestAdmin,
-} from '../admin/admin-test-support.js';
+} from '../../test/support/test-admin.js';
 import { createFailure } from '../core/failure.js';
 import { ResultCode } from '../core/result-code.js';
-import { runCaptured, type CommandOutcome } from './command-line-test-support.js';
+import { runCaptured, type CommandOutcome } from '../../test/support/command-line.js';
 import { ExitCode } from './exit-code.js';
 
 let admin: TestAdmin;
--- a/src/emulator/experiment.test.ts
+++ b/src/emulator/experiment.test.ts
@@ -3,7 +3,7 @@
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { test, type TestContext } from 'node:test';
-import { runCaptured } from '../cli/command-line-test-support.js';
+import { runCaptured } from '../../test/support/command-line.js';
 import { runExperiment } from './experiment.js';
 import { encodeResult } from './experiment-files.js';
 import { parseScenario, type Scenario } from './scenario.js';
--- a/src/node/run-node.test.ts
+++ b/src/node/run-node.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import { EventEmitter } from 'node:events';
 import { test } from 'node:test';
-import { createTestSettings } from '../admin/admin-test-support.js';
+import { createTestSettings } from '../../test/support/test-admin.js';
 import { ManualClock } from '../kernel/clock.js';
 import { silentEventLog } from '../kernel/event.js';
 import type { KernelControl } from '../kernel/kernel-control.js';
--- a/src/target/local-target-dispatcher.test.ts
+++ b/src/target/local-target-dispatcher.test.ts
@@ -1,7 +1,7 @@
 /** The metrics of targets that come to a node and go. */
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { createRulesDocument, createTestSettings } from '../admin/admin-test-support.js';
+import { createRulesDocument, createTestSettings } from '../../test/support/test-admin.js';
 import { InMemoryConfigStore } from '../config/in-memory-config-store.js';
 import { parseRules } from '../config/rules.js';
 import { ByteBudget } from '../core/byte-budget.js';
--- a/test/explain-failure.test.ts
+++ b/test/explain-failure.test.ts
@@ -7,7 +7,7 @@
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { after, before, test } from 'node:test';
-import { runCaptured } from '../src/cli/command-line-test-support.js';
+import { runCaptured } from './support/command-line.js';
 import { BoundedEventLog } from '../src/kernel/bounded-event-log.js';
 import { systemClock } from '../src/kernel/clock.js';
 import { createEventLogTo, type EventLog } from '../src/kernel/event.js';
--- a/src/cli/command-line-test-support.ts
+++ b/test/support/command-line.ts
@@ -1,7 +1,7 @@
 /** Runs command lines in the test's process with captured streams. */
 import { PassThrough } from 'node:stream';
 import { text } from 'node:stream/consumers';
-import { runCommandLine } from './run-command-line.js';
+import { runCommandLine } from '../../src/cli/run-command-line.js';
 
 /** What a command line did. */
 export interface CommandOutcome {
--- a/src/admin/admin-test-support.ts
+++ b/test/support/test-admin.ts
@@ -1,18 +1,22 @@
 /** An administration server over parts in memory, for the tests of the API and of the commands. */
 import { Result } from 'true-myth';
-import type { RevisionRecord } from '../config/config-store.js';
-import { InMemoryConfigStore } from '../config/in-memory-config-store.js';
-import { parseRules, type Rules } from '../config/rules.js';
-import type { ApplyFailure, ApplyRequest, RulesRepository } from '../config/rules-repository.js';
-import { validateSettings, type Settings } from '../config/settings.js';
-import { createFailure, type Failure } from '../core/failure.js';
-import { ResultCode } from '../core/result-code.js';
-import { systemClock } from '../kernel/clock.js';
-import { silentEventLog } from '../kernel/event.js';
-import { createMetrics, type Metrics } from '../kernel/metrics.js';
-import type { Member, Membership } from '../membership/membership.js';
-import type { AdminNode } from './admin-node.js';
-import { AdminServer, type AdminTimeLimits } from './admin-server.js';
+import type { RevisionRecord } from '../../src/config/config-store.js';
+import { InMemoryConfigStore } from '../../src/config/in-memory-config-store.js';
+import { parseRules, type Rules } from '../../src/config/rules.js';
+import type {
+  ApplyFailure,
+  ApplyRequest,
+  RulesRepository,
+} from '../../src/config/rules-repository.js';
+import { validateSettings, type Settings } from '../../src/config/settings.js';
+import { createFailure, type Failure } from '../../src/core/failure.js';
+import { ResultCode } from '../../src/core/result-code.js';
+import { systemClock } from '../../src/kernel/clock.js';
+import { silentEventLog } from '../../src/kernel/event.js';
+import { createMetrics, type Metrics } from '../../src/kernel/metrics.js';
+import type { Member, Membership } from '../../src/membership/membership.js';
+import type { AdminNode } from '../../src/admin/admin-node.js';
+import { AdminServer, type AdminTimeLimits } from '../../src/admin/admin-server.js';
 
 /** Token of the test server. */
 export const TEST_TOKEN = 'operator-token';
