--- a/src/entry/http-exchange.ts
+++ b/src/entry/http-exchange.ts
@@ -1,7 +1,7 @@
 /** One HTTP request at the entry and its answer, on top of `node:http`'s objects. */
-import { hasBody } from '../core/answer-body.js';
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { Result } from 'true-myth';
+import { hasBody } from '../core/answer-body.js';
 import type { BufferReservation } from '../core/byte-budget.js';
 import { createFailure, type Failure } from '../core/failure.js';
 import type { HeaderFields, HttpAnswer } from '../core/http-message.js';
--- a/src/target/node-backend-client.ts
+++ b/src/target/node-backend-client.ts
@@ -2,7 +2,6 @@
  * Back-end client on `node:http`. It was chosen because it tells exactly whether a byte has
  * been sent and whether an answer is complete; see docs/design/data-path.md.
  */
-import { hasBody, hasKnownLength } from '../core/answer-body.js';
 import {
   Agent,
   request as httpRequest,
@@ -11,6 +10,7 @@
   type OutgoingHttpHeaders,
 } from 'node:http';
 import type { Socket } from 'node:net';
+import { hasBody, hasKnownLength } from '../core/answer-body.js';
 import { connectionTokens } from '../core/forwarded-fields.js';
 import { createFailure } from '../core/failure.js';
 import type { HeaderFields, HttpRequest } from '../core/http-message.js';
