--- a/src/kernel/run-kernel.ts
+++ b/src/kernel/run-kernel.ts
@@ -46,7 +46,7 @@
 ): Promise<NodeEnd> {
   const log = kernel.container.get(Token.EventLog);
   const secondSignal = stops.next().then(async (): Promise<NodeEnd> => {
-    log.emit(Event.InternalError, { error: 'planned stop cut short by a second signal' });
+    log.emit(Event.StopSignalRepeated, { effect: 'planned stop cut short' });
     await kernel.stop();
     return 'cut-short';
   });
--- a/src/sidecar/entry/entry-listener.ts
+++ b/src/sidecar/entry/entry-listener.ts
@@ -3,7 +3,7 @@
 import type { Socket } from 'node:net';
 import type { CallerLimits } from '../rules/routing-rules.js';
 import type { RawFields } from '../link/link-messages.js';
-import { CallerExchange, type CallerAnswer } from './caller-exchange.js';
+import { CallerExchange, type CallerAnswer, type ConnectionSide } from './caller-exchange.js';
 
 const MAX_HEADER_BYTES = 64 * 1024;
 const CONNECTION_CHECK_INTERVAL_MS = 500;
@@ -11,15 +11,17 @@
 /** A connection is kept this much longer than its caller is told. */
 const IDLE_GRACE_MS = 1_500;
 
-/** Takes one request; returns what ends it when the caller goes away. */
+/** Takes one request; returns what ends it when its connection ends. */
 export type ExchangeHandler = (
   exchange: CallerExchange,
   answer: (answer: CallerAnswer) => void,
-) => () => void;
+) => (endedBy: ConnectionSide) => void;
 
 /** A connection and the requests on it that are not answered yet. */
 interface Connection {
   readonly running: Set<() => void>;
+  /** Who ends it, as far as is known. */
+  endedBy: ConnectionSide;
 }
 
 /** See the module comment. */
@@ -86,8 +88,10 @@
 
   /** Closes connections that no request is on; returns how many are left. */
   closeIdle(): number {
-    for (const [socket, { running }] of this.connections) {
-      if (running.size === 0) socket.end();
+    for (const [socket, connection] of this.connections) {
+      if (connection.running.size > 0) continue;
+      connection.endedBy = 'node';
+      socket.end();
     }
     return this.requestCount;
   }
@@ -95,11 +99,14 @@
   /** Closes everything. */
   close(): void {
     this.server.close();
-    for (const socket of this.connections.keys()) socket.destroy();
+    for (const [socket, connection] of this.connections) {
+      connection.endedBy = 'node';
+      socket.destroy();
+    }
   }
 
   private onConnection(socket: Socket): void {
-    const connection = { running: new Set<() => void>() };
+    const connection: Connection = { running: new Set(), endedBy: 'caller' };
     this.connections.set(socket, connection);
     socket.on('close', () => {
       this.connections.delete(socket);
@@ -115,10 +122,10 @@
       return;
     }
     const { running } = connection;
-    const exchange = new CallerExchange(request, response);
-    let cancelRequest = (): void => {};
+    const exchange = new CallerExchange(request, response, () => connection.endedBy);
+    let cancelRequest: (endedBy: ConnectionSide) => void = () => {};
     const onConnectionEnd = (): void => {
-      cancelRequest();
+      cancelRequest(connection.endedBy);
     };
     running.add(onConnectionEnd);
     cancelRequest = this.handle(exchange, (answer) => {
--- a/src/sidecar/entry/entry-service.ts
+++ b/src/sidecar/entry/entry-service.ts
@@ -11,7 +11,7 @@
 import type { Route } from '../rules/route-table.js';
 import { criticalityOfRank } from '../rules/routing-rules.js';
 import type { RulesKeeper } from '../rules/rules-keeper.js';
-import type { CallerAnswer, CallerExchange } from './caller-exchange.js';
+import type { CallerAnswer, CallerExchange, ConnectionSide } from './caller-exchange.js';
 import { createOwnAnswer } from './refusal-answer.js';
 import type { TargetGateway } from '../target/target-gateway.js';
 import { RoutedRequest, type RequestEnd } from './routed-request.js';
@@ -35,6 +35,8 @@
   /** Repeats beyond their share that all nodes have together. */
   repeatSlack(): number;
   onRequestEnd(kind: string, code: number, seconds: number): void;
+  /** A connection ended before the whole answer to a request. */
+  onUnanswered(endedBy: ConnectionSide): void;
 }
 
 type Answer = (answer: CallerAnswer) => void;
@@ -47,8 +49,8 @@
 export class EntryService {
   constructor(private readonly options: EntryServiceOptions) {}
 
-  /** Handles one exchange; the returned function ends it when the caller goes away. */
-  handle(exchange: CallerExchange, answer: Answer): () => void {
+  /** Handles one exchange; the returned function ends it when its connection ends. */
+  handle(exchange: CallerExchange, answer: Answer): (endedBy: ConnectionSide) => void {
     return new EntryRequest(this.options, exchange, answer).start();
   }
 }
@@ -58,6 +60,7 @@
   private readonly receivedAt: number;
   private readonly reservation;
   private routed: RoutedRequest | undefined;
+  private context: RequestContext | undefined;
   private cancelled = false;
 
   constructor(
@@ -69,9 +72,13 @@
     this.reservation = options.buffers.reserve(0);
   }
 
-  start(): () => void {
+  start(): (endedBy: ConnectionSide) => void {
     const { rules } = this.options;
     const { exchange } = this;
+    if (exchange.cameAfterClose) this.log(Event.RequestAfterClose, undefined, {});
+    exchange.onAnswerCut((endedBy) => {
+      this.noteUnanswered(Event.AnswerCut, endedBy);
+    });
     const { table } = rules;
     if (table === undefined) {
       this.refuse(notReady());
@@ -80,13 +87,19 @@
       if (route === undefined) this.refuse(noRoute(exchange, rules.version));
       else this.readBody(route, table.rules.limits.maxBodyBytes);
     }
-    return () => {
+    return (endedBy) => {
       this.cancelled = true;
+      this.noteUnanswered(Event.RequestUnanswered, endedBy);
       this.reservation.release();
       this.routed?.cancel();
     };
   }
 
+  private noteUnanswered(event: Event, endedBy: ConnectionSide): void {
+    this.log(event, this.context, { endedBy });
+    this.options.onUnanswered(endedBy);
+  }
+
   private readBody(route: Route, maxBytes: number): void {
     this.exchange.readBody(maxBytes, this.reservation, (body) => {
       if (this.cancelled) return;
@@ -104,6 +117,7 @@
     }
     const service = route.nextService();
     const context = this.createContext(route, service, attemptId);
+    this.context = context;
     this.routed = new RoutedRequest({
       context,
       call: this.createCall(context, attemptId, body),
--- a/src/sidecar/plugins/entry-plugin.ts
+++ b/src/sidecar/plugins/entry-plugin.ts
@@ -3,6 +3,7 @@
 import { ByteBudget } from '../../core/byte-budget.js';
 import { findOverloadPolicy } from '../../core/overload-policy-registry.js';
 import type { Clock } from '../../kernel/clock.js';
+import { Event } from '../../kernel/event.js';
 import { registerPlugin } from '../../kernel/plugin.js';
 import { Token } from '../../kernel/token.js';
 import { splitAddress } from '../../core/host-and-port.js';
@@ -96,6 +97,9 @@
       metrics.requests.inc({ kind, code });
       metrics.latency.observe({ kind }, seconds);
     },
+    onUnanswered: (endedBy) => {
+      metrics.unanswered.inc({ ended_by: endedBy });
+    },
   });
   return new EntryListener((exchange, answer) => service.handle(exchange, answer));
 }
@@ -113,12 +117,27 @@
   listener.closeAfterAnswers();
   gateway.stop();
   container.get(SidecarToken.LinkServer).announceStatus();
+  const logEnd = (reason: 'idle' | 'time-limit', ms: number): void => {
+    container.get(Token.EventLog).emit(Event.CallersDrained, {
+      reason,
+      ms: Math.round(ms),
+      requests: listener.requestCount,
+      connections: listener.connectionCount,
+      atTarget: gateway.inProgress,
+    });
+  };
   for (;;) {
     await sleep(clock, CHECK_INTERVAL_MS);
     const elapsed = clock.now() - startedAt;
-    if (elapsed > gracePeriod - STOP_MARGIN_MS) return;
+    if (elapsed > gracePeriod - STOP_MARGIN_MS) {
+      logEnd('time-limit', elapsed);
+      return;
+    }
     if (elapsed < LINGER_MS) continue;
-    if (listener.closeIdle() === 0 && gateway.inProgress === 0) return;
+    if (listener.closeIdle() === 0 && gateway.inProgress === 0) {
+      logEnd('idle', elapsed);
+      return;
+    }
   }
 }
 
--- a/src/sidecar/sidecar-metrics.ts
+++ b/src/sidecar/sidecar-metrics.ts
@@ -8,6 +8,8 @@
   readonly registry: Registry;
   /** Requests of callers, by route and result code; 0 is an answer of a target. */
   readonly requests: Counter<'kind' | 'code'>;
+  /** Requests whose connection ended before their whole answer, by the side that ended it. */
+  readonly unanswered: Counter<'ended_by'>;
   /** Time from a request's head to its answer, in seconds. */
   readonly latency: Histogram<'kind'>;
   /** Requests that wait for or run at the own target. */
@@ -34,6 +36,12 @@
       labelNames: ['kind', 'code'],
       registers,
     }),
+    unanswered: new Counter({
+      name: 'sillshore_unanswered_requests_total',
+      help: 'Requests whose connection ended before their whole answer',
+      labelNames: ['ended_by'],
+      registers,
+    }),
     latency: new Histogram({
       name: 'sillshore_request_seconds',
       help: 'Time from the head of a request to its answer',
--- /dev/null
+++ b/test/sidecar-planned-stop.test.ts
@@ -0,0 +1,111 @@
+/**
+ * Planned stops of a node in a process of its own, under callers that use their connections until
+ * the process is gone.
+ *
+ * What users saw: around SIGTERM of a node, requests that it had taken were run by a target and
+ * their connections ended without an answer. Order of events: the node said `Connection: close`,
+ * waited, closed idle connections, and ended; what came on the way was begun and not ended. Cause:
+ * a connection's end was a moment in place of a state: between the last look and the end, requests
+ * were still read and passed on, and answers were thrown away. The log lines that proved it stand
+ * beside each case.
+ */
+import assert from 'node:assert/strict';
+import { setTimeout as sleep } from 'node:timers/promises';
+import { afterEach, beforeEach, test } from 'node:test';
+import { waitUntil } from './stand-ins/mesh.js';
+import { ProcessMesh, type ProcessMachine } from './support/process-mesh.js';
+import { RawCaller, type CallerRecord } from './support/raw-caller.js';
+
+/** More than the sockets' buffers of both ends take, in bytes. */
+const LARGE_ANSWER_BYTES = 24 * 1024 * 1024;
+
+let mesh: ProcessMesh;
+/** The node that is stopped; callers are connected to it. */
+let stopping: ProcessMachine;
+/** Its requests run beside this one. */
+let other: ProcessMachine;
+let callers: RawCaller[];
+
+beforeEach(async () => {
+  mesh = new ProcessMesh();
+  await mesh.start();
+  mesh.putRules(1, [
+    { path: '/read/', service: 'ledger' },
+    { path: '/write/', service: 'ledger', kind: 'non_idempotent' },
+  ]);
+  stopping = await mesh.add({ service: 'front', zone: 'z', slots: 8, workMs: 1 });
+  other = await mesh.add({ service: 'ledger', zone: 'z', slots: 8, workMs: 1 });
+  await mesh.waitUntilServing(['/read/warm']);
+  callers = [];
+});
+
+afterEach(async () => {
+  for (const caller of callers) caller.close();
+  await mesh.stop();
+});
+
+function connectCaller(): RawCaller {
+  const caller = new RawCaller(stopping.entry);
+  callers.push(caller);
+  return caller;
+}
+
+/** The target beside the other node answers this path after a time. */
+function answerLater(workMs: number, body = 'late'): void {
+  other.target.behaviour = ({ attemptId, path }, response) => {
+    if (!path.endsWith('/late')) return false;
+    setTimeout(() => {
+      response.writeHead(200, { 'X-Attempt-Id': attemptId, 'X-Server-Stamp': 's' }).end(body);
+    }, workMs);
+    return true;
+  };
+}
+
+function wasRun({ attemptId }: CallerRecord): boolean {
+  return other.target.received.some((request) => request.attemptId === attemptId);
+}
+
+/** Evidence: event 412 (read after the node's close), then 410 with `endedBy` node or caller. */
+test('a request that crosses the close of its connection is never run', async () => {
+  answerLater(4_000);
+  const running = connectCaller().send({ attemptId: 'running', path: '/write/late' });
+  const caller = connectCaller();
+  await caller.send({ attemptId: 'before', path: '/write/1' });
+  stopping.process.signal('SIGTERM');
+  await caller.otherSideEnded;
+  const record = await caller.send({ attemptId: 'crossing', path: '/write/2', method: 'POST' });
+  assert.equal(record.outcome.type, 'closed');
+  assert.equal((await running).outcome.type, 'answered');
+  assert.equal(wasRun(record), false, await stopping.explain('crossing'));
+});
+
+/** Evidence: event 109 with reason time-limit and requests left, then 410 with `endedBy` node. */
+test('a request that cannot end before the stop does is refused and not cut', async () => {
+  answerLater(4_000);
+  const running = connectCaller().send({ attemptId: 'running', path: '/write/late' });
+  await waitUntil(() => other.target.received.some(({ attemptId }) => attemptId === 'running'));
+  stopping.process.signal('SIGTERM');
+  await sleep(3_600);
+  const late = await connectCaller().send({ attemptId: 'late', path: '/write/late' });
+  assert.equal(late.outcome.type, 'answered', await stopping.explain('late'));
+  assert.equal(late.outcome.status, 503);
+  assert.equal(wasRun(late), false);
+  const { outcome } = await running;
+  assert.equal(outcome.type, 'answered');
+  assert.equal(outcome.status, 200);
+});
+
+/** Evidence: event 109 with reason idle and a connection left, then 411 with `endedBy` node. */
+test('an answer that a slow caller is still reading is not cut', async () => {
+  answerLater(10, 'x'.repeat(LARGE_ANSWER_BYTES));
+  const caller = connectCaller();
+  const answer = caller.send({ attemptId: 'large', path: '/read/late' });
+  caller.pause();
+  await waitUntil(() => other.target.received.some(({ attemptId }) => attemptId === 'large'));
+  stopping.process.signal('SIGTERM');
+  await sleep(3_500);
+  caller.resume();
+  const { outcome } = await answer;
+  assert.equal(outcome.type, 'answered', await stopping.explain('large'));
+  assert.equal(outcome.body.length, LARGE_ANSWER_BYTES);
+});
--- a/test/stand-ins/mesh.ts
+++ b/test/stand-ins/mesh.ts
@@ -185,7 +185,8 @@
   }
 }
 
-function createRulesDocument(version: number, routes: readonly RouteOptions[]): string {
+/** The operators' document with these routes. */
+export function createRulesDocument(version: number, routes: readonly RouteOptions[]): string {
   const services = [...new Set(routes.map(({ service }) => service))];
   return JSON.stringify({
     version,
--- /dev/null
+++ b/test/support/process-mesh.ts
@@ -0,0 +1,195 @@
+/**
+ * A deployment whose nodes are processes of their own, as on the machines; the store and the
+ * targets are stand-ins in the calling process.
+ */
+import { mkdtempSync, rmSync, writeFileSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { Event } from '../../src/kernel/event.js';
+import { findFreePorts } from '../../src/trials/free-ports.js';
+import { ManagedProcess, type ProcessEnd } from '../../src/trials/managed-process.js';
+import {
+  createRulesDocument,
+  sendRequest,
+  waitUntil,
+  type RouteOptions,
+} from '../stand-ins/mesh.js';
+import { StoreStandIn } from '../stand-ins/store-stand-in.js';
+import { TargetStandIn, type TargetStandInOptions } from '../stand-ins/target-stand-in.js';
+
+const PORTS_PER_NODE = 5;
+const HEARTBEAT_INTERVAL_MS = 500;
+const OK = 200;
+/** Events that tell how a planned stop went and what it cut. */
+const STOP_EVENTS = [
+  Event.InternalError,
+  Event.NodeDraining,
+  Event.NodeStopped,
+  Event.StopSignalRepeated,
+  Event.CallersDrained,
+  Event.RequestUnanswered,
+  Event.AnswerCut,
+  Event.RequestAfterClose,
+];
+
+/** One line of a node's log. */
+export interface LogLine {
+  readonly event: number;
+  readonly [field: string]: unknown;
+}
+
+/** What a deployment is made from; times in milliseconds. */
+export interface ProcessMeshOptions {
+  /** Time from SIGTERM to SIGKILL that the nodes are told. */
+  readonly gracePeriodMs?: number;
+  /** Where nodes and targets find the store, when not at the stand-in itself. */
+  readonly storeAddress?: string;
+}
+
+/** One machine: a target and the process beside it. */
+export class ProcessMachine {
+  private node: ManagedProcess | undefined;
+  private readonly lines: string[] = [];
+  private heartbeats: NodeJS.Timeout | undefined;
+
+  constructor(
+    readonly id: string,
+    readonly target: TargetStandIn,
+    readonly entry: string,
+    readonly readiness: string,
+    readonly registration: string,
+    private readonly settingsFile: string,
+  ) {}
+
+  /** The process that runs now; throws when there is none. */
+  get process(): ManagedProcess {
+    if (this.node === undefined) throw new Error(`${this.id} has no process`);
+    return this.node;
+  }
+
+  get isRunning(): boolean {
+    return this.node?.running ?? false;
+  }
+
+  /** Starts the node's process; its target reports from now on. */
+  start(): void {
+    if (this.node !== undefined) this.lines.push(this.node.stdout);
+    this.node = new ManagedProcess(this.id, ['sidecar', '--settings', this.settingsFile]);
+    this.heartbeats ??= setInterval(() => {
+      void this.target.beat(this.registration);
+    }, HEARTBEAT_INTERVAL_MS);
+  }
+
+  /** Whether the node says that it takes requests. */
+  async isReady(): Promise<boolean> {
+    try {
+      const answer = await sendRequest(this.readiness, { path: '/v1/readiness' });
+      return answer.status === OK;
+    } catch {
+      return false;
+    }
+  }
+
+  /** Lines with this event, of all processes of this machine. */
+  events(event: number): readonly LogLine[] {
+    const text = [...this.lines, this.node?.stdout ?? ''].join('');
+    return text
+      .split('\n')
+      .filter((line) => line.includes(`"event":${event},`))
+      .map((line) => JSON.parse(line) as LogLine);
+  }
+
+  /** What tells the end of a request or of a planned stop: lines with its identity or these events. */
+  async explain(attemptId: string): Promise<string> {
+    await this.process.ended;
+    const text = [...this.lines, this.node?.stdout ?? '', this.node?.stderr ?? ''].join('');
+    const isTelling = (line: string): boolean =>
+      line.includes(attemptId) || STOP_EVENTS.some((event) => line.includes(`"event":${event},`));
+    return text.split('\n').filter(isTelling).join('\n');
+  }
+
+  /** No more reports; the process is killed. */
+  async end(): Promise<ProcessEnd | undefined> {
+    clearInterval(this.heartbeats);
+    this.target.close();
+    if (!this.isRunning) return undefined;
+    return await this.process.stop('SIGKILL');
+  }
+}
+
+/** See the module comment. */
+export class ProcessMesh {
+  readonly store = new StoreStandIn();
+  readonly machines: ProcessMachine[] = [];
+  private readonly directory = mkdtempSync(join(tmpdir(), 'sillshore-mesh-'));
+  private storeAddress = '';
+
+  constructor(private readonly options: ProcessMeshOptions = {}) {}
+
+  async start(): Promise<void> {
+    const own = await this.store.listen();
+    this.storeAddress = this.options.storeAddress ?? own;
+  }
+
+  /** Adds a machine and starts its node. */
+  async add(options: TargetStandInOptions): Promise<ProcessMachine> {
+    const target = new TargetStandIn(options);
+    await target.listen();
+    const ports = await findFreePorts(PORTS_PER_NODE);
+    const [entry, readiness, registration, link, metrics] = ports.map(
+      (port) => `127.0.0.1:${port}`,
+    );
+    const id = `node-${this.machines.length + 1}`;
+    const file = join(this.directory, `${id}.json`);
+    const linkPort = Number(link!.split(':')[1]);
+    writeFileSync(
+      file,
+      JSON.stringify({
+        node: { id, zone: options.zone, region: 'r' },
+        listen: {
+          ...{ entry, readiness, registration, metrics },
+          host: '127.0.0.1',
+          ports: [linkPort, linkPort],
+        },
+        target: { service: options.service, address: target.address },
+        store: { address: this.storeAddress },
+        limits: { memoryMb: 350 },
+        bounds: {
+          gracePeriod: `${this.options.gracePeriodMs ?? 6_000}ms`,
+          ...{ retryRatio: 0.2, retryWindow: '10s', retrySlack: 60 },
+        },
+        log: { level: 'debug', maxLinesPerSecond: 10_000 },
+      }),
+    );
+    const machine = new ProcessMachine(id, target, entry!, readiness!, registration!, file);
+    this.machines.push(machine);
+    machine.start();
+    return machine;
+  }
+
+  /** Writes the operators' document. */
+  putRules(version: number, routes: readonly RouteOptions[]): void {
+    this.store.put('op/config', createRulesDocument(version, routes));
+  }
+
+  /** Waits until all nodes that run say that they are ready and `path` is served by each. */
+  async waitUntilServing(paths: readonly string[]): Promise<void> {
+    for (const machine of this.machines) {
+      if (!machine.isRunning) continue;
+      await waitUntil(() => machine.isReady());
+      for (const path of paths) await waitUntil(() => this.isServed(machine, path));
+    }
+  }
+
+  async stop(): Promise<void> {
+    await Promise.all(this.machines.map((machine) => machine.end()));
+    this.store.close();
+    rmSync(this.directory, { recursive: true, force: true });
+  }
+
+  private async isServed(machine: ProcessMachine, path: string): Promise<boolean> {
+    const attemptId = `warm-${Math.random().toString(36).slice(2)}`;
+    const answer = await sendRequest(machine.entry, { path, attemptId });
+    return answer.status === OK;
+  }
+}
--- /dev/null
+++ b/test/support/raw-caller.ts
@@ -0,0 +1,154 @@
+/**
+ * A caller that uses its connection until the connection is gone, whatever the answers say of it,
+ * and notes for each request how it ended.
+ */
+import { connect, type Socket } from 'node:net';
+import { HOST } from '../stand-ins/mesh.js';
+
+/** How a request ended for its caller. */
+export type RequestOutcome =
+  | { readonly type: 'answered'; readonly status: number; readonly body: string }
+  /** The connection ended before the whole answer was there. */
+  | { readonly type: 'closed'; readonly reset: boolean; readonly receivedBytes: number };
+
+/** One request and its end; times of the monotonic clock, in milliseconds. */
+export interface CallerRecord {
+  readonly attemptId: string;
+  readonly method: string;
+  readonly path: string;
+  readonly sentAt: number;
+  readonly endedAt: number;
+  readonly outcome: RequestOutcome;
+}
+
+/** A request to be sent. */
+export interface RawRequest {
+  readonly attemptId: string;
+  readonly path: string;
+  readonly method?: string;
+  readonly deadlineMs?: number;
+  readonly body?: string;
+}
+
+interface Sent extends RawRequest {
+  readonly sentAt: number;
+  readonly onEnd: (record: CallerRecord) => void;
+}
+
+const HEAD_END = Buffer.from('\r\n\r\n');
+const NO_BODY_STATUSES: ReadonlySet<number> = new Set([204, 304]);
+
+/** One kept connection. */
+export class RawCaller {
+  private readonly socket: Socket;
+  private readonly waiting: Sent[] = [];
+  private received = Buffer.alloc(0);
+  private wasReset = false;
+  private ended = false;
+  /** Settles when the other side has ended its half of the connection, or all of it. */
+  readonly otherSideEnded: Promise<void>;
+
+  constructor(address: string) {
+    const [host = '', port = ''] = address.split(':');
+    this.socket = connect({ host, port: Number(port), allowHalfOpen: true });
+    this.socket.setNoDelay(true);
+    this.socket.on('data', (chunk: Buffer) => {
+      this.received = Buffer.concat([this.received, chunk]);
+      this.read();
+    });
+    this.socket.on('error', () => {
+      this.wasReset = true;
+    });
+    this.otherSideEnded = new Promise((resolve) => {
+      this.socket.on('end', () => {
+        this.ended = true;
+        resolve();
+        // What is sent in answer to the end is still on its way: as if it had crossed it.
+        setImmediate(() => this.finish());
+      });
+      this.socket.on('close', () => {
+        this.ended = true;
+        resolve();
+        this.finish();
+      });
+    });
+  }
+
+  /** Whether the other side has ended the connection. */
+  get isEnded(): boolean {
+    return this.ended;
+  }
+
+  /** Sends a request; resolves with its end. */
+  send(request: RawRequest): Promise<CallerRecord> {
+    return new Promise((resolve) => {
+      this.waiting.push({ ...request, sentAt: performance.now(), onEnd: resolve });
+      this.socket.write(serialize(request));
+      if (this.socket.destroyed) this.finish();
+    });
+  }
+
+  /** Stops and starts reading, as a slow reader does. */
+  pause(): void {
+    this.socket.pause();
+  }
+
+  resume(): void {
+    this.socket.resume();
+  }
+
+  close(): void {
+    this.socket.destroy();
+  }
+
+  private read(): void {
+    for (;;) {
+      const [first] = this.waiting;
+      const answer = first && parseAnswer(this.received);
+      if (first === undefined || answer === undefined) return;
+      this.received = this.received.subarray(answer.length);
+      this.waiting.shift();
+      this.note(first, { type: 'answered', status: answer.status, body: answer.body });
+    }
+  }
+
+  private finish(): void {
+    const receivedBytes = this.received.length;
+    for (const sent of this.waiting.splice(0)) {
+      this.note(sent, { type: 'closed', reset: this.wasReset, receivedBytes });
+    }
+    this.socket.destroy();
+  }
+
+  private note({ attemptId, method, path, sentAt, onEnd }: Sent, outcome: RequestOutcome): void {
+    const endedAt = performance.now();
+    onEnd({ attemptId, method: method ?? 'GET', path, sentAt, endedAt, outcome });
+  }
+}
+
+function serialize({ attemptId, path, method, deadlineMs, body }: RawRequest): string {
+  const lines = [
+    `${method ?? 'GET'} ${path} HTTP/1.1`,
+    `Host: ${HOST}`,
+    `X-Attempt-Id: ${attemptId}`,
+    `X-Deadline-Ms: ${deadlineMs ?? 5_000}`,
+    ...(body === undefined ? [] : [`Content-Length: ${Buffer.byteLength(body)}`]),
+  ];
+  return `${lines.join('\r\n')}\r\n\r\n${body ?? ''}`;
+}
+
+/** The first whole answer in some bytes; the nodes always tell its length. */
+function parseAnswer(
+  bytes: Buffer,
+): { readonly status: number; readonly body: string; readonly length: number } | undefined {
+  const headEnd = bytes.indexOf(HEAD_END);
+  if (headEnd < 0) return undefined;
+  const head = bytes.subarray(0, headEnd).toString('latin1');
+  const status = Number(head.split(' ', 2)[1]);
+  const length = /\r\ncontent-length: (\d+)/i.exec(head)?.[1];
+  const bodyLength = NO_BODY_STATUSES.has(status) ? 0 : Number(length);
+  const start = headEnd + HEAD_END.length;
+  if (bytes.length < start + bodyLength) return undefined;
+  const body = bytes.subarray(start, start + bodyLength).toString('latin1');
+  return { status, body, length: start + bodyLength };
+}
