The caller of planned stops waits 100 ms at the end of its connection

Cause: one run of the crossing case passed: the caller destroyed its side in the same turn, so its cancel overtook the request. Change: what is sent at the end of the connection stands for a request that crosses it; the caller waits 100 ms.

--- a/test/support/raw-caller.ts
+++ b/test/support/raw-caller.ts
@@ -35,6 +35,8 @@
   readonly onEnd: (record: CallerRecord) => void;
 }
 
+/** Time that a request and the end of its connection take past each other, in milliseconds. */
+const CROSSING_MS = 100;
 const HEAD_END = Buffer.from('\r\n\r\n');
 const NO_BODY_STATUSES: ReadonlySet<number> = new Set([204, 304]);
 
@@ -63,8 +65,8 @@
       this.socket.on('end', () => {
         this.ended = true;
         resolve();
-        // What is sent in answer to the end is still on its way: as if it had crossed it.
-        setImmediate(() => this.finish());
+        // What is sent now stands for a request that crosses the end: its caller still waits.
+        setTimeout(() => this.finish(), CROSSING_MS);
       });
       this.socket.on('close', () => {
         this.ended = true;
