Connections of callers end in states, and a planned stop in a state in which nothing can begin

Cause: the end of a kept connection, and of the drain, was a moment. Change: CallerConnection (open, answering, closing with the rest read and dropped) is the only way in which the node ends a caller's connection: idle time, input errors, answers that close, stop. PlannedStop takes all requests at first, then only those sure to end before the node does; others get 503 with Retry-After, unrun. CallersDrain stops listening and taking before it looks whether anything is left; what is left at the limit is answered, not cut. Drains of plug-ins are told when they end.

--- a/src/kernel/event.ts
+++ b/src/kernel/event.ts
@@ -92,7 +92,7 @@
   [Event.AttemptFailed]: ['info', 'attempt failed'],
   [Event.RequestUnanswered]: ['info', 'connection ended before the answer'],
   [Event.AnswerCut]: ['info', 'connection ended before the answer was written'],
-  [Event.RequestAfterClose]: ['warn', 'request on a connection that the node has closed'],
+  [Event.RequestAfterClose]: ['warn', 'request not taken: the node is closing its connection'],
   [Event.ClaimRefused]: ['info', 'claim refused'],
   [Event.ClaimReplicaRecovering]: ['info', 'claim replica recovering its tables'],
   [Event.ClaimReplicaReady]: ['info', 'claim replica votes'],
--- a/src/kernel/kernel.ts
+++ b/src/kernel/kernel.ts
@@ -85,8 +85,8 @@
     const end = clock.now() + timeoutMs;
     let complete = true;
     for (const plugin of [...this.started].reverse()) {
-      const limitMs = Math.max(end - clock.now(), LATE_DRAIN_MS);
-      if (!(await this.drainWithin(plugin, limitMs))) complete = false;
+      const drainEnd = Math.max(end, clock.now() + LATE_DRAIN_MS);
+      if (!(await this.drainUntil(plugin, drainEnd))) complete = false;
     }
     await this.stop();
     return complete;
@@ -102,9 +102,11 @@
     this.log.emit(Event.NodeStopped);
   }
 
-  private async drainWithin(plugin: Plugin, limitMs: number): Promise<boolean> {
-    const drained = this.attempt(plugin, () => plugin.drain?.(this.container)).then(() => true);
-    if (limitMs === Number.POSITIVE_INFINITY) return await drained;
+  private async drainUntil(plugin: Plugin, endAt: number): Promise<boolean> {
+    const step = (): Promise<void> | undefined => plugin.drain?.(this.container, endAt);
+    const drained = this.attempt(plugin, step).then(() => true);
+    if (endAt === Number.POSITIVE_INFINITY) return await drained;
+    const limitMs = endAt - this.options.clock.now();
     let cancel: CancelTimer = () => {};
     const late = new Promise<boolean>((resolve) => {
       cancel = this.options.clock.schedule(limitMs, () => {
--- a/src/kernel/plugin.ts
+++ b/src/kernel/plugin.ts
@@ -13,8 +13,12 @@
   bind(container: Container): void;
   /** Opens sockets and starts tasks. Rejects when the node cannot run. */
   start?(container: Container): Promise<void>;
-  /** Planned stop, first part: takes no new work, lets running work end. */
-  drain?(container: Container): Promise<void>;
+  /**
+   * Planned stop, first part: takes no new work, lets running work end.
+   *
+   * @param endAt time of the monotonic clock at which the stop goes on without it, in milliseconds
+   */
+  drain?(container: Container, endAt: number): Promise<void>;
   /** Closes everything that `start` opened. */
   stop?(container: Container): Promise<void>;
 }
--- a/src/sidecar/entry/caller-exchange.ts
+++ b/src/sidecar/entry/caller-exchange.ts
@@ -13,9 +13,6 @@
   readonly body: Uint8Array;
 }
 
-/** Which side ended a connection. */
-export type ConnectionSide = 'caller' | 'node';
-
 /** See the module comment. */
 export class CallerExchange {
   readonly method: string;
@@ -27,8 +24,6 @@
   constructor(
     readonly request: IncomingMessage,
     private readonly response: ServerResponse,
-    /** Which side ends the connection, as far as is known. */
-    private readonly endedBy: () => ConnectionSide,
   ) {
     this.method = request.method ?? '';
     this.path = request.url ?? '';
@@ -38,19 +33,6 @@
     });
   }
 
-  /** Whether this node had closed the connection before the request was read. */
-  get cameAfterClose(): boolean {
-    return this.request.socket.writableEnded;
-  }
-
-  /** Calls `listener` when the connection ends before the whole answer was handed to it. */
-  onAnswerCut(listener: (endedBy: ConnectionSide) => void): void {
-    const { response } = this;
-    response.once('close', () => {
-      if (this.answered && !response.writableFinished) listener(this.endedBy());
-    });
-  }
-
   /** Value of a field, by its name in lower case. */
   field(name: string): string | undefined {
     const value = this.request.headers[name];
--- /dev/null
+++ b/src/sidecar/entry/entry-listener.test.ts
@@ -0,0 +1,192 @@
+/** The callers' listener on real sockets: what the end of a connection does to its requests. */
+import assert from 'node:assert/strict';
+import { connect, type Socket } from 'node:net';
+import { afterEach, beforeEach, test } from 'node:test';
+import { findFreePort } from '../../trials/free-ports.js';
+import { systemClock } from '../../kernel/clock.js';
+import { waitUntil } from '../../../test/stand-ins/mesh.js';
+import type { ConnectionSide } from './caller-connection.js';
+import type { CallerAnswer, CallerExchange } from './caller-exchange.js';
+import { EntryListener } from './entry-listener.js';
+
+/** More than the sockets' buffers of both ends take, in bytes. */
+const LARGE_BYTES = 16 * 1024 * 1024;
+
+/** One request that the listener took. */
+interface Taken {
+  readonly path: string;
+  readonly answer: (answer: CallerAnswer) => void;
+  end: { readonly by: ConnectionSide; readonly answered: boolean } | undefined;
+}
+
+/** A caller that collects what it gets. */
+class Caller {
+  readonly socket: Socket;
+  private readonly chunks: Buffer[] = [];
+  reset = false;
+  ended = false;
+
+  constructor() {
+    this.socket = connect(port, '127.0.0.1');
+    this.socket.on('data', (chunk: Buffer) => this.chunks.push(chunk));
+    this.socket.on('error', () => (this.reset = true));
+    this.socket.on('close', () => (this.ended = true));
+  }
+
+  get text(): string {
+    return Buffer.concat(this.chunks).toString('latin1');
+  }
+
+  write(path: string, fields = ''): void {
+    this.socket.write(`GET ${path} HTTP/1.1\r\nHost: h\r\n${fields}\r\n`);
+  }
+}
+
+let port: number;
+let listener: EntryListener;
+let taken: Taken[];
+let notTaken: string[];
+let callers: Caller[];
+
+beforeEach(async () => {
+  taken = [];
+  notTaken = [];
+  callers = [];
+  port = await findFreePort();
+  listener = new EntryListener(
+    {
+      handle: (exchange: CallerExchange, answer) => {
+        const request: Taken = { path: exchange.path, answer, end: undefined };
+        taken.push(request);
+        return {
+          onConnectionEnd: (by, answered) => (request.end = { by, answered }),
+          giveUp: () => {
+            answer({ status: 502, fields: [], body: Buffer.from('given up') });
+          },
+        };
+      },
+      onNotTaken: ({ path }) => notTaken.push(path),
+    },
+    systemClock,
+  );
+  await listener.listen('127.0.0.1', port);
+});
+
+afterEach(() => {
+  listener.close();
+  for (const { socket } of callers) socket.destroy();
+});
+
+function connectCaller(): Caller {
+  const caller = new Caller();
+  callers.push(caller);
+  return caller;
+}
+
+async function waitForRequests(count: number): Promise<void> {
+  await waitUntil(() => taken.length === count);
+}
+
+function answer({ answer: send }: Taken, body: string | Buffer = 'ok'): void {
+  send({ status: 200, fields: [], body: Buffer.from(body) });
+}
+
+test('requests behind one another are all answered before a stop ends their connection', async () => {
+  const caller = connectCaller();
+  caller.write('/1');
+  caller.write('/2');
+  await waitForRequests(2);
+  listener.finish();
+  caller.write('/3');
+  await waitUntil(() => notTaken.length === 1);
+  answer(taken[0]!, 'one');
+  answer(taken[1]!, 'two');
+  await waitUntil(() => caller.ended);
+  assert.match(caller.text, /one[^]*connection: close[^]*two$/i);
+  assert.deepEqual(notTaken, ['/3']);
+  assert.equal(caller.reset, false);
+});
+
+test('an answer that closes its connection arrives whole with a request behind it', async () => {
+  const caller = connectCaller();
+  caller.socket.pause();
+  caller.write('/1');
+  await waitForRequests(1);
+  listener.closeAfterAnswers();
+  answer(taken[0]!, Buffer.alloc(LARGE_BYTES, 'x'));
+  caller.write('/2');
+  caller.socket.resume();
+  await waitUntil(() => caller.ended);
+  assert.equal(caller.text.split('\r\n\r\n')[1]?.length, LARGE_BYTES);
+  assert.deepEqual(
+    taken.map(({ path }) => path),
+    ['/1'],
+  );
+});
+
+test('an answer to a request whose body was not read arrives whole', async () => {
+  const caller = connectCaller();
+  caller.write('/1', 'Content-Length: 8000000\r\n');
+  await waitForRequests(1);
+  caller.socket.write(Buffer.alloc(4_000_000));
+  answer(taken[0]!, 'refused');
+  caller.socket.write(Buffer.alloc(4_000_000));
+  await waitUntil(() => caller.text.endsWith('refused'));
+  await waitUntil(() => caller.ended);
+  assert.equal(caller.reset, false);
+});
+
+test('what is not HTTP behind a request does not cut off its answer', async () => {
+  const caller = connectCaller();
+  caller.write('/1');
+  await waitForRequests(1);
+  caller.socket.write('not HTTP\r\n\r\n');
+  await new Promise((resolve) => setTimeout(resolve, 50));
+  answer(taken[0]!, 'whole');
+  await waitUntil(() => caller.ended);
+  assert.match(caller.text, /connection: close[^]*whole$/i);
+});
+
+test('an idle connection is closed after its time, and nothing more is taken on it', async () => {
+  listener.setLimits({ headerTimeoutMs: 1_000, idleTimeoutMs: -1_400, maxBodyBytes: 0 });
+  const caller = connectCaller();
+  caller.write('/1');
+  await waitForRequests(1);
+  answer(taken[0]!);
+  caller.socket.on('end', () => {
+    caller.write('/2');
+  });
+  await waitUntil(() => caller.ended);
+  assert.equal(taken.length, 1);
+});
+
+test('requests are told which side ended their connection, and what is given up is answered', async () => {
+  const [leaving, cut, patient] = [connectCaller(), connectCaller(), connectCaller()];
+  leaving.write('/leaving');
+  await waitForRequests(1);
+  cut.write('/cut');
+  await waitForRequests(2);
+  patient.write('/patient');
+  await waitForRequests(3);
+  leaving.socket.destroy();
+  await waitUntil(() => taken[0]!.end !== undefined);
+  assert.deepEqual(taken[0]!.end, { by: 'caller', answered: false });
+  answer(taken[1]!, Buffer.alloc(LARGE_BYTES));
+  cut.socket.pause();
+  listener.finish();
+  listener.giveUp();
+  await waitUntil(() => patient.ended);
+  assert.match(patient.text, /502[^]*given up$/);
+  listener.close();
+  assert.deepEqual(taken[1]!.end, { by: 'node', answered: true });
+  assert.equal(taken[2]!.end, undefined);
+});
+
+test('a connection that comes up while the listener ends is ended and nothing taken on it', async () => {
+  const caller = connectCaller();
+  await waitUntil(() => !caller.socket.connecting);
+  listener.finish();
+  caller.write('/late');
+  await waitUntil(() => caller.ended);
+  assert.deepEqual(taken, []);
+});
--- a/src/sidecar/entry/entry-listener.ts
+++ b/src/sidecar/entry/entry-listener.ts
@@ -1,9 +1,11 @@
 /** The callers' interface: connections, requests on them and their answers, on `node:http`. */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
-import type { Socket } from 'node:net';
+import { Server as NetServer, type Socket } from 'node:net';
+import type { Clock } from '../../kernel/clock.js';
 import type { CallerLimits } from '../rules/routing-rules.js';
 import type { RawFields } from '../link/link-messages.js';
-import { CallerExchange, type CallerAnswer, type ConnectionSide } from './caller-exchange.js';
+import { CallerConnection, type ConnectionSlot, type TakenRequest } from './caller-connection.js';
+import { CallerExchange, type CallerAnswer } from './caller-exchange.js';
 
 const MAX_HEADER_BYTES = 64 * 1024;
 const CONNECTION_CHECK_INTERVAL_MS = 500;
@@ -11,27 +13,28 @@
 /** A connection is kept this much longer than its caller is told. */
 const IDLE_GRACE_MS = 1_500;
 
-/** Takes one request; returns what ends it when its connection ends. */
-export type ExchangeHandler = (
-  exchange: CallerExchange,
-  answer: (answer: CallerAnswer) => void,
-) => (endedBy: ConnectionSide) => void;
-
-/** A connection and the requests on it that are not answered yet. */
-interface Connection {
-  readonly running: Set<() => void>;
-  /** Who ends it, as far as is known. */
-  endedBy: ConnectionSide;
+/** Serves the requests that the listener takes. */
+export interface ExchangeHandler {
+  /** Takes one request, which is answered at most once. */
+  handle(exchange: CallerExchange, answer: (answer: CallerAnswer) => void): TakenRequest;
+  /** A request came on a connection that the node is closing; it is not run. */
+  onNotTaken(exchange: CallerExchange): void;
 }
 
 /** See the module comment. */
 export class EntryListener {
   private readonly server: Server;
-  private readonly connections = new Map<Socket, Connection>();
-  private closing = false;
+  private readonly connections = new Map<Socket, CallerConnection>();
+  /** Each answer closes its connection. */
+  private draining = false;
+  /** No request is taken any more. */
+  private finished = false;
   private keepAliveFields: RawFields = [];
 
-  constructor(private readonly handle: ExchangeHandler) {
+  constructor(
+    private readonly handler: ExchangeHandler,
+    private readonly clock: Clock,
+  ) {
     this.server = createServer({
       maxHeaderSize: MAX_HEADER_BYTES,
       connectionsCheckingInterval: CONNECTION_CHECK_INTERVAL_MS,
@@ -45,8 +48,12 @@
     this.server.on('request', (request, response) => {
       this.onRequest(request, response);
     });
+    // A connection that was idle for too long; what crosses its end is not taken.
+    this.server.on('timeout', (socket) => {
+      this.connections.get(socket)?.finish();
+    });
     this.server.on('clientError', (_error, socket) => {
-      socket.destroy();
+      this.onInputError(socket as Socket);
     });
   }
 
@@ -55,10 +62,10 @@
     return this.connections.size;
   }
 
-  /** Requests that are not answered. */
+  /** Requests whose answers are not wholly written. */
   get requestCount(): number {
     let count = 0;
-    for (const { running } of this.connections.values()) count += running.size;
+    for (const connection of this.connections.values()) count += connection.unfinishedCount;
     return count;
   }
 
@@ -83,62 +90,78 @@
 
   /** From now on each answer closes its connection, unless others wait behind it. */
   closeAfterAnswers(): void {
-    this.closing = true;
+    this.draining = true;
   }
 
-  /** Closes connections that no request is on; returns how many are left. */
-  closeIdle(): number {
-    for (const [socket, connection] of this.connections) {
-      if (connection.running.size > 0) continue;
-      connection.endedBy = 'node';
-      socket.end();
-    }
-    return this.requestCount;
+  /** From now on no connection and no request is taken; connections end with their answers. */
+  finish(): void {
+    if (this.finished) return;
+    this.finished = true;
+    // Not the HTTP server's own close, which destroys idle connections. After this turn of the
+    // event loop, so that connections which have come up are accepted and ended in order.
+    setImmediate(() => {
+      NetServer.prototype.close.call(this.server);
+    });
+    for (const connection of [...this.connections.values()]) connection.finish();
   }
 
-  /** Closes everything. */
+  /** Has all requests answered now. */
+  giveUp(): void {
+    for (const connection of [...this.connections.values()]) connection.giveUp();
+  }
+
+  /** Closes everything; what is cut off is told before this returns. */
   close(): void {
-    this.server.close();
-    for (const [socket, connection] of this.connections) {
-      connection.endedBy = 'node';
-      socket.destroy();
-    }
+    this.finish();
+    for (const connection of [...this.connections.values()]) connection.destroy();
   }
 
   private onConnection(socket: Socket): void {
-    const connection: Connection = { running: new Set(), endedBy: 'caller' };
-    this.connections.set(socket, connection);
-    socket.on('close', () => {
+    const connection = new CallerConnection(socket, this.clock, () => {
       this.connections.delete(socket);
-      for (const cancel of connection.running) cancel();
-      connection.running.clear();
     });
+    this.connections.set(socket, connection);
+    if (this.finished) connection.finish();
   }
 
   private onRequest(request: IncomingMessage, response: ServerResponse): void {
     const connection = this.connections.get(request.socket);
-    if (connection === undefined) {
-      response.destroy();
+    const exchange = new CallerExchange(request, response);
+    if (connection?.takesRequests !== true) {
+      request.resume();
+      this.handler.onNotTaken(exchange);
       return;
     }
-    const { running } = connection;
-    const exchange = new CallerExchange(request, response, () => connection.endedBy);
-    let cancelRequest: (endedBy: ConnectionSide) => void = () => {};
-    const onConnectionEnd = (): void => {
-      cancelRequest(connection.endedBy);
-    };
-    running.add(onConnectionEnd);
-    cancelRequest = this.handle(exchange, (answer) => {
-      running.delete(onConnectionEnd);
-      exchange.answer(answer, this.connectionFields(running.size === 0, request));
+    const slot = connection.take(response);
+    slot.request = this.handler.handle(exchange, (answer) => {
+      this.answer(connection, slot, exchange, answer);
     });
   }
 
+  private answer(
+    connection: CallerConnection,
+    slot: ConnectionSlot,
+    exchange: CallerExchange,
+    answer: CallerAnswer,
+  ): void {
+    if (slot.answered) return;
+    slot.answered = true;
+    const closes = this.shouldClose(connection, exchange.request);
+    if (closes) connection.finish();
+    exchange.answer(answer, closes ? ['Connection', 'close'] : this.keepAliveFields);
+  }
+
   /** An answer that closes the connection would lose the answers behind it. */
-  private connectionFields(isLast: boolean, request: IncomingMessage): RawFields {
-    if (isLast && (this.closing || !request.complete)) return ['Connection', 'close'];
-    const wish = request.headers.connection?.toLowerCase();
-    if (wish === 'close') return ['Connection', 'close'];
-    return this.keepAliveFields;
+  private shouldClose(connection: CallerConnection, request: IncomingMessage): boolean {
+    if (request.headers.connection?.toLowerCase() === 'close') return true;
+    if (connection.unansweredCount > 0) return false;
+    return this.draining || !connection.takesRequests || !request.complete;
+  }
+
+  /** Input that is not HTTP, or a head that is late: what was taken before it is still answered. */
+  private onInputError(socket: Socket): void {
+    const connection = this.connections.get(socket);
+    if (connection === undefined || connection.unfinishedCount === 0) socket.destroy();
+    else connection.finish();
   }
 }
--- a/src/sidecar/entry/entry-service.ts
+++ b/src/sidecar/entry/entry-service.ts
@@ -11,7 +11,10 @@
 import type { Route } from '../rules/route-table.js';
 import { criticalityOfRank } from '../rules/routing-rules.js';
 import type { RulesKeeper } from '../rules/rules-keeper.js';
-import type { CallerAnswer, CallerExchange, ConnectionSide } from './caller-exchange.js';
+import type { ConnectionSide, TakenRequest } from './caller-connection.js';
+import type { CallerAnswer, CallerExchange } from './caller-exchange.js';
+import type { ExchangeHandler } from './entry-listener.js';
+import { createStopping, type PlannedStop } from './planned-stop.js';
 import { createOwnAnswer } from './refusal-answer.js';
 import type { TargetGateway } from '../target/target-gateway.js';
 import { RoutedRequest, type RequestEnd } from './routed-request.js';
@@ -29,6 +32,7 @@
   readonly rules: RulesKeeper;
   readonly routers: ServiceRouters;
   readonly directory: NodeDirectory;
+  readonly plannedStop: PlannedStop;
   readonly buffers: ByteBudget;
   readonly clock: Clock;
   readonly log: EventLog;
@@ -46,22 +50,29 @@
 const NO_KIND = '';
 
 /** See the module comment. */
-export class EntryService {
+export class EntryService implements ExchangeHandler {
   constructor(private readonly options: EntryServiceOptions) {}
 
-  /** Handles one exchange; the returned function ends it when its connection ends. */
-  handle(exchange: CallerExchange, answer: Answer): (endedBy: ConnectionSide) => void {
-    return new EntryRequest(this.options, exchange, answer).start();
+  handle(exchange: CallerExchange, answer: Answer): TakenRequest {
+    const request = new EntryRequest(this.options, exchange, answer);
+    request.start();
+    return request;
+  }
+
+  onNotTaken(exchange: CallerExchange): void {
+    const { log, fields } = this.options;
+    log.emit(Event.RequestAfterClose, { id: exchange.field(fields.attemptId) });
   }
 }
 
 /** One request from its head to its answer. */
-class EntryRequest {
+class EntryRequest implements TakenRequest {
   private readonly receivedAt: number;
   private readonly reservation;
   private routed: RoutedRequest | undefined;
   private context: RequestContext | undefined;
-  private cancelled = false;
+  /** Whether it was answered, or its connection ended. */
+  private ended = false;
 
   constructor(
     private readonly options: EntryServiceOptions,
@@ -72,13 +83,9 @@
     this.reservation = options.buffers.reserve(0);
   }
 
-  start(): (endedBy: ConnectionSide) => void {
+  start(): void {
     const { rules } = this.options;
     const { exchange } = this;
-    if (exchange.cameAfterClose) this.log(Event.RequestAfterClose, undefined, {});
-    exchange.onAnswerCut((endedBy) => {
-      this.noteUnanswered(Event.AnswerCut, endedBy);
-    });
     const { table } = rules;
     if (table === undefined) {
       this.refuse(notReady());
@@ -87,22 +94,25 @@
       if (route === undefined) this.refuse(noRoute(exchange, rules.version));
       else this.readBody(route, table.rules.limits.maxBodyBytes);
     }
-    return (endedBy) => {
-      this.cancelled = true;
-      this.noteUnanswered(Event.RequestUnanswered, endedBy);
-      this.reservation.release();
-      this.routed?.cancel();
-    };
   }
 
-  private noteUnanswered(event: Event, endedBy: ConnectionSide): void {
+  onConnectionEnd(endedBy: ConnectionSide, answered: boolean): void {
+    const event = answered ? Event.AnswerCut : Event.RequestUnanswered;
     this.log(event, this.context, { endedBy });
     this.options.onUnanswered(endedBy);
+    this.ended = true;
+    this.reservation.release();
+    this.routed?.cancel();
+  }
+
+  giveUp(): void {
+    if (this.routed !== undefined) this.routed.giveUp(createStopping());
+    else this.refuse(createStopping());
   }
 
   private readBody(route: Route, maxBytes: number): void {
     this.exchange.readBody(maxBytes, this.reservation, (body) => {
-      if (this.cancelled) return;
+      if (this.ended) return;
       if (body instanceof Uint8Array) this.route(route, body);
       else this.refuse(body);
     });
@@ -118,6 +128,11 @@
     const service = route.nextService();
     const context = this.createContext(route, service, attemptId);
     this.context = context;
+    const stopping = this.checkPlannedStop(context, attemptId);
+    if (stopping !== undefined) {
+      this.refuse(stopping, context);
+      return;
+    }
     this.routed = new RoutedRequest({
       context,
       call: this.createCall(context, attemptId, body),
@@ -153,6 +168,14 @@
     };
   }
 
+  /** Calls of a run at the own target are always taken: refused, they would fail that run. */
+  private checkPlannedStop({ deadline }: RequestContext, attemptId: string): Failure | undefined {
+    const { parentOf, gateway, plannedStop, clock } = this.options;
+    const parentId = parentOf(attemptId);
+    if (parentId !== undefined && gateway.contextOf(parentId) !== undefined) return undefined;
+    return plannedStop.check(clock.now(), deadline);
+  }
+
   private createCall(context: RequestContext, attemptId: string, body: Uint8Array): AttemptCall {
     const { method, path, fields } = this.exchange;
     const { requestId, service, kind, idempotent, depth, criticality } = context;
@@ -187,6 +210,7 @@
       this.refuse(end.failure, context);
       return;
     }
+    this.ended = true;
     this.reservation.release();
     this.log(Event.RequestServed, context, { status: end.status });
     this.note(context.kind, ResultCode.Ok);
@@ -194,6 +218,8 @@
   }
 
   private refuse(failure: Failure, context?: RequestContext): void {
+    if (this.ended) return;
+    this.ended = true;
     this.reservation.release();
     const { code, detail, execution } = failure;
     const event = execution === 'not-run' ? Event.RequestRefused : Event.RequestFailed;
--- /dev/null
+++ b/src/sidecar/entry/planned-stop.ts
@@ -0,0 +1,46 @@
+/**
+ * What a planned stop means for requests that come while it lasts: at first all are taken, since
+ * callers have not heard of it; later only those that are sure to end before the node does. What
+ * could be cut off is refused while it is known not to have run.
+ */
+import { createFailure, type Failure } from '../../core/failure.js';
+import { ResultCode } from '../../core/result-code.js';
+
+/** Time in which callers hear of the stop and go elsewhere, in milliseconds: two missed checks. */
+export const LEAVING_PHASE_MS = 2_600;
+/** The leaving phase takes no more than this share of a short stop. */
+const MAX_LEAVING_SHARE = 0.5;
+/** A caller can go to another node at once; this spreads those that come together. */
+const RETRY_AFTER_MS = 200;
+
+/** See the module comment; times are those of the monotonic clock, in milliseconds. */
+export class PlannedStop {
+  private refusingFrom = Infinity;
+  private endAt = Infinity;
+
+  /** @param endAt time at which all that is under way is given up */
+  begin(now: number, endAt: number): void {
+    this.endAt = endAt;
+    this.refusingFrom = now + Math.min(LEAVING_PHASE_MS, (endAt - now) * MAX_LEAVING_SHARE);
+  }
+
+  /** Whether callers have had the time to go elsewhere. */
+  isRefusing(now: number): boolean {
+    return now >= this.refusingFrom;
+  }
+
+  isOver(now: number): boolean {
+    return now >= this.endAt;
+  }
+
+  /** Refuses a request that may last until `deadline`, when that is too long; else undefined. */
+  check(now: number, deadline: number): Failure | undefined {
+    return this.isRefusing(now) && deadline > this.endAt ? createStopping() : undefined;
+  }
+}
+
+/** The failure of requests that the stop ends. */
+export function createStopping(): Failure {
+  const options = { execution: 'not-run', retryAfterMs: RETRY_AFTER_MS } as const;
+  return createFailure(ResultCode.NodeDraining, 'planned stop', options);
+}
--- a/src/sidecar/entry/routed-request.ts
+++ b/src/sidecar/entry/routed-request.ts
@@ -90,6 +90,13 @@
     this.breakOff('cancelled');
   }
 
+  /** Ends with this failure now; what may have run is said so. */
+  giveUp(failure: Failure): void {
+    if (this.ended) return;
+    this.breakOff('cancelled');
+    this.refuse(failure);
+  }
+
   private tryOnce(): void {
     const { service, clock, context, portOf } = this.options;
     const now = clock.now();
--- a/src/sidecar/plugins/entry-plugin.ts
+++ b/src/sidecar/plugins/entry-plugin.ts
@@ -2,13 +2,13 @@
 import type { Container, ResolutionContext } from 'inversify';
 import { ByteBudget } from '../../core/byte-budget.js';
 import { findOverloadPolicy } from '../../core/overload-policy-registry.js';
-import type { Clock } from '../../kernel/clock.js';
-import { Event } from '../../kernel/event.js';
 import { registerPlugin } from '../../kernel/plugin.js';
 import { Token } from '../../kernel/token.js';
 import { splitAddress } from '../../core/host-and-port.js';
+import { CallersDrain } from '../entry/callers-drain.js';
 import { EntryListener } from '../entry/entry-listener.js';
 import { EntryService } from '../entry/entry-service.js';
+import { PlannedStop } from '../entry/planned-stop.js';
 import { ServiceRouters } from '../entry/service-routers.js';
 import { seedOf } from '../seed.js';
 import { SidecarOrder, SidecarToken } from './tokens.js';
@@ -25,11 +25,8 @@
 /** The same for the allowance beyond the ratio. */
 const SLACK_SHARE_PER_LEVEL = 0.3;
 
-/** Time after the signal until idle connections are closed: callers have been told to go by then. */
-const LINGER_MS = 2_600;
 /** Kept free at the end of the grace period for the stop itself. */
 const STOP_MARGIN_MS = 800;
-const CHECK_INTERVAL_MS = 100;
 
 registerPlugin(
   {
@@ -41,6 +38,7 @@
         return new ByteBudget(memoryMb * BYTES_PER_MB * BODY_MEMORY_SHARE);
       });
       container.bind(SidecarToken.Routers).toDynamicValue(createRouters);
+      container.bind(SidecarToken.PlannedStop).toConstantValue(new PlannedStop());
       container.bind(SidecarToken.Listener).toDynamicValue(createListener);
     },
     start: async (container) => {
@@ -89,6 +87,7 @@
     rules: get(SidecarToken.Rules),
     routers: get(SidecarToken.Routers),
     directory: get(SidecarToken.Directory),
+    plannedStop: get(SidecarToken.PlannedStop),
     buffers: get(SidecarToken.Buffers),
     clock: get(Token.Clock),
     log: get(Token.EventLog),
@@ -101,48 +100,20 @@
       metrics.unanswered.inc({ ended_by: endedBy });
     },
   });
-  return new EntryListener((exchange, answer) => service.handle(exchange, answer));
+  return new EntryListener(service, get(Token.Clock));
 }
 
-/**
- * Planned stop: what comes is still served, and each answer closes its connection. The stop goes
- * on when callers have had time to go elsewhere and nothing is under way any more.
- */
-async function drain(container: Container): Promise<void> {
-  const listener = container.get(SidecarToken.Listener);
-  const gateway = container.get(SidecarToken.Gateway);
-  const clock = container.get(Token.Clock);
-  const { gracePeriod } = container.get(SidecarToken.CurrentSettings).current.bounds;
-  const startedAt = clock.now();
-  listener.closeAfterAnswers();
-  gateway.stop();
+/** Planned stop: see {@link CallersDrain}; the target gets no new work from the start. */
+async function drain(container: Container, endAt: number): Promise<void> {
+  container.get(SidecarToken.Gateway).stop();
   container.get(SidecarToken.LinkServer).announceStatus();
-  const logEnd = (reason: 'idle' | 'time-limit', ms: number): void => {
-    container.get(Token.EventLog).emit(Event.CallersDrained, {
-      reason,
-      ms: Math.round(ms),
-      requests: listener.requestCount,
-      connections: listener.connectionCount,
-      atTarget: gateway.inProgress,
-    });
-  };
-  for (;;) {
-    await sleep(clock, CHECK_INTERVAL_MS);
-    const elapsed = clock.now() - startedAt;
-    if (elapsed > gracePeriod - STOP_MARGIN_MS) {
-      logEnd('time-limit', elapsed);
-      return;
-    }
-    if (elapsed < LINGER_MS) continue;
-    if (listener.closeIdle() === 0 && gateway.inProgress === 0) {
-      logEnd('idle', elapsed);
-      return;
-    }
-  }
-}
-
-function sleep(clock: Clock, delayMs: number): Promise<void> {
-  return new Promise((resolve) => {
-    clock.schedule(delayMs, resolve);
+  const gateway = container.get(SidecarToken.Gateway);
+  const callers = new CallersDrain({
+    listener: container.get(SidecarToken.Listener),
+    plannedStop: container.get(SidecarToken.PlannedStop),
+    clock: container.get(Token.Clock),
+    log: container.get(Token.EventLog),
+    runningAtTarget: () => gateway.inProgress,
   });
+  await callers.run(endAt - STOP_MARGIN_MS);
 }
--- a/src/sidecar/plugins/tokens.ts
+++ b/src/sidecar/plugins/tokens.ts
@@ -9,6 +9,7 @@
 import type { TargetKeeper } from '../directory/target-keeper.js';
 import type { TargetRegistration } from '../directory/target-registration.js';
 import type { EntryListener } from '../entry/entry-listener.js';
+import type { PlannedStop } from '../entry/planned-stop.js';
 import type { ServiceRouters } from '../entry/service-routers.js';
 import type { LinkServer } from '../link/link-server.js';
 import type { NodeStatus } from '../link/link-messages.js';
@@ -43,6 +44,7 @@
   Gateway: createToken<TargetGateway>('sidecar.Gateway'),
   LinkServer: createToken<LinkServer>('sidecar.LinkServer'),
   Routers: createToken<ServiceRouters>('sidecar.Routers'),
+  PlannedStop: createToken<PlannedStop>('sidecar.PlannedStop'),
   Listener: createToken<EntryListener>('sidecar.Listener'),
   Buffers: createToken<ByteBudget>('sidecar.Buffers'),
 } as const;
--- a/test/support/raw-caller.ts
+++ b/test/support/raw-caller.ts
@@ -44,7 +44,10 @@
 export class RawCaller {
   private readonly socket: Socket;
   private readonly waiting: Sent[] = [];
-  private received = Buffer.alloc(0);
+  private chunks: Buffer[] = [];
+  private receivedBytes = 0;
+  /** Bytes that the answer under way needs at least. */
+  private neededBytes = 1;
   private wasReset = false;
   private ended = false;
   /** Settles when the other side has ended its half of the connection, or all of it. */
@@ -55,8 +58,9 @@
     this.socket = connect({ host, port: Number(port), allowHalfOpen: true });
     this.socket.setNoDelay(true);
     this.socket.on('data', (chunk: Buffer) => {
-      this.received = Buffer.concat([this.received, chunk]);
-      this.read();
+      this.chunks.push(chunk);
+      this.receivedBytes += chunk.length;
+      if (this.receivedBytes >= this.neededBytes) this.read();
     });
     this.socket.on('error', () => {
       this.wasReset = true;
@@ -104,18 +108,23 @@
   }
 
   private read(): void {
+    let received = Buffer.concat(this.chunks);
     for (;;) {
       const [first] = this.waiting;
-      const answer = first && parseAnswer(this.received);
-      if (first === undefined || answer === undefined) return;
-      this.received = this.received.subarray(answer.length);
+      const head = parseHead(received);
+      this.neededBytes = head?.length ?? received.length + 1;
+      if (first === undefined || head === undefined || received.length < head.length) break;
+      const body = received.subarray(head.bodyStart, head.length).toString('latin1');
+      received = received.subarray(head.length);
       this.waiting.shift();
-      this.note(first, { type: 'answered', status: answer.status, body: answer.body });
+      this.note(first, { type: 'answered', status: head.status, body });
     }
+    this.chunks = [received];
+    this.receivedBytes = received.length;
   }
 
   private finish(): void {
-    const receivedBytes = this.received.length;
+    const { receivedBytes } = this;
     for (const sent of this.waiting.splice(0)) {
       this.note(sent, { type: 'closed', reset: this.wasReset, receivedBytes });
     }
@@ -139,18 +148,19 @@
   return `${lines.join('\r\n')}\r\n\r\n${body ?? ''}`;
 }
 
-/** The first whole answer in some bytes; the nodes always tell its length. */
-function parseAnswer(
+/** An answer's head, and the bytes up to the end of its body; the nodes always tell its length. */
+function parseHead(
   bytes: Buffer,
-): { readonly status: number; readonly body: string; readonly length: number } | undefined {
+): { readonly status: number; readonly bodyStart: number; readonly length: number } | undefined {
   const headEnd = bytes.indexOf(HEAD_END);
   if (headEnd < 0) return undefined;
   const head = bytes.subarray(0, headEnd).toString('latin1');
   const status = Number(head.split(' ', 2)[1]);
-  const length = /\r\ncontent-length: (\d+)/i.exec(head)?.[1];
-  const bodyLength = NO_BODY_STATUSES.has(status) ? 0 : Number(length);
-  const start = headEnd + HEAD_END.length;
-  if (bytes.length < start + bodyLength) return undefined;
-  const body = bytes.subarray(start, start + bodyLength).toString('latin1');
-  return { status, body, length: start + bodyLength };
+  const told = /\r\ncontent-length: (\d+)/i.exec(head)?.[1];
+  const bodyStart = headEnd + HEAD_END.length;
+  return {
+    status,
+    bodyStart,
+    length: bodyStart + (NO_BODY_STATUSES.has(status) ? 0 : Number(told)),
+  };
 }
