Stop signals in series cut off a planned stop (known red)

Cause: hypothesis 2 of the incident: runKernel takes any second signal for an operator's wish to stop at once; supervisors repeat SIGTERM.

--- a/test/sidecar-planned-stop.test.ts
+++ b/test/sidecar-planned-stop.test.ts
@@ -109,3 +109,18 @@
   assert.equal(outcome.type, 'answered', await stopping.explain('large'));
   assert.equal(outcome.body.length, LARGE_ANSWER_BYTES);
 });
+
+/** Evidence: event 108, and 410 with `endedBy` node right after it. */
+test('stop signals in series and reloads between them do not shorten a planned stop', async () => {
+  answerLater(2_000);
+  const running = connectCaller().send({ attemptId: 'running', path: '/write/late' });
+  await waitUntil(() => other.target.received.some(({ attemptId }) => attemptId === 'running'));
+  for (const signal of ['SIGTERM', 'SIGHUP', 'SIGTERM', 'SIGTERM', 'SIGHUP'] as const) {
+    stopping.process.signal(signal);
+    await sleep(150);
+  }
+  const { outcome } = await running;
+  assert.equal(outcome.type, 'answered', await stopping.explain('running'));
+  assert.equal(outcome.status, 200);
+  assert.deepEqual(await stopping.process.ended, { code: 0, signal: null });
+});
