Repeated SIGTERM does not shorten a planned stop; its time counts from the first signal

Cause: runKernel took any second signal for a wish to stop at once, and counted the time of the stop from the end of the start, although a signal during the start had begun the grace period. A SIGHUP before the listener stood ended the process. Change: SIGTERM after the first signal changes nothing, SIGINT still stops at once; the time counts from the first signal; SIGHUP is listened for before the rest of the program is loaded.

--- a/src/cli/node-command.ts
+++ b/src/cli/node-command.ts
@@ -13,7 +13,7 @@
     description: 'run a node',
     details: `
       Runs one node until SIGTERM or SIGINT, which start a planned stop: running requests end,
-      then the node leaves. A second signal stops at once.
+      then the node leaves. SIGTERM again changes nothing; SIGINT after that stops at once.
 
       Flags override the settings file. Secrets can also come from the environment:
       SILLSHORE_SHARED_KEY (peers.sharedKey), SILLSHORE_PREVIOUS_SHARED_KEY (the one member of
--- a/src/cli/sidecar-command.ts
+++ b/src/cli/sidecar-command.ts
@@ -15,7 +15,8 @@
     description: 'run the node beside one target',
     details: `
       Runs until SIGTERM or SIGINT, which start a planned stop: what comes is still served, the
-      node says that it is not ready, running requests end, then it stops.
+      node says that it is not ready, running requests end, then it stops. SIGTERM again changes
+      nothing; SIGINT after that stops at once.
     `,
     examples: [['Run with a settings file', '$0 sidecar --settings sidecar.json']],
   });
@@ -39,10 +40,11 @@
       stamp: () => readStamp(this.settings),
     };
     const kernel = createSidecar(settings.value, platformAdapter, { source });
+    const current = kernel.container.get(SidecarToken.CurrentSettings);
     process.on('SIGHUP', () => {
-      void kernel.container.get(SidecarToken.CurrentSettings).reload();
+      void current.reload();
     });
-    const end = await runKernel(kernel, settings.value.bounds.gracePeriod);
+    const end = await runKernel(kernel, () => current.current.bounds.gracePeriod);
     return end === 'stopped' ? ExitCode.Ok : ExitCode.OperationFailed;
   }
 }
--- a/src/cli/sidecar-main.ts
+++ b/src/cli/sidecar-main.ts
@@ -1,5 +1,6 @@
 #!/usr/bin/env node
 /** The program of the machines: the `sidecar` command alone, so that it starts quickly. */
+import './early-signals.js';
 import { Cli } from 'clipanion';
 import { SidecarCommand } from './sidecar-command.js';
 
