Of answers behind one another only the last in order closes; no own close cuts off what is under way

The same class elsewhere: a client of the target that is replaced cut off running exchanges; the small servers (registration, readiness, metrics) cut off calls at the stop; the first entry cut off answers when bad input came behind requests, and did not count answers that were being written. Ruled out: a false signal of the event, by a test in which three requests behind one another get one answer.

--- a/src/entry/entry-plugin.ts
+++ b/src/entry/entry-plugin.ts
@@ -88,7 +88,7 @@
     await this.waitUntil(end, () => dispatcher.inProgress === 0);
     this.server?.stopListening();
     const running = (): number =>
-      this.task.inProgress + this.router.inProgress + dispatcher.inProgress;
+      this.task.inProgress + this.router.inProgress + dispatcher.inProgress + this.unfinished;
     await this.waitUntil(end, () => running() === 0);
     const idleEnd = Math.min(end, clock.now() + IDLE_CONNECTIONS_WAIT_MS);
     await this.waitUntil(idleEnd, () => (this.server?.connections ?? 0) + running() === 0);
@@ -106,7 +106,12 @@
   /** What came in since the drain, calls of back ends above all, is still answered. */
   private async finishRunning(): Promise<void> {
     const end = this.container.get(Token.Clock).now() + LAST_ANSWERS_MS;
-    await this.waitUntil(end, () => this.task.inProgress === 0);
+    await this.waitUntil(end, () => this.task.inProgress + this.unfinished === 0);
+  }
+
+  /** Answers that are still being written. */
+  private get unfinished(): number {
+    return this.server?.unfinishedExchanges ?? 0;
   }
 
   private accept(exchange: HttpExchange): void {
--- a/src/entry/entry-server.test.ts
+++ b/src/entry/entry-server.test.ts
@@ -1,36 +1,69 @@
+/** The first node's listener on real sockets: what the end of a connection does to its requests. */
 import assert from 'node:assert/strict';
-import { test } from 'node:test';
+import { connect } from 'node:net';
+import { afterEach, beforeEach, test } from 'node:test';
+import { waitUntil } from '../../test/stand-ins/mesh.js';
 import { systemClock } from '../kernel/clock.js';
-import { send, sendRaw } from '../../test/support/raw-http.js';
-import { startEntryServer, type EntryFramework } from './entry-server.js';
+import { startEntryServer, type EntryServer } from './entry-server.js';
+import type { HttpExchange } from './http-exchange.js';
 
-const FRAMEWORKS: readonly EntryFramework[] = ['node-http', 'express'];
+/** More than the sockets' buffers of both ends take, in bytes. */
+const LARGE_BYTES = 16 * 1024 * 1024;
 
-for (const framework of FRAMEWORKS) {
-  test(`the listener serves the same with ${framework}`, async () => {
-    const server = await startEntryServer({
-      host: '127.0.0.1',
-      port: 0,
-      framework,
-      headersTimeoutMs: 1_000,
-      clock: systemClock,
-      onExchange: (exchange) => {
-        const headers: [string, string][] = [
-          ['Set-Cookie', 'a'],
-          ['Set-Cookie', 'b'],
-        ];
-        const body = Buffer.from(`${exchange.method} ${exchange.path}`);
-        exchange.answer({ status: 201, headers, body }, false);
-      },
-      onBadInput: ({ detail }) => ({ status: 400, headers: [], body: Buffer.from(detail) }),
-    });
-    const { port } = server;
-    const answer = await send({ port, path: '/a?b=1', method: 'POST', body: 'x' });
-    assert.deepEqual([answer.status, answer.body], [201, 'POST /a?b=1']);
-    assert.deepEqual(answer.headers['set-cookie'], ['a', 'b']);
-    assert.equal(answer.headers['x-powered-by'], undefined);
-    assert.match(await sendRaw(port, 'garbage\r\n\r\n'), /^HTTP\/1.1 400 /);
-    await server.close();
-    assert.equal(server.connections, 0);
+let server: EntryServer;
+let exchanges: HttpExchange[];
+
+beforeEach(async () => {
+  exchanges = [];
+  server = await startEntryServer({
+    host: '127.0.0.1',
+    port: 0,
+    framework: 'node-http',
+    headersTimeoutMs: 5_000,
+    clock: systemClock,
+    onExchange: (exchange) => exchanges.push(exchange),
+    onBadInput: () => ({ status: 400, headers: [], body: Buffer.from('bad') }),
   });
-}
+});
+
+afterEach(() => server.close());
+
+test('what is not HTTP behind requests does not cut off their answers', async () => {
+  const socket = connect(server.port, '127.0.0.1');
+  let text = '';
+  let ended = false;
+  socket.on('data', (chunk: Buffer) => (text += chunk.toString('latin1')));
+  socket.on('error', () => {});
+  socket.on('close', () => (ended = true));
+  socket.write(
+    'GET /1 HTTP/1.1\r\nHost: h\r\n\r\nGET /2 HTTP/1.1\r\nHost: h\r\n\r\nnot HTTP\r\n\r\n',
+  );
+  await waitUntil(() => exchanges.length === 2);
+  await new Promise((resolve) => setTimeout(resolve, 50));
+  exchanges[0]!.answer({ status: 200, headers: [], body: Buffer.from('one') }, false);
+  exchanges[1]!.answer({ status: 200, headers: [], body: Buffer.from('two') }, false);
+  await waitUntil(() => ended);
+  assert.match(text, /one[^]*connection: close[^]*two$/i);
+});
+
+test('an answer counts as unfinished until it is written', async () => {
+  const socket = connect(server.port, '127.0.0.1');
+  socket.pause();
+  socket.write('GET /1 HTTP/1.1\r\nHost: h\r\n\r\n');
+  await waitUntil(() => exchanges.length === 1);
+  exchanges[0]!.answer({ status: 200, headers: [], body: Buffer.alloc(LARGE_BYTES) }, true);
+  await new Promise((resolve) => setTimeout(resolve, 50));
+  assert.equal(server.unfinishedExchanges, 1);
+  socket.resume();
+  await waitUntil(() => server.unfinishedExchanges === 0);
+  socket.destroy();
+});
+
+test('requests behind one another count no more once their connection is gone', async () => {
+  const socket = connect(server.port, '127.0.0.1');
+  socket.write('GET /1 HTTP/1.1\r\nHost: h\r\n\r\nGET /2 HTTP/1.1\r\nHost: h\r\n\r\n');
+  await waitUntil(() => exchanges.length === 2);
+  assert.equal(server.unfinishedExchanges, 2);
+  socket.destroy();
+  await waitUntil(() => server.unfinishedExchanges === 0);
+});
--- a/src/entry/entry-server.ts
+++ b/src/entry/entry-server.ts
@@ -38,6 +38,8 @@
   readonly port: number;
   /** Open connections. */
   readonly connections: number;
+  /** Exchanges whose answers are not wholly written. */
+  readonly unfinishedExchanges: number;
   /** Refuses new connections; open ones are served on, idle ones until their time is over. */
   stopListening(): void;
   /** Closes everything. */
@@ -61,13 +63,17 @@
     sockets.add(socket);
     socket.on('close', () => sockets.delete(socket));
   });
-  attachListeners(server, options);
+  const running = new RunningExchanges();
+  attachListeners(server, options, running);
   await listen(server, options);
   return {
     port: (server.address() as AddressInfo).port,
     get connections() {
       return sockets.size;
     },
+    get unfinishedExchanges() {
+      return running.size;
+    },
     stopListening: () => {
       // Right after the event loop has accepted what waited: a connection that the machine has
       // taken and the server has not is reset when the listener closes.
@@ -81,8 +87,11 @@
   };
 }
 
-function attachListeners(server: Server, options: EntryServerOptions): void {
-  const running = new RunningExchanges();
+function attachListeners(
+  server: Server,
+  options: EntryServerOptions,
+  running: RunningExchanges,
+): void {
   const accept = (request: IncomingMessage, response: ServerResponse, expects: boolean): void => {
     const exchange = new HttpExchange(request, response, options.clock, expects);
     running.add(request.socket, exchange);
@@ -99,7 +108,6 @@
   server.on('checkExpectation', withExpectation);
   server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
     if (running.giveWay(socket)) rejectInput(options, socket, toInputFailure(error));
-    else socket.destroy();
   });
   server.on('connect', (_request, socket) => {
     const detail = 'CONNECT is not served';
@@ -110,23 +118,47 @@
 /** Exchanges in progress by connection; pipelining allows several. */
 class RunningExchanges {
   private readonly bySocket = new WeakMap<Duplex, Set<HttpExchange>>();
+  private count = 0;
+
+  /** Exchanges whose answers are not wholly written. */
+  get size(): number {
+    return this.count;
+  }
 
   add(socket: Duplex, exchange: HttpExchange): void {
-    const exchanges = this.bySocket.get(socket) ?? new Set();
-    this.bySocket.set(socket, exchanges);
+    const exchanges = this.bySocket.get(socket) ?? this.track(socket);
     exchanges.add(exchange);
-    exchange.onClose(() => exchanges.delete(exchange));
+    this.count += 1;
+    exchange.onClose(() => {
+      if (exchanges.delete(exchange)) this.count -= 1;
+    });
+  }
+
+  /** Answers that wait behind another one are not told of the end of their connection. */
+  private track(socket: Duplex): Set<HttpExchange> {
+    const exchanges = new Set<HttpExchange>();
+    this.bySocket.set(socket, exchanges);
+    socket.once('close', () => {
+      this.count -= exchanges.size;
+      exchanges.clear();
+    });
+    return exchanges;
   }
 
   /**
    * Whether bad input on a connection may be answered on it: nothing else is on its way, or
-   * only the request that the bad input is a part of, which is then given up.
+   * only the request that the bad input is a part of, which is then given up. Otherwise the
+   * connection ends with the answer to the last request that was read on it.
    */
   giveWay(socket: Duplex): boolean {
-    const [first, second] = this.bySocket.get(socket) ?? [];
-    if (first === undefined) return true;
-    if (second !== undefined || !first.awaitsRequest) return false;
-    first.abandon();
+    const exchanges = [...(this.bySocket.get(socket) ?? [])];
+    const last = exchanges.at(-1);
+    if (last === undefined) return true;
+    if (exchanges.length > 1 || !last.awaitsRequest) {
+      last.closeAfterAnswer();
+      return false;
+    }
+    last.abandon();
     return true;
   }
 }
--- a/src/entry/http-exchange.ts
+++ b/src/entry/http-exchange.ts
@@ -30,6 +30,7 @@
   readonly headers: HeaderFields;
   private readonly abort = new AbortController();
   private abandoned = false;
+  private isLast = false;
 
   constructor(
     private readonly request: IncomingMessage,
@@ -63,6 +64,13 @@
     this.abort.abort();
   }
 
+  /** Nothing can be read behind this request any more: its answer ends the connection. */
+  closeAfterAnswer(): void {
+    this.isLast = true;
+    // An answer whose head has left cannot say so; its connection has nothing to wait for.
+    if (this.response.headersSent) this.response.once('finish', () => this.request.socket.end());
+  }
+
   /** Aborts when the caller goes away before it has the whole answer. */
   get signal(): AbortSignal {
     return this.abort.signal;
@@ -98,7 +106,7 @@
     if (this.abandoned || response.destroyed || response.headersSent) return;
     const headers = answer.headers.flatMap(([name, value]) => [name, value]);
     if (this.needsLength(answer)) headers.push('Content-Length', String(answer.body.length));
-    if (closeConnection) headers.push('Connection', 'close');
+    if (closeConnection || this.isLast) headers.push('Connection', 'close');
     response.writeHead(answer.status, headers);
     response.end(this.method === 'HEAD' ? undefined : answer.body);
     this.limitWriteTime();
--- a/src/sidecar/entry/caller-connection.ts
+++ b/src/sidecar/entry/caller-connection.ts
@@ -71,11 +71,9 @@
     return this.slots.size;
   }
 
-  /** Requests that were taken and not answered. */
-  get unansweredCount(): number {
-    let count = 0;
-    for (const { answered } of this.slots) if (!answered) count += 1;
-    return count;
+  /** Whether no request was taken after this one. */
+  isNewest(slot: ConnectionSlot): boolean {
+    return [...this.slots].at(-1) === slot;
   }
 
   /** Takes a request; it is finished when its answer has been handed to the system. */
--- a/src/sidecar/entry/entry-listener.test.ts
+++ b/src/sidecar/entry/entry-listener.test.ts
@@ -107,6 +107,18 @@
   assert.equal(caller.reset, false);
 });
 
+test('of requests behind one another the last in order closes, whichever is answered first', async () => {
+  const caller = connectCaller();
+  for (const path of ['/1', '/2', '/3']) caller.write(path);
+  await waitForRequests(3);
+  listener.closeAfterAnswers();
+  for (const index of [2, 1, 0]) answer(taken[index]!, `answer ${index + 1};`);
+  await waitUntil(() => caller.ended);
+  assert.deepEqual(caller.text.match(/answer \d;/g), ['answer 1;', 'answer 2;', 'answer 3;']);
+  assert.equal(caller.text.match(/connection: close/gi)?.length, 1);
+  assert.ok(taken.every(({ end }) => end === undefined));
+});
+
 test('an answer that closes its connection arrives whole with a request behind it', async () => {
   const caller = connectCaller();
   caller.socket.pause();
--- a/src/sidecar/entry/entry-listener.ts
+++ b/src/sidecar/entry/entry-listener.ts
@@ -146,15 +146,22 @@
   ): void {
     if (slot.answered) return;
     slot.answered = true;
-    const closes = this.shouldClose(connection, exchange.request);
+    const closes = this.shouldClose(connection, slot, exchange.request);
     if (closes) connection.finish();
     exchange.answer(answer, closes ? ['Connection', 'close'] : this.keepAliveFields);
   }
 
-  /** An answer that closes the connection would lose the answers behind it. */
-  private shouldClose(connection: CallerConnection, request: IncomingMessage): boolean {
+  /**
+   * Answers leave in the order of their requests, in whichever order they are ready: one that closes
+   * the connection before the newest request's turn would lose the answers behind it.
+   */
+  private shouldClose(
+    connection: CallerConnection,
+    slot: ConnectionSlot,
+    request: IncomingMessage,
+  ): boolean {
     if (request.headers.connection?.toLowerCase() === 'close') return true;
-    if (connection.unansweredCount > 0) return false;
+    if (!connection.isNewest(slot)) return false;
     return this.draining || !connection.takesRequests || !request.complete;
   }
 
--- /dev/null
+++ b/src/sidecar/http-listener.test.ts
@@ -0,0 +1,37 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { sendRequest, waitUntil } from '../../test/stand-ins/mesh.js';
+import { findFreePort } from '../trials/free-ports.js';
+import { HttpListener } from './http-listener.js';
+
+test('a call under way is answered before the listener ends', async () => {
+  const port = await findFreePort();
+  const calls: (() => void)[] = [];
+  const listener = new HttpListener((_request, response) => {
+    calls.push(() => response.writeHead(200).end('whole'));
+  });
+  await listener.listen('127.0.0.1', port);
+  const call = sendRequest(`127.0.0.1:${port}`, { path: '/' });
+  await waitUntil(() => calls.length === 1);
+  const closed = listener.close();
+  calls[0]!();
+  assert.equal((await call).body, 'whole');
+  await closed;
+  await assert.rejects(sendRequest(`127.0.0.1:${port}`, { path: '/' }), { code: 'ECONNREFUSED' });
+});
+
+test('a call that does not end is not waited for long', async () => {
+  const port = await findFreePort();
+  const listener = new HttpListener(() => {
+    // Never answered.
+  });
+  await listener.listen('127.0.0.1', port);
+  const call = assert.rejects(sendRequest(`127.0.0.1:${port}`, { path: '/' }));
+  await new Promise((resolve) => setTimeout(resolve, 50));
+  await listener.close();
+  await call;
+});
+
+test('a listener that never listened can be closed', async () => {
+  await new HttpListener(() => {}).close();
+});
--- a/src/sidecar/plugins/observability-plugin.ts
+++ b/src/sidecar/plugins/observability-plugin.ts
@@ -26,10 +26,7 @@
       const { host, port } = splitAddress(metrics);
       await container.get(SidecarToken.MetricsServer).listen(host, port);
     },
-    stop: (container) => {
-      container.get(SidecarToken.MetricsServer).close();
-      return Promise.resolve();
-    },
+    stop: (container) => container.get(SidecarToken.MetricsServer).close(),
   },
   'sidecar',
 );
--- a/src/sidecar/plugins/readiness-plugin.ts
+++ b/src/sidecar/plugins/readiness-plugin.ts
@@ -25,10 +25,7 @@
       const { host, port } = splitAddress(container.get(SidecarToken.Settings).listen.readiness);
       await container.get(SidecarToken.ReadinessServer).listen(host, port);
     },
-    stop: (container) => {
-      container.get(SidecarToken.ReadinessServer).close();
-      return Promise.resolve();
-    },
+    stop: (container) => container.get(SidecarToken.ReadinessServer).close(),
   },
   'sidecar',
 );
--- a/src/sidecar/plugins/target-plugin.ts
+++ b/src/sidecar/plugins/target-plugin.ts
@@ -49,10 +49,9 @@
       container.get(SidecarToken.Publisher).start();
       void container.get(SidecarToken.TargetKeeper).restore();
     },
-    stop: (container) => {
-      container.get(SidecarToken.RegistrationServer).close();
+    stop: async (container) => {
+      await container.get(SidecarToken.RegistrationServer).close();
       container.get(SidecarToken.Publisher).close();
-      return Promise.resolve();
     },
   },
   'sidecar',
--- a/src/sidecar/target/target-client.ts
+++ b/src/sidecar/target/target-client.ts
@@ -113,9 +113,16 @@
     });
   }
 
-  /** Closes idle connections; running exchanges go on. */
+  /**
+   * Closes idle connections; running exchanges go on and their connections end with them. The
+   * agent's own `destroy` would cut those off too.
+   */
   close(): void {
-    this.agent.destroy();
+    const { agent } = this;
+    agent.maxFreeSockets = 0;
+    for (const sockets of Object.values(agent.freeSockets)) {
+      for (const socket of [...(sockets ?? [])]) socket.destroy();
+    }
   }
 }
 
