--- a/src/sidecar/entry/entry-listener.test.ts
+++ b/src/sidecar/entry/entry-listener.test.ts
@@ -72,9 +72,9 @@
   await listener.listen('127.0.0.1', port);
 });
 
-afterEach(() => {
-  listener.close();
+afterEach(async () => {
   for (const { socket } of callers) socket.destroy();
+  await listener.close();
 });
 
 function connectCaller(): Caller {
@@ -189,7 +189,7 @@
   listener.giveUp();
   await waitUntil(() => patient.ended);
   assert.match(patient.text, /502[^]*given up$/);
-  listener.close();
+  await listener.close();
   assert.deepEqual(taken[1]!.end, { by: 'node', answered: true });
   assert.equal(taken[2]!.end, undefined);
 });
@@ -202,3 +202,13 @@
   await waitUntil(() => caller.ended);
   assert.deepEqual(taken, []);
 });
+
+test('the address of a closed listener can be bound again at once', async () => {
+  const caller = connectCaller();
+  caller.write('/1');
+  await waitForRequests(1);
+  await listener.close();
+  const next = new EntryListener({ handle: () => assert.fail(), onNotTaken() {} }, systemClock);
+  await next.listen('127.0.0.1', port);
+  await next.close();
+});
--- a/src/sidecar/entry/entry-listener.ts
+++ b/src/sidecar/entry/entry-listener.ts
@@ -27,8 +27,8 @@
   private readonly connections = new Map<Socket, CallerConnection>();
   /** Each answer closes its connection. */
   private draining = false;
-  /** No request is taken any more. */
-  private finished = false;
+  /** Settles when the address is free; defined once no request is taken any more. */
+  private closed: Promise<void> | undefined;
   private keepAliveFields: RawFields = [];
 
   constructor(
@@ -95,12 +95,13 @@
 
   /** From now on no connection and no request is taken; connections end with their answers. */
   finish(): void {
-    if (this.finished) return;
-    this.finished = true;
-    // Not the HTTP server's own close, which destroys idle connections. After this turn of the
-    // event loop, so that connections which have come up are accepted and ended in order.
-    setImmediate(() => {
-      NetServer.prototype.close.call(this.server);
+    if (this.closed !== undefined) return;
+    this.closed = new Promise((resolve) => {
+      // Not the HTTP server's own close, which destroys idle connections. After this turn of the
+      // event loop, so that connections which have come up are accepted and ended in order.
+      setImmediate(() => {
+        NetServer.prototype.close.call(this.server, () => resolve());
+      });
     });
     for (const connection of [...this.connections.values()]) connection.finish();
   }
@@ -110,9 +111,17 @@
     for (const connection of [...this.connections.values()]) connection.giveUp();
   }
 
-  /** Closes everything; what is cut off is told before this returns. */
-  close(): void {
+  /** Closes everything; what is cut off is told at once. Resolves when the address is free. */
+  async close(): Promise<void> {
     this.finish();
+    this.destroyAll();
+    // Connections that came up in this turn of the event loop are accepted in the next.
+    await new Promise((resolve) => setImmediate(resolve));
+    this.destroyAll();
+    await this.closed;
+  }
+
+  private destroyAll(): void {
     for (const connection of [...this.connections.values()]) connection.destroy();
   }
 
@@ -121,7 +130,7 @@
       this.connections.delete(socket);
     });
     this.connections.set(socket, connection);
-    if (this.finished) connection.finish();
+    if (this.closed !== undefined) connection.finish();
   }
 
   private onRequest(request: IncomingMessage, response: ServerResponse): void {
--- a/src/sidecar/plugins/entry-plugin.ts
+++ b/src/sidecar/plugins/entry-plugin.ts
@@ -47,10 +47,7 @@
       await container.get(SidecarToken.Listener).listen(host, port);
     },
     drain,
-    stop: (container) => {
-      container.get(SidecarToken.Listener).close();
-      return Promise.resolve();
-    },
+    stop: (container) => container.get(SidecarToken.Listener).close(),
   },
   'sidecar',
 );
