--- a/src/sidecar/entry/caller-connection.ts
+++ b/src/http/caller-connection.ts
@@ -9,7 +9,7 @@
  */
 import type { ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
-import type { CancelTimer, Clock } from '../../kernel/clock.js';
+import type { CancelTimer, Clock } from '../kernel/clock.js';
 
 /** Wait for a caller's own end of a connection that this side has ended, in milliseconds. */
 export const CALLER_END_TIMEOUT_MS = 2_000;
--- a/src/sidecar/entry/entry-listener.test.ts
+++ b/src/sidecar/entry/entry-listener.test.ts
@@ -5,7 +5,7 @@
 import { findFreePort } from '../../trials/free-ports.js';
 import { systemClock } from '../../kernel/clock.js';
 import { waitUntil } from '../../../test/stand-ins/mesh.js';
-import type { ConnectionSide } from './caller-connection.js';
+import type { ConnectionSide } from '../../http/caller-connection.js';
 import type { CallerAnswer, CallerExchange } from './caller-exchange.js';
 import { EntryListener } from './entry-listener.js';
 
--- a/src/sidecar/entry/entry-listener.ts
+++ b/src/sidecar/entry/entry-listener.ts
@@ -4,7 +4,11 @@
 import type { Clock } from '../../kernel/clock.js';
 import type { CallerLimits } from '../rules/routing-rules.js';
 import type { RawFields } from '../link/link-messages.js';
-import { CallerConnection, type ConnectionSlot, type TakenRequest } from './caller-connection.js';
+import {
+  CallerConnection,
+  type ConnectionSlot,
+  type TakenRequest,
+} from '../../http/caller-connection.js';
 import { CallerExchange, type CallerAnswer } from './caller-exchange.js';
 
 const MAX_HEADER_BYTES = 64 * 1024;
--- a/src/sidecar/entry/entry-service.ts
+++ b/src/sidecar/entry/entry-service.ts
@@ -11,7 +11,7 @@
 import type { Route } from '../rules/route-table.js';
 import { criticalityOfRank } from '../rules/routing-rules.js';
 import type { RulesKeeper } from '../rules/rules-keeper.js';
-import type { ConnectionSide, TakenRequest } from './caller-connection.js';
+import type { ConnectionSide, TakenRequest } from '../../http/caller-connection.js';
 import type { CallerAnswer, CallerExchange } from './caller-exchange.js';
 import type { ExchangeHandler } from './entry-listener.js';
 import { createStopping, type PlannedStop } from './planned-stop.js';
