The first entry ends callers' connections by the same states

Cause: the class of the incident in the first entry: while the node left, every answer closed its connection, also with answers behind it; requests that crossed the end of a connection were run; the idle time destroyed connections. Change: EntryServer uses CallerConnection; its own bookkeeping of exchanges goes.

--- a/src/entry/entry-server.test.ts
+++ b/src/entry/entry-server.test.ts
@@ -67,3 +67,22 @@
   socket.destroy();
   await waitUntil(() => server.unfinishedExchanges === 0);
 });
+
+test('of requests behind one another the last in order closes, and nothing is taken after it', async () => {
+  const socket = connect(server.port, '127.0.0.1');
+  let text = '';
+  let ended = false;
+  socket.on('data', (chunk: Buffer) => (text += chunk.toString('latin1')));
+  socket.on('close', () => (ended = true));
+  const get = (path: string): string => `GET ${path} HTTP/1.1\r\nHost: h\r\n\r\n`;
+  socket.write(get('/1') + get('/2'));
+  await waitUntil(() => exchanges.length === 2);
+  exchanges[1]!.answer({ status: 200, headers: [], body: Buffer.from('two;') }, true);
+  socket.write(get('/3'));
+  await new Promise((resolve) => setTimeout(resolve, 50));
+  exchanges[0]!.answer({ status: 200, headers: [], body: Buffer.from('one;') }, true);
+  await waitUntil(() => ended);
+  assert.deepEqual(text.match(/one;|two;/g), ['one;', 'two;']);
+  assert.equal(text.match(/connection: close/gi)?.length, 1);
+  assert.equal(exchanges.length, 2);
+});
--- a/src/entry/entry-server.ts
+++ b/src/entry/entry-server.ts
@@ -7,6 +7,7 @@
 import { ResultCode } from '../core/result-code.js';
 import type { HttpAnswer } from '../core/http-message.js';
 import type { Clock } from '../kernel/clock.js';
+import { CallerConnection } from '../http/caller-connection.js';
 import { HttpExchange } from './http-exchange.js';
 
 /**
@@ -48,7 +49,7 @@
 
 /** Starts to listen. Rejects when the address cannot be bound. */
 export async function startEntryServer(options: EntryServerOptions): Promise<EntryServer> {
-  const sockets = new Set<Socket>();
+  const connections = new Connections(options.clock);
   const server = createServer({
     headersTimeout: options.headersTimeoutMs,
     // The time for bodies is limited by the exchange, which knows the request kind.
@@ -60,19 +61,21 @@
     noDelay: true,
   });
   server.on('connection', (socket) => {
-    sockets.add(socket);
-    socket.on('close', () => sockets.delete(socket));
+    connections.open(socket);
   });
-  const running = new RunningExchanges();
-  attachListeners(server, options, running);
+  // A connection that was idle for too long; what crosses its end is not taken.
+  server.on('timeout', (socket) => {
+    connections.finish(socket);
+  });
+  attachListeners(server, options, connections);
   await listen(server, options);
   return {
     port: (server.address() as AddressInfo).port,
     get connections() {
-      return sockets.size;
+      return connections.size;
     },
     get unfinishedExchanges() {
-      return running.size;
+      return connections.unfinishedExchanges;
     },
     stopListening: () => {
       // Right after the event loop has accepted what waited: a connection that the machine has
@@ -83,19 +86,19 @@
         NetServer.prototype.close.call(server);
       });
     },
-    close: () => closeServer(server, sockets),
+    close: () => closeServer(server, connections),
   };
 }
 
 function attachListeners(
   server: Server,
   options: EntryServerOptions,
-  running: RunningExchanges,
+  connections: Connections,
 ): void {
   const accept = (request: IncomingMessage, response: ServerResponse, expects: boolean): void => {
-    const exchange = new HttpExchange(request, response, options.clock, expects);
-    running.add(request.socket, exchange);
-    options.onExchange(exchange);
+    const exchange = connections.take(request, response, expects);
+    if (exchange === undefined) request.resume();
+    else options.onExchange(exchange);
   };
   const listener = createListener(options.framework, (request, response) => {
     accept(request, response, false);
@@ -107,7 +110,7 @@
   server.on('checkContinue', withExpectation);
   server.on('checkExpectation', withExpectation);
   server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
-    if (running.giveWay(socket)) rejectInput(options, socket, toInputFailure(error));
+    if (connections.giveWay(socket)) rejectInput(options, socket, toInputFailure(error));
   });
   server.on('connect', (_request, socket) => {
     const detail = 'CONNECT is not served';
@@ -115,52 +118,80 @@
   });
 }
 
-/** Exchanges in progress by connection; pipelining allows several. */
-class RunningExchanges {
-  private readonly bySocket = new WeakMap<Duplex, Set<HttpExchange>>();
-  private count = 0;
+/** Open connections and the newest exchange on each; pipelining allows several exchanges. */
+class Connections {
+  private readonly bySocket = new Map<Duplex, CallerConnection>();
+  private readonly newest = new WeakMap<Duplex, HttpExchange>();
+
+  constructor(private readonly clock: Clock) {}
 
-  /** Exchanges whose answers are not wholly written. */
   get size(): number {
-    return this.count;
+    return this.bySocket.size;
   }
 
-  add(socket: Duplex, exchange: HttpExchange): void {
-    const exchanges = this.bySocket.get(socket) ?? this.track(socket);
-    exchanges.add(exchange);
-    this.count += 1;
-    exchange.onClose(() => {
-      if (exchanges.delete(exchange)) this.count -= 1;
-    });
+  /** Exchanges whose answers are not wholly written. */
+  get unfinishedExchanges(): number {
+    let count = 0;
+    for (const { unfinishedCount } of this.bySocket.values()) count += unfinishedCount;
+    return count;
   }
 
-  /** Answers that wait behind another one are not told of the end of their connection. */
-  private track(socket: Duplex): Set<HttpExchange> {
-    const exchanges = new Set<HttpExchange>();
-    this.bySocket.set(socket, exchanges);
-    socket.once('close', () => {
-      this.count -= exchanges.size;
-      exchanges.clear();
-    });
-    return exchanges;
+  open(socket: Socket): void {
+    const connection = new CallerConnection(socket, this.clock, () => this.bySocket.delete(socket));
+    this.bySocket.set(socket, connection);
+  }
+
+  /** Takes a request, unless its connection is being closed. */
+  take(
+    request: IncomingMessage,
+    response: ServerResponse,
+    expects: boolean,
+  ): HttpExchange | undefined {
+    const connection = this.bySocket.get(request.socket);
+    if (connection?.takesRequests !== true) return undefined;
+    const slot = connection.take(response);
+    const decideEnd = (wantsClose: boolean): boolean => {
+      slot.answered = true;
+      const closes = (wantsClose || !connection.takesRequests) && connection.isNewest(slot);
+      if (closes) connection.finish();
+      return closes;
+    };
+    const exchange = new HttpExchange(request, response, this.clock, expects, decideEnd);
+    slot.request = {
+      onConnectionEnd: () => exchange.abandon(),
+      giveUp: () => {
+        // What is left at the end of a stop here is cut with its connection.
+      },
+    };
+    this.newest.set(request.socket, exchange);
+    return exchange;
+  }
+
+  /** No further request is taken on a connection; it ends with the answers to those that were. */
+  finish(socket: Duplex): void {
+    this.bySocket.get(socket)?.finish();
   }
 
   /**
    * Whether bad input on a connection may be answered on it: nothing else is on its way, or
    * only the request that the bad input is a part of, which is then given up. Otherwise the
-   * connection ends with the answer to the last request that was read on it.
+   * connection ends with the answers to the requests that were read on it.
    */
   giveWay(socket: Duplex): boolean {
-    const exchanges = [...(this.bySocket.get(socket) ?? [])];
-    const last = exchanges.at(-1);
-    if (last === undefined) return true;
-    if (exchanges.length > 1 || !last.awaitsRequest) {
-      last.closeAfterAnswer();
+    const connection = this.bySocket.get(socket);
+    if (connection === undefined || connection.unfinishedCount === 0) return true;
+    const newest = this.newest.get(socket);
+    if (connection.unfinishedCount > 1 || newest?.awaitsRequest !== true) {
+      connection.finish();
       return false;
     }
-    last.abandon();
+    newest.abandon();
     return true;
   }
+
+  destroyAll(): void {
+    for (const connection of [...this.bySocket.values()]) connection.destroy();
+  }
 }
 
 type RequestListener = (request: IncomingMessage, response: ServerResponse) => void;
@@ -185,12 +216,12 @@
   });
 }
 
-function closeServer(server: Server, sockets: ReadonlySet<Socket>): Promise<void> {
+function closeServer(server: Server, connections: Connections): Promise<void> {
   return new Promise((resolve) => {
     server.close(() => {
       resolve();
     });
-    for (const socket of sockets) socket.destroy();
+    connections.destroyAll();
   });
 }
 
--- a/src/entry/http-exchange.ts
+++ b/src/entry/http-exchange.ts
@@ -30,13 +30,14 @@
   readonly headers: HeaderFields;
   private readonly abort = new AbortController();
   private abandoned = false;
-  private isLast = false;
 
   constructor(
     private readonly request: IncomingMessage,
     private readonly response: ServerResponse,
     private readonly clock: Clock,
     private readonly expectsContinue: boolean,
+    /** Says whether the answer ends the connection, which it is told when it is given. */
+    private readonly decideEnd: (wantsClose: boolean) => boolean,
   ) {
     this.method = request.method ?? '';
     const target = splitTarget(request.url ?? '');
@@ -64,13 +65,6 @@
     this.abort.abort();
   }
 
-  /** Nothing can be read behind this request any more: its answer ends the connection. */
-  closeAfterAnswer(): void {
-    this.isLast = true;
-    // An answer whose head has left cannot say so; its connection has nothing to wait for.
-    if (this.response.headersSent) this.response.once('finish', () => this.request.socket.end());
-  }
-
   /** Aborts when the caller goes away before it has the whole answer. */
   get signal(): AbortSignal {
     return this.abort.signal;
@@ -106,7 +100,7 @@
     if (this.abandoned || response.destroyed || response.headersSent) return;
     const headers = answer.headers.flatMap(([name, value]) => [name, value]);
     if (this.needsLength(answer)) headers.push('Content-Length', String(answer.body.length));
-    if (closeConnection || this.isLast) headers.push('Connection', 'close');
+    if (this.decideEnd(closeConnection)) headers.push('Connection', 'close');
     response.writeHead(answer.status, headers);
     response.end(this.method === 'HEAD' ? undefined : answer.body);
     this.limitWriteTime();
