--- a/src/trials/managed-process.ts
+++ b/src/trials/managed-process.ts
@@ -2,7 +2,10 @@
 import { spawn, type ChildProcess } from 'node:child_process';
 import { fileURLToPath } from 'node:url';
 
+/** The whole command line. */
 const PROGRAM = fileURLToPath(new URL('../cli/main.js', import.meta.url));
+/** The program of machines that stand beside one target: the `sidecar` command alone. */
+export const SIDECAR_PROGRAM = fileURLToPath(new URL('../cli/sidecar-main.js', import.meta.url));
 /** Output kept of each stream, in characters; older text is dropped. */
 const KEPT_OUTPUT = 4_000_000;
 /** Exit code of a process that a signal ended. */
@@ -38,8 +41,9 @@
   constructor(
     readonly name: string,
     readonly args: readonly string[],
+    program = PROGRAM,
   ) {
-    this.child = spawn(process.execPath, [PROGRAM, ...args], { stdio: ['ignore', 'pipe', 'pipe'] });
+    this.child = spawn(process.execPath, [program, ...args], { stdio: ['ignore', 'pipe', 'pipe'] });
     this.child.stdout!.setEncoding('utf8').on('data', (text: string) => {
       this.output = (this.output + text).slice(-KEPT_OUTPUT * 16);
       this.notify();
--- /dev/null
+++ b/test/soak/schedule.ts
@@ -0,0 +1,77 @@
+/** The faults and planned work of one soak run: the same seed gives the same schedule. */
+import { hash32 } from '../../src/core/hash.js';
+import { createRandom, type Random } from '../../src/core/random.js';
+
+/** What can be done to a machine or to the store. */
+export const ACTION_KINDS = [
+  'stop',
+  'kill',
+  'pause',
+  'reload',
+  'rules',
+  'leave',
+  'store-silent',
+  'store-refuses',
+  'store-loses-answers',
+  'store-compacts',
+  'leases-end',
+  'callers-cut',
+  'callers-delayed',
+  'target-delayed',
+  'store-link-cut',
+  'store-link-silent',
+] as const;
+
+/** See {@link ACTION_KINDS}. */
+export type ActionKind = (typeof ACTION_KINDS)[number];
+
+/** One action; times in milliseconds. */
+export interface Action {
+  /** From the start of the traffic. */
+  readonly at: number;
+  readonly kind: ActionKind;
+  /** Index of the machine; without meaning for actions on the store. */
+  readonly machine: number;
+  /** How long a fault lasts, or how long a stopped node stays away. */
+  readonly forMs: number;
+  /** How often signals or changes are repeated, and the pause between them. */
+  readonly times: number;
+  readonly gapMs: number;
+}
+
+/** Planned work stands more than once, so that it overlaps with itself. */
+const WEIGHTED_KINDS: readonly ActionKind[] = [
+  ...ACTION_KINDS,
+  ...(['stop', 'stop', 'stop', 'stop', 'reload', 'rules', 'rules', 'leave'] as const),
+];
+const MAX_FAULT_MS = 2_500;
+const MAX_TIMES = 4;
+const MAX_GAP_MS = 700;
+/** Mean pause between two actions. */
+const MEAN_PAUSE_MS = 700;
+
+/**
+ * Draws a schedule.
+ *
+ * @param machines how many there are
+ * @param lengthMs time in which actions begin
+ */
+export function createSchedule(seed: number, machines: number, lengthMs: number): Action[] {
+  const random = createRandom(hash32(`soak ${seed}`));
+  const actions: Action[] = [];
+  for (let at = nextPause(random); at < lengthMs; at += nextPause(random)) {
+    actions.push({
+      at: Math.round(at),
+      kind: WEIGHTED_KINDS[random.nextInt(WEIGHTED_KINDS.length)]!,
+      machine: random.nextInt(machines),
+      forMs: 100 + random.nextInt(MAX_FAULT_MS),
+      times: 1 + random.nextInt(MAX_TIMES),
+      gapMs: random.nextInt(MAX_GAP_MS),
+    });
+  }
+  return actions;
+}
+
+function nextPause(random: Random): number {
+  return 2 * MEAN_PAUSE_MS * random.next();
+}
--- /dev/null
+++ b/test/soak/soak.test.ts
@@ -0,0 +1,30 @@
+/**
+ * Short soak runs for every check of a change. A seed that failed in a long run by hand joins the
+ * table with the cause that was found and is never changed.
+ */
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { createSchedule } from './schedule.js';
+import { runSoak, type SoakOptions } from './soak-run.js';
+
+const SHORT = { machines: 5, callersPerMachine: 3, lengthMs: 10_000 };
+
+const RUNS: readonly (readonly [why: string, options: SoakOptions])[] = [
+  ['overlapping stops, changes and faults', { ...SHORT, seed: 2_001 }],
+  ['the same with other luck', { ...SHORT, seed: 2_002 }],
+];
+
+for (const [why, options] of RUNS) {
+  test(`soak seed ${options.seed} keeps every promise: ${why}`, async () => {
+    const { violations, requests, served } = await runSoak(options);
+    assert.deepEqual(violations, []);
+    assert.ok(requests > 500, `${requests} requests`);
+    assert.ok(served > requests / 3, `${served} of ${requests} served`);
+  });
+}
+
+test('a seed gives one schedule, and another seed another', () => {
+  const [first, again, other] = [7, 7, 8].map((seed) => createSchedule(seed, 5, 10_000));
+  assert.deepEqual(first, again);
+  assert.notDeepEqual(first, other);
+});
--- a/test/stand-ins/target-stand-in.ts
+++ b/test/stand-ins/target-stand-in.ts
@@ -18,6 +18,8 @@
   readonly slots: number;
   /** Time that a request takes, in milliseconds. */
   readonly workMs: number;
+  /** The same for each request; absent: `workMs`. */
+  readonly workOf?: (request: ReceivedRequest) => number;
 }
 
 /** A request as the stand-in got it. */
@@ -39,6 +41,8 @@
   behaviour: TargetBehaviour = () => false;
   id = 'i-1';
   keepReceived = true;
+  /** Address that it reports, when it is reached over a relay. */
+  reportedAddress: string | undefined;
   private count = 0;
   private sequence = 0;
   private readonly server: Server;
@@ -90,7 +94,11 @@
     const information = { service: overrides.service ?? service, version: 'v1', zone, slots };
     const callCount = overrides.sequence ?? this.sequence;
     const status = { state, callCount, coldRemaining: '0ms' };
-    const body = JSON.stringify({ address: this.address, information, status });
+    const body = JSON.stringify({
+      address: this.reportedAddress ?? this.address,
+      information,
+      status,
+    });
     return post(registration, `/v1/instances/${overrides.id ?? this.id}/heartbeat`, body);
   }
 
@@ -120,7 +128,8 @@
     });
   }
 
-  private answerLater({ attemptId, headers }: ReceivedRequest, response: ServerResponse): void {
+  private answerLater(request: ReceivedRequest, response: ServerResponse): void {
+    const { attemptId, headers } = request;
     const expected = headers['x-expected-instance'];
     if (expected !== undefined && expected !== this.id) {
       response
@@ -128,10 +137,16 @@
         .end('another');
       return;
     }
-    setTimeout(() => {
-      response.writeHead(200, { 'X-Attempt-Id': attemptId, 'X-Server-Stamp': `stamp ${this.id}` });
-      response.end(`answer to ${attemptId}`);
-    }, this.options.workMs);
+    setTimeout(
+      () => {
+        response.writeHead(200, {
+          'X-Attempt-Id': attemptId,
+          'X-Server-Stamp': `stamp ${this.id}`,
+        });
+        response.end(`answer to ${attemptId}`);
+      },
+      this.options.workOf?.(request) ?? this.options.workMs,
+    );
   }
 }
 
--- a/test/support/process-mesh.ts
+++ b/test/support/process-mesh.ts
@@ -7,7 +7,12 @@
 import { join } from 'node:path';
 import { Event } from '../../src/kernel/event.js';
 import { findFreePorts } from '../../src/trials/free-ports.js';
-import { ManagedProcess, type ProcessEnd } from '../../src/trials/managed-process.js';
+import { startLink, type Link } from '../../src/stand-ins/link/start-link.js';
+import {
+  ManagedProcess,
+  SIDECAR_PROGRAM,
+  type ProcessEnd,
+} from '../../src/trials/managed-process.js';
 import {
   createRulesDocument,
   sendRequest,
@@ -42,8 +47,18 @@
 export interface ProcessMeshOptions {
   /** Time from SIGTERM to SIGKILL that the nodes are told. */
   readonly gracePeriodMs?: number;
-  /** Where nodes and targets find the store, when not at the stand-in itself. */
-  readonly storeAddress?: string;
+  /** Whether callers, targets and the store are reached over relays. */
+  readonly relayed?: boolean;
+}
+
+/** Relays whose faults are those of a node's surroundings. */
+export interface MachineLinks {
+  /** From callers to the node. */
+  readonly callers: Link;
+  /** From the node to its target. */
+  readonly target: Link;
+  /** From the node to the store. */
+  readonly store: Link;
 }
 
 /** One machine: a target and the process beside it. */
@@ -59,8 +74,15 @@
     readonly readiness: string,
     readonly registration: string,
     private readonly settingsFile: string,
+    /** Relays around the node; undefined without. */
+    readonly links: MachineLinks | undefined,
   ) {}
 
+  /** Where callers reach the node. */
+  get callerAddress(): string {
+    return this.links?.callers.address ?? this.entry;
+  }
+
   /** The process that runs now; throws when there is none. */
   get process(): ManagedProcess {
     if (this.node === undefined) throw new Error(`${this.id} has no process`);
@@ -73,8 +95,12 @@
 
   /** Starts the node's process; its target reports from now on. */
   start(): void {
-    if (this.node !== undefined) this.lines.push(this.node.stdout);
-    this.node = new ManagedProcess(this.id, ['sidecar', '--settings', this.settingsFile]);
+    if (this.node !== undefined) this.lines.push(this.node.stdout, this.node.stderr);
+    this.node = new ManagedProcess(
+      this.id,
+      ['sidecar', '--settings', this.settingsFile],
+      SIDECAR_PROGRAM,
+    );
     this.heartbeats ??= setInterval(() => {
       void this.target.beat(this.registration);
     }, HEARTBEAT_INTERVAL_MS);
@@ -92,8 +118,7 @@
 
   /** Lines with this event, of all processes of this machine. */
   events(event: number): readonly LogLine[] {
-    const text = [...this.lines, this.node?.stdout ?? ''].join('');
-    return text
+    return this.log
       .split('\n')
       .filter((line) => line.includes(`"event":${event},`))
       .map((line) => JSON.parse(line) as LogLine);
@@ -102,16 +127,22 @@
   /** What tells the end of a request or of a planned stop: lines with its identity or these events. */
   async explain(attemptId: string): Promise<string> {
     await this.process.ended;
-    const text = [...this.lines, this.node?.stdout ?? '', this.node?.stderr ?? ''].join('');
     const isTelling = (line: string): boolean =>
       line.includes(attemptId) || STOP_EVENTS.some((event) => line.includes(`"event":${event},`));
-    return text.split('\n').filter(isTelling).join('\n');
+    return this.log.split('\n').filter(isTelling).join('\n');
+  }
+
+  /** Everything that the processes of this machine have written. */
+  get log(): string {
+    return [...this.lines, this.node?.stdout ?? '', this.node?.stderr ?? ''].join('');
   }
 
   /** No more reports; the process is killed. */
   async end(): Promise<ProcessEnd | undefined> {
     clearInterval(this.heartbeats);
     this.target.close();
+    const { callers, target, store } = this.links ?? {};
+    await Promise.all([callers?.stop(), target?.stop(), store?.stop()]);
     if (!this.isRunning) return undefined;
     return await this.process.stop('SIGKILL');
   }
@@ -127,8 +158,7 @@
   constructor(private readonly options: ProcessMeshOptions = {}) {}
 
   async start(): Promise<void> {
-    const own = await this.store.listen();
-    this.storeAddress = this.options.storeAddress ?? own;
+    this.storeAddress = await this.store.listen();
   }
 
   /** Adds a machine and starts its node. */
@@ -140,6 +170,10 @@
       (port) => `127.0.0.1:${port}`,
     );
     const id = `node-${this.machines.length + 1}`;
+    const links = this.options.relayed
+      ? await startLinks(entry!, target.address, this.storeAddress)
+      : undefined;
+    target.reportedAddress = links?.target.address;
     const file = join(this.directory, `${id}.json`);
     const linkPort = Number(link!.split(':')[1]);
     writeFileSync(
@@ -151,8 +185,8 @@
           host: '127.0.0.1',
           ports: [linkPort, linkPort],
         },
-        target: { service: options.service, address: target.address },
-        store: { address: this.storeAddress },
+        target: { service: options.service, address: links?.target.address ?? target.address },
+        store: { address: links?.store.address ?? this.storeAddress },
         limits: { memoryMb: 350 },
         bounds: {
           gracePeriod: `${this.options.gracePeriodMs ?? 6_000}ms`,
@@ -161,7 +195,7 @@
         log: { level: 'debug', maxLinesPerSecond: 10_000 },
       }),
     );
-    const machine = new ProcessMachine(id, target, entry!, readiness!, registration!, file);
+    const machine = new ProcessMachine(id, target, entry!, readiness!, registration!, file, links);
     this.machines.push(machine);
     machine.start();
     return machine;
@@ -193,3 +227,13 @@
     return answer.status === OK;
   }
 }
+
+async function startLinks(entry: string, target: string, store: string): Promise<MachineLinks> {
+  const anyPort = '127.0.0.1:0';
+  const [callers, toTarget, toStore] = await Promise.all([
+    startLink(anyPort, entry),
+    startLink(anyPort, target),
+    startLink(anyPort, store),
+  ]);
+  return { callers, target: toTarget, store: toStore };
+}
