Hollow nodes and their benchmark go

Cause: the users want no hollow fleet any more; capacity comes from measured slopes. Change: src/hollow with its two commands and its test is removed (they ran the links, membership, platform client, configuration and claims of many nodes in one process, and measured processor time, memory, bytes and the time of a change as the fleet grows). What the test covered stays covered apart: membership over real sockets (src/membership, src/peer), configuration between nodes (src/config), claims (src/claims), whole nodes (src/trials process tests).

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -16,7 +16,6 @@
   'membership',
   'claims',
   'trials',
-  'hollow',
   'node',
   'observability',
   'gen',
--- a/src/claims/claim-plugin.ts
+++ b/src/claims/claim-plugin.ts
@@ -5,7 +5,7 @@
 import { ClaimTask, createIncarnation } from './claim-task.js';
 import { DEFAULT_PAGE_BYTES } from './table-pages.js';
 
-/** One task a container; hollow nodes share a process. */
+/** One task a container; nodes may share a process. */
 const tasks = new WeakMap<Container, ClaimTask>();
 
 function createTask(container: Container): ClaimTask {
--- a/src/cli/registered-commands.ts
+++ b/src/cli/registered-commands.ts
@@ -1,7 +1,6 @@
 /** The areas that bring commands; see the convention in command.ts. */
 import { Builtins } from 'clipanion';
 import { commands as experimentCommands } from '../emulator/commands.js';
-import { commands as fleetCommands } from '../hollow/commands.js';
 import { commands as backendCommands } from '../stand-ins/backend/commands.js';
 import { commands as callersCommands } from '../stand-ins/callers/commands.js';
 import { commands as linkCommands } from '../stand-ins/link/commands.js';
@@ -44,7 +43,6 @@
   ...linkCommands,
   ...platformCommands,
   ...experimentCommands,
-  ...fleetCommands,
   ...benchmarkCommands,
   ...membershipCommands,
 ];
--- a/src/kernel/metrics.ts
+++ b/src/kernel/metrics.ts
@@ -35,7 +35,7 @@
   readonly claims: Counter<'result'>;
 }
 
-/** Creates the metrics in a registry of their own, so that hollow nodes can share a process. */
+/** Creates the metrics in a registry of their own, so that nodes can share a process. */
 export function createMetrics(withDefaults = true): Metrics {
   const registry = new Registry();
   const registers = [registry];
--- a/src/target/target-plugin.ts
+++ b/src/target/target-plugin.ts
@@ -19,7 +19,7 @@
 /** Shortest time between two readings of members and rules, which take a while in a large fleet. */
 export const REFRESH_INTERVAL_MS = 50;
 
-/** State of one node's plug-in, kept in its container so that hollow nodes can share a process. */
+/** State of one node's plug-in, kept in its container so that nodes can share a process. */
 class TargetSide {
   private readonly poller: HealthPoller;
   private readonly placement: TargetPlacement;
