--- a/test/soak/checks.test.ts
+++ b/test/soak/checks.test.ts
@@ -206,6 +206,14 @@
       ],
     },
   ],
+  [
+    'more time from a node that has just started',
+    {
+      requests: [REQUEST],
+      runs: [{ ...RUN, timeLeftMs: 3_600 }],
+      disruptions: [{ ...STOP, from: 1_000, to: 8_000 }],
+    },
+  ],
   ['work that ends with its caller', { requests: [LEFT], runs: [{ ...RUN, endedAt: 10_400 }] }],
   [
     'a planned end',
