--- a/src/claims/charge-requester.ts
+++ b/src/claims/charge-requester.ts
@@ -2,7 +2,6 @@
 import { Result } from 'true-myth';
 import type { BudgetCharge } from '../core/claim/attempt-budgets.js';
 import { ChargeRound, type ChargeOutcome } from '../core/claim/charge-coordinator.js';
-import { BUDGET_RETENTION_MS } from '../core/claim/claim-limits.js';
 import { createFailure, type Failure } from '../core/failure.js';
 import { ResultCode } from '../core/result-code.js';
 import type { AttemptCharge, ChargeGrant } from './claim-service.js';
@@ -15,16 +14,6 @@
 /** Largest bound that the replicas keep slots for. */
 const MAX_BOUND = 255;
 
-/**
- * Attempts that one node grants by itself to one request id while no majority answers; a charge
- * that wants more is refused. The bound that then holds is the kind's bound plus this for each
- * entry node that is cut off; for calls that need more attempts it is the kind's bound.
- */
-export const ATTEMPTS_WITHOUT_MAJORITY = 1;
-
-/** Request ids remembered for that; with more, charges without a majority are refused. */
-const MAX_LOCAL_IDS = 20_000;
-
 /** One round with the charge that it asked for. */
 interface EndedRound {
   readonly budget: BudgetCharge;
@@ -33,11 +22,16 @@
 
 /** Time after which charges that got in each other's way have been given back. */
 const CONTENDED_RETRY_MS = 200;
+/** Replicas that change their epoch vote again within this time, in milliseconds. */
+const NO_MAJORITY_RETRY_MS = 1_000;
 
-/** Coordinator of charges. */
+/**
+ * Coordinator of charges. Without a majority it grants nothing: an attempt granted by each entry
+ * node alone took requests above their bound (3 attempts where 2 are allowed, when three nodes on
+ * a busy machine heard no majority in time).
+ */
 export class ChargeRequester {
   private charges = 0;
-  private readonly local = new Map<string, { granted: number; createdAt: number }>();
 
   /** @param name unique per process start; makes charge ids unique */
   constructor(
@@ -67,7 +61,7 @@
         1 + this.options.random.next() * this.options.timing.retryJitterMs,
       );
     }
-    return majorityAnswers ? contended() : this.grantLocally(key, charge.wanted);
+    return majorityAnswers ? contended() : withoutMajority();
   }
 
   /** One round under a charge id of its own; gives back what does not count. */
@@ -114,25 +108,6 @@
     const { key, chargeId } = charge;
     void this.options.delivery.deliver(key, { type: 'give-back', key, chargeId, unused });
   }
-
-  private grantLocally(key: string, wanted: number): Result<ChargeGrant, Failure> {
-    const now = this.options.clock.now();
-    for (const [known, { createdAt }] of this.local) {
-      if (now - createdAt <= BUDGET_RETENTION_MS) break;
-      this.local.delete(known);
-    }
-    const entry = this.local.get(key) ?? { granted: 0, createdAt: now };
-    // A call that needs more attempts than that for its chain would only spend one in vain.
-    const left = ATTEMPTS_WITHOUT_MAJORITY - entry.granted;
-    if (this.local.size >= MAX_LOCAL_IDS || left < 1 || wanted > ATTEMPTS_WITHOUT_MAJORITY) {
-      const detail = 'no majority of replicas to charge attempts at';
-      return Result.err(
-        createFailure(ResultCode.ClaimUnavailable, detail, { retryAfterMs: 1_000 }),
-      );
-    }
-    this.local.set(key, { ...entry, granted: entry.granted + 1 });
-    return Result.ok({ attempts: 1, giveBack: () => {} });
-  }
 }
 
 /** A majority answers and grants nothing: a grant of this node alone would pass the bound. */
@@ -142,6 +117,13 @@
   return Result.err(createFailure(ResultCode.ClaimUnavailable, detail, options));
 }
 
+/** What an earlier try has spent is not known, so this one gets nothing. */
+function withoutMajority(): Result<ChargeGrant, Failure> {
+  const detail = 'no majority of replicas to charge attempts at';
+  const options = { retryAfterMs: NO_MAJORITY_RETRY_MS };
+  return Result.err(createFailure(ResultCode.ClaimUnavailable, detail, options));
+}
+
 function exhausted(detail: string): Result<ChargeGrant, Failure> {
   return Result.err(createFailure(ResultCode.AttemptsExhausted, detail));
 }
