A target's start tells its lives apart; reports and records of other writers name no target

Cause: a target may start again under the id that it had (field born of its reports). Registration kept ids that had gone and would have answered such a target "outdated" for good, and its counts, which begin anew, were taken for overtaken. A report whose identity could not be decoded threw; a record under another node's key, or with an address that is none, was taken in. Change: id and start name one incarnation (Incarnation in target-registration.ts). A newer life gets a fresh gate and fresh counts; a leave binds the life it was said of, in the process and in the store's record (targetStartedAt); late reports and departures of an earlier life change nothing; a report without a start is of another writer once the target has told one. Links carry a text of the life, so that routers begin anew with it (slow start). Decoders are fuzzed.

--- a/src/core/overload.ts
+++ b/src/core/overload.ts
@@ -67,6 +67,8 @@
   readonly region: string;
   /** Whether some live node fronts the target and nobody has seen it leaving. */
   readonly eligible: boolean;
+  /** Life of the target: what was learned of another one says nothing. Absent: not known. */
+  readonly incarnation?: string;
 }
 
 /** Outcome of a pick: a target, or a refusal of the attempt. */
--- a/src/core/policies/adaptive-router.test.ts
+++ b/src/core/policies/adaptive-router.test.ts
@@ -140,3 +140,12 @@
   const picks = [1, 2].map(() => pickMany(createRouter(views), 100, 1));
   assert.deepEqual(picks[0], picks[1]);
 });
+
+test('a target that has started again under its id takes its share slowly', () => {
+  const life = (incarnation: string): TargetView => ({ ...createView('t1'), incarnation });
+  const router = createRouter([life('one'), createView('t2')]);
+  const before = pickMany(router, 100, 0);
+  router.updateTargets(1_000, [life('two'), createView('t2')]);
+  const after = pickMany(router, 100, 1_000);
+  assert.ok((after['t1'] ?? 0) < before['t1']! / 2, JSON.stringify([before, after]));
+});
--- a/src/core/routing/target-set.ts
+++ b/src/core/routing/target-set.ts
@@ -41,7 +41,7 @@
 
   private updateOne(joinedAt: number, view: TargetView): void {
     const known = this.byId.get(view.id);
-    if (known === undefined) {
+    if (known === undefined || isNewLife(known.view, view)) {
       this.byId.set(view.id, new TargetState(view, joinedAt));
       return;
     }
@@ -49,3 +49,9 @@
     known.view = view;
   }
 }
+
+/** A target that has started again is slow at first and holds nothing of before. */
+function isNewLife(known: TargetView, view: TargetView): boolean {
+  if (known.incarnation === undefined || view.incarnation === undefined) return false;
+  return known.incarnation !== view.incarnation;
+}
--- a/src/sidecar/directory/node-directory.test.ts
+++ b/src/sidecar/directory/node-directory.test.ts
@@ -143,3 +143,37 @@
   directory.replaceAll([{ key: keyOfNode('own'), value, revision: 3 }]);
   assert.equal(ownLosses, 2);
 });
+
+test('a record of another writer names no target; the others hold', () => {
+  for (const value of [
+    '',
+    '{',
+    '[]',
+    'null',
+    '{"node":"peer"}',
+    '7',
+    '{"node":"peer","target":{}}',
+  ]) {
+    directory.apply([
+      { type: 'put', key: keyOfNode('new'), value: Buffer.from(value), revision: 3 },
+    ]);
+    assert.equal(directory.viewsOf('s').length, 1);
+  }
+  const value = encodeNodeRecord({ ...record, node: 'other' });
+  directory.apply([{ type: 'put', key: keyOfNode('new'), value, revision: 4 }]);
+  assert.equal(directory.viewsOf('s').length, 1, 'a record under the key of another node');
+});
+
+test('a record that another writer has overwritten counts as ended until it is back', () => {
+  directory.apply([{ type: 'put', key: keyOfNode('peer'), value: Buffer.from('{'), revision: 3 }]);
+  assert.equal(isKnown(), true);
+  clock.advance(LAPSED_GRACE_MS);
+  assert.equal(isKnown(), false);
+  put();
+  assert.equal(isKnown(), true);
+});
+
+test('the own record is written again when another writer has overwritten it', () => {
+  directory.apply([{ type: 'put', key: keyOfNode('own'), value: Buffer.from('x'), revision: 3 }]);
+  assert.equal(ownLosses, 1);
+});
--- a/src/sidecar/directory/node-directory.ts
+++ b/src/sidecar/directory/node-directory.ts
@@ -7,7 +7,7 @@
 import { Event, type EventLog } from '../../kernel/event.js';
 import type { StoreEvent, StoreItem } from '../../store/metadata-store.js';
 import type { AttemptPort } from '../link/attempt-port.js';
-import type { NodeStatus, TargetState } from '../link/link-messages.js';
+import type { NodeStatus } from '../link/link-messages.js';
 import { PeerLink } from '../link/peer-link.js';
 import { decodeNodeRecord, NODE_RECORD_PREFIX, type NodeRecord } from './node-record.js';
 
@@ -46,7 +46,7 @@
   record: NodeRecord;
   readonly link: PeerLink;
   /** As the node itself said last over the link. */
-  said: TargetState | undefined;
+  said: NodeStatus | undefined;
   /** The record is gone from the store; the link alone keeps the node, and not for long. */
   lapsed: boolean;
   cancelLapse: CancelTimer;
@@ -70,13 +70,13 @@
     const present = new Set(items.map(({ key }) => key.slice(NODE_RECORD_PREFIX.length)));
     if (!present.has(this.options.node)) this.options.onOwnRecordLost();
     for (const node of [...this.peers.keys()]) if (!present.has(node)) this.onRemoved(node);
-    for (const item of items) this.onRecord(item.value);
+    for (const item of items) this.onRecord(item.key, item.value);
   }
 
   /** Takes in changes of the store. */
   apply(events: readonly StoreEvent[]): void {
     for (const event of events) {
-      if (event.type === 'put') this.onRecord(event.value);
+      if (event.type === 'put') this.onRecord(event.key, event.value);
       else this.onRemoved(event.key.slice(NODE_RECORD_PREFIX.length));
     }
   }
@@ -93,7 +93,7 @@
     for (const [id, peer] of this.peers) {
       const { record } = peer;
       if (record.service !== service) continue;
-      views.push({ id, zone: record.zone, region: record.region, eligible: isEligible(peer) });
+      views.push(viewOf(id, peer));
     }
     if (service === this.options.service) views.push(this.ownView());
     return views;
@@ -122,7 +122,14 @@
 
   private ownView(): TargetView {
     const { node, zone, region } = this.options;
-    return { id: node, zone, region, eligible: this.options.status().target === 'ready' };
+    const { target, incarnation } = this.options.status();
+    return {
+      id: node,
+      zone,
+      region,
+      eligible: target === 'ready',
+      ...withIncarnation(incarnation),
+    };
   }
 
   private want(service: string): void {
@@ -133,9 +140,15 @@
     }
   }
 
-  private onRecord(value: Buffer): void {
-    const record = decodeNodeRecord(value);
-    if (record === undefined || record.node === this.options.node) return;
+  private onRecord(key: string, value: Buffer): void {
+    const record = decodeNodeRecord(key, value);
+    if (record === undefined) {
+      // Of another writer: it names no target, as if it were not there; its node writes it again.
+      this.options.log.emit(Event.MemberRecordRejected, { key, bytes: value.length });
+      this.onRemoved(key.slice(NODE_RECORD_PREFIX.length));
+      return;
+    }
+    if (record.node === this.options.node) return;
     const known = this.peers.get(record.node);
     if (known?.record.address === record.address && known.record.service === record.service) {
       known.lapsed = false;
@@ -217,9 +230,11 @@
       this.remove(node, peer, `the node now fronts ${status.service}`);
       return;
     }
-    if (peer.said === status.target) return;
-    peer.said = status.target;
-    this.options.log.emit(Event.PeerTargetChanged, { peer: node, target: status.target });
+    const { said } = peer;
+    if (said?.target === status.target && said.incarnation === status.incarnation) return;
+    peer.said = status;
+    const { target, incarnation } = status;
+    this.options.log.emit(Event.PeerTargetChanged, { peer: node, target, incarnation });
     this.options.onServiceChanged(status.service);
   }
 
@@ -232,6 +247,16 @@
   }
 }
 
+function viewOf(id: string, peer: Peer): TargetView {
+  const { record, said } = peer;
+  const { zone, region } = record;
+  return { id, zone, region, eligible: isEligible(peer), ...withIncarnation(said?.incarnation) };
+}
+
+function withIncarnation(incarnation: string | undefined): { readonly incarnation?: string } {
+  return incarnation === undefined ? {} : { incarnation };
+}
+
 function isEligible({ record, link, said }: Peer): boolean {
-  return link.isPromising && (said ?? record.target) === 'ready';
+  return link.isPromising && (said?.target ?? record.target) === 'ready';
 }
--- /dev/null
+++ b/src/sidecar/directory/node-record.test.ts
@@ -0,0 +1,52 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import fc from 'fast-check';
+import { decodeNodeRecord, encodeNodeRecord, keyOfNode, type NodeRecord } from './node-record.js';
+
+const RECORD: NodeRecord = {
+  node: 'n',
+  address: '10.0.0.1:7620',
+  zone: 'z',
+  region: 'r',
+  service: 's',
+  targetId: 'i-1',
+  targetStartedAt: 1_796_000_000_000,
+  target: 'ready',
+};
+const KEY = keyOfNode('n');
+
+test('a record is read as it was written', () => {
+  assert.deepEqual(decodeNodeRecord(KEY, encodeNodeRecord(RECORD)), RECORD);
+});
+
+const ODD: readonly Record<string, unknown>[] = [
+  { address: 7 },
+  { address: '10.0.0.1' },
+  { address: '10.0.0.1:99999' },
+  { address: 'somewhere:80' },
+  { service: '' },
+  { service: undefined },
+  { target: 'asleep' },
+  { targetStartedAt: '5' },
+  { targetStartedAt: 1.5 },
+  { node: 'another' },
+];
+
+for (const changes of ODD) {
+  test(`a record of another writer names no target: ${JSON.stringify(changes)}`, () => {
+    const value = Buffer.from(JSON.stringify({ ...RECORD, ...changes }));
+    assert.equal(decodeNodeRecord(KEY, value), undefined);
+  });
+}
+
+test('whatever the bytes are, reading them never throws', () => {
+  const bytes = fc.oneof(
+    fc.uint8Array(),
+    fc.json().map((text) => Buffer.from(text)),
+    fc.constant(Buffer.from('['.repeat(100_000))),
+  );
+  fc.assert(
+    fc.property(bytes, (value) => decodeNodeRecord(KEY, Buffer.from(value)) === undefined),
+    { seed: 0x5eed, numRuns: 500 },
+  );
+});
--- a/src/sidecar/directory/node-record.ts
+++ b/src/sidecar/directory/node-record.ts
@@ -12,11 +12,17 @@
   readonly zone: string;
   readonly region: string;
   readonly service: string;
-  /** Incarnation of the target; empty while none is known. */
+  /** Identity of the target; empty while none is known. */
   readonly targetId: string;
+  /** Start of the target's process in Unix milliseconds; absent where targets don't tell. */
+  readonly targetStartedAt?: number;
   readonly target: TargetState;
 }
 
+const TARGET_STATES: ReadonlySet<unknown> = new Set<TargetState>(['unknown', 'ready', 'leaving']);
+const ADDRESS = /^[0-9.]{7,15}:[0-9]{1,5}$/;
+const HIGHEST_PORT = 65_535;
+
 /** Key of a node's record. */
 export function keyOfNode(node: string): string {
   return NODE_RECORD_PREFIX + node;
@@ -27,16 +33,30 @@
   return Buffer.from(JSON.stringify(record));
 }
 
-/** Reads a record; undefined when it cannot be read. */
-export function decodeNodeRecord(value: Buffer): NodeRecord | undefined {
+/**
+ * Reads the record under a key; undefined when another writer has written it, so that it names no
+ * target. Never throws, whatever the bytes are.
+ */
+export function decodeNodeRecord(key: string, value: Buffer): NodeRecord | undefined {
   try {
     const record = JSON.parse(value.toString('utf8')) as Partial<NodeRecord> | null;
-    const { node, address, zone, region, service, targetId, target } = record ?? {};
-    const texts = [node, address, zone, region, service, targetId];
-    if (texts.some((text) => typeof text !== 'string')) return undefined;
-    if (target !== 'unknown' && target !== 'ready' && target !== 'leaving') return undefined;
-    return record as NodeRecord;
+    if (typeof record !== 'object' || record === null) return undefined;
+    return isNodeRecord(record) && keyOfNode(record.node) === key ? record : undefined;
   } catch {
     return undefined;
   }
 }
+
+function isNodeRecord(record: Partial<NodeRecord>): record is NodeRecord {
+  const { node, address, zone, region, service, targetId, targetStartedAt, target } = record;
+  const texts = [node, zone, region, service, targetId];
+  if (texts.some((text) => typeof text !== 'string') || service === '') return false;
+  if (targetStartedAt !== undefined && !Number.isSafeInteger(targetStartedAt)) return false;
+  return TARGET_STATES.has(target) && isAddress(address);
+}
+
+function isAddress(address: unknown): boolean {
+  if (typeof address !== 'string' || !ADDRESS.test(address)) return false;
+  const port = Number(address.split(':')[1]);
+  return port > 0 && port <= HIGHEST_PORT;
+}
--- a/src/sidecar/directory/record-publisher.ts
+++ b/src/sidecar/directory/record-publisher.ts
@@ -46,7 +46,7 @@
       if (item.isOk) {
         this.revision = item.value?.revision ?? 0;
         this.previous = item.value;
-        return item.value && decodeNodeRecord(item.value.value);
+        return item.value && decodeNodeRecord(item.value.key, item.value.value);
       }
       if (this.closed) return undefined;
       this.report(item.error);
--- a/src/sidecar/directory/registration-server.ts
+++ b/src/sidecar/directory/registration-server.ts
@@ -1,11 +1,14 @@
 /** The address at which the target beside this node registers. */
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { HttpListener } from '../http-listener.js';
-import type { PlatformAdapter, RegistrationMessage } from '../platform-adapter.js';
+import type {
+  PlatformAdapter,
+  RegistrationMessage,
+  UnreadableReport,
+} from '../platform-adapter.js';
 
 /** Largest report that is read, in bytes. */
 const MAX_BODY_BYTES = 4 * 1024;
-const BAD_REQUEST = 400;
 const OK = 200;
 
 /**
@@ -13,7 +16,9 @@
  *
  * @returns the status of the answer: 200 once the report is acknowledged
  */
-export type RegistrationHandler = (message: RegistrationMessage) => Promise<number>;
+export type RegistrationHandler = (
+  message: RegistrationMessage | UnreadableReport,
+) => Promise<number>;
 
 /** Creates the server; it does not listen yet. */
 export function createRegistrationServer(
@@ -54,7 +59,7 @@
   private async answer(body: Buffer): Promise<void> {
     const { adapter, request, response } = this;
     const message = adapter.parseRegistration(request.method ?? '', request.url ?? '', body);
-    const status = message === undefined ? BAD_REQUEST : await this.handle(message);
+    const status = await this.handle(message);
     const { contentType, body: answer } = adapter.acknowledgement;
     if (status === OK) response.writeHead(OK, { 'Content-Type': contentType }).end(answer);
     else response.writeHead(status).end();
--- a/src/sidecar/directory/target-keeper.ts
+++ b/src/sidecar/directory/target-keeper.ts
@@ -5,12 +5,18 @@
  */
 import type { Clock } from '../../kernel/clock.js';
 import { Event, type EventLog } from '../../kernel/event.js';
-import type { RegistrationMessage } from '../platform-adapter.js';
+import type { RegistrationMessage, UnreadableReport } from '../platform-adapter.js';
 import type { NodeRecord } from './node-record.js';
 import type { RecordPublisher } from './record-publisher.js';
-import type { RegisteredTarget, TargetRegistration, Verdict } from './target-registration.js';
+import {
+  isSameIncarnation,
+  type RegisteredTarget,
+  type TargetRegistration,
+  type Verdict,
+} from './target-registration.js';
 
 const OK = 200;
+const BAD_REQUEST = 400;
 const CONFLICT = 409;
 const UNAVAILABLE = 503;
 
@@ -45,13 +51,21 @@
   async restore(): Promise<void> {
     const { publisher, registration } = this.options;
     const previous = await publisher.readPrevious();
-    if (previous?.target === 'leaving') registration.restoreLeft(previous.targetId);
+    if (previous?.target === 'leaving') {
+      const { targetId: id, targetStartedAt: startedAt } = previous;
+      registration.restoreLeft({ id, ...(startedAt === undefined ? {} : { startedAt }) });
+    }
     this.restored = true;
     this.afterReport();
   }
 
   /** Takes one report; resolves with the status of its answer. */
-  async onReport(message: RegistrationMessage): Promise<number> {
+  async onReport(message: RegistrationMessage | UnreadableReport): Promise<number> {
+    if (message.type === 'unreadable') {
+      const { type: verdict, reason } = message;
+      this.options.log.emit(Event.TargetReportRejected, { verdict, reason });
+      return BAD_REQUEST;
+    }
     const verdict = await this.judge(message);
     if (verdict === 'foreign' || verdict === 'unconfirmed') {
       this.options.log.emit(Event.TargetReportRejected, { target: message.targetId, verdict });
@@ -71,7 +85,7 @@
 
   private async judge(message: RegistrationMessage): Promise<Verdict> {
     const { registration, clock, probe } = this.options;
-    if (message.type === 'departure') return registration.onDeparture(message.targetId);
+    if (message.type === 'departure') return registration.onDeparture(message);
     // Reports come late and from others: while nothing is known, the target itself is asked.
     const isFirst = registration.current === undefined;
     if (!isFirst) {
@@ -87,7 +101,7 @@
   private afterReport(): void {
     const { registration, log, publisher, onChanged, record } = this.options;
     const { current } = registration;
-    const same = current?.id === this.known?.id && current?.state === this.known?.state;
+    const same = isSameTarget(current, this.known);
     if (!this.restored || same) return;
     this.known = current;
     log.emit(Event.TargetReported, { target: current?.id, state: current?.state ?? 'unknown' });
@@ -107,3 +121,12 @@
     });
   }
 }
+
+/** Whether nothing that others are told has changed. */
+function isSameTarget(
+  one: RegisteredTarget | undefined,
+  other: RegisteredTarget | undefined,
+): boolean {
+  if (one === undefined || other === undefined) return one === other;
+  return isSameIncarnation(one, other) && one.state === other.state;
+}
--- a/src/sidecar/directory/target-registration.test.ts
+++ b/src/sidecar/directory/target-registration.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import type { Heartbeat } from '../platform-adapter.js';
+import type { Departure, Heartbeat } from '../platform-adapter.js';
 import { TargetRegistration } from './target-registration.js';
 
 const ADDRESS = '10.0.0.1:80';
@@ -20,6 +20,10 @@
   };
 }
 
+function departure(targetId: string, startedAt?: number): Departure {
+  return { type: 'departure', targetId, ...(startedAt === undefined ? {} : { startedAt }) };
+}
+
 function create(): TargetRegistration {
   return new TargetRegistration('guide', ADDRESS);
 }
@@ -57,9 +61,9 @@
 test('a departure without draining ends the work', () => {
   const registration = create();
   registration.onHeartbeat(0, beat(), false);
-  assert.equal(registration.onDeparture('i-1'), 'accepted');
+  assert.equal(registration.onDeparture(departure('i-1')), 'accepted');
   assert.equal(registration.current?.state, 'leaving');
-  assert.equal(registration.onDeparture('i-9'), 'foreign');
+  assert.equal(registration.onDeparture(departure('i-9')), 'foreign');
 });
 
 test('another incarnation counts once it is confirmed, and its predecessor never again', () => {
@@ -75,7 +79,7 @@
 
 test('a leave that an earlier process acknowledged holds for a late report', () => {
   const registration = create();
-  registration.restoreLeft('i-1');
+  registration.restoreLeft({ id: 'i-1' });
   assert.equal(registration.onHeartbeat(0, beat({ sequence: 3 }), false), 'outdated');
   assert.equal(registration.current, undefined);
   assert.equal(registration.onHeartbeat(1, beat({ targetId: 'i-2' }), false), 'accepted');
@@ -89,3 +93,58 @@
   assert.equal(registration.onHeartbeat(1, beat({ sequence: 2 }), false), 'outdated');
   assert.equal(registration.onHeartbeat(2, beat({ targetId: 'i-2' }), false), 'accepted');
 });
+
+test('a target that starts again under its id is new: its counts begin anew', () => {
+  const registration = create();
+  registration.onHeartbeat(0, beat({ startedAt: 100, sequence: 50, slots: 8 }), false);
+  const again = beat({ startedAt: 200, sequence: 1, slots: 4, warmUpMs: 300 });
+  assert.equal(registration.onHeartbeat(1, again, false), 'accepted');
+  assert.deepEqual(registration.current, {
+    ...{ id: 'i-1', startedAt: 200, state: 'ready', slots: 4, warmUntil: 301 },
+  });
+  assert.equal(
+    registration.onHeartbeat(2, beat({ startedAt: 200, sequence: 2 }), false),
+    'accepted',
+  );
+});
+
+test('a late report or departure of the earlier life changes nothing', () => {
+  const registration = create();
+  registration.onHeartbeat(0, beat({ startedAt: 100 }), false);
+  registration.onHeartbeat(1, beat({ startedAt: 200 }), false);
+  const late = beat({ startedAt: 100, sequence: 99, state: 'draining' });
+  assert.equal(registration.onHeartbeat(2, late, true), 'outdated');
+  assert.equal(registration.onDeparture(departure('i-1', 100)), 'outdated');
+  assert.equal(registration.current?.state, 'ready');
+  assert.equal(registration.onDeparture(departure('i-1', 200)), 'accepted');
+  assert.equal(registration.current.state, 'leaving');
+});
+
+test('a leave binds the life that it was said of, and no later one', () => {
+  const registration = create();
+  registration.onHeartbeat(0, beat({ startedAt: 100 }), false);
+  registration.onHeartbeat(1, beat({ startedAt: 100, sequence: 2, state: 'draining' }), false);
+  assert.equal(
+    registration.onHeartbeat(2, beat({ startedAt: 100, sequence: 3 }), false),
+    'accepted',
+  );
+  assert.equal(registration.current?.state, 'leaving');
+  assert.equal(registration.onHeartbeat(3, beat({ startedAt: 200 }), false), 'accepted');
+  assert.equal(registration.current.state, 'ready');
+});
+
+test('a leave of a life that an earlier process acknowledged lets the next life serve', () => {
+  const registration = create();
+  registration.restoreLeft({ id: 'i-1', startedAt: 100 });
+  assert.equal(registration.onHeartbeat(0, beat({ startedAt: 100 }), false), 'outdated');
+  assert.equal(registration.onHeartbeat(1, beat({ startedAt: 200 }), false), 'accepted');
+  assert.equal(registration.current?.state, 'ready');
+});
+
+test('a report without a start is of another writer where the target tells its start', () => {
+  const registration = create();
+  registration.onHeartbeat(0, beat({ startedAt: 100 }), false);
+  const odd = beat({ sequence: 9, state: 'draining' });
+  assert.equal(registration.onHeartbeat(1, odd, false), 'foreign');
+  assert.equal(registration.current?.state, 'ready');
+});
--- a/src/sidecar/directory/target-registration.ts
+++ b/src/sidecar/directory/target-registration.ts
@@ -3,12 +3,21 @@
  * verdicts out. Reports may come late, out of order, from an earlier incarnation, or from
  * something that is not the target.
  */
-import type { Heartbeat } from '../platform-adapter.js';
+import type { Departure, Heartbeat } from '../platform-adapter.js';
 import type { TargetState } from '../link/link-messages.js';
 
-/** The target as last reported. */
-export interface RegisteredTarget {
+/**
+ * One life of a target. It may start again under its id: then its start tells the lives apart, and
+ * without a start the id alone does.
+ */
+export interface Incarnation {
   readonly id: string;
+  /** Unix milliseconds by the target's clock; absent where targets don't tell. */
+  readonly startedAt?: number;
+}
+
+/** The target as last reported. */
+export interface RegisteredTarget extends Incarnation {
   readonly state: Exclude<TargetState, 'unknown'>;
   readonly slots: number;
   /** Monotonic time until which the target is slow from its start. */
@@ -33,7 +42,8 @@
 export class TargetRegistration {
   private target: RegisteredTarget | undefined;
   private sequence = -Infinity;
-  private readonly gone = new Set<string>();
+  /** Newest life that is gone, by id; undefined: every life of the id. */
+  private readonly gone = new Map<string, number | undefined>();
 
   /**
    * @param service service of the target beside this node
@@ -50,34 +60,45 @@
   }
 
   /** An earlier process of this node acknowledged that this incarnation leaves. */
-  restoreLeft(targetId: string): void {
-    this.markGone(targetId);
-    if (this.target?.id === targetId) this.setLeaving();
+  restoreLeft(left: Incarnation): void {
+    this.markGone(left);
+    if (this.target !== undefined && isSameIncarnation(this.target, left)) this.setLeaving();
   }
 
-  /** @param confirmed the target itself has said that it is this incarnation */
+  /** @param confirmed the target itself has said that it has this id */
   onHeartbeat(now: number, heartbeat: Heartbeat, confirmed: boolean): Verdict {
     if (heartbeat.service !== this.service || heartbeat.address !== this.address) return 'foreign';
-    if (this.target?.id === heartbeat.targetId) return this.onKnown(now, heartbeat);
-    if (this.gone.has(heartbeat.targetId)) return 'outdated';
-    if (this.target !== undefined && !confirmed) return 'unconfirmed';
-    if (this.target !== undefined) this.markGone(this.target.id);
+    const reported = toIncarnation(heartbeat);
+    const { target } = this;
+    if (target !== undefined) {
+      if (isSameIncarnation(target, reported)) return this.onKnown(now, heartbeat);
+      if (isFromAnotherWriter(target, reported)) return 'foreign';
+      if (isEarlier(reported, target)) return 'outdated';
+    }
+    if (this.isGone(reported)) return 'outdated';
+    // The target itself tells its id only, so that another life of one id needs no confirmation.
+    if (target !== undefined && target.id !== reported.id && !confirmed) return 'unconfirmed';
+    if (target !== undefined) this.markGone(target);
     this.sequence = heartbeat.sequence;
     this.take(now, heartbeat);
     return 'accepted';
   }
 
   /** The target leaves without having drained, or ends after it. */
-  onDeparture(targetId: string): Verdict {
-    if (this.target?.id !== targetId) return this.gone.has(targetId) ? 'outdated' : 'foreign';
+  onDeparture({ targetId, startedAt }: Departure): Verdict {
+    const left = { id: targetId, ...(startedAt === undefined ? {} : { startedAt }) };
+    const { target } = this;
+    if (target?.id !== targetId) return this.gone.has(targetId) ? 'outdated' : 'foreign';
+    if (isEarlier(left, target)) return 'outdated';
     this.setLeaving();
+    this.markGone(left);
     return 'accepted';
   }
 
   /** The target answered as another incarnation; nothing is known until it reports. */
   forget(targetId: string): void {
     if (this.target?.id !== targetId) return;
-    this.markGone(targetId);
+    this.markGone(this.target);
     this.target = undefined;
     this.sequence = -Infinity;
   }
@@ -92,21 +113,55 @@
     return 'accepted';
   }
 
-  private take(now: number, { targetId, slots, state, warmUpMs }: Heartbeat): void {
-    const known = state === 'ready' && !this.gone.has(targetId) ? 'ready' : 'leaving';
-    this.target = { id: targetId, state: known, slots, warmUntil: now + warmUpMs };
+  private take(now: number, heartbeat: Heartbeat): void {
+    const { slots, state, warmUpMs } = heartbeat;
+    const incarnation = toIncarnation(heartbeat);
+    const known = state === 'ready' && !this.isGone(incarnation) ? 'ready' : 'leaving';
+    this.target = { ...incarnation, state: known, slots, warmUntil: now + warmUpMs };
   }
 
   private setLeaving(): void {
     if (this.target === undefined) return;
-    this.markGone(this.target.id);
+    this.markGone(this.target);
     this.target = { ...this.target, state: 'leaving' };
   }
 
-  private markGone(targetId: string): void {
-    this.gone.add(targetId);
+  private isGone({ id, startedAt }: Incarnation): boolean {
+    if (!this.gone.has(id)) return false;
+    const newest = this.gone.get(id);
+    return newest === undefined || startedAt === undefined || startedAt <= newest;
+  }
+
+  private markGone({ id, startedAt }: Incarnation): void {
+    if (this.isGone({ id, ...(startedAt === undefined ? {} : { startedAt }) })) return;
+    this.gone.delete(id);
+    this.gone.set(id, startedAt);
     if (this.gone.size <= MAX_GONE) return;
-    const [oldest] = this.gone;
+    const [oldest] = this.gone.keys();
     this.gone.delete(oldest!);
   }
 }
+
+/** Whether two are one life. */
+export function isSameIncarnation(one: Incarnation, other: Incarnation): boolean {
+  return one.id === other.id && one.startedAt === other.startedAt;
+}
+
+/** A text that differs from life to life. */
+export function incarnationText({ id, startedAt }: Incarnation): string {
+  return startedAt === undefined ? id : `${id} ${startedAt}`;
+}
+
+function toIncarnation({ targetId, startedAt }: Heartbeat): Incarnation {
+  return { id: targetId, ...(startedAt === undefined ? {} : { startedAt }) };
+}
+
+/** A target that tells its start tells it in all reports. */
+function isFromAnotherWriter(target: Incarnation, reported: Incarnation): boolean {
+  return target.startedAt !== undefined && reported.startedAt === undefined;
+}
+
+function isEarlier(reported: Incarnation, target: Incarnation): boolean {
+  if (reported.startedAt === undefined || target.startedAt === undefined) return false;
+  return reported.startedAt < target.startedAt;
+}
--- a/src/sidecar/link/link-messages.ts
+++ b/src/sidecar/link/link-messages.ts
@@ -17,6 +17,8 @@
   readonly node: string;
   readonly service: string;
   readonly target: TargetState;
+  /** Life of the target, as a text that differs from life to life; absent while none is known. */
+  readonly incarnation?: string;
   /** Version of the rules in force; 0: none. */
   readonly rulesVersion: number;
 }
--- a/src/sidecar/platform-adapter.ts
+++ b/src/sidecar/platform-adapter.ts
@@ -40,12 +40,25 @@
   readonly sequence: number;
   /** Milliseconds for which the target stays slow after its start. */
   readonly warmUpMs: number;
+  /**
+   * Start of the target's process, in Unix milliseconds by its own clock; with the id it names one
+   * incarnation, since a target may start again under its id. Absent where targets don't tell.
+   */
+  readonly startedAt?: number;
 }
 
 /** A target says that it leaves, with or without having drained before. */
 export interface Departure {
   readonly type: 'departure';
   readonly targetId: string;
+  /** As in {@link Heartbeat}. */
+  readonly startedAt?: number;
+}
+
+/** A call from which nothing of a target can be learned. */
+export interface UnreadableReport {
+  readonly type: 'unreadable';
+  readonly reason: string;
 }
 
 /** A call on the registration address. */
@@ -65,8 +78,12 @@
    * undefined for a caller's own request.
    */
   parentOf(attemptId: string): string | undefined;
-  /** Reads a registration call; undefined when it is none. */
-  parseRegistration(method: string, path: string, body: Buffer): RegistrationMessage | undefined;
+  /** Reads a registration call; never throws, whatever the bytes are. */
+  parseRegistration(
+    method: string,
+    path: string,
+    body: Buffer,
+  ): RegistrationMessage | UnreadableReport;
   /** Reads a document of routing rules. */
   parseRules(document: Buffer): Result<RoutingRules, Failure>;
   /**
--- a/src/sidecar/plugins/link-plugin.ts
+++ b/src/sidecar/plugins/link-plugin.ts
@@ -2,6 +2,7 @@
 import { registerPlugin } from '../../kernel/plugin.js';
 import { Token } from '../../kernel/token.js';
 import { LinkServer } from '../link/link-server.js';
+import { incarnationText } from '../directory/target-registration.js';
 import { SidecarOrder, SidecarToken } from './tokens.js';
 
 registerPlugin(
@@ -13,12 +14,16 @@
         const { node, target } = get(SidecarToken.Settings);
         const kernel = get(Token.Kernel);
         const registration = get(SidecarToken.Registration);
-        return () => ({
-          node: node.id,
-          service: target.service,
-          target: kernel.draining ? 'leaving' : (registration.current?.state ?? 'unknown'),
-          rulesVersion: get(SidecarToken.Rules).version,
-        });
+        return () => {
+          const { current } = registration;
+          return {
+            node: node.id,
+            service: target.service,
+            target: kernel.draining ? 'leaving' : (current?.state ?? 'unknown'),
+            ...(current === undefined ? {} : { incarnation: incarnationText(current) }),
+            rulesVersion: get(SidecarToken.Rules).version,
+          };
+        };
       });
       container.bind(SidecarToken.LinkServer).toDynamicValue(
         ({ get }) =>
--- a/src/sidecar/plugins/target-plugin.ts
+++ b/src/sidecar/plugins/target-plugin.ts
@@ -80,15 +80,20 @@
   const settings = get(SidecarToken.Settings);
   const { service } = settings.target;
   const registration = get(SidecarToken.Registration);
-  const record = (): NodeRecord => ({
-    node: settings.node.id,
-    address: `${settings.listen.host}:${settings.listen.ports[0]}`,
-    zone: settings.node.zone,
-    region: settings.node.region,
-    service,
-    targetId: registration.current?.id ?? '',
-    target: registration.current?.state ?? 'unknown',
-  });
+  const record = (): NodeRecord => {
+    const { current } = registration;
+    const startedAt = current?.startedAt;
+    return {
+      node: settings.node.id,
+      address: `${settings.listen.host}:${settings.listen.ports[0]}`,
+      zone: settings.node.zone,
+      region: settings.node.region,
+      service,
+      targetId: current?.id ?? '',
+      ...(startedAt === undefined ? {} : { targetStartedAt: startedAt }),
+      target: current?.state ?? 'unknown',
+    };
+  };
   return new TargetKeeper({
     registration,
     publisher: get(SidecarToken.Publisher),
--- a/src/sidecar/target/target-gateway.ts
+++ b/src/sidecar/target/target-gateway.ts
@@ -8,7 +8,7 @@
 import type { CancelTimer, Clock } from '../../kernel/clock.js';
 import { Event, type EventLog } from '../../kernel/event.js';
 import type { FieldNames } from '../platform-adapter.js';
-import type { RegisteredTarget } from '../directory/target-registration.js';
+import { isSameIncarnation, type RegisteredTarget } from '../directory/target-registration.js';
 import {
   createAttemptFailure,
   createNotOffered,
@@ -71,7 +71,9 @@
 
   /** Takes in what is known of the target; a new incarnation gets a gate of its own. */
   setTarget(target: RegisteredTarget | undefined): void {
-    const isNew = target !== undefined && target.id !== this.target?.id;
+    const isNew =
+      target !== undefined &&
+      (this.target === undefined || !isSameIncarnation(target, this.target));
     this.target = target;
     if (isNew || target?.state !== 'ready') this.refuseWaiting();
     if (isNew) this.openGate(target);
--- a/test/bare-relay.ts
+++ b/test/bare-relay.ts
@@ -197,8 +197,8 @@
   });
 });
 void publish();
-follow(NODE_RECORD_PREFIX, (_key, value) => {
-  const place = decodeNodeRecord(value);
+follow(NODE_RECORD_PREFIX, (key, value) => {
+  const place = decodeNodeRecord(key, value);
   if (place !== undefined) places.set(place.node, place);
 });
 follow(rulesKey, (key, value) => {
