sillshore losses: where requests were lost, by kind and cause, from the logs of all nodes

Change: command losses (src/logs/losses.ts) counts refused and failed requests by second, kind, ending and cause; calls of targets are told from requests of callers, and a refusal names the service whose load was the reason. Story and losses share the reading of log files.

--- a/src/cli/registered-commands.ts
+++ b/src/cli/registered-commands.ts
@@ -19,6 +19,7 @@
 import { drainCommands } from './drain-commands.js';
 import { nodeCommands } from './node-command.js';
 import { sidecarCommands } from './sidecar-command.js';
+import { lossesCommands } from './losses-command.js';
 import { storyCommands } from './story-command.js';
 import { statusCommands } from './status-command.js';
 import { versionCommands } from './version-command.js';
@@ -29,6 +30,7 @@
   ...nodeCommands,
   ...sidecarCommands,
   ...storyCommands,
+  ...lossesCommands,
   ConfigCheckCommand,
   ConfigApplyCommand,
   ConfigGetCommand,
--- a/src/cli/story-command.ts
+++ b/src/cli/story-command.ts
@@ -1,10 +1,9 @@
 /** `sillshore story`: what the logs of several nodes say of one request, in order of cause. */
-import { createReadStream } from 'node:fs';
-import { createInterface } from 'node:readline';
 import { Command, Option } from 'clipanion';
-import { describeLine, parseLogLine, storyOf, type LogLine } from '../logs/request-story.js';
+import { describeLine, storyOf } from '../logs/request-story.js';
 import { SillshoreCommand } from './command.js';
 import { ExitCode } from './exit-code.js';
+import { readLogLines } from './log-files.js';
 
 /** Prints the story of a request. */
 export class StoryCommand extends SillshoreCommand {
@@ -23,7 +22,7 @@
   files = Option.Rest({ name: 'file' });
 
   protected async run(): Promise<ExitCode> {
-    const lines = await this.readLines();
+    const lines = await readLogLines(this.files, this.context.stdin);
     const story = storyOf(lines, this.id);
     if (story.length === 0) {
       this.context.stderr.write(`no line about ${this.id}\n`);
@@ -32,21 +31,6 @@
     for (const line of story) this.print(describeLine(line));
     return ExitCode.Ok;
   }
-
-  private async readLines(): Promise<readonly LogLine[]> {
-    const inputs =
-      this.files.length === 0
-        ? [this.context.stdin]
-        : this.files.map((file) => createReadStream(file));
-    const lines: LogLine[] = [];
-    for (const input of inputs) {
-      for await (const text of createInterface({ input })) {
-        const line = parseLogLine(text);
-        if (line !== undefined) lines.push(line);
-      }
-    }
-    return lines;
-  }
 }
 
 /** Commands of this module. */
