Routing: the own zone first while it has room; no scans of all targets where nothing is asked of them

Change: another zone counts as 0.6 fuller (0.25 before), and what a target is fuller than 0.8 weighs five times, so that the own zone is left before requests wait there. The default limit is computed only for targets without a report; eligible targets are kept in a list.

--- a/src/core/policies/adaptive-router.ts
+++ b/src/core/policies/adaptive-router.ts
@@ -67,7 +67,8 @@
 
   pick(now: number, request: RequestContext, tried: readonly string[]): PickResult {
     const healthy = this.targets.healthy(now);
-    const untried = healthy.filter(({ view }) => !tried.includes(view.id));
+    const untried =
+      tried.length === 0 ? healthy : healthy.filter(({ view }) => !tried.includes(view.id));
     const candidates = untried.length > 0 ? untried : healthy;
     if (candidates.length === 0) {
       const refusal = this.refuse(now, request, ResultCode.NoTargetAvailable, 'no target');
@@ -101,8 +102,11 @@
   }
 
   threshold(now: number, kind = ''): number {
-    const thresholds = this.targets.healthy(now).map((target) => target.threshold(now, kind));
-    return thresholds.length === 0 ? 0 : Math.min(...thresholds);
+    let lowest = Infinity;
+    for (const target of this.targets.healthy(now)) {
+      lowest = Math.min(lowest, target.threshold(now, kind));
+    }
+    return lowest === Infinity ? 0 : lowest;
   }
 
   private hasRoom(now: number, request: RequestContext): boolean {
--- a/src/core/routing/load-score.ts
+++ b/src/core/routing/load-score.ts
@@ -18,8 +18,15 @@
   readonly region: string;
 }
 
-/** Added to the score of a target in another zone of the region. */
-const OTHER_ZONE_SHARE = 0.25;
+/** Added to the score of a target in another zone of the region: bytes between zones are dear. */
+const OTHER_ZONE_SHARE = 0.6;
+/** Share of its limit up to which a target has room. */
+const ROOMY_SHARE = 0.8;
+/**
+ * Weight of what a target is fuller than that. With it a target of the own zone is left before
+ * requests wait there, though another zone is avoided as long as the own one has room.
+ */
+const CROWDED_WEIGHT = 4;
 /** The same for a target in another region. */
 const OTHER_REGION_SHARE = 2;
 /** Time over which a target that joins takes its full share, in milliseconds. */
@@ -34,15 +41,21 @@
   return reports.reduce((sum, report) => sum + report.limit, 0) / reports.length;
 }
 
-/** Score of a target; the lowest is best. */
+/**
+ * Score of a target; the lowest is best.
+ *
+ * @param defaultLimit limit of a target that has not reported; asked only then, since it takes a
+ * look at every target
+ */
 export function scoreOf(
   now: number,
   target: TargetState,
   locality: Locality,
-  defaultLimit: number,
+  defaultLimit: () => number,
 ): number {
-  const limit = target.lastReport()?.limit ?? defaultLimit;
-  const share = (target.load(now) + 1) / limit;
+  const limit = target.lastReport()?.limit ?? defaultLimit();
+  const taken = (target.load(now) + 1) / limit;
+  const share = taken + CROWDED_WEIGHT * Math.max(0, taken - ROOMY_SHARE);
   const placed = (share + distanceShare(target, locality)) * slowStartFactor(now, target);
   return placed + FAILURE_WEIGHT * target.failureShare(now);
 }
--- a/src/core/routing/target-choice.ts
+++ b/src/core/routing/target-choice.ts
@@ -57,7 +57,7 @@
   candidates: readonly TargetState[],
   locality: Locality,
 ): TargetState {
-  const defaultLimit = computeDefaultLimit(candidates);
+  const defaultLimit = (): number => computeDefaultLimit(candidates);
   let best = sample[0]!;
   let bestScore = Infinity;
   for (const target of sample) {
--- a/src/core/routing/target-set.ts
+++ b/src/core/routing/target-set.ts
@@ -5,6 +5,7 @@
 /** All known targets of a service. */
 export class TargetSet {
   private readonly byId = new Map<string, TargetState>();
+  private eligibleTargets: readonly TargetState[] = [];
 
   /** Replaces the targets; those that stay keep their state. */
   update(now: number, views: readonly TargetView[]): void {
@@ -12,6 +13,7 @@
     const ids = new Set(views.map(({ id }) => id));
     for (const id of this.byId.keys()) if (!ids.has(id)) this.byId.delete(id);
     for (const view of views) this.updateOne(isFirst ? -Infinity : now, view);
+    this.eligibleTargets = [...this.byId.values()].filter(({ view }) => view.eligible);
   }
 
   find(id: string): TargetState | undefined {
@@ -20,7 +22,7 @@
 
   /** Targets that may take requests at all. */
   eligible(): readonly TargetState[] {
-    return [...this.byId.values()].filter(({ view }) => view.eligible);
+    return this.eligibleTargets;
   }
 
   /**
@@ -30,8 +32,8 @@
    */
   healthy(now: number): readonly TargetState[] {
     const eligible = this.eligible();
+    if (!eligible.some(({ health }) => health.isEjected(now))) return eligible;
     const ejected = eligible.filter(({ health }) => health.isEjected(now));
-    if (ejected.length === 0) return eligible;
     const mostAreIn = ejected.length * 2 < eligible.length;
     const kept = eligible.filter(
       ({ health }) => !health.isEjected(now) || !(mostAreIn || health.isUnreachable),
