--- a/scripts/play-days.mjs
+++ b/scripts/play-days.mjs
@@ -1,6 +1,6 @@
 #!/usr/bin/env node
 /**
- * Plays the days of test/days on the users' bench, some at a time, and prints what broke.
+ * Plays the days of deploy/days on the users' bench, some at a time, and prints what broke.
  *
  * Usage: node scripts/play-days.mjs --bench PROGRAM --site FILE [--jobs N] [--only NAME] --why TEXT
  *
@@ -13,7 +13,7 @@
 import { finished } from 'node:stream/promises';
 import { parseArgs } from 'node:util';
 
-const DAYS = 'test/days';
+const DAYS = 'deploy/days';
 const OUTPUT = 'out/days';
 /** A day's row of figures, broken rules, and what the bench noticed. */
 const VERDICT = /\d+\/\d+ +\d\.\d\d |BROKEN|^rules broken|^- /;
