The objective of a request decides its place among the calls of its class

Change: requests carry the time until their objective (dueInMs, dueAt). In the queue a caller's request that must start now to be in time, with two service times left, goes before the calls of its class; one that is late already waits its turn.

--- a/src/core/queue/criticality-queue.ts
+++ b/src/core/queue/criticality-queue.ts
@@ -3,10 +3,20 @@
  * the shortest service time first, because each of them holds a slot above while it waits
  * and that order makes the sum of their waits least. Callers' requests follow by their latest
  * useful start (least laxity; earliest deadline first when service times are equal).
+ *
+ * A caller's request that must start now to be answered within its objective goes before the calls
+ * of its class, so that these do not make all callers' requests late. One that is late already
+ * waits its turn: it has lost most of its value.
  */
 import { CRITICALITIES, rankOf } from '../request.js';
 import type { WaitingQueue, WaitingRequest } from './waiting-queue.js';
 
+/**
+ * Time left to the objective, in service times, from which a request must start: service times vary
+ * by about half of their mean, so that with one service time alone half of the answers are late.
+ */
+const URGENT_SERVICE_TIMES = 2;
+
 /** Two sorted arrays per class; they are short, because the queue is bounded by time. */
 export class CriticalityQueue implements WaitingQueue {
   private readonly levels: WaitingRequest[][] = CRITICALITIES.flatMap(() => [[], []]);
@@ -24,10 +34,18 @@
     this.count += 1;
   }
 
-  takeNext(): WaitingRequest | undefined {
+  takeNext(now: number): WaitingRequest | undefined {
     if (this.count === 0) return undefined;
+    const first = this.levels.findIndex((sorted) => sorted.length > 0);
+    const urgent = isNested(first) ? this.takeUrgent(now, first + 1) : undefined;
+    if (urgent !== undefined) return urgent;
     this.count -= 1;
-    return this.levels.find((sorted) => sorted.length > 0)?.shift();
+    return this.levels[first]!.shift();
+  }
+
+  private takeUrgent(now: number, level: number): WaitingRequest | undefined {
+    const urgent = this.levels[level]!.find((waiting) => isUrgent(now, waiting));
+    return urgent === undefined ? undefined : this.remove(urgent.ticket);
   }
 
   takeLowest(): WaitingRequest | undefined {
@@ -84,6 +102,19 @@
   return 2 * rankOf(request.criticality) + (request.depth > 0 ? 0 : 1);
 }
 
+/** Whether a level holds calls of other services; that of callers' requests follows it. */
+function isNested(level: number): boolean {
+  return level % 2 === 0;
+}
+
+/** Whether the answer will just be within the objective when the request starts now. */
+function isUrgent(now: number, { request, serviceMs }: WaitingRequest): boolean {
+  const { dueAt } = request;
+  if (dueAt === undefined) return false;
+  const leftMs = dueAt - now;
+  return leftMs >= serviceMs && leftMs <= URGENT_SERVICE_TIMES * serviceMs;
+}
+
 /** What a level is sorted by. */
 function sortKey({ request, serviceMs, giveUpAt }: WaitingRequest): number {
   return request.depth > 0 ? serviceMs : giveUpAt;
--- a/src/core/request.ts
+++ b/src/core/request.ts
@@ -24,6 +24,8 @@
   readonly criticality: Criticality;
   /** Absolute end of usefulness, in milliseconds of the local monotonic clock. */
   readonly deadline: number;
+  /** Absolute time until which an answer has its full value; absent: until the deadline. */
+  readonly dueAt?: number;
   /** Whether a repeat of a request that may have run is allowed. */
   readonly idempotent: boolean;
   /** Service hops above this one; 0 at the caller's entry. */
--- a/src/sidecar/entry/entry-service.ts
+++ b/src/sidecar/entry/entry-service.ts
@@ -165,6 +165,7 @@
       kind: rules.name,
       criticality: parent?.criticality ?? criticalityOfRank(rules.rank),
       deadline: this.receivedAt + wait,
+      dueAt: this.receivedAt + rules.aimMs,
       idempotent: rules.idempotent,
       depth: parentId === undefined ? 0 : (parent?.depth ?? 0) + 1,
     };
@@ -194,6 +195,7 @@
       depth,
       repeated: parentId !== undefined && gateway.isRepeated(parentId),
       timeLeftMs: 0,
+      dueInMs: 0,
       callerService: this.options.callerService,
       method,
       path,
--- a/src/sidecar/entry/routed-request.test.ts
+++ b/src/sidecar/entry/routed-request.test.ts
@@ -31,6 +31,7 @@
   depth: 0,
   repeated: false,
   timeLeftMs: 0,
+  dueInMs: 7,
   callerService: 'c',
   method: 'GET',
   path: '/',
--- a/src/sidecar/entry/routed-request.ts
+++ b/src/sidecar/entry/routed-request.ts
@@ -111,7 +111,8 @@
     const timeLeftMs = context.deadline - now;
     const margin = Math.min(LINK_MARGIN_MS, timeLeftMs * LINK_MARGIN_SHARE);
     const repeated = this.options.call.repeated || this.offers > 0;
-    const call = { ...this.options.call, repeated, timeLeftMs: timeLeftMs - margin };
+    const dueInMs = (context.dueAt ?? context.deadline) - now;
+    const call = { ...this.options.call, repeated, timeLeftMs: timeLeftMs - margin, dueInMs };
     const current: CurrentTry = { node, startedAt: now, cancel: () => false };
     this.current = current;
     const port = portOf(node);
--- a/src/sidecar/forwarded-fields.test.ts
+++ b/src/sidecar/forwarded-fields.test.ts
@@ -25,6 +25,7 @@
   depth: 0,
   repeated: false,
   timeLeftMs: 900,
+  dueInMs: 7,
   callerService: 'above',
   method: 'GET',
   path: '/',
--- a/src/sidecar/link/link-messages.ts
+++ b/src/sidecar/link/link-messages.ts
@@ -40,6 +40,8 @@
   readonly repeated: boolean;
   /** Milliseconds left when the message was sent. */
   readonly timeLeftMs: number;
+  /** The same until the answer loses a part of its value; below 0 when that has happened. */
+  readonly dueInMs: number;
   /** Service of the machine on which the request began. */
   readonly callerService: string;
   readonly method: string;
@@ -185,6 +187,7 @@
     d: call.depth,
     e: call.repeated ? true : undefined,
     l: call.timeLeftMs,
+    u: Math.round(call.dueInMs),
     o: call.callerService,
     m: call.method,
     p: call.path,
@@ -276,6 +279,7 @@
     depth: document['d'] as number,
     repeated: document['e'] === true,
     timeLeftMs: document['l'] as number,
+    dueInMs: document['u'] as number,
     callerService: document['o'] as string,
     method: document['m'] as string,
     path: document['p'] as string,
--- a/src/sidecar/link/link-server.test.ts
+++ b/src/sidecar/link/link-server.test.ts
@@ -18,6 +18,7 @@
   depth: 0,
   repeated: false,
   timeLeftMs: 1_000,
+  dueInMs: 7,
   callerService: 'c',
   method: 'GET',
   path: '/',
--- a/src/sidecar/link/link-server.ts
+++ b/src/sidecar/link/link-server.ts
@@ -132,8 +132,10 @@
       return;
     }
     let ended = false;
-    const timeLeftMs = call.timeLeftMs - Math.max(0, transitMs);
-    const cancel = this.options.target.dispatch({ ...call, timeLeftMs }, (end) => {
+    const passedMs = Math.max(0, transitMs);
+    const timeLeftMs = call.timeLeftMs - passedMs;
+    const dueInMs = call.dueInMs - passedMs;
+    const cancel = this.options.target.dispatch({ ...call, timeLeftMs, dueInMs }, (end) => {
       ended = true;
       this.running.delete(id);
       this.sendEnd(id, end);
--- a/src/sidecar/link/peer-link.test.ts
+++ b/src/sidecar/link/peer-link.test.ts
@@ -87,6 +87,7 @@
     depth: 0,
     repeated: false,
     timeLeftMs: 5_000,
+    dueInMs: 7,
     callerService: 'c',
     method: 'POST',
     path: '/',
--- a/src/sidecar/link/peer-link.ts
+++ b/src/sidecar/link/peer-link.ts
@@ -250,10 +250,12 @@
 
   private sendCall(id: number, pending: PendingCall): void {
     const now = this.options.clock.now();
-    const timeLeftMs = pending.call.timeLeftMs - (now - pending.createdAt);
+    const heldMs = now - pending.createdAt;
+    const timeLeftMs = pending.call.timeLeftMs - heldMs;
+    const dueInMs = pending.call.dueInMs - heldMs;
     pending.sent = true;
     const sentAt = this.peerClock.at(now);
-    this.socket?.send({ type: 'call', id, sentAt, call: { ...pending.call, timeLeftMs } });
+    this.socket?.send({ type: 'call', id, sentAt, call: { ...pending.call, timeLeftMs, dueInMs } });
   }
 
   private onEnd(id: number, end: AttemptEnd): void {
--- a/src/sidecar/target/target-gateway.ts
+++ b/src/sidecar/target/target-gateway.ts
@@ -109,9 +109,8 @@
     const now = this.options.clock.now();
     this.lastTicket += 1;
     const ticket = this.lastTicket;
-    const deadline = now + call.timeLeftMs;
-    const context = createContext(call, deadline);
-    this.add(ticket, { call, deadline, context, onEnd, gate, abort: undefined });
+    const context = createContext(call, now);
+    this.add(ticket, { call, deadline: context.deadline, context, onEnd, gate, abort: undefined });
     this.apply(gate.offer(now, ticket, context));
     this.armTimer();
     return () => this.cancel(ticket);
@@ -278,14 +277,15 @@
   }
 }
 
-function createContext(call: AttemptCall, deadline: number): RequestContext {
+function createContext(call: AttemptCall, now: number): RequestContext {
   return {
     requestId: call.requestId,
     tenant: '',
     service: call.service,
     kind: call.kind,
     criticality: CRITICALITIES[call.rank] ?? 'normal',
-    deadline,
+    deadline: now + call.timeLeftMs,
+    dueAt: now + call.dueInMs,
     idempotent: call.idempotent,
     depth: call.depth,
   };
