Calls of runs that have been served calls go before first ones

Change: a call is committed when a call of the same run, or of one above, has been served. At the gate it stands at the top of its class; four tenths of the share of repeats are kept for such calls.

--- a/src/core/admission/admission-priority.ts
+++ b/src/core/admission/admission-priority.ts
@@ -20,6 +20,12 @@
   return ((hash ^ (hash >>> 16)) >>> 0) / UINT32_RANGE;
 }
 
+/** End of the quarter of a request's class; the next class begins there. */
+export function topOfClass({ criticality }: RequestContext): number {
+  const classes = CRITICALITIES.length;
+  return (classes - rankOf(criticality)) / classes;
+}
+
 /**
  * Admission priority in [0, 1). Each class takes one quarter, `critical` the highest;
  * within its quarter a request stands by the hash of its id. A threshold `t` refuses every
--- a/src/core/policies/adaptive-gate.test.ts
+++ b/src/core/policies/adaptive-gate.test.ts
@@ -252,6 +252,28 @@
   assert.equal(offer(3, 0.1, 1), 'refuse');
 });
 
+test('calls of a run that has been served calls pass where its first call does not', () => {
+  const gate = createGate();
+  gate.noteDownstream(0, 'deep', 0.49, 'calls-deep');
+  const offer = (ticket: number, criticality: Criticality, committed: boolean) => {
+    const request = createRequest(ticket, criticality, 1_000, 'calls-deep', 1);
+    return gate.offer(0, ticket, { ...request, committed })[0]?.type;
+  };
+  const low = findTicket(({ priority }) => priority < 0.35);
+  assert.equal(offer(low, 'normal', false), 'refuse');
+  assert.equal(offer(low, 'normal', true), 'dispatch');
+  gate.noteDownstream(0, 'deep', 0.6, 'calls-deep');
+  assert.equal(offer(low, 'normal', true), 'refuse', 'not before a higher class');
+});
+
+/** A ticket whose request of class `normal` has such a priority. */
+function findTicket(fits: (found: { readonly priority: number }) => boolean): number {
+  for (let ticket = 1; ; ticket += 1) {
+    if (fits({ priority: admissionPriority(createRequest(ticket, 'normal', 1_000)) }))
+      return ticket;
+  }
+}
+
 test('requests of a kind that has become too slow are let through one at a time', () => {
   const gate = createGate();
   gate.offer(0, 1, createRequest(1, 'critical', 10_000));
--- a/src/core/policies/adaptive-gate.ts
+++ b/src/core/policies/adaptive-gate.ts
@@ -5,7 +5,7 @@
  *
  * @see docs/design/overload-control.md
  */
-import { admissionPriority } from '../admission/admission-priority.js';
+import { admissionPriority, topOfClass } from '../admission/admission-priority.js';
 import { DownstreamThresholds } from '../admission/downstream-thresholds.js';
 import type { ThresholdController } from '../admission/threshold-controller.js';
 import type { ConcurrencyLimit } from '../limit/concurrency-limit.js';
@@ -39,7 +39,6 @@
  * which a refusal would waste. With a whole class the requests of callers starve at the gate.
  */
 const DEEP_TOLERANCE = 0.08;
-
 /** Limit, queue and admission of one target. */
 export class AdaptiveGate implements TargetGate {
   private readonly inFlight = new InFlight();
@@ -60,7 +59,7 @@
       return [this.refuse(now, waiting, ResultCode.AdmissionRefused, detail)];
     }
     const { controller, queue } = this.options;
-    controller.noteOffered(now, waiting.priority, waiting.serviceMs);
+    controller.noteOffered(now, admissionPriority(request), waiting.serviceMs);
     this.reserve.note(now, request, waiting.serviceMs);
     if (this.isUnreachable(now, waiting)) return [this.refuseLate(now, waiting)];
     const mustDisplace = !this.hasFreeSlot(now, request) && isBelow(waiting, controller.threshold);
@@ -121,7 +120,7 @@
     const probes = latestStart <= now && !this.inFlight.hasKind(request.kind);
     // A probe finds out whether the service time has come down again.
     const giveUpAt = probes ? request.deadline : latestStart;
-    return { ticket, request, priority: admissionPriority(request), serviceMs, giveUpAt };
+    return { ticket, request, priority: gatePriority(request), serviceMs, giveUpAt };
   }
 
   private isUnreachable(now: number, waiting: WaitingRequest): boolean {
@@ -219,7 +218,19 @@
   }
 }
 
-function isBelow({ request, priority }: WaitingRequest, threshold: number): boolean {
-  const tolerance = request.depth > 0 ? DEEP_TOLERANCE : 0;
-  return priority < threshold - tolerance;
+function isBelow({ priority }: WaitingRequest, threshold: number): boolean {
+  return priority < threshold;
+}
+
+/**
+ * Priority at the gate: work that has been spent on a request above raises it. Calls of a run whose
+ * earlier calls have been served stand at the top of their class: a run that makes four calls in
+ * turn, each refused one time in ten, ends whole two times in three; when only the first may be
+ * refused, nine times in ten.
+ */
+function gatePriority(request: RequestContext): number {
+  const priority = admissionPriority(request);
+  if (request.depth === 0) return priority;
+  const tolerated = priority + DEEP_TOLERANCE;
+  return request.committed === true ? Math.max(tolerated, topOfClass(request)) : tolerated;
 }
--- a/src/core/request.ts
+++ b/src/core/request.ts
@@ -30,6 +30,8 @@
   readonly idempotent: boolean;
   /** Service hops above this one; 0 at the caller's entry. */
   readonly depth: number;
+  /** Whether a call made for the same run, or for one above, has been served: work that a refusal wastes. */
+  readonly committed?: boolean;
 }
 
 /** How one attempt at a target ended, as admission, limits and routing see it. */
--- a/src/sidecar/entry/entry-service.ts
+++ b/src/sidecar/entry/entry-service.ts
@@ -50,6 +50,8 @@
 const MS_PER_SECOND = 1_000;
 const NOT_READY_RETRY_MS = 500;
 const NO_KIND = '';
+/** Lowest status that says that a target failed. */
+const SERVER_ERROR = 500;
 
 /** See the module comment. */
 export class EntryService implements ExchangeHandler {
@@ -144,7 +146,7 @@
       repeatSlack: this.options.repeatSlack() / directory.size,
       portOf: (node) => directory.portOf(node),
       onEnd: (end) => {
-        this.noteDownstream(context, attemptId);
+        this.noteDownstream(context, attemptId, end);
         this.onEnd(context, attemptId, end);
       },
     });
@@ -194,6 +196,7 @@
       idempotent,
       depth,
       repeated: parentId !== undefined && gateway.isRepeated(parentId),
+      committed: parentId !== undefined && gateway.isCommitted(parentId),
       timeLeftMs: 0,
       dueInMs: 0,
       callerService: this.options.callerService,
@@ -205,12 +208,17 @@
   }
 
   /** The own target's gate refuses, before work is spent, what would be refused below it. */
-  private noteDownstream({ service, kind }: RequestContext, attemptId: string): void {
+  private noteDownstream(
+    { service, kind }: RequestContext,
+    attemptId: string,
+    end: RequestEnd,
+  ): void {
     const { parentOf, gateway, routers, clock } = this.options;
     const parentId = parentOf(attemptId);
     if (parentId === undefined) return;
     const threshold = routers.of(service).router.threshold(clock.now(), kind);
     gateway.noteDownstream(parentId, service, threshold);
+    if (end.type === 'answer' && end.status < SERVER_ERROR) gateway.noteCallServed(parentId);
   }
 
   private onEnd(context: RequestContext, attemptId: string, end: RequestEnd): void {
--- a/src/sidecar/entry/repeat-budget.test.ts
+++ b/src/sidecar/entry/repeat-budget.test.ts
@@ -52,3 +52,12 @@
   for (let count = 0; count < 10; count += 1) budget.noteRequest(20, true);
   assert.equal(spendAll(budget, 30), 0);
 });
+
+test('a part of the share is kept for the later calls of a run', () => {
+  const budget = new RepeatBudget({ ...OPTIONS, slack: 0 });
+  for (let count = 0; count < 100; count += 1) budget.noteRequest(5);
+  let first = 0;
+  while (budget.spend(10, 0, true)) first += 1;
+  assert.equal(first, 6);
+  assert.equal(spendAll(budget, 20), 4);
+});
--- a/src/sidecar/entry/repeat-budget.ts
+++ b/src/sidecar/entry/repeat-budget.ts
@@ -20,6 +20,11 @@
 }
 
 const BUCKETS = 10;
+/**
+ * Part of the share that is open to first calls of a run; the rest is kept for the later ones, whose
+ * failure wastes the most. It matters while targets refuse or lose more than the budget covers.
+ */
+const FIRST_CALLS_SHARE = 0.6;
 
 /** Counts in buckets of a tenth of the window; a bucket leaves as a whole. */
 export class RepeatBudget {
@@ -44,10 +49,12 @@
    * Takes one repeat; false when there is none left.
    *
    * @param slack this node's part of the common allowance, which changes with the nodes
+   * @param isFirst whether the run that makes the call has not been served any call before
    */
-  spend(now: number, slack = this.options.slack): boolean {
+  spend(now: number, slack = this.options.slack, isFirst = false): boolean {
     this.advance(now);
-    const allowed = this.options.ratio * sum(this.requests) + slack;
+    const share = isFirst ? FIRST_CALLS_SHARE : 1;
+    const allowed = share * this.options.ratio * sum(this.requests) + slack;
     if (sum(this.repeats) + 1 > allowed) return false;
     this.repeats[this.current % BUCKETS]! += 1;
     return true;
--- a/src/sidecar/entry/routed-request.test.ts
+++ b/src/sidecar/entry/routed-request.test.ts
@@ -30,6 +30,7 @@
   idempotent: true,
   depth: 0,
   repeated: false,
+  committed: false,
   timeLeftMs: 0,
   dueInMs: 7,
   callerService: 'c',
--- a/src/sidecar/entry/routed-request.ts
+++ b/src/sidecar/entry/routed-request.ts
@@ -176,7 +176,7 @@
     const now = clock.now();
     if (now >= context.deadline) return false;
     if (this.offers === 0) return true;
-    return service.repeats.spend(now, repeatSlack);
+    return service.repeats.spend(now, repeatSlack, !this.options.call.committed);
   }
 
   private onDeadline(): void {
--- a/src/sidecar/forwarded-fields.test.ts
+++ b/src/sidecar/forwarded-fields.test.ts
@@ -24,6 +24,7 @@
   idempotent: true,
   depth: 0,
   repeated: false,
+  committed: false,
   timeLeftMs: 900,
   dueInMs: 7,
   callerService: 'above',
--- a/src/sidecar/link/link-messages.test.ts
+++ b/src/sidecar/link/link-messages.test.ts
@@ -30,6 +30,7 @@
       idempotent: true,
       depth: 1,
       repeated: true,
+      committed: false,
       timeLeftMs: 10.5,
       dueInMs: 7,
       callerService: 'c',
@@ -84,6 +85,7 @@
     idempotent: true,
     depth: 2,
     repeated: false,
+    committed: false,
     timeLeftMs: 1_234.5,
     dueInMs: 7,
   };
--- a/src/sidecar/link/link-messages.ts
+++ b/src/sidecar/link/link-messages.ts
@@ -38,6 +38,8 @@
   readonly depth: number;
   /** Whether this try, or a run above that makes the call, is a repeat. */
   readonly repeated: boolean;
+  /** Whether a call for the same run, or for one above, has been served. */
+  readonly committed: boolean;
   /** Milliseconds left when the message was sent. */
   readonly timeLeftMs: number;
   /** The same until the answer loses a part of its value; below 0 when that has happened. */
@@ -186,6 +188,7 @@
     x: call.idempotent,
     d: call.depth,
     e: call.repeated ? true : undefined,
+    w: call.committed ? true : undefined,
     l: call.timeLeftMs,
     u: Math.round(call.dueInMs),
     o: call.callerService,
@@ -278,6 +281,7 @@
     idempotent: document['x'] as boolean,
     depth: document['d'] as number,
     repeated: document['e'] === true,
+    committed: document['w'] === true,
     timeLeftMs: document['l'] as number,
     dueInMs: document['u'] as number,
     callerService: document['o'] as string,
--- a/src/sidecar/link/link-server.test.ts
+++ b/src/sidecar/link/link-server.test.ts
@@ -17,6 +17,7 @@
   idempotent: false,
   depth: 0,
   repeated: false,
+  committed: false,
   timeLeftMs: 1_000,
   dueInMs: 7,
   callerService: 'c',
--- a/src/sidecar/link/peer-link.test.ts
+++ b/src/sidecar/link/peer-link.test.ts
@@ -86,6 +86,7 @@
     idempotent,
     depth: 0,
     repeated: false,
+    committed: false,
     timeLeftMs: 5_000,
     dueInMs: 7,
     callerService: 'c',
--- a/src/sidecar/target/target-gateway.ts
+++ b/src/sidecar/target/target-gateway.ts
@@ -42,6 +42,8 @@
   readonly onEnd: (end: AttemptEnd) => void;
   /** Gate of the incarnation that the request was admitted for. */
   readonly gate: TargetGate;
+  /** Whether a call that the target made for the request has been served. */
+  callServed: boolean;
   /** Breaks the exchange off; undefined while the request waits. */
   abort: (() => void) | undefined;
 }
@@ -110,7 +112,7 @@
     this.lastTicket += 1;
     const ticket = this.lastTicket;
     const context = createContext(call, now);
-    this.add(ticket, { call, deadline: context.deadline, context, onEnd, gate, abort: undefined });
+    this.add(ticket, { call, deadline: context.deadline, context, onEnd, gate, callServed: false, abort: undefined });
     this.apply(gate.offer(now, ticket, context));
     this.armTimer();
     return () => this.cancel(ticket);
@@ -126,6 +128,18 @@
     return this.byAttempt.get(attemptId)?.call.repeated ?? false;
   }
 
+  /** Whether a call of the run of this identity, or of one above, has been served. */
+  isCommitted(attemptId: string): boolean {
+    const ticket = this.byAttempt.get(attemptId);
+    return ticket !== undefined && (ticket.callServed || ticket.call.committed);
+  }
+
+  /** A call that the target made for a request was served. */
+  noteCallServed(attemptId: string): void {
+    const ticket = this.byAttempt.get(attemptId);
+    if (ticket !== undefined) ticket.callServed = true;
+  }
+
   /** Takes in the admission threshold of a service that the target calls for a request. */
   noteDownstream(attemptId: string, service: string, threshold: number): void {
     const ticket = this.byAttempt.get(attemptId);
@@ -288,6 +302,7 @@
     dueAt: now + call.dueInMs,
     idempotent: call.idempotent,
     depth: call.depth,
+    committed: call.committed,
   };
 }
 
