Test of planned stops in turn prints the tries that timed out

Cause: the listed red test said only that some try had ended as a timeout, so its one red run could not be traced. Ruled out: a wait that the load alone brings about: 18 runs beside six busy processes and 9 runs of three deployments side by side (load 20 to 33) were all green. Change: the assertion compares the requests with timed-out tries with none, so that a red run prints entry, kind, times and codes beside the logs of all nodes, which are printed already. As strict as before. Conclusion: kept; the test stays on the list.

--- a/src/trials/deployment.process.test.ts
+++ b/src/trials/deployment.process.test.ts
@@ -73,8 +73,10 @@
     const report = await deployment.check([result]);
     assertGuarantees(report);
     assert.equal(report.cut, 0);
-    const ends = result.records.flatMap((record) => record.tries.map(({ ended }) => ended));
-    assert.ok(!ends.includes('timeout'));
+    const timedOut = result.records.filter(({ tries }) =>
+      tries.some(({ ended }) => ended === 'timeout'),
+    );
+    assert.deepEqual(timedOut, [], 'tries that waited to the end of their time');
     await context.test('every request completes during planned stops', () => {
       assertAllComplete(result);
     });
