Each node uses a subset of the targets of a large service

Cause: at 195 machines an entry sends eleven requests a second over 93 targets of a service, so that it hears of each every eight seconds, the choice among them is blind, and each node opens links to 194 others. Each record and link that changed built all routers anew. Change: rendezvous order weighted by slots; eight targets of the own zone and six of others; what is out of reach or leaving stays and is replaced; more where a node has more tries under way than targets; all of them up to 24. The emulator plays it (`subsets`).

--- a/src/emulator/deployment.ts
+++ b/src/emulator/deployment.ts
@@ -88,6 +88,8 @@
   readonly connectMs: number;
   /** Nodes of each zone, among which its targets are shared. */
   readonly nodesPerZone: number | typeof ONE_PER_TARGET;
+  /** Whether each node uses a subset of the targets of a large service. */
+  readonly subsets: boolean;
   readonly services: readonly ServiceModel[];
   readonly kinds: readonly CallerKind[];
 }
--- a/src/emulator/example-deployments.ts
+++ b/src/emulator/example-deployments.ts
@@ -66,6 +66,7 @@
     localDelayMs: LOCAL_DELAY_MS,
     connectMs: CONNECT_MS,
     nodesPerZone: 1,
+    subsets: false,
     ...network,
     services: rules.services.map(({ name: service, slots, connections, calls, targets }) => ({
       name: service,
--- a/src/emulator/scenario.ts
+++ b/src/emulator/scenario.ts
@@ -134,6 +134,8 @@
     description: z.string().max(1_000).default(''),
     deployment: deploymentSchema,
     nodesPerZone: z.union([z.int().min(1).max(200), z.literal(ONE_PER_TARGET)]).default(1),
+    /** Whether each node uses a subset of the targets of a large service, as sidecars do. */
+    subsets: z.boolean().default(false),
     durationMs: z.number().min(100).max(MAX_DURATION_MS),
     /** Requests sent before are not counted. */
     warmUpMs: time.default(2_000),
@@ -166,7 +168,7 @@
 
 /** The deployment that a scenario names. */
 export function resolveDeployment(
-  scenario: Pick<Scenario, 'deployment' | 'nodesPerZone' | 'load'>,
+  scenario: Pick<Scenario, 'deployment' | 'nodesPerZone' | 'subsets' | 'load'>,
 ): Deployment {
   const base =
     typeof scenario.deployment === 'string'
@@ -174,7 +176,7 @@
       : createSyntheticFleet(scenario.deployment.synthetic);
   const { mix } = scenario.load;
   const kinds = base.kinds.map((kind) => (mix ? { ...kind, share: mix[kind.name] ?? 0 } : kind));
-  return { ...base, kinds, nodesPerZone: scenario.nodesPerZone };
+  return { ...base, kinds, nodesPerZone: scenario.nodesPerZone, subsets: scenario.subsets };
 }
 
 interface Issue {
--- a/src/emulator/simulation.ts
+++ b/src/emulator/simulation.ts
@@ -169,14 +169,13 @@
 
   private createNodes(): EmulatedNode[] {
     const { deployment, policy, seed } = this.options;
-    const viewOf = (service: string) => this.directory.viewOf(service);
     const all: EmulatedNode[] = [];
     for (const { name, region } of deployment.zones) {
-      const nodes = Array.from(
-        { length: this.countNodes(name) },
-        (_, index) =>
-          new EmulatedNode(`${name}-node-${index + 1}`, name, region, policy, seed, viewOf),
-      );
+      const nodes = Array.from({ length: this.countNodes(name) }, (_, index) => {
+        const id = `${name}-node-${index + 1}`;
+        const viewOf = (service: string) => this.directory.viewOfNode(service, id, name);
+        return new EmulatedNode(id, name, region, policy, seed, viewOf);
+      });
       this.nodesByZone.set(name, nodes);
       all.push(...nodes);
     }
--- a/src/emulator/synthetic-fleet.ts
+++ b/src/emulator/synthetic-fleet.ts
@@ -54,6 +54,7 @@
     localDelayMs: 0.05,
     connectMs: 1,
     nodesPerZone: 1,
+    subsets: false,
     services: createServices(
       shape,
       serviceCount,
--- a/src/emulator/target-directory.ts
+++ b/src/emulator/target-directory.ts
@@ -1,5 +1,6 @@
 /** What the nodes see of the targets: list of machines, leaving signs, lost zones. */
 import type { TargetView } from '../core/overload.js';
+import { chooseSubset, subsetRank } from '../core/routing/target-subset.js';
 import type { Deployment } from './deployment.js';
 
 /** Why a target is not eligible. */
@@ -22,6 +23,18 @@
     return view;
   }
 
+  /** The same for one node, which may use a subset of them. */
+  viewOfNode(service: string, node: string, zone: string): readonly TargetView[] {
+    const all = this.viewOf(service);
+    if (!this.deployment.subsets) return all;
+    const candidates = all.map((view) => ({
+      ...view,
+      rank: subsetRank(node, view.id, 1),
+      usable: view.eligible,
+    }));
+    return chooseSubset(candidates, zone);
+  }
+
   /** Sets or clears one reason against a target. */
   set(target: string, exclusion: Exclusion, excluded: boolean): void {
     const reasons = this.exclusions.get(target) ?? new Set();
--- a/src/sidecar/directory/node-directory.test.ts
+++ b/src/sidecar/directory/node-directory.test.ts
@@ -177,3 +177,37 @@
   directory.apply([{ type: 'put', key: keyOfNode('own'), value: Buffer.from('x'), revision: 3 }]);
   assert.equal(ownLosses, 1);
 });
+
+/** Records of a large service at addresses where nobody listens. */
+function putMany(count: number): void {
+  const events = Array.from({ length: count }, (_, index) => {
+    const node = `many-${index}`;
+    const value = encodeNodeRecord({
+      ...record,
+      ...{ node, service: 'many', address: '127.0.0.1:1', zone: index % 2 === 0 ? 'z' : 'y' },
+      targetSlots: 20,
+    });
+    return { type: 'put' as const, key: keyOfNode(node), value, revision: 3 };
+  });
+  directory.apply(events);
+}
+
+const SUBSET_SIZE = 14;
+
+test('of a large service a subset is used; targets out of reach are replaced and stay', async () => {
+  putMany(60);
+  const first = directory.viewsOf('many');
+  assert.equal(first.length, SUBSET_SIZE);
+  assert.equal(first.filter(({ zone }) => zone === 'z').length, 8);
+  await waitUntil(() => directory.viewsOf('many').length > SUBSET_SIZE);
+  const ids = new Set(directory.viewsOf('many').map(({ id }) => id));
+  assert.ok(first.every(({ id }) => ids.has(id)));
+});
+
+test('a caller with more tries under way than targets uses more of them', () => {
+  putMany(60);
+  assert.equal(directory.viewsOf('many').length, SUBSET_SIZE);
+  assert.equal(directory.widen('many', SUBSET_SIZE), false);
+  assert.equal(directory.widen('many', SUBSET_SIZE + 1), true);
+  assert.equal(directory.viewsOf('many').length, 2 * SUBSET_SIZE);
+});
--- a/src/sidecar/directory/node-directory.ts
+++ b/src/sidecar/directory/node-directory.ts
@@ -3,6 +3,11 @@
  * target takes work comes from the node itself while a link is open, else from its record.
  */
 import type { TargetView } from '../../core/overload.js';
+import {
+  chooseSubset,
+  subsetRank,
+  type SubsetCandidate,
+} from '../../core/routing/target-subset.js';
 import type { CancelTimer, Clock } from '../../kernel/clock.js';
 import { Event, type EventLog } from '../../kernel/event.js';
 import type { StoreEvent, StoreItem } from '../../store/metadata-store.js';
@@ -42,8 +47,13 @@
  */
 export const LAPSED_GRACE_MS = 3_000;
 
+/** Widths of a subset by the tries under way: doubled when its targets have more than one each. */
+const WIDTH_STEP = 2;
+
 interface Peer {
   record: NodeRecord;
+  /** Place in this node's order of targets; see {@link subsetRank}. */
+  rank: number;
   readonly link: PeerLink;
   /** As the node itself said last over the link. */
   said: NodeStatus | undefined;
@@ -55,8 +65,8 @@
 /** See the module comment. */
 export class NodeDirectory {
   private readonly peers = new Map<string, Peer>();
-  /** Services that this node calls, so that links to their nodes are kept. */
-  private readonly wanted = new Set<string>();
+  /** Services that this node calls, with their subsets. */
+  private readonly called = new Map<string, CalledTargets>();
 
   constructor(private readonly options: NodeDirectoryOptions) {}
 
@@ -86,19 +96,40 @@
     return this.peers.get(node)?.link.isReachable ?? false;
   }
 
-  /** Targets of a service as routing sees them; a target's id is its node's. */
+  /**
+   * The targets of a service that this node uses, as routing sees them; a target's id is its node's.
+   * Links to their nodes are opened; see {@link chooseSubset}.
+   */
   viewsOf(service: string): readonly TargetView[] {
-    this.want(service);
-    const views: TargetView[] = [];
+    const called = this.calledTargets(service);
+    const candidates: PeerCandidate[] = [];
     for (const [id, peer] of this.peers) {
-      const { record } = peer;
-      if (record.service !== service) continue;
-      views.push(viewOf(id, peer));
+      if (peer.record.service === service) candidates.push(toCandidate(id, peer));
     }
+    const subset = chooseSubset(candidates, this.options.zone, called.width);
+    called.size = subset.length;
+    called.isWhole = subset.length === candidates.length;
+    for (const { peer } of subset) peer.link.open();
+    const views = subset.map(({ id, peer }) => viewOf(id, peer));
     if (service === this.options.service) views.push(this.ownView());
     return views;
   }
 
+  /**
+   * Widens the subset of a service when more tries are under way than it has targets: a caller with so
+   * many is one of few, and a narrow subset would crowd its targets while others are idle.
+   *
+   * @returns whether it was widened
+   */
+  widen(service: string, tries: number): boolean {
+    const called = this.calledTargets(service);
+    if (called.isWhole || tries <= called.size) return false;
+    called.width *= WIDTH_STEP;
+    // Until the targets are read again.
+    called.size = tries;
+    return true;
+  }
+
   /** Way to the target beside a node. */
   portOf(node: string): AttemptPort | undefined {
     if (node === this.options.node) return this.options.localTarget;
@@ -132,12 +163,13 @@
     };
   }
 
-  private want(service: string): void {
-    if (this.wanted.has(service)) return;
-    this.wanted.add(service);
-    for (const { record, link } of this.peers.values()) {
-      if (record.service === service) link.open();
+  private calledTargets(service: string): CalledTargets {
+    let called = this.called.get(service);
+    if (called === undefined) {
+      called = { width: 1, size: 0, isWhole: true };
+      this.called.set(service, called);
     }
+    return called;
   }
 
   private onRecord(key: string, value: Buffer): void {
@@ -154,6 +186,7 @@
       known.lapsed = false;
       known.cancelLapse();
       known.record = record;
+      known.rank = this.rankOf(record);
     } else {
       if (known !== undefined) this.remove(record.node, known, 'the node has moved');
       this.add(record);
@@ -182,9 +215,14 @@
         },
       },
     });
-    this.peers.set(node, { record, link, said: undefined, lapsed: false, cancelLapse: () => {} });
+    const rank = this.rankOf(record);
+    const state = { said: undefined, lapsed: false, cancelLapse: () => {} };
+    this.peers.set(node, { record, rank, link, ...state });
     log.emit(Event.MemberJoined, { peer: node, address, service });
-    if (this.wanted.has(service)) link.open();
+  }
+
+  private rankOf({ node, targetSlots }: NodeRecord): number {
+    return subsetRank(this.options.node, node, targetSlots ?? 1);
   }
 
   /**
@@ -247,6 +285,25 @@
   }
 }
 
+/** The subset of a service's targets that this node uses. */
+interface CalledTargets {
+  width: number;
+  /** Targets in it when they were last read. */
+  size: number;
+  /** Whether it holds all targets. */
+  isWhole: boolean;
+}
+
+interface PeerCandidate extends SubsetCandidate {
+  readonly peer: Peer;
+}
+
+function toCandidate(id: string, peer: Peer): PeerCandidate {
+  const { record, rank, link, said } = peer;
+  const usable = !link.isOutOfReach && (said?.target ?? record.target) === 'ready';
+  return { id, zone: record.zone, rank, usable, peer };
+}
+
 function viewOf(id: string, peer: Peer): TargetView {
   const { record, said } = peer;
   const { zone, region } = record;
--- a/src/sidecar/entry/routed-request.test.ts
+++ b/src/sidecar/entry/routed-request.test.ts
@@ -80,6 +80,8 @@
       service: {
         router,
         repeats: new RepeatBudget({ ratio: 0, windowMs: 10_000, slack: 0 }),
+        noteTryStart: () => {},
+        noteTryEnd: () => {},
       },
       clock: this.clock,
       repeatSlack: 5,
--- a/src/sidecar/entry/routed-request.ts
+++ b/src/sidecar/entry/routed-request.ts
@@ -115,6 +115,7 @@
     const call = { ...this.options.call, repeated, timeLeftMs: timeLeftMs - margin, dueInMs };
     const current: CurrentTry = { node, startedAt: now, cancel: () => false };
     this.current = current;
+    service.noteTryStart();
     const port = portOf(node);
     if (port === undefined) {
       const detail = `${node} is not known any more`;
@@ -157,7 +158,9 @@
     load?: LoadReport,
   ): void {
     const now = this.options.clock.now();
-    this.options.service.router.onOutcome(now, {
+    const { service } = this.options;
+    service.noteTryEnd();
+    service.router.onOutcome(now, {
       target: node,
       kind: this.options.context.kind,
       outcome,
--- a/src/sidecar/link/peer-link.ts
+++ b/src/sidecar/link/peer-link.ts
@@ -105,6 +105,11 @@
     return this.reachable || (this.phase === 'connecting' && !this.failed);
   }
 
+  /** Whether the last thing known is that the other node was not reached. */
+  get isOutOfReach(): boolean {
+    return this.failed || this.silent;
+  }
+
   /** Connects unless it is connected or about to be. */
   open(): void {
     if (this.phase !== 'idle' || this.closed) return;
