Waits for changes of the store grow with the fleet

Ruled out: relays that follow the store for others (wanted, and more than this: a design of its own); polling with stale reads (a listing of 195 records each 3 s costs each node milliseconds of decoding). Change: waits such that all nodes together make eight calls a second a prefix at rest, at most 23 s; records are gathered for 15 ms a node, 1 to 3 s; the grace of lapsed records follows. Up to 40 nodes nothing changes for rules, up to 66 for records. Conclusion: kept until measured.

--- a/src/sidecar/directory/node-directory.test.ts
+++ b/src/sidecar/directory/node-directory.test.ts
@@ -6,11 +6,13 @@
 import { silentEventLog } from '../../kernel/event.js';
 import type { NodeStatus } from '../link/link-messages.js';
 import { LinkServer } from '../link/link-server.js';
-import { LAPSED_GRACE_MS, NodeDirectory } from './node-directory.js';
+import { lapsedGraceMs, NodeDirectory } from './node-directory.js';
 import { encodeNodeRecord, keyOfNode, type NodeRecord } from './node-record.js';
 
 const STATUS: NodeStatus = { node: 'peer', service: 's', target: 'ready', rulesVersion: 1 };
 
+const LAPSED_GRACE_MS = lapsedGraceMs(2);
+
 let clock: ManualClock;
 let server: LinkServer;
 let directory: NodeDirectory;
--- a/src/sidecar/directory/node-directory.ts
+++ b/src/sidecar/directory/node-directory.ts
@@ -14,6 +14,7 @@
 import type { AttemptPort } from '../link/attempt-port.js';
 import type { NodeStatus } from '../link/link-messages.js';
 import { PeerLink } from '../link/peer-link.js';
+import { gatherRecordsMs } from './watch-timing.js';
 import { decodeNodeRecord, NODE_RECORD_PREFIX, type NodeRecord } from './node-record.js';
 
 /** What the directory works with. */
@@ -41,11 +42,13 @@
   onOwnRecordLost(): void;
 }
 
-/**
- * Time in which a node whose record has ended writes it again: 2 s after the store is back, and the
- * second by which changes may be gathered, in milliseconds.
- */
-export const LAPSED_GRACE_MS = 3_000;
+/** Time after the store is back in which a node whose record has ended writes it again, in milliseconds. */
+const REWRITE_WITHIN_MS = 2_000;
+
+/** Time for which a node whose record has ended stays known: until a new one would be heard of. */
+export function lapsedGraceMs(nodes: number): number {
+  return REWRITE_WITHIN_MS + gatherRecordsMs(nodes);
+}
 
 /** Widths of a subset by the tries under way: doubled when its targets have more than one each. */
 const WIDTH_STEP = 2;
@@ -244,7 +247,7 @@
   /** While the store is away for this node, it cannot hear that the record is back. */
   private removeLater(node: string, peer: Peer): void {
     const { clock, isStoreAvailable } = this.options;
-    peer.cancelLapse = clock.schedule(LAPSED_GRACE_MS, () => {
+    peer.cancelLapse = clock.schedule(lapsedGraceMs(this.size), () => {
       if (isStoreAvailable()) this.remove(node, peer, 'its record has not come back');
       else this.removeLater(node, peer);
     });
--- a/src/sidecar/directory/prefix-watch.test.ts
+++ b/src/sidecar/directory/prefix-watch.test.ts
@@ -47,8 +47,8 @@
     clock: { ...systemClock, schedule: immediately },
     log: silentEventLog,
     random: createRandom(0x5eed),
-    waitMs: 100,
-    pauseAfterEventsMs: 0,
+    waitMs: () => 100,
+    pauseAfterEventsMs: () => 0,
     onListing: () => {},
     onEvents: (events) => {
       heard += events.length;
--- a/src/sidecar/directory/prefix-watch.ts
+++ b/src/sidecar/directory/prefix-watch.ts
@@ -15,10 +15,10 @@
   readonly log: EventLog;
   /** Spreads the ends of waits, so that nodes do not ask at the same time. */
   readonly random: Random;
-  /** Longest wait of one call, in milliseconds. */
-  readonly waitMs: number;
+  /** Wait of one call, in milliseconds; it is spread by a quarter around this. */
+  waitMs(): number;
   /** Pause after changes, so that those that follow come with one call, in milliseconds. */
-  readonly pauseAfterEventsMs: number;
+  pauseAfterEventsMs(): number;
   /** All items, after the start and after a gap. */
   onListing(items: readonly StoreItem[]): void;
   onEvents(events: readonly StoreEvent[]): void;
@@ -71,7 +71,7 @@
 
   private async watch(revision: number): Promise<void> {
     const { store, prefix, waitMs, random } = this.options;
-    const jittered = Math.round(waitMs * (0.75 + 0.5 * random.next()));
+    const jittered = Math.round(waitMs() * (0.75 + 0.5 * random.next()));
     const result = await store.watch(prefix, revision, jittered);
     if (result.isErr) {
       // What happened meanwhile is not known, and another wait could be cut as well.
@@ -89,7 +89,7 @@
     if (result.value.events.length === 0) return;
     this.revision = result.value.at;
     this.options.onEvents(result.value.events);
-    await this.pause(this.options.pauseAfterEventsMs);
+    await this.pause(this.options.pauseAfterEventsMs());
   }
 
   private onSuccess(): void {
--- /dev/null
+++ b/src/sidecar/directory/watch-timing.test.ts
@@ -0,0 +1,27 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { gatherRecordsMs, waitForChangesMs } from './watch-timing.js';
+
+/** Longest wait that the store grants, and the largest factor by which waits are spread. */
+const STORE_LIMIT_MS = 30_000;
+const SPREAD = 1.25;
+
+test('a small fleet waits for as long as before', () => {
+  for (const nodes of [1, 14, 17, 40]) {
+    assert.equal(waitForChangesMs(nodes, 5_000), 5_000);
+    assert.equal(gatherRecordsMs(nodes), 1_000);
+  }
+});
+
+test('waits grow with the fleet, up to what the store grants', () => {
+  assert.equal(waitForChangesMs(80, 5_000), 10_000);
+  for (const nodes of [195, 1_000]) {
+    assert.ok(waitForChangesMs(nodes, 5_000) * SPREAD < STORE_LIMIT_MS);
+    assert.ok(waitForChangesMs(nodes, 5_000) > 20_000);
+  }
+});
+
+test('a record is heard of within three seconds in any fleet', () => {
+  assert.equal(gatherRecordsMs(100), 1_500);
+  assert.equal(gatherRecordsMs(1_000), 3_000);
+});
--- a/src/sidecar/plugins/directory-plugin.ts
+++ b/src/sidecar/plugins/directory-plugin.ts
@@ -4,14 +4,13 @@
 import { Token } from '../../kernel/token.js';
 import { NodeDirectory } from '../directory/node-directory.js';
 import { NODE_RECORD_PREFIX } from '../directory/node-record.js';
+import { gatherRecordsMs, waitForChangesMs } from '../directory/watch-timing.js';
 import { PrefixWatch } from '../directory/prefix-watch.js';
 import { seedOf } from '../seed.js';
 import { SidecarOrder, SidecarToken } from './tokens.js';
 
-/** Longest wait of one call for changes, in milliseconds. */
-const WAIT_MS = 10_000;
-/** Changes often come together, and links tell what is urgent; one call then takes many. */
-const PAUSE_AFTER_EVENTS_MS = 1_000;
+/** Wait of one call for changes in a small fleet, in milliseconds. */
+const MIN_WAIT_MS = 10_000;
 
 registerPlugin(
   {
@@ -53,8 +52,9 @@
           clock: get(Token.Clock),
           log: get(Token.EventLog),
           random: createRandom(seedOf(`${get(SidecarToken.Settings).node.id} nodes`)),
-          waitMs: WAIT_MS,
-          pauseAfterEventsMs: PAUSE_AFTER_EVENTS_MS,
+          waitMs: () => waitForChangesMs(directory.size, MIN_WAIT_MS),
+          // Changes often come together, and links tell what is urgent; one call then takes many.
+          pauseAfterEventsMs: () => gatherRecordsMs(directory.size),
           onListing: (items) => {
             directory.replaceAll(items);
           },
--- a/src/sidecar/plugins/rules-plugin.ts
+++ b/src/sidecar/plugins/rules-plugin.ts
@@ -2,13 +2,14 @@
 import { createRandom } from '../../core/random.js';
 import { registerPlugin } from '../../kernel/plugin.js';
 import { Token } from '../../kernel/token.js';
+import { waitForChangesMs } from '../directory/watch-timing.js';
 import { PrefixWatch } from '../directory/prefix-watch.js';
 import { RulesKeeper } from '../rules/rules-keeper.js';
 import { seedOf } from '../seed.js';
 import { SidecarOrder, SidecarToken } from './tokens.js';
 
-/** Longest wait of one call for changes, in milliseconds. */
-const WAIT_MS = 5_000;
+/** Wait of one call for changes in a small fleet, in milliseconds. */
+const MIN_WAIT_MS = 5_000;
 
 registerPlugin(
   {
@@ -39,8 +40,8 @@
           clock: get(Token.Clock),
           log: get(Token.EventLog),
           random: createRandom(seedOf(`${get(SidecarToken.Settings).node.id} rules`)),
-          waitMs: WAIT_MS,
-          pauseAfterEventsMs: 0,
+          waitMs: () => waitForChangesMs(get(SidecarToken.Directory).size, MIN_WAIT_MS),
+          pauseAfterEventsMs: () => 0,
           onListing: (items) => {
             for (const { key, value } of items) offer(key, value);
           },
--- a/test/bare-relay.ts
+++ b/test/bare-relay.ts
@@ -56,8 +56,8 @@
     clock: systemClock,
     log: silentEventLog,
     random: createRandom(seedOf(`${settings.node.id} ${prefix}`)),
-    waitMs: WAIT_MS,
-    pauseAfterEventsMs: PAUSE_MS,
+    waitMs: () => WAIT_MS,
+    pauseAfterEventsMs: () => PAUSE_MS,
     onListing: (items) => {
       for (const { key, value } of items) take(key, value);
     },
