A start reads the own record from the listing of all records

Cause: each start asked the store for a record that the listing right after it holds as well. Ruled out: nothing; a write under a condition protects against what was written after the listing, as before. Change: the first listing gives the record that an earlier process left.

--- a/src/sidecar/directory/prefix-watch.ts
+++ b/src/sidecar/directory/prefix-watch.ts
@@ -32,7 +32,15 @@
   private pauseMs = FIRST_PAUSE_MS;
   private revision: number | undefined;
 
-  constructor(private readonly options: PrefixWatchOptions) {}
+  /** All items of the first listing. */
+  readonly firstListing: Promise<readonly StoreItem[]>;
+  private onFirstListing: (items: readonly StoreItem[]) => void = () => {};
+
+  constructor(private readonly options: PrefixWatchOptions) {
+    this.firstListing = new Promise((resolve) => {
+      this.onFirstListing = resolve;
+    });
+  }
 
   /** Whether a listing has been taken in. */
   get isListed(): boolean {
@@ -67,6 +75,7 @@
     this.revision = listing.value.at;
     this.options.onListing(listing.value.items);
     this.listed = true;
+    this.onFirstListing(listing.value.items);
   }
 
   private async watch(revision: number): Promise<void> {
--- a/src/sidecar/directory/record-publisher.ts
+++ b/src/sidecar/directory/record-publisher.ts
@@ -39,19 +39,11 @@
 
   constructor(private readonly options: RecordPublisherOptions) {}
 
-  /** Reads the record that an earlier process left; retries until the store answers. */
-  async readPrevious(): Promise<NodeRecord | undefined> {
-    for (;;) {
-      const item = await this.options.store.read(keyOfNode(this.options.node));
-      if (item.isOk) {
-        this.revision = item.value?.revision ?? 0;
-        this.previous = item.value;
-        return item.value && decodeNodeRecord(item.value.key, item.value.value);
-      }
-      if (this.closed) return undefined;
-      this.report(item.error);
-      await this.pause();
-    }
+  /** Takes in the record that an earlier process left, as the first listing held it. */
+  takePrevious(item: StoreItem | undefined): NodeRecord | undefined {
+    this.revision = item?.revision ?? 0;
+    this.previous = item;
+    return item && decodeNodeRecord(item.key, item.value);
   }
 
   /** Publishes; resolves when the store has acknowledged this record or a later one. */
--- a/src/sidecar/directory/target-keeper.test.ts
+++ b/src/sidecar/directory/target-keeper.test.ts
@@ -43,7 +43,7 @@
 
   constructor(previous: NodeRecord | undefined, answers: readonly (string | undefined)[]) {
     const publisher = {
-      readPrevious: () => Promise.resolve(previous),
+      takePrevious: () => previous,
       publish: () => Promise.resolve(),
     } as unknown as RecordPublisher;
     this.keeper = new TargetKeeper({
@@ -51,6 +51,7 @@
       publisher,
       clock: this.clock,
       log: silentEventLog,
+      readPrevious: () => Promise.resolve(undefined),
       record: () => RECORD,
       probe: () => {
         this.probes += 1;
--- a/src/sidecar/directory/target-keeper.ts
+++ b/src/sidecar/directory/target-keeper.ts
@@ -7,6 +7,7 @@
 import { pause } from '../../kernel/pause.js';
 import { Event, type EventLog } from '../../kernel/event.js';
 import type { RegistrationMessage, UnreadableReport } from '../platform-adapter.js';
+import type { StoreItem } from '../../store/metadata-store.js';
 import type { NodeRecord } from './node-record.js';
 import type { RecordPublisher } from './record-publisher.js';
 import {
@@ -36,6 +37,11 @@
   readonly publisher: RecordPublisher;
   readonly clock: Clock;
   readonly log: EventLog;
+  /**
+   * The record that an earlier process of this node left. It comes from the listing of all records, which
+   * is read anyway: a call less for each start.
+   */
+  readPrevious(): Promise<StoreItem | undefined>;
   /** This node's record as it is now. */
   record(): NodeRecord;
   /** Asks the target itself for its identity; undefined without a good answer. */
@@ -56,7 +62,7 @@
   /** Reads what an earlier process of this node left; reports wait for it. */
   async restore(): Promise<void> {
     const { publisher, registration } = this.options;
-    const previous = await publisher.readPrevious();
+    const previous = publisher.takePrevious(await this.options.readPrevious());
     if (previous?.target === 'leaving') registration.restoreLeft(targetOf(previous));
     this.restored = true;
     this.afterReport();
--- a/src/sidecar/plugins/target-plugin.ts
+++ b/src/sidecar/plugins/target-plugin.ts
@@ -5,7 +5,7 @@
 import { registerPlugin } from '../../kernel/plugin.js';
 import { Token } from '../../kernel/token.js';
 import { splitAddress } from '../../core/host-and-port.js';
-import type { NodeRecord } from '../directory/node-record.js';
+import { keyOfNode, type NodeRecord } from '../directory/node-record.js';
 import { RecordPublisher } from '../directory/record-publisher.js';
 import { createRegistrationServer } from '../directory/registration-server.js';
 import { TargetKeeper } from '../directory/target-keeper.js';
@@ -106,6 +106,10 @@
     clock: get(Token.Clock),
     log: get(Token.EventLog),
     record,
+    readPrevious: async () => {
+      const items = await get(SidecarToken.DirectoryWatch).firstListing;
+      return items.find(({ key }) => key === keyOfNode(settings.node.id));
+    },
     probe: async (timeoutMs) => {
       const path = get(SidecarToken.Rules).table?.rules.services.get(service)?.healthPath;
       return path === undefined ? undefined : await gateway.probe(path, timeoutMs);
--- a/test/bare-relay.ts
+++ b/test/bare-relay.ts
@@ -78,7 +78,6 @@
     clock: systemClock,
     log: silentEventLog,
   });
-  await publisher.readPrevious();
   const address = `${listen.host}:${listen.ports[0]}`;
   const { service } = target;
   publisher.start();
