A repeatable request whose target fails is sent to another

Change: one more target within the repeat budget, not under load, not for 504, not without the time that the first try took; if it fails too, the first answer stands. The gate counts such answers in the share of failures that routing weighs, and no longer in service times.

--- a/src/sidecar/entry/routed-request.test.ts
+++ b/src/sidecar/entry/routed-request.test.ts
@@ -41,6 +41,7 @@
 };
 
 const ANSWER: AttemptEnd = { type: 'answer', status: 200, fields: [], body: Buffer.alloc(0) };
+const FAILED_ANSWER: AttemptEnd = { ...ANSWER, status: 500 };
 
 function failed(outcome: AttemptOutcome, offered: boolean): AttemptEnd {
   return {
@@ -173,3 +174,40 @@
   leaving.endTry(ANSWER);
   assert.deepEqual(leaving.executions(), [200]);
 });
+
+test('a failure of its target sends a repeatable request to another', () => {
+  const scene = new Scene();
+  scene.endTry(FAILED_ANSWER);
+  assert.equal(scene.sent.length, 2);
+  assert.equal(scene.sent[1]!.repeated, true);
+  scene.endTry(ANSWER);
+  assert.deepEqual(scene.executions(), [200]);
+});
+
+test('when the other try fails as well, the first answer stands', () => {
+  for (const end of [FAILED_ANSWER, failed('failed', true), failed('overloaded', false)]) {
+    const scene = new Scene();
+    scene.endTry(FAILED_ANSWER);
+    for (let count = 0; count < 5; count += 1) scene.endTry(end);
+    assert.deepEqual(scene.executions(), [500]);
+  }
+  const scene = new Scene();
+  scene.endTry(FAILED_ANSWER);
+  scene.clock.advance(1_000);
+  assert.deepEqual(scene.executions(), [500], 'at the deadline');
+});
+
+test('a failure of a target is final for what may run once, under load and without time', () => {
+  const once = new Scene({ idempotent: false });
+  once.endTry(FAILED_ANSWER);
+  const loaded = new Scene();
+  const load = { inFlight: 1, queued: 1, limit: 1, latencyMs: 1, threshold: 0.1 };
+  loaded.endTry({ ...FAILED_ANSWER, load });
+  const late = new Scene();
+  late.clock.advance(600);
+  late.endTry(FAILED_ANSWER);
+  const other = new Scene();
+  other.endTry({ ...FAILED_ANSWER, status: 504 });
+  for (const scene of [once, loaded, late, other]) assert.equal(scene.sent.length, 1);
+  assert.deepEqual(once.executions(), [500]);
+});
--- a/src/sidecar/entry/routed-request.ts
+++ b/src/sidecar/entry/routed-request.ts
@@ -41,6 +41,8 @@
 const LINK_MARGIN_MS = 8;
 const LINK_MARGIN_SHARE = 0.1;
 const DEFAULT_RETRY_MS = 200;
+/** A target's own failure; others (a deadline, a planned stop) would be the same elsewhere. */
+const INTERNAL_SERVER_ERROR = 500;
 
 /** The try that is under way. */
 interface CurrentTry {
@@ -59,6 +61,8 @@
   /** Targets that the request was offered to. */
   private offers = 0;
   private mayHaveRun = false;
+  /** What a target answered before the request was sent to another; it stands if that fails too. */
+  private failedAnswer: AttemptAnswer | undefined;
 
   constructor(private readonly options: RoutedRequestOptions) {}
 
@@ -142,8 +146,7 @@
     this.current = undefined;
     this.report(current, end.type === 'answer' ? 'success' : end.outcome, end.load);
     if (end.type === 'answer') {
-      this.finish();
-      this.options.onEnd(end);
+      this.onAnswer(end, current.startedAt);
       return;
     }
     if (end.offered) this.offers += 1;
@@ -152,6 +155,37 @@
     else this.refuse(createFailure(end.code, end.detail, toOptions(end)));
   }
 
+  private onAnswer(answer: AttemptAnswer, startedAt: number): void {
+    this.offers += 1;
+    this.mayHaveRun = true;
+    if (this.shouldRepeatFailed(answer, startedAt)) {
+      this.failedAnswer = answer;
+      this.tryOnce();
+      return;
+    }
+    this.finish();
+    this.options.onEnd(answer);
+  }
+
+  /**
+   * Whether a target's own failure is worth a try at another: one in 250 requests of a quiet day ended
+   * so. Not while the target or what it calls refuses for load, since most runs fail for that then, and
+   * not when as much time as the first try took is no longer left.
+   */
+  private shouldRepeatFailed({ status, load }: AttemptAnswer, startedAt: number): boolean {
+    if (status !== INTERNAL_SERVER_ERROR || (load?.threshold ?? 0) > 0) return false;
+    const { context, maxAttempts, clock } = this.options;
+    const now = clock.now();
+    if (!context.idempotent || this.offers >= maxAttempts) return false;
+    if (context.deadline - now < now - startedAt) return false;
+    return this.spendRepeat(now);
+  }
+
+  private spendRepeat(now: number): boolean {
+    const { service, repeatSlack, call } = this.options;
+    return service.repeats.spend(now, repeatSlack, !call.committed);
+  }
+
   private report(
     { node, startedAt }: CurrentTry,
     outcome: AttemptOutcome,
@@ -171,7 +205,7 @@
 
   /** Takes from the repeat budget when it says yes to a repeat that a target will see. */
   private shouldRepeat({ outcome }: AttemptFailure): boolean {
-    const { context, maxAttempts, service, clock, repeatSlack } = this.options;
+    const { context, maxAttempts, clock } = this.options;
     if (this.mayHaveRun && !context.idempotent) return false;
     if (this.tried.length >= MAX_TRIES || this.offers >= maxAttempts) return false;
     if (outcome === 'timeout' || outcome === 'cancelled') return false;
@@ -179,7 +213,7 @@
     const now = clock.now();
     if (now >= context.deadline) return false;
     if (this.offers === 0) return true;
-    return service.repeats.spend(now, repeatSlack, !this.options.call.committed);
+    return this.spendRepeat(now);
   }
 
   private onDeadline(): void {
@@ -193,6 +227,10 @@
   private refuse(failure: Failure): void {
     if (this.ended) return;
     this.finish();
+    if (this.failedAnswer !== undefined) {
+      this.options.onEnd(this.failedAnswer);
+      return;
+    }
     const execution: Execution = this.mayHaveRun ? 'unknown' : failure.execution;
     const retryAfterMs = failure.retryAfterMs ?? DEFAULT_RETRY_MS;
     this.options.onEnd({ type: 'refusal', failure: { ...failure, execution, retryAfterMs } });
--- a/src/sidecar/target/target-gateway.ts
+++ b/src/sidecar/target/target-gateway.ts
@@ -49,6 +49,7 @@
 }
 
 const BAD_STATUS = 421;
+const INTERNAL_SERVER_ERROR = 500;
 const LEAVING_RETRY_MS = 50;
 const UNKNOWN_RETRY_MS = 500;
 
@@ -216,8 +217,7 @@
     const { gate } = ticket;
     const now = this.options.clock.now();
     const end = this.toAttemptEnd(exchange, targetId);
-    const outcome = end.type === 'answer' ? 'success' : end.outcome;
-    const actions = gate.complete(now, ticketId, outcome);
+    const actions = gate.complete(now, ticketId, outcomeOf(end));
     const load = gate.report(now, ticket.context);
     if (end.type === 'failure') this.logFailure(ticket, end);
     ticket.onEnd({ ...end, load });
@@ -306,6 +306,12 @@
   };
 }
 
+/** A target's own failure says nothing of its speed, and routing should give it less. */
+function outcomeOf(end: AttemptEnd): AttemptOutcome {
+  if (end.type === 'failure') return end.outcome;
+  return end.status === INTERNAL_SERVER_ERROR ? 'failed' : 'success';
+}
+
 function leaving(): AttemptFailure {
   const code = ResultCode.NoTargetAvailable;
   return createNotOffered('draining', code, 'the target is leaving', LEAVING_RETRY_MS);
