Links ask for a sign of life by what they owe; lines are flushed when there are some

Cause: at rest a node woke some twelve times a second, four of them to flush a log without lines and two to look for slow heads of requests; and on a rarely used link each call of more than 125 ms asked the other node for a sign of life, since the silence of before the call counted. Ruled out: fewer messages a call (six wake-ups a call, five of which the protocol needs). Change: silence counts from the oldest call under way; the first check comes when it could matter. A flush follows the first gathered line; slow heads are looked for once a second. Found on the way: the check of a call that was dispatched while its link connected ran before the link was open and was not repeated, so that a link that fell silent right then was not noticed until the next call: a repeatable call waited to its deadline. Mended, with a test that failed first.

--- a/src/kernel/event.test.ts
+++ b/src/kernel/event.test.ts
@@ -3,8 +3,8 @@
 import { once } from 'node:events';
 import { readFileSync } from 'node:fs';
 import { text } from 'node:stream/consumers';
-import { test } from 'node:test';
-import { Event, EVENTS } from './event.js';
+import { mock, test } from 'node:test';
+import { Event, EVENTS, flushLater } from './event.js';
 
 test('every event has its row in docs/EVENTS.md and no other row stands there', () => {
   const page = readFileSync('docs/EVENTS.md', 'utf8');
@@ -53,3 +53,28 @@
   assert.ok(leftOut > 0);
   assert.equal(written + leftOut, 20_000);
 });
+
+test('gathered lines are flushed once, a quarter of a second after the first; nothing runs at rest', () => {
+  mock.timers.enable({ apis: ['setTimeout'] });
+  try {
+    let flushes = 0;
+    const writes = (event: Event): boolean => event !== Event.RequestServed;
+    const log = flushLater({ emit: () => {}, writes }, () => {
+      flushes += 1;
+    });
+    log.emit(Event.RequestServed);
+    mock.timers.tick(10_000);
+    assert.equal(flushes, 0, 'a line that is not written');
+    for (let count = 0; count < 3; count += 1) log.emit(Event.NodeStarted);
+    mock.timers.tick(249);
+    assert.equal(flushes, 0);
+    mock.timers.tick(1);
+    mock.timers.tick(10_000);
+    assert.equal(flushes, 1);
+    log.emit(Event.NodeStopped);
+    mock.timers.tick(250);
+    assert.equal(flushes, 2);
+  } finally {
+    mock.timers.reset();
+  }
+});
--- a/src/kernel/event.ts
+++ b/src/kernel/event.ts
@@ -142,10 +142,11 @@
     fd: stream,
     sync: false,
     minLength: GATHER_BYTES,
-    periodicFlush: GATHER_MS,
     maxLength: MAX_HELD_BYTES,
   });
-  const log = createEventLogTo(destination, level, bindings);
+  const log = flushLater(createEventLogTo(destination, level, bindings), () => {
+    destination.flush();
+  });
   let leftOut = 0;
   destination.on('drop', () => {
     leftOut += 1;
@@ -158,6 +159,26 @@
   return log;
 }
 
+/**
+ * Has gathered lines written some time after the first of them. A timer that flushes again and again woke
+ * an idle process four times a second, a third of all its wake-ups at rest.
+ */
+export function flushLater(log: EventLog, flush: () => void): EventLog {
+  let scheduled = false;
+  return {
+    ...log,
+    emit: (event, fields) => {
+      log.emit(event, fields);
+      if (scheduled || log.writes?.(event) === false) return;
+      scheduled = true;
+      setTimeout(() => {
+        scheduled = false;
+        flush();
+      }, GATHER_MS).unref();
+    },
+  };
+}
+
 /** Writes events as pino JSON lines to a destination. */
 export function createEventLogTo(
   destination: DestinationStream,
--- a/src/sidecar/entry/entry-listener.ts
+++ b/src/sidecar/entry/entry-listener.ts
@@ -12,7 +12,8 @@
 import { CallerExchange, type CallerAnswer } from './caller-exchange.js';
 
 const MAX_HEADER_BYTES = 64 * 1024;
-const CONNECTION_CHECK_INTERVAL_MS = 500;
+/** How late the end of the time for a request's head may be noticed; each check wakes the process. */
+const CONNECTION_CHECK_INTERVAL_MS = 1_000;
 const MS_PER_SECOND = 1_000;
 /** A connection is kept this much longer than its caller is told. */
 const IDLE_GRACE_MS = 1_500;
--- a/src/sidecar/link/peer-link.test.ts
+++ b/src/sidecar/link/peer-link.test.ts
@@ -21,12 +21,15 @@
 let received: LinkMessage[];
 let reachable: boolean;
 let link: PeerLink;
+/** Whether the other node greets those who connect at once. */
+let greets: boolean;
 
 beforeEach(async () => {
   clock = new ManualClock();
   clock.advance(10_000);
   received = [];
   reachable = false;
+  greets = true;
   server = createServer((socket) => {
     peer = socket;
     const reader = new FrameReader(1_000_000);
@@ -36,7 +39,7 @@
         return true;
       });
     });
-    say({ type: 'hello', status: STATUS, clock: 0 });
+    if (greets) greet();
   });
   await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
   const { port } = server.address() as { port: number };
@@ -68,6 +71,10 @@
   peer.write(encodeMessage(message));
 }
 
+function greet(): void {
+  say({ type: 'hello', status: STATUS, clock: 0 });
+}
+
 async function until(condition: () => boolean): Promise<void> {
   while (!condition()) await new Promise((resolve) => setTimeout(resolve, 1));
 }
@@ -154,3 +161,30 @@
   const [end] = ends;
   assert.equal(end?.type === 'failure' && end.execution, 'unknown');
 });
+
+test('an answer within a quarter of a second asks for no sign of life, however quiet it was before', async () => {
+  pass(5_000);
+  link.dispatch(createCall(true), () => {});
+  await until(() => has('call'));
+  pass(245);
+  await new Promise((resolve) => setTimeout(resolve, 20));
+  assert.equal(has('ping'), false);
+  pass(5);
+  await until(() => has('ping'));
+});
+
+test('a call that was dispatched while the link connected is watched as well', async () => {
+  peer.destroy();
+  await until(() => !reachable);
+  greets = false;
+  const first = peer;
+  pass(100);
+  await until(() => peer !== first);
+  const ends: AttemptEnd[] = [];
+  link.dispatch(createCall(true), (end) => ends.push(end));
+  pass(300);
+  greet();
+  await until(() => has('call'));
+  pass(1_000);
+  assert.equal(ends.length, 1);
+});
--- a/src/sidecar/link/peer-link.ts
+++ b/src/sidecar/link/peer-link.ts
@@ -31,7 +31,11 @@
  * in milliseconds: into a cut link it would be lost without anyone knowing whether it ran.
  */
 const TRUSTED_SILENCE_MS = 100;
-/** Silence after which a node that owes an answer is asked whether it is there, in milliseconds. */
+/**
+ * Silence, while an answer is owed, after which the other node is asked whether it is there, in
+ * milliseconds. Silence of before the call does not count: on the rarely used links of a large fleet each
+ * call of more than an eighth of a second asked, which woke both nodes once more.
+ */
 const PROBE_AFTER_MS = 250;
 /** Silence after that question at which the link counts as silent, in milliseconds. */
 const SILENT_AFTER_MS = 350;
@@ -138,7 +142,7 @@
     this.pending.set(id, pending);
     this.open();
     if (this.phase === 'open') this.sendOrHold(id, pending);
-    this.scheduleCheck();
+    this.scheduleCheck(PROBE_AFTER_MS);
     return () => this.cancel(id);
   }
 
@@ -218,6 +222,8 @@
     this.options.listener.onStatus(status);
     this.updateReachable('connected');
     for (const [id, { sent }] of this.pending) if (!sent) this.held.add(id);
+    // The check of a call that was dispatched meanwhile may have run before the link was open.
+    if (this.pending.size > 0) this.scheduleCheck(PROBE_AFTER_MS);
   }
 
   private sendRules(): void {
@@ -297,8 +303,8 @@
     }
   }
 
-  private scheduleCheck(): void {
-    this.cancelCheck ??= this.options.clock.schedule(CHECK_INTERVAL_MS, () => {
+  private scheduleCheck(delayMs: number): void {
+    this.cancelCheck ??= this.options.clock.schedule(delayMs, () => {
       this.cancelCheck = undefined;
       this.check();
     });
@@ -309,14 +315,25 @@
     if (this.closed || this.phase !== 'open') return;
     const now = this.options.clock.now();
     if (this.pending.size === 0 && !this.silent && this.probedAt === undefined) return;
-    this.scheduleCheck();
     if (this.probedAt === undefined) {
-      if (now - this.lastHeard >= PROBE_AFTER_MS) this.ask();
+      const quietMs = now - this.quietSince();
+      if (quietMs < PROBE_AFTER_MS) {
+        this.scheduleCheck(PROBE_AFTER_MS - quietMs);
+        return;
+      }
+      this.ask();
     } else if (now - this.probedAt > DEAD_AFTER_MS) {
       this.socket?.close('silent');
     } else if (now - this.probedAt > SILENT_AFTER_MS && !this.silent) {
       this.setSilent(true, 'silent');
     }
+    this.scheduleCheck(CHECK_INTERVAL_MS);
+  }
+
+  /** Since when the other node has owed an answer and said nothing. */
+  private quietSince(): number {
+    const [oldest] = this.pending.values();
+    return Math.max(this.lastHeard, oldest?.createdAt ?? 0);
   }
 
   private setSilent(silent: boolean, detail: string): void {
