V8 optimizes as by default again

What saves time at 12 requests a second a node costs a third where a node serves 40 and more. Conclusion: reverted.

--- a/test/machine-program.test.ts
+++ b/test/machine-program.test.ts
@@ -8,8 +8,8 @@
 import { promisify } from 'node:util';
 
 const execute = promisify(execFile);
-/** The flags of the deploy file; a code cache holds for the flags that it was made with. */
-const FLAGS = ['--max-old-space-size=120', '--interrupt-budget=1000000'];
+/** The flag of the deploy file; a code cache holds for the flags that it was made with. */
+const FLAGS = ['--max-old-space-size=120'];
 const CODE_CACHE_UNUSED = '"event":110';
 const BUILD_TIMEOUT_MS = 120_000;
 
