A log line behind a long write is written when the write ends

Cause: the flush that follows the first gathered line does nothing while a write is under way, and no other followed, so that lines gathered meanwhile stayed until the next line or the end of the process. Ruled out: the order of events by a process of its own: a line of 300 kB that is read after 1.5 s, another at 0.3 s. Change: the end of a write asks for a flush; a flush of nothing asks for none. The test of that order fails on the code before.

--- a/src/kernel/event.test.ts
+++ b/src/kernel/event.test.ts
@@ -4,7 +4,7 @@
 import { readFileSync } from 'node:fs';
 import { text } from 'node:stream/consumers';
 import { mock, test } from 'node:test';
-import { Event, EVENTS, flushLater } from './event.js';
+import { DelayedFlush, Event, EVENTS } from './event.js';
 
 test('every event has its row in docs/EVENTS.md and no other row stands there', () => {
   const page = readFileSync('docs/EVENTS.md', 'utf8');
@@ -54,24 +54,42 @@
   assert.equal(written + leftOut, 20_000);
 });
 
-test('gathered lines are flushed once, a quarter of a second after the first; nothing runs at rest', () => {
+test('a line behind a long write is written when the write has ended, not with the next line', async () => {
+  const child = startLogger(`
+    log.emit(Event.NodeStarted, { detail: 'x'.repeat(300_000) });
+    setTimeout(() => log.emit(Event.NodeStopped), 300);
+    setTimeout(() => process.exit(), 8_000);`);
+  // Nobody reads while the first line is being written and the second is gathered and flushed.
+  await new Promise((resolve) => setTimeout(resolve, 1_500));
+  let received = '';
+  child.stdout.on('data', (chunk: Buffer) => {
+    received += String(chunk);
+  });
+  const end = performance.now() + 4_000;
+  while (!received.includes('"event":102') && performance.now() < end) {
+    await new Promise((resolve) => setTimeout(resolve, 10));
+  }
+  const wasRunning = child.exitCode === null;
+  child.kill();
+  assert.ok(received.includes('"event":102') && wasRunning);
+});
+
+test('a flush comes a quarter of a second after the first request; nothing runs at rest', () => {
   mock.timers.enable({ apis: ['setTimeout'] });
   try {
     let flushes = 0;
-    const writes = (event: Event): boolean => event !== Event.RequestServed;
-    const log = flushLater({ emit: () => {}, writes }, () => {
+    const delayed = new DelayedFlush(() => {
       flushes += 1;
     });
-    log.emit(Event.RequestServed);
     mock.timers.tick(10_000);
-    assert.equal(flushes, 0, 'a line that is not written');
-    for (let count = 0; count < 3; count += 1) log.emit(Event.NodeStarted);
+    assert.equal(flushes, 0);
+    for (let count = 0; count < 3; count += 1) delayed.request();
     mock.timers.tick(249);
     assert.equal(flushes, 0);
     mock.timers.tick(1);
     mock.timers.tick(10_000);
     assert.equal(flushes, 1);
-    log.emit(Event.NodeStopped);
+    delayed.request();
     mock.timers.tick(250);
     assert.equal(flushes, 2);
   } finally {
--- a/src/kernel/event.ts
+++ b/src/kernel/event.ts
@@ -144,9 +144,22 @@
     minLength: GATHER_BYTES,
     maxLength: MAX_HELD_BYTES,
   });
-  const log = flushLater(createEventLogTo(destination, level, bindings), () => {
+  const delayed = new DelayedFlush(() => {
     destination.flush();
   });
+  // A flush during a write does nothing, so that lines gathered meanwhile are due when it ends. A flush
+  // of nothing writes no bytes and asks for no other.
+  destination.on('write', (bytes: number) => {
+    if (bytes > 0) delayed.request();
+  });
+  const lines = createEventLogTo(destination, level, bindings);
+  const log: EventLog = {
+    ...lines,
+    emit: (event, fields) => {
+      lines.emit(event, fields);
+      if (lines.writes?.(event) !== false) delayed.request();
+    },
+  };
   let leftOut = 0;
   destination.on('drop', () => {
     leftOut += 1;
@@ -160,23 +173,23 @@
 }
 
 /**
- * Has gathered lines written some time after the first of them. A timer that flushes again and again woke
- * an idle process four times a second, a third of all its wake-ups at rest.
+ * Flushes gathered lines some time after it is asked to. A timer that flushes again and again woke an idle
+ * process four times a second, a third of all its wake-ups at rest.
  */
-export function flushLater(log: EventLog, flush: () => void): EventLog {
-  let scheduled = false;
-  return {
-    ...log,
-    emit: (event, fields) => {
-      log.emit(event, fields);
-      if (scheduled || log.writes?.(event) === false) return;
-      scheduled = true;
-      setTimeout(() => {
-        scheduled = false;
-        flush();
-      }, GATHER_MS).unref();
-    },
-  };
+export class DelayedFlush {
+  private scheduled = false;
+
+  constructor(private readonly flush: () => void) {}
+
+  /** Asks for a flush; harmless when one is due. */
+  request(): void {
+    if (this.scheduled) return;
+    this.scheduled = true;
+    setTimeout(() => {
+      this.scheduled = false;
+      this.flush();
+    }, GATHER_MS).unref();
+  }
 }
 
 /** Writes events as pino JSON lines to a destination. */
