Test of what a gateway tells routing of failed answers

Cause: that a target's own failure counts in the share of failures had no test of its own. Change: answers 200, 404, 504 and 500 of a target over the gateway. Before/after: the case of 500 is red when such an answer counts as a success; the others green in both.

--- /dev/null
+++ b/src/sidecar/target/target-gateway.test.ts
@@ -0,0 +1,88 @@
+/** The gateway before a real target: what it tells routing of how requests end. */
+import assert from 'node:assert/strict';
+import { createServer, type Server } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import { afterEach, beforeEach, test } from 'node:test';
+import '../../core/policies/adaptive.js';
+import { findOverloadPolicy } from '../../core/overload-policy-registry.js';
+import { systemClock } from '../../kernel/clock.js';
+import { silentEventLog } from '../../kernel/event.js';
+import { ForwardedFields } from '../forwarded-fields.js';
+import type { AttemptCall, AttemptEnd } from '../link/link-messages.js';
+import { TargetGateway } from './target-gateway.js';
+
+const FIELDS = {
+  attemptId: 'x-id',
+  timeLeft: 'x-left',
+  expectedTarget: 'x-expected',
+  callerService: 'x-caller',
+  notExecuted: 'x-not-run',
+  signature: 'x-signature',
+  targetId: 'x-target',
+};
+const CALL: AttemptCall = {
+  attemptId: 'a',
+  requestId: 'a',
+  service: 's',
+  kind: 'k',
+  rank: 0,
+  idempotent: true,
+  depth: 0,
+  repeated: false,
+  committed: false,
+  timeLeftMs: 5_000,
+  dueInMs: 5_000,
+  callerService: 'c',
+  method: 'GET',
+  path: '/',
+  fields: ['Host', 'h'],
+  body: new Uint8Array(0),
+};
+
+let target: Server;
+let status: number;
+let gateway: TargetGateway;
+
+beforeEach(async () => {
+  target = createServer((request, response) => {
+    response.writeHead(status, { [FIELDS.attemptId]: String(request.headers[FIELDS.attemptId]) });
+    response.end('whole');
+  });
+  await new Promise<void>((resolve) => target.listen(0, '127.0.0.1', resolve));
+  gateway = new TargetGateway({
+    service: 's',
+    address: `127.0.0.1:${(target.address() as AddressInfo).port}`,
+    fields: FIELDS,
+    forwardedFields: new ForwardedFields(FIELDS),
+    policy: findOverloadPolicy('adaptive')!,
+    clock: systemClock,
+    log: silentEventLog,
+    seed: 1,
+    onIdentityMismatch: () => {},
+  });
+  gateway.setTarget({ id: 'i-1', state: 'ready', slots: 10, warmUntil: 0 });
+});
+
+afterEach(() => {
+  target.close();
+  target.closeAllConnections();
+});
+
+function send(attemptId: string): Promise<AttemptEnd> {
+  return new Promise((resolve) => gateway.dispatch({ ...CALL, attemptId }, resolve));
+}
+
+for (const [answered, told] of [
+  [200, 0],
+  [404, 0],
+  [504, 0],
+  [500, 0.5],
+] as const) {
+  test(`of a target that answers ${answered} routing hears a share of failures of ${told}`, async () => {
+    status = answered;
+    let end: AttemptEnd | undefined;
+    for (let count = 0; count < 5; count += 1) end = await send(`a${count}`);
+    assert.equal(end?.type === 'answer' && end.status, answered, 'the answer itself is unchanged');
+    assert.ok(Math.abs((end?.load?.failureShare ?? 0) - told) < 0.1, `${end?.load?.failureShare}`);
+  });
+}
