--- a/src/trials/deployment.ts
+++ b/src/trials/deployment.ts
@@ -18,6 +18,8 @@
 import { FatalError, poll, requestJson } from './http-json.js';
 import { ManagedProcess, type ProcessEnd } from './managed-process.js';
 
+/** Characters of each process's log that a failed run prints; a restart of a node takes some 4,000. */
+const KEPT_LOG = 100_000;
 const START_TIMEOUT_MS = 20_000;
 /** Longest planned stop that is waited for. */
 const STOP_TIMEOUT_MS = 20_000;
@@ -232,7 +234,7 @@
   logs(): string {
     return this.started
       .filter(({ stderr }) => stderr !== '')
-      .map(({ name, stderr }) => `--- ${name}\n${stderr.slice(-4_000)}`)
+      .map(({ name, stderr }) => `--- ${name}\n${stderr.slice(-KEPT_LOG)}`)
       .join('\n');
   }
 
