--- a/src/sidecar/directory/prefix-watch.test.ts
+++ b/src/sidecar/directory/prefix-watch.test.ts
@@ -11,6 +11,7 @@
   StoreFailure,
   WatchResult,
 } from '../../store/metadata-store.js';
+import { StoreBackoff } from '../../store/store-backoff.js';
 import { PrefixWatch } from './prefix-watch.js';
 
 type WatchEnd = Result<WatchResult, StoreFailure>;
@@ -41,12 +42,15 @@
       return Promise.resolve(answer ?? Result.ok({ type: 'events', events: [], at: 99 }));
     },
   } as unknown as MetadataStore;
+  const clock = { ...systemClock, schedule: immediately };
+  const random = createRandom(0x5eed);
   const watch = new PrefixWatch({
     prefix: 'k',
     store,
-    clock: { ...systemClock, schedule: immediately },
+    backoff: new StoreBackoff(clock, random),
+    clock,
     log: silentEventLog,
-    random: createRandom(0x5eed),
+    random,
     waitMs: () => 100,
     pauseAfterEventsMs: () => 0,
     onListing: () => {},
--- a/src/sidecar/directory/prefix-watch.ts
+++ b/src/sidecar/directory/prefix-watch.ts
@@ -3,14 +3,14 @@
 import { Event, type EventLog } from '../../kernel/event.js';
 import type { Random } from '../../core/random.js';
 import type { MetadataStore, StoreEvent, StoreItem } from '../../store/metadata-store.js';
-
-const FIRST_PAUSE_MS = 50;
-const MAX_PAUSE_MS = 500;
+import type { StoreBackoff } from '../../store/store-backoff.js';
 
 /** What a watch works with. */
 export interface PrefixWatchOptions {
   readonly prefix: string;
   readonly store: MetadataStore;
+  /** Shared by all watches of this node. */
+  readonly backoff: StoreBackoff;
   readonly clock: Clock;
   readonly log: EventLog;
   /** Spreads the ends of waits, so that nodes do not ask at the same time. */
@@ -29,7 +29,6 @@
   private closed = false;
   private listed = false;
   private available = true;
-  private pauseMs = FIRST_PAUSE_MS;
   private revision: number | undefined;
 
   /** All items of the first listing. */
@@ -54,7 +53,9 @@
 
   /** Follows until it is closed. */
   async run(): Promise<void> {
-    while (!this.closed) {
+    for (;;) {
+      await this.options.backoff.turn();
+      if (this.closed) return;
       if (this.revision === undefined) await this.list();
       else await this.watch(this.revision);
     }
@@ -68,7 +69,7 @@
   private async list(): Promise<void> {
     const listing = await this.options.store.list(this.options.prefix);
     if (listing.isErr) {
-      await this.onFailure(listing.error.detail);
+      this.onFailure(listing.error.detail);
       return;
     }
     this.onSuccess();
@@ -85,7 +86,7 @@
     if (result.isErr) {
       // What happened meanwhile is not known, and another wait could be cut as well.
       this.revision = undefined;
-      await this.onFailure(result.error.detail);
+      this.onFailure(result.error.detail);
       return;
     }
     this.onSuccess();
@@ -102,18 +103,17 @@
   }
 
   private onSuccess(): void {
-    this.pauseMs = FIRST_PAUSE_MS;
+    this.options.backoff.noteAnswered();
     if (this.available) return;
     this.available = true;
     this.options.log.emit(Event.PlatformRecovered, { prefix: this.options.prefix });
   }
 
-  private async onFailure(detail: string): Promise<void> {
-    const { log, prefix } = this.options;
+  private onFailure(detail: string): void {
+    const { log, prefix, backoff } = this.options;
     if (this.available) log.emit(Event.PlatformUnavailable, { prefix, detail });
     this.available = false;
-    await this.pause(this.pauseMs);
-    this.pauseMs = Math.min(MAX_PAUSE_MS, this.pauseMs * 2);
+    backoff.noteFailed();
   }
 
   private pause(delayMs: number): Promise<void> {
--- a/src/sidecar/plugins/directory-plugin.ts
+++ b/src/sidecar/plugins/directory-plugin.ts
@@ -49,6 +49,7 @@
         return new PrefixWatch({
           prefix: NODE_RECORD_PREFIX,
           store: get(SidecarToken.Store),
+          backoff: get(SidecarToken.StoreBackoff),
           clock: get(Token.Clock),
           log: get(Token.EventLog),
           random: createRandom(seedOf(`${get(SidecarToken.Settings).node.id} nodes`)),
--- a/src/sidecar/plugins/rules-plugin.ts
+++ b/src/sidecar/plugins/rules-plugin.ts
@@ -37,6 +37,7 @@
         return new PrefixWatch({
           prefix: rulesKey,
           store: get(SidecarToken.Store),
+          backoff: get(SidecarToken.StoreBackoff),
           clock: get(Token.Clock),
           log: get(Token.EventLog),
           random: createRandom(seedOf(`${get(SidecarToken.Settings).node.id} rules`)),
--- a/src/sidecar/plugins/tokens.ts
+++ b/src/sidecar/plugins/tokens.ts
@@ -2,6 +2,7 @@
 import type { ByteBudget } from '../../core/byte-budget.js';
 import { createToken } from '../../kernel/token.js';
 import type { MetadataStore } from '../../store/metadata-store.js';
+import type { StoreBackoff } from '../../store/store-backoff.js';
 import type { CurrentSettings } from '../current-settings.js';
 import type { NodeDirectory } from '../directory/node-directory.js';
 import type { PrefixWatch } from '../directory/prefix-watch.js';
@@ -33,6 +34,7 @@
   Metrics: createToken<SidecarMetrics>('sidecar.Metrics'),
   MetricsServer: createToken<HttpListener>('sidecar.MetricsServer'),
   Store: createToken<MetadataStore>('sidecar.Store'),
+  StoreBackoff: createToken<StoreBackoff>('sidecar.StoreBackoff'),
   Rules: createToken<RulesKeeper>('sidecar.Rules'),
   Status: createToken<StatusSource>('sidecar.Status'),
   Directory: createToken<NodeDirectory>('sidecar.Directory'),
--- a/test/bare-relay.ts
+++ b/test/bare-relay.ts
@@ -24,6 +24,7 @@
   NODE_RECORD_PREFIX,
   type NodeRecord,
 } from '../src/sidecar/directory/node-record.js';
+import { StoreBackoff } from '../src/store/store-backoff.js';
 import { PrefixWatch } from '../src/sidecar/directory/prefix-watch.js';
 import { RecordPublisher } from '../src/sidecar/directory/record-publisher.js';
 import { RouteTable } from '../src/sidecar/rules/route-table.js';
@@ -43,6 +44,7 @@
 });
 const { fields, readinessPath, rulesKey, parseRules, acknowledgement } = platformAdapter;
 const store = platformAdapter.createStore(settings.store.address, STORE_TIMEOUT_MS);
+const backoff = new StoreBackoff(systemClock, createRandom(seedOf(`${settings.node.id} store`)));
 const agent = new Agent({ keepAlive: true });
 const places = new Map<string, NodeRecord>();
 let table: RouteTable | undefined;
@@ -53,6 +55,7 @@
   const watch = new PrefixWatch({
     prefix,
     store,
+    backoff,
     clock: systemClock,
     log: silentEventLog,
     random: createRandom(seedOf(`${settings.node.id} ${prefix}`)),
--- a/test/sidecar-store-calls.test.ts
+++ b/test/sidecar-store-calls.test.ts
@@ -4,6 +4,7 @@
  */
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
+import { setTimeout as delay } from 'node:timers/promises';
 import { keyOfNode } from '../src/sidecar/directory/node-record.js';
 import { Mesh, waitUntil } from './stand-ins/mesh.js';
 
@@ -22,3 +23,23 @@
     await mesh.stop();
   }
 });
+
+test('a node that the store turns away asks for rules and records in turns', async () => {
+  const mesh = new Mesh();
+  await mesh.start();
+  try {
+    mesh.putRules(1, [{ path: '/a/', service: 'a' }]);
+    mesh.store.faults.refuseWith = 503;
+    const machine = await mesh.add({ service: 'a', zone: 'z', slots: 5, workMs: 1 });
+    await delay(3_000);
+    const asked = [...mesh.store.calls.values()].reduce((sum, count) => sum + count, 0);
+    // Each prefix on its own, with pauses of 50 to 500 ms: 8 calls each.
+    assert.ok(asked <= 12, `${asked} calls`);
+    assert.ok(asked >= 6, `${asked} calls`);
+    mesh.store.faults.refuseWith = 0;
+    await mesh.beatAll();
+    await waitUntil(() => mesh.store.get(keyOfNode(machine.id))?.includes('"ready"') === true);
+  } finally {
+    await mesh.stop();
+  }
+});
