--- a/src/trials/deployment.process.test.ts
+++ b/src/trials/deployment.process.test.ts
@@ -78,7 +78,13 @@
     );
     assert.deepEqual(timedOut, [], 'tries that waited to the end of their time');
     await context.test('every request completes during planned stops', () => {
-      assertAllComplete(result);
+      try {
+        assertAllComplete(result);
+      } catch (error) {
+        // A failed subtest does not throw here, so that nobody else would print the logs.
+        console.error(deployment.logs());
+        throw error;
+      }
     });
   });
 });
--- a/test/support/process-test-deployment.ts
+++ b/test/support/process-test-deployment.ts
@@ -61,8 +61,11 @@
   assert.deepEqual([doubled, wrongAnswer, notRunButRan, aboveBound], [0, 0, 0, 0]);
 }
 
-/** Every request of every kind got its complete answer. */
+/** Every request of every kind got its complete answer; prints the tries of those that did not. */
 export function assertAllComplete(result: CallersResult): void {
+  for (const record of result.records) {
+    if (record.verdict !== 'complete') console.error(`incomplete: ${JSON.stringify(record)}`);
+  }
   for (const { kind, sent, complete, codes } of result.kinds) {
     assert.ok(sent > 0, kind);
     assert.equal(complete, sent, `${kind}: ${JSON.stringify(codes)}`);
