--- a/src/store/store-backoff.ts
+++ b/src/store/store-backoff.ts
@@ -24,6 +24,8 @@
   private pauseMs = FIRST_PAUSE_MS;
   private failing = false;
   private answeredBefore = false;
+  /** Local monotonic time. */
+  private lastFailedAt = -Infinity;
   /** Callers that wait for their turn, in order. */
   private readonly waiting: (() => void)[] = [];
   private cancelTimer: CancelTimer | undefined;
@@ -42,11 +44,15 @@
     });
   }
 
-  /** A call was answered: whoever waits may ask now. */
+  /**
+   * A call was answered: whoever waits may ask now. The pause becomes short again only a while after the
+   * last failure: a store that answers listings and refuses the waits behind them was asked in a loop, up
+   * to 40 times a second by each watch.
+   */
   noteAnswered(): void {
     this.failing = false;
     this.answeredBefore = true;
-    this.pauseMs = FIRST_PAUSE_MS;
+    if (this.clock.now() - this.lastFailedAt > MAX_PAUSE_MS) this.pauseMs = FIRST_PAUSE_MS;
     this.cancelTimer?.();
     this.cancelTimer = undefined;
     for (const proceed of this.waiting.splice(0)) proceed();
@@ -55,6 +61,7 @@
   /** A call was refused or got no answer. */
   noteFailed(): void {
     this.failing = true;
+    this.lastFailedAt = this.clock.now();
   }
 
   /** The next caller in order asks after the pause, which doubles. */
