Links: the BSON form of messages in a file of its own

Change: link-codec.ts takes encodeMessage, decodeMessage and what they need, with its test; nothing else moves, no behaviour changes.

--- a/src/sidecar/link/link-messages.test.ts
+++ b/src/sidecar/link/link-codec.test.ts
@@ -1,7 +1,8 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { ResultCode } from '../../core/result-code.js';
-import { decodeMessage, encodeMessage, type LinkMessage } from './link-messages.js';
+import { decodeMessage, encodeMessage } from './link-codec.js';
+import type { LinkMessage } from './link-messages.js';
 import { PeerClock } from './peer-clock.js';
 
 const STATUS = { node: 'n', service: 's', target: 'ready', rulesVersion: 3 } as const;
--- /dev/null
+++ b/src/sidecar/link/link-codec.ts
@@ -0,0 +1,247 @@
+/**
+ * The BSON form of messages between nodes. One frame is one BSON document; member names are short
+ * because every call pays for them. See docs/design/new-machines.md, "Links".
+ */
+import { deserialize, serialize, setInternalBufferSize } from 'bson';
+import type { AttemptOutcome, LoadReport } from '../../core/request.js';
+import type { Execution, ResultCode } from '../../core/result-code.js';
+import type {
+  AttemptAnswer,
+  AttemptCall,
+  AttemptEnd,
+  AttemptFailure,
+  LinkMessage,
+  NodeStatus,
+  RawFields,
+} from './link-messages.js';
+
+/** Largest frame, in bytes. */
+export const MAX_FRAME_BYTES = 68 * 1024 * 1024;
+
+/** Room of the codec's buffer for all but bodies, and for small bodies. */
+const CODEC_BUFFER_BYTES = 1024 * 1024;
+const FIELD_SEPARATOR = '\n';
+const LOAD_NUMBERS = 6;
+const FLOAT_BYTES = 4;
+const DESERIALIZE_OPTIONS = { promoteBuffers: true };
+const SERIALIZE_OPTIONS = { ignoreUndefined: true };
+
+setInternalBufferSize(CODEC_BUFFER_BYTES);
+
+enum FrameCode {
+  Hello = 1,
+  Status = 2,
+  Call = 3,
+  Cancel = 4,
+  Answer = 5,
+  Failure = 6,
+  Ping = 7,
+  Pong = 8,
+  RulesWanted = 9,
+  Rules = 10,
+}
+
+type Document = Record<string, unknown>;
+
+/** Encodes a message as one frame. */
+export function encodeMessage(message: LinkMessage): Buffer {
+  const document = toDocument(message);
+  const size = 'b' in document ? (document['b'] as Uint8Array).length : 0;
+  // The codec's buffer grows with the largest message and then stays.
+  if (size > CODEC_BUFFER_BYTES / 2) setInternalBufferSize(size + CODEC_BUFFER_BYTES);
+  const frame = serialize(document, SERIALIZE_OPTIONS) as Buffer;
+  if (size > CODEC_BUFFER_BYTES / 2) setInternalBufferSize(CODEC_BUFFER_BYTES);
+  return frame;
+}
+
+/** Decodes a frame; undefined when it is no message. Binary members are views into the frame. */
+export function decodeMessage(frame: Buffer): LinkMessage | undefined {
+  try {
+    return fromDocument(deserialize(frame, DESERIALIZE_OPTIONS));
+  } catch {
+    return undefined;
+  }
+}
+
+function toDocument(message: LinkMessage): Document {
+  switch (message.type) {
+    case 'hello':
+      return { t: FrameCode.Hello, s: message.status, c: message.clock };
+    case 'status':
+      return { t: FrameCode.Status, s: message.status };
+    case 'call':
+      return callToDocument(message.id, message.sentAt, message.call);
+    case 'cancel':
+      return { t: FrameCode.Cancel, i: message.id };
+    case 'end':
+      return { ...endToDocument(message.id, message.end), n: message.clock };
+    case 'ping':
+      return { t: FrameCode.Ping };
+    case 'pong':
+      return { t: FrameCode.Pong };
+    case 'rules-wanted':
+      return { t: FrameCode.RulesWanted };
+    case 'rules':
+      return { t: FrameCode.Rules, b: message.document };
+  }
+}
+
+function callToDocument(id: number, sentAt: number, call: AttemptCall): Document {
+  return {
+    t: FrameCode.Call,
+    i: id,
+    c: sentAt,
+    a: call.attemptId,
+    // The identity of a call mostly begins with that of the request that it is made for.
+    q: call.attemptId.startsWith(call.requestId) ? call.requestId.length : call.requestId,
+    s: call.service,
+    k: call.kind,
+    r: call.rank,
+    x: call.idempotent,
+    d: call.depth,
+    e: call.repeated ? true : undefined,
+    w: call.committed ? true : undefined,
+    l: call.timeLeftMs,
+    u: Math.round(call.dueInMs),
+    o: call.callerService,
+    m: call.method,
+    p: call.path,
+    h: call.fields.join(FIELD_SEPARATOR),
+    b: call.body,
+  };
+}
+
+function endToDocument(id: number, end: AttemptEnd): Document {
+  const { load } = end;
+  const l = load && loadToBytes(load);
+  if (end.type === 'answer') {
+    const { status, fields, body } = end;
+    return { t: FrameCode.Answer, i: id, s: status, h: fields.join(FIELD_SEPARATOR), l, b: body };
+  }
+  const { outcome, execution, code, detail, offered, retryAfterMs } = end;
+  return {
+    t: FrameCode.Failure,
+    i: id,
+    o: outcome,
+    e: execution,
+    c: code,
+    d: detail,
+    f: offered,
+    r: retryAfterMs,
+    l,
+  };
+}
+
+/** Six numbers of 4 bytes: an array of BSON numbers takes three times as much. */
+function loadToBytes(load: LoadReport): Uint8Array {
+  const { inFlight, queued, limit, latencyMs, threshold, failureShare = 0 } = load;
+  const bytes = Buffer.allocUnsafe(LOAD_NUMBERS * FLOAT_BYTES);
+  [inFlight, queued, limit, latencyMs, threshold, failureShare].forEach((value, index) => {
+    bytes.writeFloatLE(value, index * FLOAT_BYTES);
+  });
+  return bytes;
+}
+
+function fromDocument(document: Document): LinkMessage | undefined {
+  const id = document['i'] as number;
+  switch (document['t'] as FrameCode) {
+    case FrameCode.Hello:
+      return {
+        type: 'hello',
+        status: document['s'] as NodeStatus,
+        clock: document['c'] as number,
+      };
+    case FrameCode.Status:
+      return { type: 'status', status: document['s'] as NodeStatus };
+    case FrameCode.Call:
+      return {
+        type: 'call',
+        id,
+        sentAt: document['c'] as number,
+        call: callFromDocument(document),
+      };
+    case FrameCode.Cancel:
+      return { type: 'cancel', id };
+    case FrameCode.Answer:
+      return endMessage(id, document, answerFromDocument(document));
+    case FrameCode.Failure:
+      return endMessage(id, document, failureFromDocument(document));
+    case FrameCode.Ping:
+      return { type: 'ping' };
+    case FrameCode.Pong:
+      return { type: 'pong' };
+    case FrameCode.RulesWanted:
+      return { type: 'rules-wanted' };
+    case FrameCode.Rules:
+      return { type: 'rules', document: document['b'] as Uint8Array };
+    default:
+      return undefined;
+  }
+}
+
+function endMessage(id: number, document: Document, end: AttemptEnd): LinkMessage {
+  return { type: 'end', id, clock: document['n'] as number, end };
+}
+
+function callFromDocument(document: Document): AttemptCall {
+  return {
+    attemptId: document['a'] as string,
+    requestId: requestIdFromDocument(document),
+    service: document['s'] as string,
+    kind: document['k'] as string,
+    rank: document['r'] as number,
+    idempotent: document['x'] as boolean,
+    depth: document['d'] as number,
+    repeated: document['e'] === true,
+    committed: document['w'] === true,
+    timeLeftMs: document['l'] as number,
+    dueInMs: document['u'] as number,
+    callerService: document['o'] as string,
+    method: document['m'] as string,
+    path: document['p'] as string,
+    fields: splitFields(document['h'] as string),
+    body: document['b'] as Uint8Array,
+  };
+}
+
+function answerFromDocument(document: Document): AttemptAnswer {
+  return {
+    type: 'answer',
+    status: document['s'] as number,
+    fields: splitFields(document['h'] as string),
+    body: document['b'] as Uint8Array,
+    ...loadFromDocument(document),
+  };
+}
+
+function failureFromDocument(document: Document): AttemptFailure {
+  const retryAfterMs = document['r'] as number | undefined;
+  return {
+    type: 'failure',
+    outcome: document['o'] as AttemptOutcome,
+    execution: document['e'] as Execution,
+    code: document['c'] as ResultCode,
+    detail: document['d'] as string,
+    offered: document['f'] as boolean,
+    ...(retryAfterMs === undefined ? {} : { retryAfterMs }),
+    ...loadFromDocument(document),
+  };
+}
+
+function loadFromDocument(document: Document): { readonly load?: LoadReport } {
+  const bytes = document['l'] as Buffer | undefined;
+  if (bytes === undefined) return {};
+  const read = (index: number): number => bytes.readFloatLE(index * FLOAT_BYTES);
+  const [inFlight, queued, limit, latencyMs] = [read(0), read(1), read(2), read(3)];
+  return {
+    load: { inFlight, queued, limit, latencyMs, threshold: read(4), failureShare: read(5) },
+  };
+}
+
+function requestIdFromDocument({ a, q }: Document): string {
+  return typeof q === 'number' ? (a as string).slice(0, q) : (q as string);
+}
+
+function splitFields(text: string): RawFields {
+  return text === '' ? [] : text.split(FIELD_SEPARATOR);
+}
--- a/src/sidecar/link/link-server.test.ts
+++ b/src/sidecar/link/link-server.test.ts
@@ -5,7 +5,7 @@
 import { FrameReader } from '../../peer/frame-reader.js';
 import { ManualClock } from '../../kernel/clock.js';
 import type { AttemptCall, AttemptEnd, LinkMessage } from './link-messages.js';
-import { decodeMessage, encodeMessage } from './link-messages.js';
+import { decodeMessage, encodeMessage } from './link-codec.js';
 import { LinkServer } from './link-server.js';
 
 const CALL: AttemptCall = {
--- a/src/sidecar/link/link-socket.ts
+++ b/src/sidecar/link/link-socket.ts
@@ -1,12 +1,8 @@
 /** One TCP connection between two nodes: framing, batched writes and the end of the connection. */
 import type { Socket } from 'node:net';
 import { FrameReader } from '../../peer/frame-reader.js';
-import {
-  decodeMessage,
-  encodeMessage,
-  MAX_FRAME_BYTES,
-  type LinkMessage,
-} from './link-messages.js';
+import { decodeMessage, encodeMessage, MAX_FRAME_BYTES } from './link-codec.js';
+import type { LinkMessage } from './link-messages.js';
 
 /** Bytes that may wait for the socket; above it calls are refused, since the other end is stuck. */
 const MAX_BACKLOG_BYTES = 8 * 1024 * 1024;
--- a/src/sidecar/link/peer-link.test.ts
+++ b/src/sidecar/link/peer-link.test.ts
@@ -4,13 +4,8 @@
 import { afterEach, beforeEach, test } from 'node:test';
 import { ManualClock } from '../../kernel/clock.js';
 import { FrameReader } from '../../peer/frame-reader.js';
-import {
-  decodeMessage,
-  encodeMessage,
-  type AttemptCall,
-  type AttemptEnd,
-  type LinkMessage,
-} from './link-messages.js';
+import { decodeMessage, encodeMessage } from './link-codec.js';
+import type { AttemptCall, AttemptEnd, LinkMessage } from './link-messages.js';
 import { PeerLink } from './peer-link.js';
 
 const STATUS = { node: 'other', service: 's', target: 'ready', rulesVersion: 1 } as const;
