--- a/src/sidecar/plugins/directory-plugin.ts
+++ b/src/sidecar/plugins/directory-plugin.ts
@@ -33,7 +33,7 @@
             get(SidecarToken.Routers).refresh(service);
           },
           onPeerRules: (version, request) => {
-            if (version > get(SidecarToken.Rules).version) request();
+            get(SidecarToken.PeerRulesFetch).onPeerVersion(version, request);
           },
           onRulesDocument: (document) => {
             get(SidecarToken.Rules).offer(Buffer.from(document), 'peer');
--- a/src/sidecar/plugins/link-plugin.ts
+++ b/src/sidecar/plugins/link-plugin.ts
@@ -33,7 +33,7 @@
             status: get(SidecarToken.Status),
             rulesDocument: () => get(SidecarToken.Rules).document,
             onPeerStatus: ({ rulesVersion }, requestRules) => {
-              if (rulesVersion > get(SidecarToken.Rules).version) requestRules();
+              get(SidecarToken.PeerRulesFetch).onPeerVersion(rulesVersion, requestRules);
             },
             onRules: (document) => {
               get(SidecarToken.Rules).offer(Buffer.from(document), 'peer');
--- a/src/sidecar/plugins/rules-plugin.ts
+++ b/src/sidecar/plugins/rules-plugin.ts
@@ -4,6 +4,7 @@
 import { Token } from '../../kernel/token.js';
 import { waitForChangesMs } from '../directory/watch-timing.js';
 import { PrefixWatch } from '../directory/prefix-watch.js';
+import { PeerRulesFetch } from '../rules/peer-rules-fetch.js';
 import { RulesKeeper } from '../rules/rules-keeper.js';
 import { seedOf } from '../seed.js';
 import { SidecarOrder, SidecarToken } from './tokens.js';
@@ -28,6 +29,13 @@
           },
         });
       });
+      container.bind(SidecarToken.PeerRulesFetch).toDynamicValue(
+        ({ get }) =>
+          new PeerRulesFetch({
+            clock: get(Token.Clock),
+            currentVersion: () => get(SidecarToken.Rules).version,
+          }),
+      );
       container.bind(SidecarToken.RulesWatch).toDynamicValue(({ get }) => {
         const rules = get(SidecarToken.Rules);
         const { rulesKey } = get(SidecarToken.Adapter);
@@ -58,6 +66,7 @@
     },
     stop: (container) => {
       container.get(SidecarToken.RulesWatch).close();
+      container.get(SidecarToken.PeerRulesFetch).close();
       return Promise.resolve();
     },
   },
--- a/src/sidecar/plugins/tokens.ts
+++ b/src/sidecar/plugins/tokens.ts
@@ -16,6 +16,7 @@
 import type { NodeStatus } from '../link/link-messages.js';
 import type { ForwardedFields } from '../forwarded-fields.js';
 import type { PlatformAdapter } from '../platform-adapter.js';
+import type { PeerRulesFetch } from '../rules/peer-rules-fetch.js';
 import type { RulesKeeper } from '../rules/rules-keeper.js';
 import type { HttpListener } from '../http-listener.js';
 import type { SidecarMetrics } from '../sidecar-metrics.js';
@@ -36,6 +37,7 @@
   Store: createToken<MetadataStore>('sidecar.Store'),
   StoreBackoff: createToken<StoreBackoff>('sidecar.StoreBackoff'),
   Rules: createToken<RulesKeeper>('sidecar.Rules'),
+  PeerRulesFetch: createToken<PeerRulesFetch>('sidecar.PeerRulesFetch'),
   Status: createToken<StatusSource>('sidecar.Status'),
   Directory: createToken<NodeDirectory>('sidecar.Directory'),
   Publisher: createToken<RecordPublisher>('sidecar.Publisher'),
