--- a/src/core/hash.ts
+++ b/src/core/hash.ts
@@ -1,9 +1,7 @@
-/** Fast hashes for placement, digests and recognition; not for security. */
+/** A fast 32-bit hash of strings for placement and digests; not for security. */
 import createXxhash from 'xxhash-wasm';
 
-const { h32, h64, h64Raw } = await createXxhash();
-
-const HEX = 16;
+const { h32 } = await createXxhash();
 
 /** Mixes all bits of a 32-bit number (the finalizer of MurmurHash3). */
 export function mix32(value: number): number {
@@ -22,11 +20,3 @@
 export function combineHashes(first: number, second: number): number {
   return mix32(Math.imul(first, 0x9e3779b1) ^ second);
 }
-
-/** Length of a text that {@link hash64} returns. */
-export const HASH64_LENGTH = 16;
-
-/** Hash of a string and bytes (xxHash64), as hexadecimal digits. */
-export function hash64(text: string, bytes: Uint8Array): string {
-  return h64Raw(bytes, h64(text)).toString(HEX).padStart(HASH64_LENGTH, '0');
-}
--- a/src/sidecar/link/link-codec.ts
+++ b/src/sidecar/link/link-codec.ts
@@ -5,7 +5,7 @@
 import { deserialize, serialize, setInternalBufferSize } from 'bson';
 import type { AttemptOutcome, LoadReport } from '../../core/request.js';
 import type { TargetEnd } from '../../core/quarantine/suspect-table.js';
-import { HASH64_LENGTH } from '../../core/hash.js';
+import { FINGERPRINT_LENGTH } from '../quarantine/call-fingerprint.js';
 import type { Execution, ResultCode } from '../../core/result-code.js';
 import type {
   AttemptAnswer,
@@ -25,7 +25,7 @@
 const FIELD_SEPARATOR = '\n';
 const LOAD_NUMBERS = 6;
 const FLOAT_BYTES = 4;
-const FINGERPRINTS = new RegExp(`[0-9a-f]{${HASH64_LENGTH}}`, 'g');
+const FINGERPRINTS = new RegExp(`[0-9a-f]{${FINGERPRINT_LENGTH}}`, 'g');
 const DESERIALIZE_OPTIONS = { promoteBuffers: true };
 const SERIALIZE_OPTIONS = { ignoreUndefined: true };
 
--- a/src/sidecar/quarantine/call-fingerprint.ts
+++ b/src/sidecar/quarantine/call-fingerprint.ts
@@ -1,13 +1,27 @@
-/** The fingerprint of a call as it goes over links, so that nothing more has to be sent. */
-import { fingerprintOf } from '../../core/quarantine/request-fingerprint.js';
+/**
+ * What makes two requests the same: a request that comes again has another identity of its try, and
+ * maybe another node, but does the same to a target. Computed from what goes over links anyway, so that
+ * nothing more has to be sent.
+ */
+import { createHash } from 'node:crypto';
 import type { AttemptCall, RawFields } from '../link/link-messages.js';
 
+/** Length of a fingerprint, in hexadecimal digits: 64 bits of the hash. */
+export const FINGERPRINT_LENGTH = 16;
+const ALGORITHM = 'sha256';
 const HOST = 'host';
 
-/** See {@link fingerprintOf}; the same at each node that the call passes. */
+/**
+ * A text that is equal for requests with the same method, host, path, calling service and body, and for
+ * others but by rare chance; the same at each node that a call passes.
+ */
 export function fingerprintOfCall(call: AttemptCall): string {
   const { method, path, callerService, body, fields } = call;
-  return fingerprintOf({ method, host: hostOf(fields), path, callerService, body });
+  return createHash(ALGORITHM)
+    .update(`${method}\n${hostOf(fields)}\n${path}\n${callerService}\n`)
+    .update(body)
+    .digest('hex')
+    .slice(0, FINGERPRINT_LENGTH);
 }
 
 function hostOf(fields: RawFields): string {
