Links: the clock of a node that was suspended is reckoned anew

Callers could have seen a request run that lay in a broken connection for seconds: the check of a call's time on its way compares with the receiver's steady clock, which stands still while its machine is suspended, and the sender kept the reckoning of before for as long as the link was open. Cause: of the stamps of the other end only the highest counted, which holds for clocks that go on. Change: an answer was stamped after its call was sent, so that a reckoning above that is void. Ruled out: the clock of the suspended node itself; its calls look older than they are, are refused as not run and tried elsewhere, and the refusal's stamp mends its reckoning. Before/after: peer-clock.test.ts, red on the code before, green after. By reading and unit test; not seen with callers.

--- a/src/sidecar/link/peer-clock.ts
+++ b/src/sidecar/link/peer-clock.ts
@@ -10,12 +10,17 @@
   private offset: number | undefined;
 
   /**
-   * Every stamp gives a lower bound; the highest is the closest.
+   * Every stamp gives a lower bound; the highest is the closest. An answer gives an upper bound too, since
+   * it was stamped after its call was sent: a reckoning above it is void. The other machine was suspended,
+   * and its clock stood still; calls that lie in a broken connection would look young there.
    *
    * @param stamp monotonic time at the other end when it sent, in milliseconds
+   * @param calledAt local time at which the call that it answers was sent; absent: it answers none
    */
-  note(now: number, stamp: number): void {
-    this.offset = Math.max(this.offset ?? -Infinity, stamp - now);
+  note(now: number, stamp: number, calledAt = -Infinity): void {
+    const lowest = stamp - now;
+    const isVoid = this.offset === undefined || this.offset > stamp - calledAt;
+    this.offset = isVoid ? lowest : Math.max(this.offset!, lowest);
   }
 
   /** The other process is a new one, with a clock of its own. */
--- a/src/sidecar/link/peer-link.ts
+++ b/src/sidecar/link/peer-link.ts
@@ -167,7 +167,7 @@
     this.probedAt = undefined;
     switch (message.type) {
       case 'end':
-        this.peerClock.note(this.lastHeard, message.clock);
+        this.peerClock.note(this.lastHeard, message.clock, this.pending.get(message.id)?.createdAt);
         this.onEnd(message.id, message.end);
         break;
       case 'hello':
