The end of a target is told though its last requests are cut off after the refusal

Cause: by reading. When a new connection was refused before the last of the cut connections was heard of, the end was taken for something else, and nobody was told of it for the seconds until the next life of the target registered. Change: while connections are refused and requests still run, it is checked five times, 20 ms apart. Before/after: target-end-watch.test.ts, the new test fails without the change (not told at all).

--- a/src/sidecar/target/target-end-watch.test.ts
+++ b/src/sidecar/target/target-end-watch.test.ts
@@ -39,6 +39,14 @@
   );
 }
 
+/** Lets time pass, in steps in which promises settle. */
+async function pass(milliseconds: number): Promise<void> {
+  for (let passed = 0; passed < milliseconds; passed += 10) {
+    await new Promise((resolve) => setImmediate(resolve));
+    clock.advance(10);
+  }
+}
+
 test('all cut off and new connections refused: an end, told before the requests end', async () => {
   const cutting = cut('a', 'b', 'a');
   assert.deepEqual(released, []);
@@ -53,12 +61,24 @@
 ] as const) {
   test(`no end: ${name}`, async () => {
     prepare();
-    await cut('a');
+    const cutting = cut('a');
+    await pass(200);
+    await cutting;
     assert.deepEqual(ends, []);
     assert.deepEqual(released, ['a']);
   });
 }
 
+test('an end is told when the last request is cut off after the first refusal', async () => {
+  running = true;
+  const cutting = cut('a');
+  await pass(20);
+  running = false;
+  await pass(20);
+  await cutting;
+  assert.deepEqual(ends, [['a']]);
+});
+
 test('an end is told once', async () => {
   await cut('a');
   await cut('b');
--- a/src/sidecar/target/target-end-watch.ts
+++ b/src/sidecar/target/target-end-watch.ts
@@ -5,6 +5,7 @@
  */
 import type { RequestKey } from '../../core/quarantine/suspect-table.js';
 import type { Clock } from '../../kernel/clock.js';
+import { pause } from '../../kernel/pause.js';
 
 /** Time in which a new life explains requests that were cut off, in milliseconds. */
 const EXPLAINED_WITHIN_MS = 10_000;
@@ -14,6 +15,10 @@
  */
 const ABANDONED_LIFE_MS = 1_000;
 
+/** Checks, and the pause between them in milliseconds, while connections are refused and requests still run. */
+const MAX_CHECKS = 5;
+const CHECK_PAUSE_MS = 20;
+
 /** A request that was cut off, or that nobody waits for any more. */
 interface CutRequest {
   readonly request: RequestKey;
@@ -76,14 +81,25 @@
   private async check(): Promise<void> {
     this.checking = true;
     const startedAt = this.cut.at(-1)!.at;
-    const refusing = await this.options.isRefusing();
+    const ended = await this.hasEnded(startedAt);
     this.checking = false;
-    if (refusing && !this.options.isRunningSince(startedAt)) this.end();
+    if (ended) this.end();
     const { released } = this;
     this.released = [];
     for (const release of released) release();
   }
 
+  /** The news that the last connections were cut may come after that of the refusal. */
+  private async hasEnded(since: number): Promise<boolean> {
+    const { clock, isRefusing, isRunningSince } = this.options;
+    for (let check = 0; check < MAX_CHECKS; check += 1) {
+      if (!(await isRefusing())) return false;
+      if (!isRunningSince(since)) return true;
+      await pause(clock, CHECK_PAUSE_MS);
+    }
+    return false;
+  }
+
   private end(): void {
     const suspects = [...this.cut, ...this.recentlyAbandoned()];
     this.cut = [];
