A store that comes back from an older copy undoes nothing that was acknowledged

Users' new term: the store may be away for a moment and come back some seconds older, in a new era that each answer tells. Cause: a node wrote its record again only when it was absent; revisions, leases and watches were believed over the return; a starting node believed its record. Change: StoreEras hears of each answer's era. A new one voids revision and lease, the record is written again within half a second, watches list again, and late answers of an earlier era do not count. Records tell the era in which they were written; where it is not the present one a starting node hears peers first, which tell each node on a new link in which life its target has left.

--- a/src/sidecar/directory/node-directory.test.ts
+++ b/src/sidecar/directory/node-directory.test.ts
@@ -30,6 +30,8 @@
     status: () => STATUS,
     rulesDocument: () => undefined,
     quarantine: { news: () => undefined, onNews: () => {} },
+    leftTargetOf: () => undefined,
+    onOwnTargetLeft: () => {},
     onPeerStatus: () => {},
     onRules: () => {},
   });
@@ -46,6 +48,7 @@
     status: () => ({ ...STATUS, node: 'own' }),
     rulesDocument: () => undefined,
     quarantine: { news: () => undefined, onNews: () => {} },
+    onOwnTargetLeft: () => {},
     onServiceChanged: () => {},
     onPeerRules: () => {},
     onRulesDocument: () => {},
--- a/src/sidecar/directory/node-directory.ts
+++ b/src/sidecar/directory/node-directory.ts
@@ -9,10 +9,12 @@
   type SubsetCandidate,
 } from '../../core/routing/target-subset.js';
 import type { CancelTimer, Clock } from '../../kernel/clock.js';
+import { pause } from '../../kernel/pause.js';
 import { Event, type EventLog } from '../../kernel/event.js';
 import type { StoreEvent, StoreItem } from '../../store/metadata-store.js';
 import type { AttemptPort } from '../link/attempt-port.js';
 import type { NodeStatus } from '../link/link-messages.js';
+import { incarnationText } from './target-registration.js';
 import { PeerLink } from '../link/peer-link.js';
 import type { NewsExchange, QuarantineNews } from '../quarantine/quarantine-news.js';
 import { gatherRecordsMs } from './watch-timing.js';
@@ -42,6 +44,8 @@
   isStoreAvailable(): boolean;
   /** The store holds no record of this node. */
   onOwnRecordLost(): void;
+  /** A peer remembers that the own target has left in this life. */
+  onOwnTargetLeft(incarnation: string): void;
 }
 
 /** Time after the store is back in which a node whose record has ended writes it again, in milliseconds. */
@@ -52,6 +56,14 @@
   return REWRITE_WITHIN_MS + gatherRecordsMs(nodes);
 }
 
+/** Peers that a starting node hears before it trusts an old record of itself. */
+const PEERS_HEARD = 3;
+/** Longest wait for the first of them, in milliseconds. */
+const HEAR_WITHIN_MS = 600;
+const HEAR_CHECK_MS = 20;
+/** Time for what a peer has to say after its link has opened, in milliseconds. */
+const HEAR_ANSWER_MS = 100;
+
 /** Factor by which a subset is widened when its targets have more than one try of this node each. */
 const WIDTH_STEP = 2;
 
@@ -70,6 +82,13 @@
 /** See the module comment. */
 export class NodeDirectory {
   private readonly peers = new Map<string, Peer>();
+  /**
+   * Lives in which nodes' targets have left, by node. A node that starts anew from a record that the store
+   * has brought back may take its target for ready.
+   */
+  private readonly leftTargets = new Map<string, string>();
+  /** Until then records may be missing that are about to be written again. */
+  private recoversUntil = -Infinity;
   /** Services that this node calls, with their subsets. */
   private readonly called = new Map<string, CalledTargets>();
 
@@ -96,6 +115,28 @@
     }
   }
 
+  /** The store has come back from an older copy: nodes that it lacks write their records again. */
+  onStoreEraChanged(): void {
+    this.recoversUntil = this.options.clock.now() + lapsedGraceMs(this.size);
+  }
+
+  /** Life in which a node's target has left; undefined: none that is known. */
+  leftTargetOf(node: string): string | undefined {
+    return this.leftTargets.get(node);
+  }
+
+  /** Resolves when peers have had time to tell what they remember of this node. */
+  async hearPeers(): Promise<void> {
+    const { clock } = this.options;
+    const asked = [...this.peers.values()].slice(0, PEERS_HEARD);
+    for (const { link } of asked) link.open();
+    const end = clock.now() + HEAR_WITHIN_MS;
+    while (clock.now() < end && !asked.some(({ link }) => link.isReachable)) {
+      await pause(clock, HEAR_CHECK_MS);
+    }
+    await pause(clock, HEAR_ANSWER_MS);
+  }
+
   /** Whether the link to a node is open. */
   isReachable(node: string): boolean {
     return this.peers.get(node)?.link.isReachable ?? false;
@@ -191,6 +232,7 @@
       return;
     }
     if (record.node === this.options.node) return;
+    if (record.target === 'leaving') this.leftTargets.set(record.node, lifeIn(record));
     const known = this.peers.get(record.node);
     if (known?.record.address === record.address && known.record.service === record.service) {
       known.lapsed = false;
@@ -214,7 +256,11 @@
       status: () => this.options.status(),
       rulesDocument: () => this.options.rulesDocument(),
       quarantine: this.options.quarantine,
+      leftTarget: () => this.leftTargets.get(node),
       listener: {
+        onOwnTargetLeft: (incarnation) => {
+          this.options.onOwnTargetLeft(incarnation);
+        },
         onStatus: (status) => {
           this.onStatus(node, status);
         },
@@ -245,7 +291,7 @@
     const peer = this.peers.get(node);
     if (peer === undefined || peer.lapsed) return;
     peer.lapsed = true;
-    if (!peer.link.isReachable) {
+    if (!peer.link.isReachable && this.options.clock.now() >= this.recoversUntil) {
       this.remove(node, peer, 'its record has ended');
       return;
     }
@@ -280,9 +326,14 @@
       return;
     }
     const { said } = peer;
-    if (said?.target === status.target && said.incarnation === status.incarnation) return;
+    const isSame =
+      said?.target === status.target &&
+      said.incarnation === status.incarnation &&
+      said.targetLeft === status.targetLeft;
+    if (isSame) return;
     peer.said = status;
-    const { target, incarnation } = status;
+    const { target, incarnation, targetLeft } = status;
+    if (targetLeft === true && incarnation !== undefined) this.leftTargets.set(node, incarnation);
     this.options.log.emit(Event.PeerTargetChanged, { peer: node, target, incarnation });
     this.options.onServiceChanged(status.service);
   }
@@ -315,6 +366,11 @@
   return { id, zone: record.zone, rank, usable, peer };
 }
 
+/** Life of the target that a record names. */
+function lifeIn({ targetId: id, targetStartedAt: startedAt }: NodeRecord): string {
+  return incarnationText(startedAt === undefined ? { id } : { id, startedAt });
+}
+
 function viewOf(id: string, peer: Peer): TargetView {
   const { record, said } = peer;
   const { zone, region } = record;
--- a/src/sidecar/directory/node-record.ts
+++ b/src/sidecar/directory/node-record.ts
@@ -19,6 +19,11 @@
   readonly target: TargetState;
   /** Requests that the target works on at once; absent while none is known. */
   readonly targetSlots?: number;
+  /**
+   * Era of the store in which the record was written; absent where the store tells none. In a later era a
+   * newer record may have been forgotten.
+   */
+  readonly storeEra?: number;
 }
 
 const TARGET_STATES: ReadonlySet<unknown> = new Set<TargetState>(['unknown', 'ready', 'leaving']);
@@ -50,11 +55,11 @@
 }
 
 function isNodeRecord(record: Partial<NodeRecord>): record is NodeRecord {
-  const { node, address, zone, region, service, targetId, targetStartedAt, target, targetSlots } =
-    record;
+  const { node, address, zone, region, service, targetId, target } = record;
+  const { targetStartedAt, targetSlots, storeEra } = record;
   const texts = [node, zone, region, service, targetId];
   if (texts.some((text) => typeof text !== 'string') || service === '') return false;
-  const counts = [targetStartedAt, targetSlots];
+  const counts = [targetStartedAt, targetSlots, storeEra];
   if (counts.some((count) => count !== undefined && !Number.isSafeInteger(count))) return false;
   return TARGET_STATES.has(target) && isAddress(address);
 }
--- a/src/sidecar/directory/prefix-watch.test.ts
+++ b/src/sidecar/directory/prefix-watch.test.ts
@@ -12,6 +12,7 @@
   WatchResult,
 } from '../../store/metadata-store.js';
 import { StoreBackoff } from '../../store/store-backoff.js';
+import { StoreEras } from '../../store/store-eras.js';
 import { PrefixWatch } from './prefix-watch.js';
 
 type WatchEnd = Result<WatchResult, StoreFailure>;
@@ -25,17 +26,23 @@
 }
 
 /** Runs a watch over scripted answers; returns what it asked for and what it was told. */
-async function follow(answers: readonly WatchEnd[]): Promise<{ asked: string[]; heard: number }> {
+async function follow(
+  answers: readonly WatchEnd[],
+  onAsked: (eras: StoreEras, asked: readonly string[]) => void = () => {},
+): Promise<{ asked: string[]; heard: number }> {
+  const eras = new StoreEras();
   const asked: string[] = [];
   let heard = 0;
   let next = 0;
   const store = {
     list: () => {
       asked.push('list');
+      onAsked(eras, asked);
       return Promise.resolve(Result.ok({ items: [], at: asked.length === 1 ? 10 : 20 }));
     },
     watch: (_prefix: string, after: number) => {
       asked.push(`after ${after}`);
+      onAsked(eras, asked);
       const answer = answers[next];
       next += 1;
       if (answer === undefined) watch.close();
@@ -48,6 +55,7 @@
     prefix: 'k',
     store,
     backoff: new StoreBackoff(clock, random),
+    eras,
     clock,
     log: silentEventLog,
     random,
@@ -82,3 +90,19 @@
   const { asked } = await follow([Result.ok({ type: 'compacted' })]);
   assert.deepEqual(asked, ['list', 'after 10', 'list', 'after 20']);
 });
+
+test('changes that are told in another era than their listing are listed anew', async () => {
+  const { asked, heard } = await follow(
+    [Result.ok({ type: 'events', events: [EVENT], at: 12 })],
+    (eras, soFar) => eras.accept(soFar.length === 1 ? 1 : 2),
+  );
+  assert.deepEqual(asked, ['list', 'after 10', 'list', 'after 20']);
+  assert.equal(heard, 0);
+});
+
+test('a listing over the end of an era is made again', async () => {
+  const { asked } = await follow([Result.ok({ type: 'compacted' })], (eras, soFar) =>
+    eras.accept(soFar.length < 3 ? 1 : 2),
+  );
+  assert.deepEqual(asked, ['list', 'after 10', 'list', 'list', 'after 20']);
+});
--- a/src/sidecar/directory/prefix-watch.ts
+++ b/src/sidecar/directory/prefix-watch.ts
@@ -4,6 +4,7 @@
 import type { Random } from '../../core/random.js';
 import type { MetadataStore, StoreEvent, StoreItem } from '../../store/metadata-store.js';
 import type { StoreBackoff } from '../../store/store-backoff.js';
+import type { StoreEras } from '../../store/store-eras.js';
 
 /** What a watch works with. */
 export interface PrefixWatchOptions {
@@ -11,6 +12,7 @@
   readonly store: MetadataStore;
   /** Shared by all watches of this node. */
   readonly backoff: StoreBackoff;
+  readonly eras: StoreEras;
   readonly clock: Clock;
   readonly log: EventLog;
   /** Spreads the ends of waits, so that nodes do not ask at the same time. */
@@ -30,6 +32,8 @@
   private listed = false;
   private available = true;
   private revision: number | undefined;
+  /** Era of the store in which the revision was told. */
+  private era: number | undefined;
 
   /** All items of the first listing. */
   readonly firstListing: Promise<readonly StoreItem[]>;
@@ -67,12 +71,17 @@
   }
 
   private async list(): Promise<void> {
-    const listing = await this.options.store.list(this.options.prefix);
+    const { eras, store, prefix } = this.options;
+    const { current: era } = eras;
+    const listing = await store.list(prefix);
     if (listing.isErr) {
       this.onFailure(listing.error.detail);
       return;
     }
     this.onSuccess();
+    // Pages of two eras make no listing.
+    if (era !== undefined && era !== eras.current) return;
+    this.era = eras.current;
     this.revision = listing.value.at;
     this.options.onListing(listing.value.items);
     this.listed = true;
@@ -90,7 +99,8 @@
       return;
     }
     this.onSuccess();
-    if (result.value.type === 'compacted') {
+    // In another era the revision says nothing: changes may lie below it.
+    if (result.value.type === 'compacted' || this.era !== this.options.eras.current) {
       this.revision = undefined;
       return;
     }
--- a/src/sidecar/directory/record-publisher.test.ts
+++ b/src/sidecar/directory/record-publisher.test.ts
@@ -10,6 +10,8 @@
   StoreTransaction,
   TransactionResult,
 } from '../../store/metadata-store.js';
+import { createRandom } from '../../core/random.js';
+import { StoreEras } from '../../store/store-eras.js';
 import type { NodeRecord } from './node-record.js';
 import { RecordPublisher } from './record-publisher.js';
 
@@ -28,8 +30,13 @@
 
 /** A store whose writes end when the test says so. */
 class HeldStore implements MetadataStore {
-  readonly writes: { readonly target: string; readonly end: (result: TransactionEnd) => void }[] =
-    [];
+  readonly writes: {
+    readonly target: string;
+    readonly storeEra: number | undefined;
+    readonly lease: string | undefined;
+    readonly end: (result: TransactionEnd) => void;
+  }[] = [];
+  private leases = 0;
 
   read(): ReturnType<MetadataStore['read']> {
     return Promise.resolve(Result.ok(undefined));
@@ -41,13 +48,15 @@
     return assert.fail('not used');
   }
   transact({ puts }: StoreTransaction): Promise<TransactionEnd> {
-    const { target } = JSON.parse(puts[0]!.value.toString()) as NodeRecord;
+    const { value, lease } = puts[0]!;
+    const { target, storeEra } = JSON.parse(value.toString()) as NodeRecord;
     return new Promise((end) => {
-      this.writes.push({ target, end });
+      this.writes.push({ target, storeEra, lease, end });
     });
   }
   grantLease(): ReturnType<MetadataStore['grantLease']> {
-    return Promise.resolve(Result.ok({ id: '1', ttlMs: 1_000 }));
+    this.leases += 1;
+    return Promise.resolve(Result.ok({ id: String(this.leases), ttlMs: 1_000 }));
   }
   keepLease(): ReturnType<MetadataStore['keepLease']> {
     return Promise.resolve(Result.ok(true));
@@ -65,11 +74,26 @@
   return Result.ok({ type: 'committed', revision });
 }
 
-function create(): { store: HeldStore; clock: ManualClock; publisher: RecordPublisher } {
+interface Created {
+  readonly store: HeldStore;
+  readonly eras: StoreEras;
+  readonly clock: ManualClock;
+  readonly publisher: RecordPublisher;
+}
+
+function create(): Created {
   const store = new HeldStore();
+  const eras = new StoreEras();
   const clock = new ManualClock();
-  const publisher = new RecordPublisher({ node: 'n', store, clock, log: silentEventLog });
-  return { store, clock, publisher };
+  const publisher = new RecordPublisher({
+    node: 'n',
+    store,
+    eras,
+    clock,
+    log: silentEventLog,
+    random: createRandom(1),
+  });
+  return { store, eras, clock, publisher };
 }
 
 test('a leave counts as stored only when its own write is acknowledged', async () => {
@@ -121,3 +145,40 @@
   await settle();
   assert.deepEqual(done, ['first', 'second', 'third']);
 });
+
+test('in a new era of the store the record is written again, under a new lease', async () => {
+  const { store, eras, clock, publisher } = create();
+  eras.accept(1);
+  void publisher.publish(LEAVING);
+  await settle();
+  store.writes[0]?.end(committed(5));
+  await settle();
+  eras.accept(2);
+  clock.advance(500);
+  await settle();
+  assert.deepEqual(
+    store.writes.map(({ target, storeEra, lease }) => [target, storeEra, lease]),
+    [
+      ['leaving', 1, '1'],
+      ['leaving', 2, '2'],
+    ],
+  );
+});
+
+test('a write whose answer is of a new era does not count, since the lease is of the earlier one', async () => {
+  const { store, eras, publisher } = create();
+  eras.accept(1);
+  let stored = false;
+  void publisher.publish(LEAVING).then(() => {
+    stored = true;
+  });
+  await settle();
+  eras.accept(2);
+  store.writes[0]?.end(committed(5));
+  await settle();
+  assert.equal(stored, false);
+  assert.equal(store.writes[1]?.lease, '2');
+  store.writes[1].end(committed(6));
+  await settle();
+  assert.equal(stored, true);
+});
--- a/src/sidecar/directory/record-publisher.ts
+++ b/src/sidecar/directory/record-publisher.ts
@@ -5,6 +5,8 @@
 import { Event, type EventLog } from '../../kernel/event.js';
 import type { CancelTimer, Clock } from '../../kernel/clock.js';
 import type { MetadataStore, StoreFailure, StoreItem } from '../../store/metadata-store.js';
+import type { Random } from '../../core/random.js';
+import type { StoreEras } from '../../store/store-eras.js';
 import { decodeNodeRecord, encodeNodeRecord, keyOfNode, type NodeRecord } from './node-record.js';
 
 /** Life of the lease; a node that is gone for good disappears from the store after it. */
@@ -12,13 +14,21 @@
 const RENEW_INTERVAL_MS = 20_000;
 const FIRST_PAUSE_MS = 100;
 const MAX_PAUSE_MS = 1_000;
+/**
+ * Longest pause before the record is written again in a new era of the store, in milliseconds: spreads the
+ * writes of all nodes, and leaves a second and a half of the two in which records have to be back.
+ */
+const MAX_ERA_PAUSE_MS = 500;
 
 /** What the publisher works with. */
 export interface RecordPublisherOptions {
   readonly node: string;
   readonly store: MetadataStore;
+  readonly eras: StoreEras;
   readonly clock: Clock;
   readonly log: EventLog;
+  /** Spreads the writes of nodes. */
+  readonly random: Random;
 }
 
 type Waiter = () => void;
@@ -37,7 +47,11 @@
   private pauseMs = FIRST_PAUSE_MS;
   private readonly waiters: { readonly record: NodeRecord; readonly done: Waiter }[] = [];
 
-  constructor(private readonly options: RecordPublisherOptions) {}
+  constructor(private readonly options: RecordPublisherOptions) {
+    options.eras.onChange(() => {
+      this.onEraChanged();
+    });
+  }
 
   /** Takes in the record that an earlier process left, as the first listing held it. */
   takePrevious(item: StoreItem | undefined): NodeRecord | undefined {
@@ -64,6 +78,11 @@
     void this.run();
   }
 
+  /** Whether a newer record than one of an earlier process may have been forgotten by the store. */
+  isForgettable({ storeEra }: NodeRecord): boolean {
+    return storeEra !== this.options.eras.current;
+  }
+
   /** Starts to renew the lease. */
   start(): void {
     this.cancelRenewal = this.options.clock.schedule(RENEW_INTERVAL_MS, () => {
@@ -77,6 +96,20 @@
     this.cancelRenewal();
   }
 
+  /**
+   * The revision may stand for another record now, and the lease may have been given to another node. A
+   * record that the store still holds is written again too, since what follows it is not known to be there.
+   */
+  private onEraChanged(): void {
+    this.revision = undefined;
+    this.lease = undefined;
+    this.previous = undefined;
+    this.written = undefined;
+    this.options.clock.schedule(MAX_ERA_PAUSE_MS * this.options.random.next(), () => {
+      void this.run();
+    });
+  }
+
   private async run(): Promise<void> {
     if (this.running) return;
     this.running = true;
@@ -86,7 +119,10 @@
 
   private async writeOnce(): Promise<void> {
     const record = this.wanted!;
+    const { current: era } = this.options.eras;
     const failure = await this.tryWrite(record);
+    // What was done in an earlier era has been forgotten, or was done with another's lease.
+    if (era !== undefined && era !== this.options.eras.current) return;
     if (failure === undefined) {
       this.pauseMs = FIRST_PAUSE_MS;
       this.written = record;
@@ -111,7 +147,7 @@
     const { previous } = this;
     this.previous = undefined;
     if (previous?.lease === undefined) return false;
-    if (!previous.value.equals(encodeNodeRecord(record))) return false;
+    if (!previous.value.equals(this.encode(record))) return false;
     const kept = await this.options.store.keepLease(previous.lease);
     if (kept.isErr || !kept.value) return false;
     this.lease = previous.lease;
@@ -127,7 +163,7 @@
       const item = await store.read(key);
       if (item.isErr) return item.error;
       this.revision = item.value?.revision ?? 0;
-      if (item.value?.value.equals(encodeNodeRecord(record))) return undefined;
+      if (item.value?.value.equals(this.encode(record))) return undefined;
     }
     if (this.lease === undefined) {
       const lease = await store.grantLease(LEASE_TTL_MS);
@@ -138,7 +174,7 @@
     this.revision = undefined;
     const result = await store.transact({
       conditions: [{ key, revision }],
-      puts: [{ key, value: encodeNodeRecord(record), lease }],
+      puts: [{ key, value: this.encode(record), lease }],
     });
     if (result.isErr) return result.error;
     if (result.value.type === 'lease-lost') this.lease = undefined;
@@ -147,11 +183,17 @@
     return undefined;
   }
 
+  private encode(record: NodeRecord): Buffer {
+    const { current: storeEra } = this.options.eras;
+    return encodeNodeRecord(storeEra === undefined ? record : { ...record, storeEra });
+  }
+
   private async renew(): Promise<void> {
     if (this.closed) return;
-    if (this.lease !== undefined) {
-      const kept = await this.options.store.keepLease(this.lease);
-      if (kept.isOk && !kept.value) {
+    const { lease } = this;
+    if (lease !== undefined) {
+      const kept = await this.options.store.keepLease(lease);
+      if (kept.isOk && !kept.value && lease === this.lease) {
         this.lease = undefined;
         this.writeAgain();
       }
--- a/src/sidecar/directory/target-keeper.test.ts
+++ b/src/sidecar/directory/target-keeper.test.ts
@@ -41,8 +41,14 @@
   readonly keeper: TargetKeeper;
   probes = 0;
 
-  constructor(previous: NodeRecord | undefined, answers: readonly (string | undefined)[]) {
+  /** @param heard called when the keeper waits for peers; absent: the record needs no peer */
+  constructor(
+    previous: NodeRecord | undefined,
+    answers: readonly (string | undefined)[],
+    heard?: (keeper: TargetKeeper) => void,
+  ) {
     const publisher = {
+      isForgettable: () => heard !== undefined,
       takePrevious: () => previous,
       publish: () => Promise.resolve(),
     } as unknown as RecordPublisher;
@@ -57,6 +63,10 @@
         this.probes += 1;
         return Promise.resolve(answers[this.probes - 1]);
       },
+      hearPeers: () => {
+        heard?.(this.keeper);
+        return Promise.resolve();
+      },
       onChanged: () => {},
     });
   }
@@ -113,3 +123,20 @@
   assert.equal(scene.registration.current?.startedAt, 200);
   assert.equal(scene.registration.current.slots, 4);
 });
+
+test('a leave that peers remember ends the work of a target whose record is of an earlier era', async () => {
+  const scene = new Scene(RECORD, ['i-1'], (keeper) => {
+    keeper.onLeftBefore('i-1 100');
+  });
+  await scene.restore();
+  const states = [scene.registration.current?.state];
+  await scene.keeper.onReport(BEAT);
+  states.push(scene.registration.current?.state);
+  assert.ok(!states.includes('ready'), 'neither by the record nor by a late report');
+});
+
+test('a target of which peers remember no leave works on', async () => {
+  const scene = new Scene(RECORD, ['i-1'], () => {});
+  await scene.restore();
+  assert.equal(scene.registration.current?.state, 'ready');
+});
--- a/src/sidecar/directory/target-keeper.ts
+++ b/src/sidecar/directory/target-keeper.ts
@@ -12,6 +12,7 @@
 import type { RecordPublisher } from './record-publisher.js';
 import {
   isSameIncarnation,
+  parseIncarnation,
   type Incarnation,
   type RegisteredTarget,
   type TargetRegistration,
@@ -46,6 +47,8 @@
   record(): NodeRecord;
   /** Asks the target itself for its identity; undefined without a good answer. */
   probe(timeoutMs: number): Promise<string | undefined>;
+  /** Resolves when peers have had time to tell what they remember of this node. */
+  hearPeers(): Promise<void>;
   /** What is known has changed. */
   onChanged(target: RegisteredTarget | undefined): void;
 }
@@ -74,8 +77,10 @@
    * average, would keep it without work for longer than the node's start takes.
    */
   private async restoreReady(previous: NodeRecord): Promise<void> {
-    const { registration, clock } = this.options;
+    const { registration, clock, publisher, hearPeers } = this.options;
     if (previous.targetSlots === undefined) return;
+    // The store may have forgotten a leave that was acknowledged after this record; peers have not.
+    if (publisher.isForgettable(previous)) await hearPeers();
     const found = await this.probeUntilAnswered();
     if (found !== previous.targetId || registration.current !== undefined) return;
     registration.restoreReady(clock.now(), targetOf(previous), previous.targetSlots);
@@ -118,6 +123,12 @@
     this.afterReport();
   }
 
+  /** A peer remembers that the target has left in this life. */
+  onLeftBefore(incarnation: string): void {
+    this.options.registration.restoreLeft(parseIncarnation(incarnation));
+    this.afterReport();
+  }
+
   private async judge(message: RegistrationMessage): Promise<Verdict> {
     const { registration, clock, probe } = this.options;
     if (message.type === 'departure') return registration.onDeparture(message);
--- a/src/sidecar/directory/target-registration.ts
+++ b/src/sidecar/directory/target-registration.ts
@@ -161,6 +161,12 @@
   return startedAt === undefined ? id : `${id} ${startedAt}`;
 }
 
+/** Reads what {@link incarnationText} has written. */
+export function parseIncarnation(text: string): Incarnation {
+  const [id = '', startedAt] = text.split(' ');
+  return startedAt === undefined ? { id } : { id, startedAt: Number(startedAt) };
+}
+
 function toIncarnation({ targetId, startedAt }: Heartbeat): Incarnation {
   return { id: targetId, ...(startedAt === undefined ? {} : { startedAt }) };
 }
--- a/src/sidecar/link/link-server.test.ts
+++ b/src/sidecar/link/link-server.test.ts
@@ -53,6 +53,8 @@
     status: () => ({ node: 'n', service: 's', target: 'ready', rulesVersion: 1 }),
     rulesDocument: () => Buffer.from('{}'),
     quarantine: { news: () => undefined, onNews: () => {} },
+    leftTargetOf: () => undefined,
+    onOwnTargetLeft: () => {},
     onPeerStatus: ({ rulesVersion }, requestRules) => {
       if (rulesVersion > 1) requestRules();
     },
--- a/src/sidecar/link/link-server.ts
+++ b/src/sidecar/link/link-server.ts
@@ -19,6 +19,10 @@
   /** The rules in force as a document; undefined: none. */
   rulesDocument(): Buffer | undefined;
   readonly quarantine: NewsExchange;
+  /** Life in which a node's target has left, as this node remembers; undefined: none. */
+  leftTargetOf(node: string): string | undefined;
+  /** Another node remembers that the own target has left in this life. */
+  onOwnTargetLeft(incarnation: string): void;
   /**
    * Another node has said something about itself.
    *
@@ -75,6 +79,7 @@
 class IncomingLink {
   private socket: LinkSocket | undefined;
   private readonly running = new Map<number, CancelTry>();
+  private toldLeft: string | undefined;
 
   constructor(
     private readonly options: LinkServerOptions,
@@ -113,6 +118,7 @@
         break;
       case 'hello':
       case 'status':
+        this.tellLeftTarget(message.status.node);
         // The other node's target is reached over a link of this node's own.
         this.options.onPeerStatus(message.status, () => {
           this.send({ type: 'rules-wanted' });
@@ -121,6 +127,9 @@
       case 'rules':
         this.options.onRules(message.document);
         break;
+      case 'target-left':
+        this.options.onOwnTargetLeft(message.incarnation);
+        break;
       case 'target-ends':
       case 'requests-cleared':
         this.options.quarantine.onNews(message, (news) => {
@@ -158,6 +167,14 @@
     if (!ended) this.running.set(id, cancel);
   }
 
+  /** Once on each connection: a node that has started anew may not know it. */
+  private tellLeftTarget(node: string): void {
+    const incarnation = this.options.leftTargetOf(node);
+    if (incarnation === undefined || this.toldLeft === incarnation) return;
+    this.toldLeft = incarnation;
+    this.send({ type: 'target-left', incarnation });
+  }
+
   private sendEnd(id: number, end: AttemptEnd): void {
     this.send({ type: 'end', id, clock: this.options.clock.now(), end });
   }
--- a/src/sidecar/link/peer-link.test.ts
+++ b/src/sidecar/link/peer-link.test.ts
@@ -45,12 +45,14 @@
     status: () => ({ ...STATUS, node: 'own' }),
     rulesDocument: () => undefined,
     quarantine: { news: () => undefined, onNews: () => {} },
+    leftTarget: () => undefined,
     listener: {
       onStatus: () => {},
       onReachableChanged: (now) => {
         reachable = now;
       },
       onRules: () => {},
+      onOwnTargetLeft: () => {},
     },
   });
   link.open();
--- a/src/sidecar/link/peer-link.ts
+++ b/src/sidecar/link/peer-link.ts
@@ -51,6 +51,8 @@
   /** The link opened, ended, fell silent or is heard again. */
   onReachableChanged(reachable: boolean, detail: string): void;
   onRules(document: Uint8Array): void;
+  /** The other node remembers that the own target has left in this life. */
+  onOwnTargetLeft(incarnation: string): void;
 }
 
 /** What a link is made from. */
@@ -65,6 +67,8 @@
   /** The rules in force as a document; undefined: none. */
   rulesDocument(): Buffer | undefined;
   readonly quarantine: NewsExchange;
+  /** Life in which the other node's target has left, as this node remembers; undefined: none. */
+  leftTarget(): string | undefined;
   readonly listener: PeerLinkListener;
 }
 
@@ -182,6 +186,9 @@
       case 'rules-wanted':
         this.sendRules();
         break;
+      case 'target-left':
+        this.options.listener.onOwnTargetLeft(message.incarnation);
+        break;
       case 'target-ends':
       case 'requests-cleared':
         this.options.quarantine.onNews(message, (news) => {
@@ -234,6 +241,8 @@
     this.socket?.send({ type: 'status', status: own });
     const news = this.options.quarantine.news();
     if (news !== undefined) this.socket?.send(news);
+    const incarnation = this.options.leftTarget();
+    if (incarnation !== undefined) this.socket?.send({ type: 'target-left', incarnation });
     this.options.listener.onStatus(status);
     this.updateReachable('connected');
     for (const [id, { sent }] of this.pending) if (!sent) this.held.add(id);
--- a/src/sidecar/platform-adapter.ts
+++ b/src/sidecar/platform-adapter.ts
@@ -4,7 +4,7 @@
  */
 import type { Result } from 'true-myth';
 import type { Failure } from '../core/failure.js';
-import type { MetadataStore } from '../store/metadata-store.js';
+import type { MetadataStore, StoreEraSink } from '../store/metadata-store.js';
 import type { RoutingRules } from './rules/routing-rules.js';
 
 /** Names of the header fields between callers, nodes and targets, in lower case. */
@@ -89,6 +89,7 @@
   /**
    * @param address IP address and port of the store
    * @param timeoutMs wait for an answer, beyond the wait that a watch asks for
+   * @param eras hears of the era of each answer; an answer that does not count is a failure
    */
-  createStore(address: string, timeoutMs: number): MetadataStore;
+  createStore(address: string, timeoutMs: number, eras: StoreEraSink): MetadataStore;
 }
--- a/src/sidecar/plugins/directory-plugin.ts
+++ b/src/sidecar/plugins/directory-plugin.ts
@@ -43,6 +43,9 @@
           onOwnRecordLost: () => {
             get(SidecarToken.Publisher).writeAgain();
           },
+          onOwnTargetLeft: (incarnation) => {
+            get(SidecarToken.TargetKeeper).onLeftBefore(incarnation);
+          },
         });
       });
       container.bind(SidecarToken.DirectoryWatch).toDynamicValue(({ get }) => {
@@ -51,6 +54,7 @@
           prefix: NODE_RECORD_PREFIX,
           store: get(SidecarToken.Store),
           backoff: get(SidecarToken.StoreBackoff),
+          eras: get(SidecarToken.StoreEras),
           clock: get(Token.Clock),
           log: get(Token.EventLog),
           random: createRandom(seedOf(`${get(SidecarToken.Settings).node.id} nodes`)),
@@ -67,6 +71,9 @@
       });
     },
     start: (container) => {
+      container.get(SidecarToken.StoreEras).onChange(() => {
+        container.get(SidecarToken.Directory).onStoreEraChanged();
+      });
       void container.get(SidecarToken.DirectoryWatch).run();
       return Promise.resolve();
     },
--- a/src/sidecar/plugins/link-plugin.ts
+++ b/src/sidecar/plugins/link-plugin.ts
@@ -21,6 +21,7 @@
             service: target.service,
             target: gateway.isStopping ? 'leaving' : (current?.state ?? 'unknown'),
             ...(current === undefined ? {} : { incarnation: incarnationText(current) }),
+            ...(current?.state === 'leaving' ? { targetLeft: true as const } : {}),
             rulesVersion: get(SidecarToken.Rules).version,
           };
         };
@@ -33,6 +34,10 @@
             status: get(SidecarToken.Status),
             rulesDocument: () => get(SidecarToken.Rules).document,
             quarantine: get(SidecarToken.Quarantine),
+            leftTargetOf: (node) => get(SidecarToken.Directory).leftTargetOf(node),
+            onOwnTargetLeft: (incarnation) => {
+              get(SidecarToken.TargetKeeper).onLeftBefore(incarnation);
+            },
             onPeerStatus: ({ rulesVersion }, requestRules) => {
               get(SidecarToken.PeerRulesFetch).onPeerVersion(rulesVersion, requestRules);
             },
--- a/src/sidecar/plugins/rules-plugin.ts
+++ b/src/sidecar/plugins/rules-plugin.ts
@@ -46,6 +46,7 @@
           prefix: rulesKey,
           store: get(SidecarToken.Store),
           backoff: get(SidecarToken.StoreBackoff),
+          eras: get(SidecarToken.StoreEras),
           clock: get(Token.Clock),
           log: get(Token.EventLog),
           random: createRandom(seedOf(`${get(SidecarToken.Settings).node.id} rules`)),
--- a/src/sidecar/plugins/store-plugin.ts
+++ b/src/sidecar/plugins/store-plugin.ts
@@ -2,7 +2,9 @@
 import { createRandom } from '../../core/random.js';
 import { registerPlugin } from '../../kernel/plugin.js';
 import { Token } from '../../kernel/token.js';
+import { Event } from '../../kernel/event.js';
 import { StoreBackoff } from '../../store/store-backoff.js';
+import { StoreEras } from '../../store/store-eras.js';
 import { seedOf } from '../seed.js';
 import { SidecarOrder, SidecarToken } from './tokens.js';
 
@@ -16,7 +18,16 @@
     bind: (container) => {
       container.bind(SidecarToken.Store).toDynamicValue(({ get }) => {
         const { address } = get(SidecarToken.Settings).store;
-        return get(SidecarToken.Adapter).createStore(address, STORE_TIMEOUT_MS);
+        const eras = get(SidecarToken.StoreEras);
+        return get(SidecarToken.Adapter).createStore(address, STORE_TIMEOUT_MS, eras);
+      });
+      container.bind(SidecarToken.StoreEras).toDynamicValue(({ get }) => {
+        const log = get(Token.EventLog);
+        const eras = new StoreEras();
+        eras.onChange((era, previous) => {
+          log.emit(Event.StoreEraChanged, { era, previous });
+        });
+        return eras;
       });
       container.bind(SidecarToken.StoreBackoff).toDynamicValue(({ get }) => {
         const seed = seedOf(`${get(SidecarToken.Settings).node.id} store`);
--- a/src/sidecar/plugins/target-plugin.ts
+++ b/src/sidecar/plugins/target-plugin.ts
@@ -1,6 +1,7 @@
 /** Plug-in of the target beside this node: its registration and the gateway to it. */
 import type { ResolutionContext } from 'inversify';
 import '../../core/policies/adaptive.js';
+import { createRandom } from '../../core/random.js';
 import { findOverloadPolicy } from '../../core/overload-policy-registry.js';
 import { registerPlugin } from '../../kernel/plugin.js';
 import { Token } from '../../kernel/token.js';
@@ -36,7 +37,9 @@
           get(Token.Clock),
           get(Token.EventLog),
         ];
-        return new RecordPublisher({ node: node.id, store, clock, log });
+        const eras = get(SidecarToken.StoreEras);
+        const random = createRandom(seedOf(`${node.id} record`));
+        return new RecordPublisher({ node: node.id, store, eras, clock, log, random });
       });
       container.bind(SidecarToken.Gateway).toDynamicValue(createGateway);
       container.bind(SidecarToken.TargetKeeper).toDynamicValue(createKeeper);
@@ -115,6 +118,7 @@
       const path = get(SidecarToken.Rules).table?.rules.services.get(service)?.healthPath;
       return path === undefined ? undefined : await gateway.probe(path, timeoutMs);
     },
+    hearPeers: () => get(SidecarToken.Directory).hearPeers(),
     onChanged: (target: RegisteredTarget | undefined) => {
       gateway.setTarget(target);
       get(SidecarToken.LinkServer).announceStatus();
--- a/src/sidecar/plugins/tokens.ts
+++ b/src/sidecar/plugins/tokens.ts
@@ -3,6 +3,7 @@
 import { createToken } from '../../kernel/token.js';
 import type { MetadataStore } from '../../store/metadata-store.js';
 import type { StoreBackoff } from '../../store/store-backoff.js';
+import type { StoreEras } from '../../store/store-eras.js';
 import type { CurrentSettings } from '../current-settings.js';
 import type { NodeDirectory } from '../directory/node-directory.js';
 import type { PrefixWatch } from '../directory/prefix-watch.js';
@@ -37,6 +38,7 @@
   MetricsServer: createToken<HttpListener>('sidecar.MetricsServer'),
   Store: createToken<MetadataStore>('sidecar.Store'),
   StoreBackoff: createToken<StoreBackoff>('sidecar.StoreBackoff'),
+  StoreEras: createToken<StoreEras>('sidecar.StoreEras'),
   Rules: createToken<RulesKeeper>('sidecar.Rules'),
   PeerRulesFetch: createToken<PeerRulesFetch>('sidecar.PeerRulesFetch'),
   Status: createToken<StatusSource>('sidecar.Status'),
--- a/src/store/metadata-store.ts
+++ b/src/store/metadata-store.ts
@@ -74,6 +74,18 @@
   readonly ttlMs: number;
 }
 
+/**
+ * Hears of the era of each answer: a number that rises by one each time the store comes back from an older
+ * copy of itself.
+ */
+export interface StoreEraSink {
+  /**
+   * @param era number that an answer bears; undefined: none
+   * @returns whether the answer counts; one that does not is a failure with cause `unknown`
+   */
+  accept(era: number | undefined): boolean;
+}
+
 /** The store as the product uses it. */
 export interface MetadataStore {
   /** Reads one key; linearizable. */
--- a/test/bare-relay.ts
+++ b/test/bare-relay.ts
@@ -14,6 +14,7 @@
   type ServerResponse,
 } from 'node:http';
 import { readFileSync } from 'node:fs';
+import { StoreEras } from '../src/store/store-eras.js';
 import { platformAdapter } from '../platform/adapter.js';
 import { createRandom } from '../src/core/random.js';
 import { systemClock } from '../src/kernel/clock.js';
@@ -43,7 +44,8 @@
   throw new Error(failure.detail);
 });
 const { fields, readinessPath, rulesKey, parseRules, acknowledgement } = platformAdapter;
-const store = platformAdapter.createStore(settings.store.address, STORE_TIMEOUT_MS);
+const eras = new StoreEras();
+const store = platformAdapter.createStore(settings.store.address, STORE_TIMEOUT_MS, eras);
 const backoff = new StoreBackoff(systemClock, createRandom(seedOf(`${settings.node.id} store`)));
 const agent = new Agent({ keepAlive: true });
 const places = new Map<string, NodeRecord>();
@@ -56,6 +58,7 @@
     prefix,
     store,
     backoff,
+    eras,
     clock: systemClock,
     log: silentEventLog,
     random: createRandom(seedOf(`${settings.node.id} ${prefix}`)),
@@ -78,8 +81,10 @@
   const publisher = new RecordPublisher({
     node: id,
     store,
+    eras,
     clock: systemClock,
     log: silentEventLog,
+    random: createRandom(seedOf(`${id} record`)),
   });
   const address = `${listen.host}:${listen.ports[0]}`;
   const { service } = target;
