--- a/src/sidecar/entry/routed-request.test.ts
+++ b/src/sidecar/entry/routed-request.test.ts
@@ -64,8 +64,15 @@
   endTry: (end: AttemptEnd) => void = () => {};
   readonly request: RoutedRequest;
 
-  constructor(overrides: { idempotent?: boolean; known?: boolean; mayHaveRun?: boolean } = {}) {
-    const { idempotent = true, known = true, mayHaveRun = true } = overrides;
+  constructor(
+    overrides: {
+      idempotent?: boolean;
+      known?: boolean;
+      mayHaveRun?: boolean;
+      mayRepeat?: boolean;
+    } = {},
+  ) {
+    const { idempotent = true, known = true, mayHaveRun = true, mayRepeat = true } = overrides;
     const router: ServiceRouter = {
       updateTargets: () => {},
       admit: () => undefined,
@@ -86,7 +93,7 @@
       },
       clock: this.clock,
       repeatSlack: 5,
-      mayRepeat: () => true,
+      mayRepeat: () => mayRepeat,
       portOf: () =>
         known
           ? {
@@ -212,3 +219,10 @@
   for (const scene of [once, loaded, late, other]) assert.equal(scene.sent.length, 1);
   assert.deepEqual(once.executions(), [500]);
 });
+
+test('a request under which targets ended is not sent to another, and is said to have maybe run', () => {
+  const scene = new Scene({ mayRepeat: false });
+  scene.endTry(failed('failed', true));
+  assert.equal(scene.sent.length, 1);
+  assert.deepEqual(scene.executions(), ['unknown']);
+});
--- a/test/soak/schedule.ts
+++ b/test/soak/schedule.ts
@@ -22,8 +22,11 @@
   'store-link-silent',
 ] as const;
 
-/** See {@link ACTION_KINDS}. */
-export type ActionKind = (typeof ACTION_KINDS)[number];
+/** Drills, which runs have when they ask for them; seeds without them keep their schedules. */
+export const DRILL_KINDS = ['store-older'] as const;
+
+/** See {@link ACTION_KINDS} and {@link DRILL_KINDS}. */
+export type ActionKind = (typeof ACTION_KINDS)[number] | (typeof DRILL_KINDS)[number];
 
 /** One action; times in milliseconds. */
 export interface Action {
@@ -44,6 +47,8 @@
   ...ACTION_KINDS,
   ...(['stop', 'stop', 'stop', 'stop', 'reload', 'rules', 'rules', 'leave'] as const),
 ];
+/** A drill stands for a seventh of all actions. */
+const WEIGHTED_DRILLS: readonly ActionKind[] = Array.from({ length: 4 }, () => 'store-older');
 const MAX_FAULT_MS = 2_500;
 const MAX_TIMES = 4;
 const MAX_GAP_MS = 700;
@@ -55,14 +60,21 @@
  *
  * @param machines how many there are
  * @param lengthMs time in which actions begin
+ * @param drills whether there are drills beside the faults
  */
-export function createSchedule(seed: number, machines: number, lengthMs: number): Action[] {
+export function createSchedule(
+  seed: number,
+  machines: number,
+  lengthMs: number,
+  drills = false,
+): Action[] {
+  const kinds = drills ? [...WEIGHTED_KINDS, ...WEIGHTED_DRILLS] : WEIGHTED_KINDS;
   const random = createRandom(hash32(`soak ${seed}`));
   const actions: Action[] = [];
   for (let at = nextPause(random); at < lengthMs; at += nextPause(random)) {
     actions.push({
       at: Math.round(at),
-      kind: WEIGHTED_KINDS[random.nextInt(WEIGHTED_KINDS.length)]!,
+      kind: kinds[random.nextInt(kinds.length)]!,
       machine: random.nextInt(machines),
       forMs: 100 + random.nextInt(MAX_FAULT_MS),
       times: 1 + random.nextInt(MAX_TIMES),
--- a/test/soak/soak-faults.ts
+++ b/test/soak/soak-faults.ts
@@ -25,6 +25,7 @@
   /** Machines whose process was killed, since its stop took longer than the grace period. */
   private readonly overdue = new Set<ProcessMachine>();
   private isOver = false;
+  private isReturning = false;
 
   constructor(
     private readonly mesh: ProcessMesh,
@@ -128,6 +129,8 @@
           () => {},
           0,
         );
+      case 'store-older':
+        return await this.returnOlder(forMs, gapMs);
       case 'callers-cut':
         return await this.disturbLink(machine, 'callers', links!.callers, { cut: true }, forMs);
       case 'callers-delayed':
@@ -226,6 +229,21 @@
     this.leaving.delete(machine);
   }
 
+  /** The store is away for a moment and comes back from a copy; one return at a time. */
+  private async returnOlder(ageMs: number, awayMs: number): Promise<void> {
+    if (this.isReturning) return;
+    this.isReturning = true;
+    const { store } = this.mesh;
+    const copy = store.copy();
+    await sleep(ageMs);
+    await this.disturbStore(
+      () => store.goAway(),
+      () => store.comeBackFrom(copy),
+      awayMs,
+    );
+    this.isReturning = false;
+  }
+
   private async disturbStore(begin: () => void, end: () => void, forMs: number): Promise<void> {
     const disruptions = this.mesh.machines.map((machine) => this.disrupt(machine, 'store'));
     begin();
--- a/test/soak/soak-main.ts
+++ b/test/soak/soak-main.ts
@@ -1,6 +1,6 @@
 /**
  * Runs soak seeds: `node dist/test/soak/soak-main.js [first seed] [seeds] [side by side] [machines]`,
- * or those that failed once: `... failed`.
+ * or those that failed once: `... failed`; with drills: `... drills [first seed] ...`.
  * Logs and schedules of failed seeds stay in `soak-failures/`; the exit code is 1 when any failed.
  */
 import { mkdirSync, writeFileSync } from 'node:fs';
@@ -11,9 +11,10 @@
 const FAILURES = 'soak-failures';
 
 const isOfFailed = process.argv[2] === 'failed';
+const drills = process.argv[2] === 'drills';
 const [first = 1, count = 1, sideBySide = 1, machines = LONG_RUN.machines] = isOfFailed
   ? []
-  : process.argv.slice(2).map(Number);
+  : process.argv.slice(drills ? 3 : 2).map(Number);
 const seeds = isOfFailed
   ? FAILED_SEEDS.map(({ seed }) => seed)
   : Array.from({ length: count }, (_, index) => first + index);
@@ -22,7 +23,7 @@
 
 async function runSeeds(): Promise<void> {
   for (let seed = waiting.shift(); seed !== undefined; seed = waiting.shift()) {
-    report(seed, await runSoak({ ...LONG_RUN, machines, seed }));
+    report(seed, await runSoak({ ...LONG_RUN, machines, seed, drills }));
   }
 }
 
--- a/test/soak/soak-run.ts
+++ b/test/soak/soak-run.ts
@@ -20,6 +20,8 @@
   readonly callersPerMachine: number;
   /** Time in which actions begin, in milliseconds. */
   readonly lengthMs: number;
+  /** Whether there are drills beside the faults; absent: none. */
+  readonly drills?: boolean;
 }
 
 /** What a run gave. */
@@ -72,7 +74,8 @@
   constructor(private readonly options: SoakOptions) {}
 
   async play(): Promise<SoakResult> {
-    const { seed, machines, lengthMs, callersPerMachine } = this.options;
+    const { seed, machines, lengthMs, callersPerMachine, drills = false } = this.options;
+    if (drills) this.mesh.store.era = 1;
     await this.mesh.start();
     this.faults.changeRules();
     for (let index = 0; index < machines; index += 1) await this.addMachine(index);
@@ -84,7 +87,7 @@
       }),
     );
     const running = callers.map((caller) => caller.run());
-    const actions = createSchedule(seed, machines, lengthMs);
+    const actions = createSchedule(seed, machines, lengthMs, drills);
     await this.faults.perform(actions);
     await this.recover();
     for (const caller of callers) caller.stop();
--- a/test/soak/soak.test.ts
+++ b/test/soak/soak.test.ts
@@ -10,6 +10,7 @@
 const RUNS: readonly (readonly [why: string, options: SoakOptions])[] = [
   ['overlapping stops, changes and faults', { ...SHORT, seed: 2_001 }],
   ['the same with other luck', { ...SHORT, seed: 2_002 }],
+  ['a store that comes back from older copies', { ...SHORT, seed: 2_003, drills: true }],
 ];
 
 const [newest] = FAILED_SEEDS;
