Return the unused attempts of a request that was refused under its claim

What callers saw: a request that may take effect once only, refused twice as not run (bound of two attempts), was refused for good with 503 and 2005, though no back end had seen it. Cause: RoutedCall.run released the claim of a call that had not run and kept what it had charged to the budget that repeats of the request id share. Only calls without a claim gave unused attempts back. Ruled out: the claim itself (the repeat gets it; the code is 2005, not 3005). Change: calls with and without a claim end in one function that returns the unused attempts, before the claim is released. Before/after: 'a non-idempotent request that was not run keeps its attempts for a repeat': 503 with 2005, then 200. Not known whether callers of an installed system have met it: found by reading.

--- a/src/entry/idempotency.test.ts
+++ b/src/entry/idempotency.test.ts
@@ -118,6 +118,19 @@
   assert.equal(backend.seen.length, seenBefore);
 });
 
+/** Guards against repeats that are refused for good after refusals that ran nothing. */
+test('a non-idempotent request that was not run keeps its attempts for a repeat', async () => {
+  contract.fleet.claims.notAfterMs = -1;
+  const headers = { 'Idempotency-Key': `${UUID_V7.slice(0, -2)}11` };
+  const request = { port: node.entryPort, method: 'POST', path: '/promises/5', headers };
+  for (let repeat = 0; repeat < PROMISE_ATTEMPTS; repeat += 1) {
+    assert.equal((await send(request)).headers['sillshore-execution'], 'not-run');
+  }
+  contract.fleet.claims.notAfterMs = 5_000;
+  const answer = await send(request);
+  assert.deepEqual([answer.status, answer.headers['sillshore-result']], [200, undefined]);
+});
+
 test('repeats of one idempotent request share its attempts', async () => {
   const headers = { 'Idempotency-Key': `${UUID_V7.slice(0, -1)}6` };
   const seenBefore = backend.seen.length;
--- a/src/entry/routed-call.ts
+++ b/src/entry/routed-call.ts
@@ -42,16 +42,17 @@
     const { router, call, clock, claim } = this.options;
     const refusal = router.admit(clock.now(), call.context);
     if (refusal !== undefined) return this.refuse(refusal);
-    if (claim === undefined) return this.runUnclaimed();
+    if (claim === undefined) return this.tryAndRelease();
     const outcome = await claim.claim();
     if (outcome.type === 'final') return outcome.result;
     this.notAfter = outcome.notAfter;
-    const result = await this.tryUntilEnd();
+    const result = await this.tryAndRelease();
     claim.settle(result);
     return result;
   }
 
-  private async runUnclaimed(): Promise<CallResult> {
+  /** Gives unused attempts back before the claim, because a repeat needs both. */
+  private async tryAndRelease(): Promise<CallResult> {
     const result = await this.tryUntilEnd();
     this.options.attempts.release();
     return result;
