--- a/src/kernel/token.ts
+++ b/src/kernel/token.ts
@@ -14,6 +14,7 @@
 import type { TargetDispatcher } from '../target/target-dispatcher.js';
 import type { Clock } from './clock.js';
 import type { EventLog } from './event.js';
+import type { EventLoopDelay } from './event-loop-delay.js';
 import type { KernelControl } from './kernel-control.js';
 import type { Metrics } from './metrics.js';
 import type { TrafficMeter } from './traffic-meter.js';
@@ -28,6 +29,7 @@
   Settings: createToken<Settings>('Settings'),
   Clock: createToken<Clock>('Clock'),
   EventLog: createToken<EventLog>('EventLog'),
+  EventLoopDelay: createToken<EventLoopDelay>('EventLoopDelay'),
   Metrics: createToken<Metrics>('Metrics'),
   TrafficMeter: createToken<TrafficMeter>('TrafficMeter'),
   Kernel: createToken<KernelControl>('Kernel'),
--- a/src/observability/observability-plugin.ts
+++ b/src/observability/observability-plugin.ts
@@ -1,4 +1,5 @@
-/** Binds the node's metrics; the administration server publishes them at `GET /metrics`. */
+/** Binds the node's metrics, which the administration server publishes at `GET /metrics`, and its event loop's delay. */
+import { EventLoopDelay } from '../kernel/event-loop-delay.js';
 import { createMetrics, publishTraffic } from '../kernel/metrics.js';
 import { registerPlugin, StartOrder } from '../kernel/plugin.js';
 import { Token } from '../kernel/token.js';
@@ -10,5 +11,15 @@
     const metrics = createMetrics();
     publishTraffic(metrics.registry, container.get(Token.TrafficMeter));
     container.bind(Token.Metrics).toConstantValue(metrics);
+    const delay = new EventLoopDelay(container.get(Token.Clock));
+    container.bind(Token.EventLoopDelay).toConstantValue(delay);
+  },
+  start: (container) => {
+    container.get(Token.EventLoopDelay).start();
+    return Promise.resolve();
+  },
+  stop: (container) => {
+    container.get(Token.EventLoopDelay).stop();
+    return Promise.resolve();
   },
 });
--- a/src/target/local-target-dispatcher.test.ts
+++ b/src/target/local-target-dispatcher.test.ts
@@ -8,6 +8,7 @@
 import { findOverloadPolicy } from '../core/overload-policy-registry.js';
 import { ManualClock } from '../kernel/clock.js';
 import { silentEventLog } from '../kernel/event.js';
+import { EventLoopDelay } from '../kernel/event-loop-delay.js';
 import { createMetrics, type Metrics } from '../kernel/metrics.js';
 import { PLAIN_POLICY } from '../../test/support/plain-policy.js';
 import { LocalTargetDispatcher } from './local-target-dispatcher.js';
@@ -44,6 +45,7 @@
       close: () => undefined,
     }),
     clock,
+    loopDelay: new EventLoopDelay(clock),
     log: silentEventLog,
     metrics,
     onLeavingChanged: () => undefined,
--- a/src/target/local-target-dispatcher.ts
+++ b/src/target/local-target-dispatcher.ts
@@ -10,6 +10,7 @@
 import { splitAddress } from '../core/host-and-port.js';
 import type { CancelTimer, Clock } from '../kernel/clock.js';
 import type { EventLog } from '../kernel/event.js';
+import type { EventLoopDelay } from '../kernel/event-loop-delay.js';
 import type { Metrics } from '../kernel/metrics.js';
 import { notDispatched, refusedByFullMailbox } from './attempt-end.js';
 import type { BackendClientFactory } from './backend-client.js';
@@ -28,6 +29,7 @@
   readonly buffers: ByteBudget;
   readonly createClient: BackendClientFactory;
   readonly clock: Clock;
+  readonly loopDelay: EventLoopDelay;
   readonly log: EventLog;
   readonly metrics: Metrics;
   /** Told the targets that this node's target side has seen leaving, after each change. */
@@ -158,7 +160,7 @@
   }
 
   private createTask(target: string, located: LocatedTarget): TargetTask {
-    const { settings, policy, createClient, clock, log, metrics, buffers } = this.options;
+    const { settings, policy, createClient, clock, loopDelay, log, metrics, buffers } = this.options;
     const { slots, connections } = located.service;
     this.created += 1;
     const task: TargetTask = new TargetTask({
@@ -177,6 +179,7 @@
       ledger: this.ledger,
       buffers,
       clock,
+      loopDelay,
       log,
       metrics,
       onLeavingChanged: () => {
--- a/src/target/target-plugin.ts
+++ b/src/target/target-plugin.ts
@@ -115,6 +115,7 @@
     buffers: container.get(Token.ByteBudget),
     createClient: (options) => createNodeBackendClient(options, clock),
     clock,
+    loopDelay: container.get(Token.EventLoopDelay),
     log: container.get(Token.EventLog),
     metrics: container.get(Token.Metrics),
     onLeavingChanged: (targets) => {
--- a/src/target/target-task.test.ts
+++ b/src/target/target-task.test.ts
@@ -7,7 +7,8 @@
 import type { GateAction, TargetGate } from '../core/overload.js';
 import { ResultCode } from '../core/result-code.js';
 import { ManualClock } from '../kernel/clock.js';
-import { silentEventLog } from '../kernel/event.js';
+import { Event, silentEventLog, type EventFields, type EventLog } from '../kernel/event.js';
+import { EventLoopDelay } from '../kernel/event-loop-delay.js';
 import { createMetrics } from '../kernel/metrics.js';
 import type { BackendCallLimits, BackendResult } from './backend-client.js';
 import { TargetTask } from './target-task.js';
@@ -66,7 +67,7 @@
   offer(change?: Partial<TargetAttempt>, signal?: AbortSignal): Promise<AttemptResult>;
 }
 
-function createBench(bufferBytes = 1_000_000): Bench {
+function createBench(bufferBytes = 1_000_000, log: EventLog = silentEventLog): Bench {
   const clock = new ManualClock();
   const gate = new TestGate();
   const ledger = new AttemptLedger();
@@ -83,7 +84,8 @@
     ledger,
     buffers: new ByteBudget(bufferBytes),
     clock,
-    log: silentEventLog,
+    loopDelay: new EventLoopDelay(clock),
+    log,
     metrics: createMetrics(false),
     onLeavingChanged: () => undefined,
     onRetired: () => undefined,
@@ -199,3 +201,19 @@
   assert.equal((await running).type, 'answer');
   assert.equal(bench.task.post({ type: 'timer' }), false);
 });
+
+test('a refusal at the gate is logged with what it was decided by', async () => {
+  const lines: (readonly [Event, EventFields])[] = [];
+  const log: EventLog = { emit: (event, fields = {}) => lines.push([event, fields]) };
+  const { gate, clock, offer } = createBench(undefined, log);
+  gate.dispatchAtOnce = false;
+  const result = offer();
+  clock.advance(100);
+  await result;
+  const [[event, fields] = []] = lines;
+  assert.equal(event, Event.AttemptRefused);
+  assert.deepEqual(
+    [fields?.['target'], fields?.['code'], fields?.['limit'], fields?.['loopDelayMs']],
+    ['guide-1', ResultCode.DeadlineUnreachable, 1, 0],
+  );
+});
--- a/src/target/target-task.ts
+++ b/src/target/target-task.ts
@@ -5,12 +5,13 @@
 import type { AttemptResult } from '../core/attempt.js';
 import type { AttemptLedger } from '../core/attempt-ledger.js';
 import type { BufferReservation, ByteBudget } from '../core/byte-budget.js';
-import { createFailure } from '../core/failure.js';
+import { createFailure, type Failure } from '../core/failure.js';
 import type { GateAction, Refusal, TargetGate } from '../core/overload.js';
 import type { LoadReport, RequestContext } from '../core/request.js';
 import { ResultCode } from '../core/result-code.js';
 import type { Clock } from '../kernel/clock.js';
 import { Event, type EventLog } from '../kernel/event.js';
+import type { EventLoopDelay } from '../kernel/event-loop-delay.js';
 import type { Metrics } from '../kernel/metrics.js';
 import { Task } from '../kernel/task.js';
 import { AnswerSizeEstimate } from './answer-size-estimate.js';
@@ -38,6 +39,7 @@
   readonly ledger: AttemptLedger;
   readonly buffers: ByteBudget;
   readonly clock: Clock;
+  readonly loopDelay: EventLoopDelay;
   readonly log: EventLog;
   readonly metrics: Metrics;
   /** Called when this node starts or ends seeing the target leave. */
@@ -202,7 +204,32 @@
     const { code, detail, retryAfterMs } = refusal;
     const failure = createFailure(code, detail, { ...NOTHING_RUN, retryAfterMs });
     const context = this.tickets.get(ticket)?.offer.attempt.context;
-    this.end(ticket, notDispatched('overloaded', failure, this.report(context)));
+    const load = this.report(context);
+    this.logRefusal(failure, load, context);
+    this.end(ticket, notDispatched('overloaded', failure, load));
+  }
+
+  /** What the gate decided by; a late event loop shows slowness of this process, not of the target. */
+  private logRefusal(
+    { code, detail }: Failure,
+    { limit, inFlight, queued, latencyMs, threshold }: LoadReport,
+    context: RequestContext | undefined,
+  ): void {
+    const { log, target, loopDelay } = this.options;
+    log.emit(Event.AttemptRefused, {
+      id: context?.requestId,
+      target,
+      kind: context?.kind,
+      depth: context?.depth,
+      code,
+      detail,
+      limit,
+      inFlight,
+      queued,
+      latencyMs: Math.round(latencyMs),
+      threshold,
+      loopDelayMs: Math.round(loopDelay.recentMs()),
+    });
   }
 
   private start(ticket: number): void {
--- a/test/support/data-path-node.ts
+++ b/test/support/data-path-node.ts
@@ -7,6 +7,7 @@
 import { systemClock } from '../../src/kernel/clock.js';
 import { silentEventLog } from '../../src/kernel/event.js';
 import { Kernel } from '../../src/kernel/kernel.js';
+import { EventLoopDelay } from '../../src/kernel/event-loop-delay.js';
 import { createMetrics } from '../../src/kernel/metrics.js';
 import { StartOrder, listPlugins, type Plugin } from '../../src/kernel/plugin.js';
 import { Token } from '../../src/kernel/token.js';
@@ -61,6 +62,9 @@
       order: StartOrder.Peer,
       bind: (container) => {
         container.bind(Token.Metrics).toConstantValue(createMetrics(false));
+        container
+          .bind(Token.EventLoopDelay)
+          .toConstantValue(new EventLoopDelay(container.get(Token.Clock)));
         container.bind(Token.PeerNetwork).toConstantValue(peers);
         container.bind(Token.Membership).toConstantValue(membership);
         container.bind(Token.LeavingTargets).toConstantValue(new LeavingTargets(membership));
