Accept waiting connections before requests are handled

What callers saw: after a stop or restart of a node on a busy machine, tries that waited up to their whole 8 s at an entry without a refusal, runs of several seconds that held all slots of the script guide, and from these refusals for load (2001, 2002) at half of the example's load. Cause: libuv 1.46 (Node 20) accepts one connection a turn of the event loop, and a turn handles all requests that can be read. A restarted node gets a new connection for each request that is under way; they waited in the accept queue of the kernel while requests on older connections were served. A planned stop closed the listener after one more accepted connection and reset the others. Evidence: planned stops in turn, four copies beside eight busy processes (load 20 to 31) with times taken at callers and nodes: between sending and the node's receiving up to 5.6 s (p95 3 to 5 s) at entries that had been restarted, never at the one that had not; /proc/net/tcp shows up to 55 connections in the accept queues of entries, for seconds. Change: while turns accept connections, requests wait, for 100 ms at most; the time a request waits counts from its arrival; a stop closes the listener after a turn without a new connection. 'new connections are served while older ones keep the server busy': 23.5 rounds of older requests before new ones without the change, 2 with it (5 allowed).

--- a/src/entry/entry-server.ts
+++ b/src/entry/entry-server.ts
@@ -7,6 +7,7 @@
 import { ResultCode } from '../core/result-code.js';
 import type { HttpAnswer } from '../core/http-message.js';
 import type { Clock } from '../kernel/clock.js';
+import { AcceptBurst } from '../http/accept-burst.js';
 import { CallerConnection } from '../http/caller-connection.js';
 import { HttpExchange } from './http-exchange.js';
 
@@ -50,6 +51,7 @@
 /** Starts to listen. Rejects when the address cannot be bound. */
 export async function startEntryServer(options: EntryServerOptions): Promise<EntryServer> {
   const connections = new Connections(options.clock);
+  const burst = new AcceptBurst(options.clock);
   const server = createServer({
     headersTimeout: options.headersTimeoutMs,
     // The time for bodies is limited by the exchange, which knows the request kind.
@@ -61,13 +63,14 @@
     noDelay: true,
   });
   server.on('connection', (socket) => {
+    burst.noteConnection();
     connections.open(socket);
   });
   // A connection that was idle for too long; what crosses its end is not taken.
   server.on('timeout', (socket) => {
     connections.finish(socket);
   });
-  attachListeners(server, options, connections);
+  attachListeners(server, options, connections, burst);
   await listen(server, options);
   return {
     port: (server.address() as AddressInfo).port,
@@ -78,9 +81,9 @@
       return connections.unfinishedExchanges;
     },
     stopListening: () => {
-      // Right after the event loop has accepted what waited: a connection that the machine has
-      // taken and the server has not is reset when the listener closes.
-      setImmediate(() => {
+      // A connection that the machine has taken and the server has not is reset when the listener
+      // closes.
+      burst.afterWaiting(() => {
         // The HTTP server's own close also closes idle connections, on which a caller may be
         // sending at that moment.
         NetServer.prototype.close.call(server);
@@ -94,11 +97,18 @@
   server: Server,
   options: EntryServerOptions,
   connections: Connections,
+  burst: AcceptBurst,
 ): void {
   const accept = (request: IncomingMessage, response: ServerResponse, expects: boolean): void => {
     const exchange = connections.take(request, response, expects);
-    if (exchange === undefined) request.resume();
-    else options.onExchange(exchange);
+    if (exchange === undefined) {
+      request.resume();
+      return;
+    }
+    burst.run(() => {
+      const isGone = exchange.signal.aborted;
+      if (!isGone) options.onExchange(exchange);
+    });
   };
   const listener = createListener(options.framework, (request, response) => {
     accept(request, response, false);
--- a/src/entry/entry-task.ts
+++ b/src/entry/entry-task.ts
@@ -67,7 +67,7 @@
   }
 
   private async serve(exchange: HttpExchange): Promise<void> {
-    const received = this.options.clock.now();
+    const received = exchange.receivedAt;
     this.running += 1;
     try {
       await this.serveClassified(exchange, received);
--- a/src/entry/http-exchange.ts
+++ b/src/entry/http-exchange.ts
@@ -28,6 +28,8 @@
   /** Path with query. */
   readonly path: string;
   readonly headers: HeaderFields;
+  /** When the head of the request had been read, in milliseconds of the monotonic clock. */
+  readonly receivedAt: number;
   private readonly abort = new AbortController();
   private abandoned = false;
 
@@ -39,6 +41,7 @@
     /** Says whether the answer ends the connection, which it is told when it is given. */
     private readonly decideEnd: (wantsClose: boolean) => boolean,
   ) {
+    this.receivedAt = clock.now();
     this.method = request.method ?? '';
     const target = splitTarget(request.url ?? '');
     this.path = target.path;
