Accept waiting connections first at the nodes beside single targets too

What callers saw: at a planned stop, connections that the machine had taken and the node had not were reset; after a restart, new connections wait behind the requests of older ones. Change: requests wait while turns accept connections, their time counted from their arrival; the listener closes after a turn without a new connection.

--- a/src/emulator/caller-request.ts
+++ b/src/emulator/caller-request.ts
@@ -81,15 +81,16 @@
   }
 
   /**
-   * Gives back what a try was granted and was not charged, once. Repeats of a request that may
-   * take effect once only do not share a budget; the claim of its key bounds them.
+   * Gives back what a try was granted and did not use, once; a try that was broken off has used all
+   * that is still under way. Repeats of a request that may take effect once only do not share a
+   * budget; the claim of its key bounds them.
    */
   private settleAttempts(ended: Try): void {
     if (ended.settled || !this.world.profile.sharesAttempts) return;
     ended.settled = true;
     const { idempotent } = this.record.kind.root.kind;
-    const charged = idempotent ? (ended.call?.attemptsCharged ?? 0) : 0;
-    this.record.attemptsLeft += Math.max(0, ended.granted - charged);
+    const used = idempotent ? (ended.call?.attemptsUsed ?? 0) : 0;
+    this.record.attemptsLeft += Math.max(0, ended.granted - used);
   }
 
   private onTryEnd(end: CallEnd): void {
--- a/src/emulator/emulated-call.ts
+++ b/src/emulator/emulated-call.ts
@@ -45,7 +45,6 @@
   private current: CurrentAttempt | undefined;
   private readonly tried: string[] = [];
   private mayHaveRun = false;
-  private charged = 0;
   private ended = false;
 
   constructor(
@@ -66,11 +65,6 @@
     return this.budget.used;
   }
 
-  /** Most attempts that were granted at a time: what a budget shared by repeats was charged. */
-  get attemptsCharged(): number {
-    return this.charged;
-  }
-
   /** Begins with entry admission. */
   start(): void {
     const { record, site } = this.options;
@@ -140,7 +134,6 @@
       this.endRefused(pick.refusal, 'routing');
       return;
     }
-    this.charged = Math.max(this.charged, this.budget.used);
     this.sendAttempt(pick.target, granted);
   }
 
--- a/src/http/accept-burst.ts
+++ b/src/http/accept-burst.ts
@@ -43,6 +43,13 @@
     this.held.push(task);
   }
 
+  /** Runs now what is held back. */
+  release(): void {
+    const tasks = this.held;
+    this.held = [];
+    for (const task of tasks) task();
+  }
+
   private begin(): void {
     if (this.since !== undefined) return;
     this.since = this.clock.now();
@@ -64,8 +71,6 @@
     }
     this.acceptedInTurn = false;
     this.since = undefined;
-    const tasks = this.held;
-    this.held = [];
-    for (const task of tasks) task();
+    this.release();
   }
 }
--- a/src/http/caller-connection.ts
+++ b/src/http/caller-connection.ts
@@ -76,6 +76,11 @@
     return [...this.slots].at(-1) === slot;
   }
 
+  /** Whether the answer to a request that was taken can still be given. */
+  awaitsAnswer(slot: ConnectionSlot): boolean {
+    return this.slots.has(slot);
+  }
+
   /** Takes a request; it is finished when its answer has been handed to the system. */
   take(response: ServerResponse): ConnectionSlot {
     const slot: ConnectionSlot = { request: undefined, answered: false };
--- a/src/kernel/event.ts
+++ b/src/kernel/event.ts
@@ -108,7 +108,7 @@
   [Event.AttemptFailed]: ['info', 'attempt failed'],
   [Event.RequestUnanswered]: ['info', 'connection ended before the answer'],
   [Event.AnswerCut]: ['info', 'connection ended before the answer was written'],
-  [Event.RequestAfterClose]: ['warn', 'request not taken: the node is closing its connection'],
+  [Event.RequestAfterClose]: ['warn', 'request not taken: its connection ends'],
   [Event.TargetEnded]: ['warn', 'target ended while it ran requests'],
   [Event.RequestQuarantined]: ['warn', 'request kept from targets'],
   [Event.QuarantineLifted]: ['info', 'request no longer kept from targets'],
--- a/src/sidecar/entry/caller-exchange.ts
+++ b/src/sidecar/entry/caller-exchange.ts
@@ -24,6 +24,8 @@
   constructor(
     readonly request: IncomingMessage,
     private readonly response: ServerResponse,
+    /** When the head of the request had been read, in milliseconds of the monotonic clock. */
+    readonly receivedAt: number,
   ) {
     this.method = request.method ?? '';
     this.path = request.url ?? '';
--- a/src/sidecar/entry/entry-listener.test.ts
+++ b/src/sidecar/entry/entry-listener.test.ts
@@ -212,3 +212,31 @@
   await next.listen('127.0.0.1', port);
   await next.close();
 });
+
+/** Connections that come up at once. */
+const BURST = 30;
+
+/** Guards against connections of the accept queue that are reset when a planned stop ends the listener. */
+test('connections that wait to be accepted are ended in order at a planned stop', async () => {
+  const burst = Array.from({ length: BURST }, () => connectCaller());
+  for (const { socket } of burst) {
+    socket.once('connect', () => {
+      listener.finish();
+    });
+  }
+  await waitUntil(() => burst.every(({ ended }) => ended));
+  assert.equal(burst.filter(({ reset }) => reset).length, 0);
+});
+
+test('requests of a burst are answered when the listener gives up', async () => {
+  const burst = Array.from({ length: BURST }, () => connectCaller());
+  for (const [index, caller] of burst.entries()) caller.write(`/${index}`);
+  await waitUntil(() => taken.length > 0);
+  listener.closeAfterAnswers();
+  await waitUntil(() => {
+    listener.giveUp();
+    return burst.every(({ text }) => text.includes('given up'));
+  });
+  assert.equal(taken.length, BURST);
+  assert.deepEqual(notTaken, []);
+});
--- a/src/sidecar/entry/entry-listener.ts
+++ b/src/sidecar/entry/entry-listener.ts
@@ -1,6 +1,7 @@
 /** The callers' interface: connections, requests on them and their answers, on `node:http`. */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import { Server as NetServer, type Socket } from 'node:net';
+import { AcceptBurst } from '../../http/accept-burst.js';
 import type { Clock } from '../../kernel/clock.js';
 import type { CallerLimits } from '../rules/routing-rules.js';
 import type { RawFields } from '../link/link-messages.js';
@@ -22,7 +23,7 @@
 export interface ExchangeHandler {
   /** Takes one request, which is answered at most once. */
   handle(exchange: CallerExchange, answer: (answer: CallerAnswer) => void): TakenRequest;
-  /** A request came on a connection that the node is closing; it is not run. */
+  /** A request came on a connection that ends without an answer to it; it is not run. */
   onNotTaken(exchange: CallerExchange): void;
 }
 
@@ -35,11 +36,13 @@
   /** Settles when the address is free; defined once no request is taken any more. */
   private closed: Promise<void> | undefined;
   private keepAliveFields: RawFields = [];
+  private readonly burst: AcceptBurst;
 
   constructor(
     private readonly handler: ExchangeHandler,
     private readonly clock: Clock,
   ) {
+    this.burst = new AcceptBurst(clock);
     this.server = createServer({
       maxHeaderSize: MAX_HEADER_BYTES,
       connectionsCheckingInterval: CONNECTION_CHECK_INTERVAL_MS,
@@ -102,9 +105,9 @@
   finish(): void {
     if (this.closed !== undefined) return;
     this.closed = new Promise((resolve) => {
-      // Not the HTTP server's own close, which destroys idle connections. After this turn of the
-      // event loop, so that connections which have come up are accepted and ended in order.
-      setImmediate(() => {
+      // Not the HTTP server's own close, which destroys idle connections. After the connections that
+      // wait have been accepted, so that they are ended in order and not reset.
+      this.burst.afterWaiting(() => {
         NetServer.prototype.close.call(this.server, () => resolve());
       });
     });
@@ -113,6 +116,7 @@
 
   /** Has all requests answered now. */
   giveUp(): void {
+    this.burst.release();
     for (const connection of [...this.connections.values()]) connection.giveUp();
   }
 
@@ -120,8 +124,9 @@
   async close(): Promise<void> {
     this.finish();
     this.destroyAll();
-    // Connections that came up in this turn of the event loop are accepted in the next.
-    await new Promise((resolve) => setImmediate(resolve));
+    await new Promise<void>((resolve) => {
+      this.burst.afterWaiting(resolve);
+    });
     this.destroyAll();
     await this.closed;
   }
@@ -131,6 +136,7 @@
   }
 
   private onConnection(socket: Socket): void {
+    this.burst.noteConnection();
     const connection = new CallerConnection(socket, this.clock, () => {
       this.connections.delete(socket);
     });
@@ -140,13 +146,27 @@
 
   private onRequest(request: IncomingMessage, response: ServerResponse): void {
     const connection = this.connections.get(request.socket);
-    const exchange = new CallerExchange(request, response);
+    const exchange = new CallerExchange(request, response, this.clock.now());
     if (connection?.takesRequests !== true) {
       request.resume();
       this.handler.onNotTaken(exchange);
       return;
     }
     const slot = connection.take(response);
+    this.burst.run(() => {
+      this.handle(connection, slot, exchange);
+    });
+  }
+
+  private handle(
+    connection: CallerConnection,
+    slot: ConnectionSlot,
+    exchange: CallerExchange,
+  ): void {
+    if (!connection.awaitsAnswer(slot)) {
+      this.handler.onNotTaken(exchange);
+      return;
+    }
     slot.request = this.handler.handle(exchange, (answer) => {
       this.answer(connection, slot, exchange, answer);
     });
--- a/src/sidecar/entry/entry-service.ts
+++ b/src/sidecar/entry/entry-service.ts
@@ -95,7 +95,7 @@
     private readonly exchange: CallerExchange,
     private readonly answer: Answer,
   ) {
-    this.receivedAt = options.clock.now();
+    this.receivedAt = exchange.receivedAt;
     this.reservation = options.buffers.reserve(0);
   }
 
