Run the trial of a held request at one target of the fleet

What callers saw: a request that had ended two targets ended up to all others five seconds later, and what else ran there was lost with them. Cause: after the hold each node allowed a trial of its own, and callers, told the same time by all nodes, came back to several nodes within 80 ms; the crash report of the third end came too late. Change: trials go to one target, the first by rendezvous hashing among the service's ready ones; the node beside it lets one pass in 5 s. A trial is outside of routing. rankNodes is shared with the choice of the node that counts limits.

--- a/src/core/quarantine/suspect-table.ts
+++ b/src/core/quarantine/suspect-table.ts
@@ -78,6 +78,8 @@
   readonly ends: Map<string, SuspectedEnd>;
   /** Local monotonic time of the last end or trial. */
   triedAt: number;
+  /** Local monotonic time of the last trial at the target beside this node. */
+  ranAt: number;
   /** Local monotonic time at which somebody last asked for the request. */
   askedAt: number;
 }
@@ -139,6 +141,26 @@
     return this.countedEnds(request).length;
   }
 
+  /** Whether a request that is admitted now is a trial, which only one target may run. */
+  isTrial(request: RequestKey): boolean {
+    return this.endsOf(request) >= HELD_ENDS;
+  }
+
+  /**
+   * Whether the target beside this node may run a request. Nodes at which requests begin hold them
+   * until the same time, so that their trials come at once; all but the first are refused here.
+   */
+  admitRun(now: number, request: RequestKey): Verdict {
+    const ends = this.countedEnds(request);
+    const suspect = this.suspects.get(request.content);
+    if (suspect === undefined || ends.length < HELD_ENDS) return FREE;
+    const holdLeftMs = suspect.ranAt + HOLD_MS - now;
+    if (ends.length >= BARRED_ENDS) return refused('barred', now, ends, BARRED_RETRY_MS);
+    if (holdLeftMs > 0) return refused('held', now, ends, holdLeftMs);
+    suspect.ranAt = now;
+    return FREE;
+  }
+
   /** Whether a request may be run; a trial of a held one puts off the next. */
   admit(now: number, request: RequestKey): Verdict {
     const suspect = this.suspects.get(request.content);
@@ -156,12 +178,9 @@
     const holdLeftMs = triedAt + HOLD_MS - now;
     const isBarred = ends.length >= BARRED_ENDS;
     if (!isBarred && (ends.length < HELD_ENDS || holdLeftMs <= 0)) return FREE;
-    return {
-      type: isBarred ? 'barred' : 'held',
-      targets: ends.map(([target]) => target),
-      ageMs: now - Math.min(...ends.map(([, { at }]) => at)),
-      retryAfterMs: isBarred ? BARRED_RETRY_MS : holdLeftMs,
-    };
+    return isBarred
+      ? refused('barred', now, ends, BARRED_RETRY_MS)
+      : refused('held', now, ends, holdLeftMs);
   }
 
   /** All ends that are remembered, for a node that hears of them for the first time. */
@@ -215,7 +234,12 @@
 
   private add(now: number, content: string): Suspect {
     if (this.suspects.size >= MAX_SUSPECTS) this.dropOne();
-    const suspect = { ends: new Map<string, SuspectedEnd>(), triedAt: -Infinity, askedAt: now };
+    const suspect = {
+      ends: new Map<string, SuspectedEnd>(),
+      triedAt: -Infinity,
+      ranAt: -Infinity,
+      askedAt: now,
+    };
     this.suspects.set(content, suspect);
     return suspect;
   }
@@ -232,3 +256,17 @@
     if (dropped !== undefined) this.suspects.delete(dropped);
   }
 }
+
+function refused(
+  type: 'held' | 'barred',
+  now: number,
+  ends: readonly (readonly [string, SuspectedEnd])[],
+  retryAfterMs: number,
+): Verdict {
+  return {
+    type,
+    targets: ends.map(([target]) => target),
+    ageMs: now - Math.min(...ends.map(([, { at }]) => at)),
+    retryAfterMs,
+  };
+}
--- a/src/sidecar/directory/node-directory.ts
+++ b/src/sidecar/directory/node-directory.ts
@@ -2,6 +2,7 @@
  * All nodes and the links to them. Addresses come from the store's records; whether a node's
  * target takes work comes from the node itself while a link is open, else from its record.
  */
+import { rankNodes } from '../../core/rendezvous.js';
 import type { TargetView } from '../../core/overload.js';
 import {
   chooseSubset,
@@ -186,6 +187,24 @@
     return true;
   }
 
+  /**
+   * The node whose target runs the trials of a request: the same at all nodes with the same records, by
+   * rendezvous hashing. Undefined while this node has no open link to it.
+   */
+  trialNodeOf(service: string, content: string): string | undefined {
+    const candidates = [...this.peers]
+      .filter(([, { record }]) => record.service === service && record.target === 'ready')
+      .map(([node]) => node);
+    if (service === this.options.service && this.ownView().eligible) {
+      candidates.push(this.options.node);
+    }
+    const [node] = rankNodes(content, candidates);
+    if (node === undefined || node === this.options.node) return node;
+    const link = this.peers.get(node)?.link;
+    link?.open();
+    return link?.isReachable === true ? node : undefined;
+  }
+
   /** Nodes that can be asked to count limits, this one included. */
   countingCandidates(): readonly string[] {
     const nodes = [this.options.node];
--- a/src/sidecar/entry/entry-service.ts
+++ b/src/sidecar/entry/entry-service.ts
@@ -200,9 +200,14 @@
     this.context = context;
     const call = this.createCall(context, attemptId, body, authorized);
     const { quarantine } = this.options;
-    const refusal = this.checkPlannedStop(context, attemptId) ?? quarantine.admit(call);
-    if (refusal !== undefined) {
-      this.refuse(refusal, context);
+    const stopping = this.checkPlannedStop(context, attemptId);
+    if (stopping !== undefined) {
+      this.refuse(stopping, context);
+      return;
+    }
+    const admission = quarantine.admit(call);
+    if (admission.type === 'refused') {
+      this.refuse(admission.failure, context);
       return;
     }
     this.routed = new RoutedRequest({
@@ -213,6 +218,7 @@
       clock,
       repeatSlack: this.options.repeatSlack() / directory.size,
       portOf: (node) => directory.portOf(node),
+      ...(admission.type === 'trial' ? { onlyNode: admission.node } : {}),
       mayRepeat: () => quarantine.mayRepeat(call),
       onEnd: (end) => {
         this.noteDownstream(context, attemptId, end);
--- a/src/sidecar/entry/routed-request.ts
+++ b/src/sidecar/entry/routed-request.ts
@@ -30,6 +30,8 @@
   /** This node's part of the repeats that all nodes have together. */
   readonly repeatSlack: number;
   portOf(node: string): AttemptPort | undefined;
+  /** The only node that the request may go to; absent: the router chooses. */
+  readonly onlyNode?: string;
   /** Whether the request may go to another target after one has failed it or ended under it. */
   mayRepeat(): boolean;
   /** Called exactly once, unless the request is cancelled first. */
@@ -112,13 +114,8 @@
   private tryOnce(): void {
     const { service, clock, context, portOf } = this.options;
     const now = clock.now();
-    const picked = service.router.pick(now, context, this.tried);
-    if (picked.type === 'refuse') {
-      const { code, detail, retryAfterMs } = picked.refusal;
-      this.refuse(createFailure(code, detail, { execution: 'not-run', retryAfterMs }));
-      return;
-    }
-    const node = picked.target;
+    const node = this.pickNode(now);
+    if (node === undefined) return;
     this.tried.push(node);
     const timeLeftMs = context.deadline - now;
     const margin = Math.min(LINK_MARGIN_MS, timeLeftMs * LINK_MARGIN_SHARE);
@@ -145,6 +142,17 @@
     });
   }
 
+  /** The node to try next; when there is none the request is refused. */
+  private pickNode(now: number): string | undefined {
+    const { service, context, onlyNode } = this.options;
+    if (onlyNode !== undefined) return onlyNode;
+    const picked = service.router.pick(now, context, this.tried);
+    if (picked.type === 'target') return picked.target;
+    const { code, detail, retryAfterMs } = picked.refusal;
+    this.refuse(createFailure(code, detail, { execution: 'not-run', retryAfterMs }));
+    return undefined;
+  }
+
   private presentAuthorization(): Pick<AttemptCall, 'authorization'> {
     if (this.authorizedAt === undefined) return {};
     const { call, clock } = this.options;
@@ -213,8 +221,10 @@
     load?: LoadReport,
   ): void {
     const now = this.options.clock.now();
-    const { service } = this.options;
+    const { service, onlyNode } = this.options;
     service.noteTryEnd();
+    // The router did not choose it, and does not count it as under way.
+    if (onlyNode !== undefined) return;
     service.router.onOutcome(now, {
       target: node,
       kind: this.options.context.kind,
@@ -226,7 +236,8 @@
 
   /** Takes from the repeat budget when it says yes to a repeat that a target will see. */
   private shouldRepeat({ outcome }: AttemptFailure): boolean {
-    const { context, maxAttempts, clock } = this.options;
+    const { context, maxAttempts, clock, onlyNode } = this.options;
+    if (onlyNode !== undefined) return false;
     if (this.mayHaveRun && !context.idempotent) return false;
     if (this.tried.length >= MAX_TRIES || this.offers >= maxAttempts) return false;
     if (outcome === 'timeout' || outcome === 'cancelled') return false;
--- a/src/sidecar/plugins/quarantine-plugin.ts
+++ b/src/sidecar/plugins/quarantine-plugin.ts
@@ -14,6 +14,8 @@
           new RequestQuarantine({
             clock: get(Token.Clock),
             log: get(Token.EventLog),
+            trialNodeOf: (service, content) =>
+              get(SidecarToken.Directory).trialNodeOf(service, content),
             broadcast: (update) => {
               get(SidecarToken.LinkServer).sendUpdate(update);
               get(SidecarToken.Directory).sendUpdate(update);
--- a/src/sidecar/quarantine/request-quarantine.ts
+++ b/src/sidecar/quarantine/request-quarantine.ts
@@ -27,8 +27,21 @@
   readonly log: EventLog;
   /** Tells all connected nodes. */
   broadcast(update: QuarantineUpdate): void;
+  /** The node whose target runs the trials of a content; undefined while none is in reach. */
+  trialNodeOf(service: string, content: string): string | undefined;
 }
 
+/** What becomes of a request at the node where it begins. */
+export type Admission =
+  | { readonly type: 'routed' }
+  /** It may run at the target beside this node and at no other. */
+  | { readonly type: 'trial'; readonly node: string }
+  | { readonly type: 'refused'; readonly failure: Failure };
+
+const ROUTED: Admission = { type: 'routed' };
+/** Told when no target is there for a trial, in milliseconds. */
+const NO_TRIAL_RETRY_MS = 1_000;
+
 /** See the module comment. */
 export class RequestQuarantine implements QuarantineExchange {
   private readonly table = new SuspectTable();
@@ -45,22 +58,28 @@
     return this.table.quarantined;
   }
 
-  /** Whether a request is routed; the failure says that it was not run and when to come back. */
-  admit(call: AttemptCall): Failure | undefined {
-    if (this.table.size === 0) return undefined;
+  /** Whether a request is routed, at the node where it begins. */
+  admit(call: AttemptCall): Admission {
+    if (this.table.size === 0) return ROUTED;
     const key = keyOfCall(call);
-    return toFailure(key, this.table.admit(this.options.clock.now(), key));
+    const refusal = toFailure(key, this.table.admit(this.options.clock.now(), key));
+    if (refusal !== undefined) return { type: 'refused', failure: refusal };
+    if (!this.table.isTrial(key)) return ROUTED;
+    const node = this.options.trialNodeOf(call.service, key.content);
+    return node === undefined
+      ? { type: 'refused', failure: noTrialTarget() }
+      : { type: 'trial', node };
   }
 
   /**
-   * The last look before a target: the node where the request began may not have heard of the ends.
-   * Trials are up to that node.
+   * Second check at the target's node: the node where the request began may not have received the crash
+   * reports, and others may send a trial at the same time. The failure says that it was not run and
+   * when to come back.
    */
-  checkBarred(call: AttemptCall): Failure | undefined {
+  admitRun(call: AttemptCall): Failure | undefined {
     if (this.table.size === 0) return undefined;
     const key = keyOfCall(call);
-    const verdict = this.table.check(this.options.clock.now(), key);
-    return verdict.type === 'barred' ? toFailure(key, verdict) : undefined;
+    return toFailure(key, this.table.admitRun(this.options.clock.now(), key));
   }
 
   /** Whether a request may be sent to another target after one has failed it. */
@@ -170,3 +189,11 @@
     retryAfterMs,
   });
 }
+
+function noTrialTarget(): Failure {
+  const detail = 'targets ended under this request, and the one for its next trial is not in reach';
+  return createFailure(ResultCode.RequestQuarantined, detail, {
+    execution: 'not-run',
+    retryAfterMs: NO_TRIAL_RETRY_MS,
+  });
+}
--- a/src/sidecar/target/target-gateway.test.ts
+++ b/src/sidecar/target/target-gateway.test.ts
@@ -77,6 +77,7 @@
       clock: systemClock,
       log: silentEventLog,
       broadcast: (update) => told.push(update),
+      trialNodeOf: () => undefined,
     }),
     recheckAuthorization: (authorization, validForMs) => {
       rechecks.push(validForMs);
--- a/src/sidecar/target/target-gateway.ts
+++ b/src/sidecar/target/target-gateway.ts
@@ -235,9 +235,9 @@
 
   /** No load and no fault of the target, and the same at each other node. */
   private checkQuarantine(call: AttemptCall): AttemptFailure | undefined {
-    const barred = this.options.quarantine.checkBarred(call);
-    if (barred === undefined) return undefined;
-    const { code, detail, retryAfterMs } = barred;
+    const refusal = this.options.quarantine.admitRun(call);
+    if (refusal === undefined) return undefined;
+    const { code, detail, retryAfterMs } = refusal;
     return createNotOffered('cancelled', code, detail, retryAfterMs);
   }
 
--- a/test/sidecar-crashing-requests.test.ts
+++ b/test/sidecar-crashing-requests.test.ts
@@ -13,6 +13,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { setTimeout as sleep } from 'node:timers/promises';
+import { HELD_ENDS } from '../src/core/quarantine/suspect-table.js';
 import { ResultCode } from '../src/core/result-code.js';
 import type { ReceivedRequest } from '../platform/stand-ins/target-stand-in.js';
 import { Mesh, type CallerAnswer, type CallerRequest, type Machine } from './stand-ins/mesh.js';
@@ -26,6 +27,9 @@
 /** Time that a target is away after its end, in milliseconds. */
 const DOWN_MS = 700;
 const RUN_MS = 10;
+const MS_PER_SECOND = 1_000;
+/** Callers come back a little later than they were told, in milliseconds. */
+const RETURN_MARGIN_MS = 300;
 const REQUEST_GAP_MS = 150;
 const STORM_MS = 8_000;
 const HEARTBEAT_INTERVAL_MS = 500;
@@ -192,6 +196,27 @@
   }
 });
 
+/** Guards against a trial at each node at once, when callers come back at the time that they were told. */
+test('a held request is tried at one target, however many nodes it comes back to at once', async () => {
+  const storm = await startStorm(5);
+  try {
+    const { mesh, readers, targets } = storm;
+    const [first] = readers;
+    let last = await mesh.send(first!, { ...ENDING_READ, deadlineMs: 2_000 });
+    while (targets.ends.length < HELD_ENDS) {
+      await sleep(REQUEST_GAP_MS);
+      last = await mesh.send(first!, { ...ENDING_READ, deadlineMs: 2_000 });
+    }
+    while (!isQuarantined(last)) last = await mesh.send(first!, { ...ENDING_READ });
+    await sleep(Number(last.headers['retry-after']) * MS_PER_SECOND + RETURN_MARGIN_MS);
+    await Promise.all(mesh.machines.map((machine) => mesh.send(machine, { ...ENDING_READ })));
+    await sleep(DOWN_MS);
+    assert.equal(targets.ends.length, HELD_ENDS + 1, `${targets.runs.length} runs`);
+  } finally {
+    await storm.stop();
+  }
+});
+
 test('other requests of the same path and callers are served while one ends its targets', async () => {
   const storm = await startStorm(4);
   try {
