Refuse lost runs by a share that follows the load sooner

Cause: the share fell by 0.05 a second, so that heads were refused for ten seconds and more after a short overload. Change: rise 0.015 for a lost run, fall 0.15 a second.

--- a/src/core/admission/wasted-runs.ts
+++ b/src/core/admission/wasted-runs.ts
@@ -8,9 +8,9 @@
 import { hashToUnit } from './admission-priority.js';
 
 /** Rise of the refused share with each lost run. */
-const RISE_PER_RUN = 0.01;
+const RISE_PER_RUN = 0.015;
 /** Fall of the refused share a second. */
-const FALL_PER_SECOND = 0.05;
+const FALL_PER_SECOND = 0.15;
 /** Largest refused share: some requests must find out whether there is room again. */
 const MAX_SHARE = 0.98;
 const MS_PER_SECOND = 1_000;
