--- a/src/http/accept-burst.ts
+++ b/src/http/accept-burst.ts
@@ -2,8 +2,6 @@
  * Holds requests back while new connections wait to be accepted. The event loop accepts one
  * connection per turn: with requests to handle in each turn, a burst of connections, as after a
  * restart, would wait for seconds while requests on older connections are served.
- *
- * @see https://github.com/libuv/libuv/pull/3696
  */
 import type { Clock } from '../kernel/clock.js';
 
