--- a/src/core/overload.ts
+++ b/src/core/overload.ts
@@ -50,6 +50,18 @@
   noteDownstream(now: number, service: string, threshold: number, kind?: string): void;
   /** Records that a run of this request was wasted because a call below it was refused for load. */
   noteWastedRun(now: number, request: RequestContext): void;
+  /**
+   * Records what an answer of the target states about the requests a second that it takes.
+   *
+   * @param sentAt when the request of the answer was sent
+   * @param requestsPerSecond undefined: the answer states no limit
+   * @returns actions for waiting tickets that a higher limit lets start
+   */
+  noteStatedLimit(
+    now: number,
+    sentAt: number,
+    requestsPerSecond: number | undefined,
+  ): readonly GateAction[];
 }
 
 /** Parameters of a target gate that come from the rules. */
--- a/src/core/policies/adaptive-gate.ts
+++ b/src/core/policies/adaptive-gate.ts
@@ -14,6 +14,7 @@
 import { WastedRuns } from '../admission/wasted-runs.js';
 import type { ThresholdController } from '../admission/threshold-controller.js';
 import type { ConcurrencyLimit } from '../limit/concurrency-limit.js';
+import { RequestRateLimit } from '../limit/request-rate-limit.js';
 import { ServiceTime } from '../limit/service-time.js';
 import type { GateAction, TargetGate } from '../overload.js';
 import { FailureShare } from '../routing/failure-share.js';
@@ -37,6 +38,13 @@
 /** Largest bound of the queue's length per slot, whatever the service time. */
 export const MAX_QUEUED_PER_SLOT = 50;
 
+/** Smallest bound of the queue's length while the target's stated request limit holds requests back. */
+const MIN_QUEUED_AT_RATE = 2;
+/** Share of the time to its objective that a request may wait for the stated request limit. */
+const MAX_RATE_WAIT_SHARE = 0.25;
+
+const MS_PER_SECOND = 1_000;
+
 /**
  * Nested calls pass when they are below the threshold by no more than this, a third of a
  * class: their requests were admitted a moment ago, and a refusal would waste the work spent on
@@ -53,6 +61,9 @@
   private readonly retryAfter = new RetryAfterEstimate();
   private readonly failures = new FailureShare();
   private readonly wastedRuns = new WastedRuns();
+  private readonly rate = new RequestRateLimit();
+  /** When the stated request limit lets the next waiting request start; undefined: it holds none back. */
+  private rateResumesAt: number | undefined;
 
   constructor(private readonly options: AdaptiveGateOptions) {}
 
@@ -72,6 +83,7 @@
     controller.noteOffered(now, admissionPriority(request), waiting.serviceMs);
     this.reserve.note(now, request, waiting.serviceMs);
     if (this.isDeadlineUnreachable(now, waiting)) return [this.refuseLate(now, waiting)];
+    if (this.waitsTooLongForRate(now, waiting)) return [this.refuseAtRate(now, waiting)];
     const mustDisplace = !this.hasFreeSlot(now, request) && isBelow(waiting, controller.threshold);
     queue.add(waiting);
     if (mustDisplace) return [this.refuseLowest(now, ResultCode.AdmissionRefused)];
@@ -103,12 +115,15 @@
   }
 
   nextTimer(): number | undefined {
-    return this.options.queue.earliestGiveUp();
+    const giveUpAt = this.options.queue.earliestGiveUp();
+    if (giveUpAt === undefined || this.rateResumesAt === undefined) return giveUpAt;
+    return Math.min(giveUpAt, this.rateResumesAt);
   }
 
   report(now: number, request?: RequestContext): LoadReport {
     this.updateThreshold(now);
     const { limit, queue, controller } = this.options;
+    const { requestsPerSecond } = this.rate;
     const below = this.downstream.highest(now, request?.kind ?? '').threshold;
     const wasted = request === undefined ? 0 : this.wastedThreshold(now, request);
     return {
@@ -118,6 +133,7 @@
       latencyMs: this.serviceTime.mean(),
       threshold: Math.max(controller.threshold, below, wasted),
       failureShare: this.failures.at(now),
+      ...(requestsPerSecond === undefined ? {} : { requestLimit: requestsPerSecond }),
     };
   }
 
@@ -129,6 +145,15 @@
     if (request.depth === 0) this.wastedRuns.note(now, request);
   }
 
+  noteStatedLimit(
+    now: number,
+    sentAt: number,
+    requestsPerSecond: number | undefined,
+  ): readonly GateAction[] {
+    this.rate.note(now, sentAt, requestsPerSecond);
+    return [...this.drain(now), ...this.evictExcess(now)];
+  }
+
   private wastedThreshold(now: number, request: RequestContext): number {
     const share = request.depth === 0 ? this.wastedRuns.shareOf(now, request) : 0;
     return share === 0 ? 0 : thresholdForClassShare(request, share);
@@ -152,11 +177,17 @@
   private drain(now: number): GateAction[] {
     const { queue } = this.options;
     const actions = queue.takeExpired(now).map((waiting) => this.refuseLate(now, waiting));
+    this.rateResumesAt = undefined;
     for (let next = queue.takeNext(now); next !== undefined; next = queue.takeNext(now)) {
       if (!this.hasFreeSlot(now, next.request)) {
         queue.add(next);
         break;
       }
+      if (this.isRateReached(now)) {
+        queue.add(next);
+        this.rateResumesAt = this.rate.startableAt(now);
+        break;
+      }
       actions.push(this.isLate(now, next) ? this.refuseLate(now, next) : this.start(now, next));
     }
     return actions;
@@ -164,6 +195,7 @@
 
   private start(now: number, { ticket, request }: WaitingRequest): GateAction {
     this.inFlight.start(now, ticket, request.kind);
+    this.rate.noteStart(now);
     return { type: 'dispatch', ticket };
   }
 
@@ -176,12 +208,42 @@
   private evictExcess(now: number): GateAction[] {
     const { queue } = this.options;
     const actions: GateAction[] = [];
+    while (this.isRateReached(now) && queue.length > this.maxQueuedAtRate()) {
+      actions.push(this.refuseAtRate(now, queue.takeLowest()!));
+    }
     while (queue.length > this.maxQueued()) {
       actions.push(this.refuseLowest(now, ResultCode.QueueFull));
     }
     return actions;
   }
 
+  private isRateReached(now: number): boolean {
+    return this.rate.startableAt(now) > now;
+  }
+
+  /** Whether the request would lose much of its value while it waits for the stated request limit. */
+  private waitsTooLongForRate(now: number, waiting: WaitingRequest): boolean {
+    const ahead = this.options.queue.countAhead(waiting);
+    const startAt = this.rate.startableAt(now, ahead + 1);
+    const { deadline, dueAt = deadline } = waiting.request;
+    return startAt > now + Math.max(0, dueAt - now) * MAX_RATE_WAIT_SHARE;
+  }
+
+  private maxQueuedAtRate(): number {
+    const { requestsPerSecond = Infinity } = this.rate;
+    const perWait = (this.options.maxWaitMs / MS_PER_SECOND) * requestsPerSecond;
+    return Math.max(MIN_QUEUED_AT_RATE, Math.ceil(perWait));
+  }
+
+  /** Not counted as a refusal for load: the target's slots are free. */
+  private refuseAtRate(now: number, { ticket, request }: WaitingRequest): GateAction {
+    const code = ResultCode.TargetRateLimited;
+    const detail = `the request limit that a target of ${request.service} states is reached`;
+    const freeAt = this.rate.startableAt(now, this.options.queue.length + 1);
+    const retryAfterMs = Math.ceil(Math.max(this.rate.spacingMs, freeAt - now));
+    return { type: 'refuse', ticket, refusal: { code, detail, retryAfterMs } };
+  }
+
   /** Refuses the least important waiting request, so that no class is preferred to a higher one. */
   private refuseLowest(now: number, code: ResultCode): GateAction {
     const lowest = this.options.queue.takeLowest()!;
@@ -228,7 +290,8 @@
 
   private updateThreshold(now: number): void {
     const { limit, queue, controller } = this.options;
-    const queued = queue.length;
+    // Requests that wait for the stated request limit, with slots free, show no load of the target.
+    const queued = this.isRateReached(now) ? 0 : queue.length;
     controller.update(now, {
       limit: limit.current() - this.reserve.idleSlots(now, limit.current()),
       inFlight: this.inFlight.size,
--- a/src/core/policies/adaptive-router.ts
+++ b/src/core/policies/adaptive-router.ts
@@ -17,11 +17,12 @@
   TargetView,
 } from '../overload.js';
 import { createRandom, type Random } from '../random.js';
-import type { RequestContext } from '../request.js';
+import { rankOf, type RequestContext } from '../request.js';
 import { ResultCode } from '../result-code.js';
 import { RetryAfterEstimate } from '../retry/retry-after.js';
 import type { RetryBudget } from '../retry/retry-budget.js';
 import { RetryPolicy } from '../retry/retry-policy.js';
+import { RetrySchedule } from '../retry/retry-schedule.js';
 import type { Locality } from '../routing/load-score.js';
 import type { TargetChoice } from '../routing/target-choice.js';
 import { TargetSet } from '../routing/target-set.js';
@@ -32,6 +33,8 @@
   readonly retryBudget: RetryBudget;
 }
 
+/** Longest retry time while all targets are at the request limits that they state, in milliseconds. */
+const MAX_RATE_RETRY_AFTER_MS = 5_000;
 /** Share of its limit below which a target clearly has spare capacity. */
 const SPARE_CAPACITY_SHARE = 0.8;
 
@@ -43,6 +46,7 @@
   private readonly retries: RetryPolicy;
   private readonly latency = new ServiceTime();
   private readonly retryAfter = new RetryAfterEstimate();
+  private readonly rateRetries = new RetrySchedule(MAX_RATE_RETRY_AFTER_MS);
 
   constructor(
     private readonly options: ServiceRouterOptions,
@@ -78,9 +82,14 @@
       (target) => target.threshold(now, request.kind) <= priority,
     );
     const choices = admitting.length > 0 ? admitting : candidates;
-    const target = this.parts.choose(now, choices, this.locality, this.random);
-    target.outstanding += 1;
-    target.health.noteSent();
+    const open = choices.filter((target) => !target.isShareUsed(now, rankOf(request.criticality)));
+    if (open.length === 0 && request.depth === 0) {
+      return { type: 'refuse', refusal: this.refuseAtRate(now, candidates) };
+    }
+    // Work has been spent upstream for a nested call; the gate, where it goes first, decides.
+    const preferred = open.length > 0 ? open : choices;
+    const target = this.parts.choose(now, preferred, this.locality, this.random);
+    target.noteSent(now);
     return { type: 'target', target: target.view.id };
   }
 
@@ -113,6 +122,18 @@
     return this.targets.healthy(now).some((target) => canTake(now, target, request, priority));
   }
 
+  private refuseAtRate(now: number, candidates: readonly TargetState[]): Refusal {
+    const perSecond = candidates.reduce(
+      (sum, target) => sum + target.rateLimitedShare.ratePerSecond(now),
+      0,
+    );
+    return {
+      code: ResultCode.TargetRateLimited,
+      detail: `all targets are at the request limits that they state (${this.options.service})`,
+      retryAfterMs: Math.ceil(this.rateRetries.next(now, 1, perSecond)),
+    };
+  }
+
   private refuse(now: number, request: RequestContext, code: ResultCode, detail: string): Refusal {
     const retryAfterMs = this.retryAfter.next(now, request.requestId);
     return { code, detail: `${detail} (${this.options.service})`, retryAfterMs };
--- a/src/core/policies/adaptive-variants.ts
+++ b/src/core/policies/adaptive-variants.ts
@@ -83,5 +83,7 @@
     noteWastedRun: (now, request) => {
       gate.noteWastedRun(now, request);
     },
+    noteStatedLimit: (now, sentAt, requestsPerSecond) =>
+      gate.noteStatedLimit(now, sentAt, requestsPerSecond),
   };
 }
--- a/src/core/policies/bounded-gate.ts
+++ b/src/core/policies/bounded-gate.ts
@@ -3,6 +3,7 @@
  * admission by criticality: the gate of the baselines.
  */
 import type { ConcurrencyLimit } from '../limit/concurrency-limit.js';
+import { RequestRateLimit } from '../limit/request-rate-limit.js';
 import type { GateAction, Refusal, TargetGate } from '../overload.js';
 import type { WaitingQueue, WaitingRequest } from '../queue/waiting-queue.js';
 import type { AttemptOutcome, LoadReport, RequestContext } from '../request.js';
@@ -26,6 +27,8 @@
 /** Limit and queue of one target. */
 export class BoundedGate implements TargetGate {
   private readonly inFlight = new InFlight();
+  private readonly rate = new RequestRateLimit();
+  private rateResumesAt: number | undefined;
   private latencyMs = 0;
 
   constructor(private readonly options: BoundedGateOptions) {}
@@ -61,17 +64,23 @@
   }
 
   nextTimer(): number | undefined {
-    return this.options.refusesAtDeadline ? this.options.queue.earliestGiveUp() : undefined;
+    const { queue, refusesAtDeadline } = this.options;
+    const giveUpAt = refusesAtDeadline ? queue.earliestGiveUp() : undefined;
+    return this.rateResumesAt === undefined
+      ? giveUpAt
+      : Math.min(giveUpAt ?? Infinity, this.rateResumesAt);
   }
 
   report(): LoadReport {
     const { limit, queue } = this.options;
+    const { requestsPerSecond } = this.rate;
     return {
       inFlight: this.inFlight.size,
       queued: queue.length,
       limit: limit.current(),
       latencyMs: this.latencyMs,
       threshold: 0,
+      ...(requestsPerSecond === undefined ? {} : { requestLimit: requestsPerSecond }),
     };
   }
 
@@ -79,15 +88,31 @@
 
   noteWastedRun(): void {}
 
+  noteStatedLimit(
+    now: number,
+    sentAt: number,
+    requestsPerSecond: number | undefined,
+  ): readonly GateAction[] {
+    this.rate.note(now, sentAt, requestsPerSecond);
+    return this.drain(now);
+  }
+
   private drain(now: number): GateAction[] {
     const { limit, queue, refusesAtDeadline } = this.options;
+    this.rateResumesAt = undefined;
     const expired: readonly WaitingRequest[] = refusesAtDeadline ? queue.takeExpired(now) : [];
     const actions: GateAction[] = expired.map(({ ticket }) =>
       refuse(ticket, ResultCode.DeadlineUnreachable, 'deadline passed in the queue'),
     );
     while (queue.length > 0 && this.inFlight.size < limit.current()) {
+      const startableAt = this.rate.startableAt(now);
+      if (startableAt > now) {
+        this.rateResumesAt = startableAt;
+        break;
+      }
       const { ticket, request } = queue.takeNext(now)!;
       this.inFlight.start(now, ticket, request.kind);
+      this.rate.noteStart(now);
       actions.push({ type: 'dispatch', ticket });
     }
     return actions;
--- a/src/core/quota/quota-counter.ts
+++ b/src/core/quota/quota-counter.ts
@@ -4,6 +4,8 @@
  * its predecessor granted.
  */
 
+import { RetrySchedule } from '../retry/retry-schedule.js';
+
 /** Requests that a tenant may make over all nodes together. */
 export interface QuotaLimit {
   readonly requestsPerSecond: number;
@@ -35,8 +37,7 @@
   tokens: number;
   /** Time up to which tokens have been added. */
   filledAt: number;
-  /** Time by which all requests that were refused can be made. */
-  nextRetryAt: number;
+  readonly retries: RetrySchedule;
 }
 
 const MS_PER_SECOND = 1_000;
@@ -62,14 +63,16 @@
       forWaiting < request.waiting ? 0 : spareTokens(bucket, request.ahead, limit);
     bucket.tokens -= forExpected;
     const refused = request.waiting - forWaiting;
-    const retryAfterMs = refused === 0 ? 0 : scheduleRetries(bucket, now, refused, limit);
+    const retryAfterMs =
+      refused === 0 ? 0 : bucket.retries.next(now, refused, limit.requestsPerSecond);
     return { tenant: request.tenant, granted: forWaiting + forExpected, retryAfterMs };
   }
 
   private refill(now: number, { tenant, returned }: QuotaRequest, limit: QuotaLimit): Bucket {
     let bucket = this.buckets.get(tenant);
     if (bucket === undefined) {
-      bucket = { tokens: 0, filledAt: this.startedAt, nextRetryAt: now };
+      const retries = new RetrySchedule(MAX_RETRY_AFTER_MS);
+      bucket = { tokens: 0, filledAt: this.startedAt, retries };
       this.buckets.set(tenant, bucket);
     }
     const added = ((now - bucket.filledAt) * limit.requestsPerSecond) / MS_PER_SECOND;
@@ -83,16 +86,3 @@
 function spareTokens({ tokens }: Bucket, wanted: number, { burst }: QuotaLimit): number {
   return Math.max(0, Math.min(wanted, Math.floor(tokens - burst * WAITING_RESERVE_SHARE)));
 }
-
-/** Spaces refused requests at the rate of the limit, so that callers do not come back together. */
-function scheduleRetries(
-  bucket: Bucket,
-  now: number,
-  refused: number,
-  { requestsPerSecond }: QuotaLimit,
-): number {
-  const spanMs = (refused * MS_PER_SECOND) / requestsPerSecond;
-  const last = now + MAX_RETRY_AFTER_MS;
-  bucket.nextRetryAt = Math.min(last, Math.max(now, bucket.nextRetryAt) + spanMs);
-  return bucket.nextRetryAt - now;
-}
--- a/src/core/request.ts
+++ b/src/core/request.ts
@@ -42,6 +42,8 @@
   | 'overloaded'
   /** The target said that it is leaving; not run. */
   | 'draining'
+  /** The fronting node refused because the target has stated a request limit; not run. */
+  | 'rate-limited'
   /** Connection failed before a byte was sent; not run. */
   | 'unreachable'
   /** Sent, but no complete answer: reset, truncated or lost. */
@@ -68,4 +70,6 @@
   readonly threshold: number;
   /** Share of recent attempts that were sent and not answered, 0 to 1; absent: not counted. */
   readonly failureShare?: number;
+  /** Requests a second that the target takes from all nodes together, as it states; absent: no limit. */
+  readonly requestLimit?: number;
 }
--- a/src/core/result-code.ts
+++ b/src/core/result-code.ts
@@ -37,6 +37,7 @@
   ParentUnknown = 2015,
   TenantLimitReached = 2016,
   TenantLimitUncounted = 2017,
+  TargetRateLimited = 2018,
   TargetUnreachable = 3001,
   AnswerIncomplete = 3002,
   AnswerTimeout = 3003,
@@ -115,6 +116,7 @@
   [ResultCode.ParentUnknown, 'Call of a run that is not known here', 503, 'not-run'],
   [ResultCode.TenantLimitReached, 'Tenant is over its limit', 429, 'not-run'],
   [ResultCode.TenantLimitUncounted, 'Limit of the tenant cannot be counted now', 503, 'not-run'],
+  [ResultCode.TargetRateLimited, 'Targets take no more requests a second', 503, 'not-run'],
   [ResultCode.TargetUnreachable, 'Target unreachable', 503, 'not-run'],
   [ResultCode.AnswerIncomplete, 'Answer ended early', 502, 'unknown'],
   [ResultCode.AnswerTimeout, 'No answer in time', 504, 'unknown'],
@@ -152,6 +154,7 @@
   ResultCode.QueueFull,
   ResultCode.DeadlineUnreachable,
   ResultCode.ConcurrencyLimitReached,
+  ResultCode.TargetRateLimited,
 ]);
 
 /** Whether a request that ended with this code was refused for load. */
--- a/src/core/retry/retry-policy.ts
+++ b/src/core/retry/retry-policy.ts
@@ -22,6 +22,7 @@
   success: ResultCode.Ok,
   overloaded: ResultCode.TargetRefused,
   draining: ResultCode.NoTargetAvailable,
+  'rate-limited': ResultCode.TargetRateLimited,
   unreachable: ResultCode.TargetUnreachable,
   failed: ResultCode.AnswerIncomplete,
   timeout: ResultCode.AnswerTimeout,
@@ -32,6 +33,7 @@
 const RETRYABLE_OUTCOMES: ReadonlySet<AttemptOutcome> = new Set([
   'overloaded',
   'draining',
+  'rate-limited',
   'unreachable',
   'failed',
 ]);
@@ -58,8 +60,9 @@
     if (environment.now + delayMs + environment.typicalLatencyMs > request.deadline) {
       return giveUp(ResultCode.DeadlineUnreachable, 'no time left for another attempt');
     }
-    // A draining target refuses each request once; these retries add no load.
-    if (lastOutcome !== 'draining' && !this.budget.spend()) {
+    // A draining or rate-limited target was not offered the request; these retries add no load.
+    const addsNoLoad = lastOutcome === 'draining' || lastOutcome === 'rate-limited';
+    if (!addsNoLoad && !this.budget.spend()) {
       return giveUp(ResultCode.RetryBudgetExhausted, 'retry budget exhausted');
     }
     return { type: 'retry', delayMs };
--- a/src/core/routing/outliers.ts
+++ b/src/core/routing/outliers.ts
@@ -19,6 +19,7 @@
   success: 'alive',
   overloaded: 'alive',
   draining: 'alive',
+  'rate-limited': 'alive',
   unreachable: 'unreachable',
   failed: 'failed',
   timeout: 'failed',
--- a/src/core/routing/target-state.ts
+++ b/src/core/routing/target-state.ts
@@ -3,6 +3,7 @@
 import type { AttemptReport, TargetView } from '../overload.js';
 import type { LoadReport } from '../request.js';
 import { OutlierDetection } from './outliers.js';
+import { RateLimitedShare } from './rate-limited-share.js';
 
 /** Time in which a reported share of failures decays to about a third, in milliseconds. */
 const FAILURE_DECAY_MS = 2_000;
@@ -14,6 +15,7 @@
   /** Attempts that this router has sent and that have not ended. */
   outstanding = 0;
   readonly health = new OutlierDetection();
+  readonly rateLimitedShare = new RateLimitedShare();
   private report: LoadReport | undefined;
   private reportedAt = -Infinity;
   private outstandingAtReport = 0;
@@ -29,6 +31,7 @@
   noteOutcome(now: number, outcome: AttemptReport): void {
     this.outstanding = Math.max(0, this.outstanding - 1);
     this.health.noteOutcome(now, outcome.outcome);
+    if (isAccepted(outcome)) this.rateLimitedShare.noteAccepted(now);
     if (outcome.load !== undefined) this.noteLoad(now, outcome.load, outcome.kind ?? '');
   }
 
@@ -51,6 +54,19 @@
     return share === 0 ? 0 : share * Math.exp((this.reportedAt - now) / FAILURE_DECAY_MS);
   }
 
+  /** Records that an attempt is sent. */
+  noteSent(now: number): void {
+    this.outstanding += 1;
+    this.health.noteSent();
+    this.rateLimitedShare.noteSent(now);
+  }
+
+  /** Whether the target has stated a request limit of which this router has used its share. */
+  isShareUsed(now: number, rank: number): boolean {
+    if (this.report?.requestLimit === undefined) return false;
+    return !this.rateLimitedShare.allows(now, rank);
+  }
+
   /** Last known concurrency limit and latency, however old. */
   lastReport(): LoadReport | undefined {
     return this.report;
@@ -83,3 +99,8 @@
     threshold.note(now, load.threshold);
   }
 }
+
+/** Whether the target's node has let the attempt pass to the target. */
+function isAccepted({ outcome }: AttemptReport): boolean {
+  return outcome === 'success' || outcome === 'failed' || outcome === 'timeout';
+}
--- a/src/sidecar/directory/node-directory.test.ts
+++ b/src/sidecar/directory/node-directory.test.ts
@@ -34,6 +34,7 @@
     rulesConfirmation: () => undefined,
     quota: { queryQuota: () => assert.fail('no quota query') },
     leftTargetOf: () => undefined,
+    onRelayedLimit: () => {},
     onLocalTargetLeft: () => {},
     onPeerStatus: () => {},
     onRules: () => {},
--- a/src/sidecar/directory/node-directory.ts
+++ b/src/sidecar/directory/node-directory.ts
@@ -22,6 +22,7 @@
 import { PeerLink } from '../link/peer-link.js';
 import type { QuarantineExchange, QuarantineUpdate } from '../quarantine/quarantine-update.js';
 import { recordBatchPauseMs } from './watch-timing.js';
+import { RelayedLimits } from './relayed-limits.js';
 import { decodeNodeRecord, NODE_RECORD_PREFIX, type NodeRecord } from './node-record.js';
 
 export interface NodeDirectoryOptions {
@@ -108,6 +109,8 @@
    * restarts from it would restore its target as ready.
    */
   private readonly leftTargets = new Map<string, string>();
+  /** Kept beyond a node's record, which may expire while the node restarts. */
+  private readonly relayedLimits = new RelayedLimits();
   /** Time until which missing records may still be written again. */
   private recoveringUntil = -Infinity;
   /** Services that this node calls, with their subsets. */
@@ -327,6 +330,7 @@
       rulesDocument: () => this.options.rulesDocument(),
       quarantine: this.options.quarantine,
       leftTarget: () => this.leftTargets.get(node),
+      relayedLimit: () => this.relayedLimits.of(node),
       listener: {
         onLocalTargetLeft: (incarnation) => {
           this.options.onLocalTargetLeft(incarnation);
@@ -334,6 +338,9 @@
         onStatus: (status) => {
           this.onStatus(node, status);
         },
+        onRequestLimit: (requestsPerSecond) => {
+          this.onRequestLimit(node, requestsPerSecond);
+        },
         onReachableChanged: (reachable, detail) => {
           this.onReachable(node, reachable, detail);
         },
@@ -406,11 +413,17 @@
     if (isSame) return;
     peer.lastStatus = status;
     const { target, incarnation, targetLeft } = status;
+    if (incarnation !== undefined) this.relayedLimits.onIncarnation(node, incarnation);
     if (targetLeft === true && incarnation !== undefined) this.leftTargets.set(node, incarnation);
     this.options.log.emit(Event.PeerTargetChanged, { peer: node, target, incarnation });
     this.options.onServiceChanged(status.service);
   }
 
+  private onRequestLimit(node: string, requestsPerSecond: number | undefined): void {
+    const incarnation = this.peers.get(node)?.lastStatus?.incarnation;
+    if (incarnation !== undefined) this.relayedLimits.note(node, incarnation, requestsPerSecond);
+  }
+
   private onReachable(node: string, reachable: boolean, detail: string): void {
     const peer = this.peers.get(node);
     if (peer === undefined) return;
--- a/src/sidecar/directory/target-lifecycle.test.ts
+++ b/src/sidecar/directory/target-lifecycle.test.ts
@@ -126,7 +126,7 @@
 
 test('a target with a record of an earlier era is not ready when peers report that it has left', async () => {
   const restarted = new RestartedNode(RECORD, ['i-1'], (lifecycle) => {
-    lifecycle.onPeerReportedLeft('i-1 100');
+    lifecycle.onTargetLeft('i-1 100');
   });
   await restarted.restore();
   const states = [restarted.registration.current?.state];
--- a/src/sidecar/directory/target-lifecycle.ts
+++ b/src/sidecar/directory/target-lifecycle.ts
@@ -125,8 +125,8 @@
     this.publishIfChanged();
   }
 
-  /** Called when a peer reports that this incarnation of the target has left. */
-  onPeerReportedLeft(incarnation: string): void {
+  /** Called when this incarnation of the target leaves, as it stated in an answer or as a peer reports. */
+  onTargetLeft(incarnation: string): void {
     this.options.registration.restoreLeft(parseIncarnation(incarnation));
     this.publishIfChanged();
   }
--- a/src/sidecar/entry/routed-request.ts
+++ b/src/sidecar/entry/routed-request.ts
@@ -45,6 +45,8 @@
 const MAX_TRIED_NODES = 6;
 /** The same when nodes refuse for load: each further attempt would cost all of them processor time. */
 const MAX_TRIED_NODES_UNDER_LOAD = 2;
+/** The same when nodes refuse because their targets are at the request limits that they state. */
+const MAX_TRIED_NODES_AT_RATE_LIMIT = 3;
 /** The other node gets this much less time, so that its result still arrives, in milliseconds. */
 const LINK_MARGIN_MS = 8;
 const LINK_MARGIN_SHARE = 0.1;
@@ -247,6 +249,8 @@
     if (this.tried.length >= MAX_TRIED_NODES || this.offers >= maxAttempts) return false;
     if (outcome === 'timeout' || outcome === 'cancelled') return false;
     if (outcome === 'overloaded' && this.tried.length >= MAX_TRIED_NODES_UNDER_LOAD) return false;
+    if (outcome === 'rate-limited' && this.tried.length >= MAX_TRIED_NODES_AT_RATE_LIMIT)
+      return false;
     const now = clock.now();
     if (now >= context.deadline) return false;
     if (this.offers === 0) return true;
--- a/src/sidecar/link/link-codec.ts
+++ b/src/sidecar/link/link-codec.ts
@@ -31,7 +31,8 @@
 const CODEC_BUFFER_BYTES = 1024 * 1024;
 const FIELD_SEPARATOR = '\n';
 const KEY_SEPARATOR = ' ';
-const LOAD_VALUE_COUNT = 6;
+/** Numbers in every load report; the request limit follows when the target states one. */
+const REQUIRED_LOAD_VALUES = 6;
 const FLOAT_BYTES = 4;
 const DESERIALIZE_OPTIONS = { promoteBuffers: true };
 const SERIALIZE_OPTIONS = { ignoreUndefined: true };
@@ -56,6 +57,7 @@
   Confirmation = 15,
   QuotaWanted = 16,
   QuotaReply = 17,
+  TargetLimit = 18,
 }
 
 type Document = Record<string, unknown>;
@@ -126,6 +128,10 @@
       return { t: FrameCode.Rules, b: message.document };
     case 'target-left':
       return { t: FrameCode.TargetLeft, l: message.incarnation };
+    case 'target-limit': {
+      const { incarnation, requestsPerSecond } = message;
+      return { t: FrameCode.TargetLimit, l: incarnation, r: requestsPerSecond };
+    }
     case 'target-ends':
       return { t: FrameCode.TargetEnds, e: message.ends.map(targetCrashToDocument) };
     case 'requests-cleared':
@@ -187,11 +193,13 @@
   };
 }
 
-/** Encodes the load as six 4-byte numbers; an array of BSON numbers takes three times the space. */
+/** Encodes the load as 4-byte numbers; an array of BSON numbers takes three times the space. */
 function loadToBytes(load: LoadReport): Uint8Array {
-  const { inFlight, queued, limit, latencyMs, threshold, failureShare = 0 } = load;
-  const bytes = Buffer.allocUnsafe(LOAD_VALUE_COUNT * FLOAT_BYTES);
-  [inFlight, queued, limit, latencyMs, threshold, failureShare].forEach((value, index) => {
+  const { inFlight, queued, limit, latencyMs, threshold, failureShare = 0, requestLimit } = load;
+  const values = [inFlight, queued, limit, latencyMs, threshold, failureShare];
+  if (requestLimit !== undefined) values.push(requestLimit);
+  const bytes = Buffer.allocUnsafe(values.length * FLOAT_BYTES);
+  values.forEach((value, index) => {
     bytes.writeFloatLE(value, index * FLOAT_BYTES);
   });
   return bytes;
@@ -239,6 +247,8 @@
       return { type: 'rules', document: document['b'] as Uint8Array };
     case FrameCode.TargetLeft:
       return { type: 'target-left', incarnation: document['l'] as string };
+    case FrameCode.TargetLimit:
+      return targetLimitFromDocument(document);
     case FrameCode.TargetEnds:
       return { type: 'target-ends', ends: targetCrashesFromDocument(document) };
     case FrameCode.RequestsCleared:
@@ -248,6 +258,16 @@
   }
 }
 
+function targetLimitFromDocument({
+  l: incarnation,
+  r: requestsPerSecond,
+}: Document): LinkMessage | undefined {
+  if (typeof incarnation !== 'string' || typeof requestsPerSecond !== 'number') return undefined;
+  return requestsPerSecond >= 0
+    ? { type: 'target-limit', incarnation, requestsPerSecond }
+    : undefined;
+}
+
 function targetCrashToDocument({ target, ageMs, requests }: TargetCrash): Document {
   return { l: target, a: Math.round(ageMs), f: requests.map(keyToText) };
 }
@@ -361,8 +381,12 @@
   if (bytes === undefined) return {};
   const read = (index: number): number => bytes.readFloatLE(index * FLOAT_BYTES);
   const [inFlight, queued, limit, latencyMs] = [read(0), read(1), read(2), read(3)];
+  const statesLimit = bytes.length > REQUIRED_LOAD_VALUES * FLOAT_BYTES;
   return {
-    load: { inFlight, queued, limit, latencyMs, threshold: read(4), failureShare: read(5) },
+    load: {
+      ...{ inFlight, queued, limit, latencyMs, threshold: read(4), failureShare: read(5) },
+      ...(statesLimit ? { requestLimit: read(REQUIRED_LOAD_VALUES) } : {}),
+    },
   };
 }
 
--- a/src/sidecar/link/link-messages.ts
+++ b/src/sidecar/link/link-messages.ts
@@ -24,6 +24,13 @@
   readonly rulesVersion: number;
 }
 
+/** A request limit that a target stated in an answer which a node has relayed to a caller. */
+export interface RelayedLimit {
+  /** Incarnation of the target; see {@link NodeStatus.incarnation}. */
+  readonly incarnation: string;
+  readonly requestsPerSecond: number;
+}
+
 /** The tenant under which the entry node admitted a request. */
 export interface Authorization {
   readonly tenant: string;
@@ -118,6 +125,8 @@
     }
   /** The receiver's target reported in this incarnation that it leaves, as recorded by the sender. */
   | { readonly type: 'target-left'; readonly incarnation: string }
+  /** The receiver's target stated this request limit in an answer that the sender relayed. */
+  | ({ readonly type: 'target-limit' } & RelayedLimit)
   | { readonly type: 'ping' }
   | { readonly type: 'pong' }
   /** Requests how recently the receiver's rules were confirmed; the reply carries the same number. */
--- a/src/sidecar/link/link-server.test.ts
+++ b/src/sidecar/link/link-server.test.ts
@@ -4,7 +4,7 @@
 import { after, before, test } from 'node:test';
 import { FrameReader } from '../../peer/frame-reader.js';
 import { ManualClock } from '../../kernel/clock.js';
-import type { AttemptCall, AttemptEnd, LinkMessage } from './link-messages.js';
+import type { AttemptCall, AttemptEnd, LinkMessage, RelayedLimit } from './link-messages.js';
 import { decodeMessage, encodeMessage } from './link-codec.js';
 import { LinkServer } from './link-server.js';
 
@@ -37,6 +37,7 @@
 let socket: Socket;
 const received: LinkMessage[] = [];
 const rules: string[] = [];
+const relayedLimits: RelayedLimit[] = [];
 
 before(async () => {
   clock.advance(10_000);
@@ -67,6 +68,7 @@
     },
     rulesConfirmation: () => ({ version: 1, ageMs: clock.now() - CONFIRMED_AT_MS }),
     leftTargetOf: () => undefined,
+    onRelayedLimit: (limit) => relayedLimits.push(limit),
     onLocalTargetLeft: () => {},
     onPeerStatus: ({ rulesVersion }, requestRules) => {
       if (rulesVersion > 1) requestRules();
@@ -108,6 +110,15 @@
   assert.deepEqual([id, stamp], [1, clock.now()]);
 });
 
+test('a request limit that another node relayed is passed on with its incarnation', async () => {
+  socket.write(
+    encodeMessage({ type: 'target-limit', incarnation: 'i-1 5', requestsPerSecond: 7.3 }),
+  );
+  while (relayedLimits.length === 0) await new Promise((resolve) => setImmediate(resolve));
+  const [limit] = relayedLimits;
+  assert.deepEqual([limit?.incarnation, limit?.requestsPerSecond], ['i-1 5', 7.3]);
+});
+
 test('a call with too long a transit time is refused as not run', async () => {
   const before = dispatched.length;
   socket.write(encodeMessage({ type: 'call', id: 2, sentAt: clock.now() - 500, call: CALL }));
--- a/src/sidecar/link/link-server.ts
+++ b/src/sidecar/link/link-server.ts
@@ -7,7 +7,13 @@
 import type { QuarantineExchange, QuarantineUpdate } from '../quarantine/quarantine-update.js';
 import type { QuotaPort, QuotaQuery } from '../quota/quota-messages.js';
 import type { RulesConfirmation } from '../rules/rules-freshness.js';
-import type { AttemptCall, AttemptEnd, LinkMessage, NodeStatus } from './link-messages.js';
+import type {
+  AttemptCall,
+  AttemptEnd,
+  LinkMessage,
+  NodeStatus,
+  RelayedLimit,
+} from './link-messages.js';
 import { LinkSocket } from './link-socket.js';
 
 /** Calls with a longer transit time are refused. */
@@ -29,6 +35,8 @@
   leftTargetOf(node: string): string | undefined;
   /** Called when another node reports that the local target has left in this incarnation. */
   onLocalTargetLeft(incarnation: string): void;
+  /** Called when another node reports a request limit that it relayed from the local target. */
+  onRelayedLimit(limit: RelayedLimit): void;
   /**
    * Called with the status of another node.
    *
@@ -142,6 +150,9 @@
       case 'target-left':
         this.options.onLocalTargetLeft(message.incarnation);
         break;
+      case 'target-limit':
+        this.options.onRelayedLimit(message);
+        break;
       case 'target-ends':
       case 'requests-cleared':
         this.options.quarantine.onUpdate(message, (update) => {
--- a/src/sidecar/link/peer-link.test.ts
+++ b/src/sidecar/link/peer-link.test.ts
@@ -5,7 +5,8 @@
 import { ManualClock } from '../../kernel/clock.js';
 import { FrameReader } from '../../peer/frame-reader.js';
 import { decodeMessage, encodeMessage } from './link-codec.js';
-import type { AttemptCall, AttemptEnd, LinkMessage } from './link-messages.js';
+import type { LoadReport } from '../../core/request.js';
+import type { AttemptCall, AttemptEnd, LinkMessage, RelayedLimit } from './link-messages.js';
 import { PeerLink } from './peer-link.js';
 
 const STATUS = { node: 'other', service: 's', target: 'ready', rulesVersion: 1 } as const;
@@ -14,6 +15,8 @@
 let server: Server;
 let peer: Socket;
 let received: LinkMessage[];
+let requestLimits: (number | undefined)[] = [];
+let relayedLimit: RelayedLimit | undefined;
 let reachable: boolean;
 /** Reported ages, with the boot times of the requests. */
 let confirmations: (readonly [number, number])[];
@@ -28,6 +31,8 @@
   confirmations = [];
   reachable = false;
   greetsAtOnce = true;
+  requestLimits = [];
+  relayedLimit = undefined;
   server = createServer((socket) => {
     peer = socket;
     const reader = new FrameReader(1_000_000);
@@ -49,12 +54,14 @@
     rulesDocument: () => undefined,
     quarantine: { currentUpdate: () => undefined, onUpdate: () => {} },
     leftTarget: () => undefined,
+    relayedLimit: () => relayedLimit,
     listener: {
       onStatus: () => {},
       onReachableChanged: (now) => {
         reachable = now;
       },
       onRules: () => {},
+      onRequestLimit: (requestLimit) => requestLimits.push(requestLimit),
       onLocalTargetLeft: () => {},
       onRulesConfirmation: (confirmation, requestedAt) => {
         confirmations.push([confirmation.ageMs, requestedAt]);
@@ -231,3 +238,42 @@
   await until(() => confirmations.length > 0);
   assert.deepEqual(confirmations, [[40, calledAt]]);
 });
+
+test('a node that has restarted receives the relayed request limit before any call', async () => {
+  relayedLimit = { incarnation: 'i-1', requestsPerSecond: 4 };
+  peer.destroy();
+  await until(() => !reachable);
+  received.length = 0;
+  link.dispatch(createCall(true), () => {});
+  for (let step = 0; step < 40 && !hasReceived('call'); step += 1) {
+    advance(50);
+    await new Promise((resolve) => setTimeout(resolve, 5));
+  }
+  const types = received.map(({ type }) => type);
+  assert.ok(types.includes('call'), types.join(' '));
+  assert.ok(types.indexOf('target-limit') < types.indexOf('call'), types.join(' '));
+});
+
+test('the request limit of a load report is noted before the attempt ends', async () => {
+  const load: LoadReport = {
+    inFlight: 1,
+    queued: 0,
+    limit: 8,
+    latencyMs: 5,
+    threshold: 0,
+    failureShare: 0,
+  };
+  const noted: (number | undefined)[][] = [];
+  for (let call = 0; call < 2; call += 1) {
+    link.dispatch(createCall(true), () => noted.push([...requestLimits]));
+  }
+  await until(() => received.filter(({ type }) => type === 'call').length === 2);
+  const ids = received.flatMap((message) => (message.type === 'call' ? [message.id] : []));
+  const end = { type: 'answer', status: 200, fields: [], body: Buffer.alloc(0) } as const;
+  for (const [index, id] of ids.entries()) {
+    const stated = index === 0 ? { ...load, requestLimit: 12 } : load;
+    sendFromPeer({ type: 'end', id, clock: 0, end: { ...end, load: stated } });
+  }
+  await until(() => noted.length === 2);
+  assert.deepEqual(noted, [[12], [12, undefined]]);
+});
--- a/src/sidecar/link/peer-link.ts
+++ b/src/sidecar/link/peer-link.ts
@@ -22,6 +22,7 @@
   AttemptFailure,
   LinkMessage,
   NodeStatus,
+  RelayedLimit,
 } from './link-messages.js';
 import { LinkSocket } from './link-socket.js';
 import { PeerClock } from './peer-clock.js';
@@ -61,6 +62,12 @@
    * @param requestedAt boot time of the request that the report answers; the report is not older
    */
   onRulesConfirmation(confirmation: RulesConfirmation, requestedAt: number): void;
+  /**
+   * Called before an attempt ends with a load report of the other node.
+   *
+   * @param requestLimit requests a second that its target states; undefined: none
+   */
+  onRequestLimit(requestLimit: number | undefined): void;
 }
 
 export interface PeerLinkOptions {
@@ -76,6 +83,8 @@
   readonly quarantine: QuarantineExchange;
   /** Returns the recorded incarnation in which the other node's target has left; undefined: none. */
   leftTarget(): string | undefined;
+  /** Returns the request limit that this node relayed from the other node's target; undefined: none. */
+  relayedLimit(): RelayedLimit | undefined;
   readonly listener: PeerLinkListener;
 }
 
@@ -297,6 +306,9 @@
     if (update !== undefined) this.socket?.send(update);
     const incarnation = this.options.leftTarget();
     if (incarnation !== undefined) this.socket?.send({ type: 'target-left', incarnation });
+    // Sent before any call: a node that has restarted doesn't know the limit.
+    const limit = this.options.relayedLimit();
+    if (limit !== undefined) this.socket?.send({ type: 'target-limit', ...limit });
     this.options.listener.onStatus(status);
     this.updateReachable('connected');
     for (const [id, { sent }] of this.pending) if (!sent) this.held.add(id);
@@ -367,6 +379,7 @@
   private onEnd(id: number, end: AttemptEnd): void {
     const pending = this.pending.get(id);
     this.pending.delete(id);
+    if (end.load !== undefined) this.options.listener.onRequestLimit(end.load.requestLimit);
     pending?.onEnd(end);
   }
 
--- a/src/sidecar/platform-adapter.ts
+++ b/src/sidecar/platform-adapter.ts
@@ -29,6 +29,23 @@
   readonly targetId: string;
 }
 
+/** What a target states about itself in an answer. */
+export interface TargetStatements {
+  /** Requests a second that it takes from all nodes together; absent: it states none, or an invalid one. */
+  readonly requestLimit?: number;
+  /** Whether it leaves; it serves on for a while. */
+  readonly isLeaving: boolean;
+  /** Statements whose values cannot be parsed; they change nothing. */
+  readonly invalid: readonly InvalidStatement[];
+}
+
+/** A statement whose value cannot be parsed. */
+export interface InvalidStatement {
+  readonly statement: 'request limit' | 'leaving';
+  /** Beginning of the value. */
+  readonly value: string;
+}
+
 /** A target's report about itself. */
 export interface Heartbeat {
   readonly type: 'heartbeat';
@@ -87,6 +104,12 @@
     path: string,
     body: Buffer,
   ): RegistrationMessage | UnreadableReport;
+  /**
+   * Parses what a target states in the header of an answer; never throws, whatever the values are.
+   *
+   * @param headers field values by lower-case name
+   */
+  parseStatements(headers: Readonly<Record<string, unknown>>): TargetStatements;
   /** Parses a document of routing rules. */
   parseRules(document: Buffer): Result<RoutingRules, Failure>;
   /**
--- a/src/sidecar/plugins/directory-plugin.ts
+++ b/src/sidecar/plugins/directory-plugin.ts
@@ -49,7 +49,7 @@
             get(SidecarToken.Publisher).writeAgain();
           },
           onLocalTargetLeft: (incarnation) => {
-            get(SidecarToken.TargetLifecycle).onPeerReportedLeft(incarnation);
+            get(SidecarToken.TargetLifecycle).onTargetLeft(incarnation);
           },
         });
       });
--- a/src/sidecar/plugins/link-plugin.ts
+++ b/src/sidecar/plugins/link-plugin.ts
@@ -41,7 +41,10 @@
             },
             leftTargetOf: (node) => get(SidecarToken.Directory).leftTargetOf(node),
             onLocalTargetLeft: (incarnation) => {
-              get(SidecarToken.TargetLifecycle).onPeerReportedLeft(incarnation);
+              get(SidecarToken.TargetLifecycle).onTargetLeft(incarnation);
+            },
+            onRelayedLimit: (limit) => {
+              get(SidecarToken.Gateway).onRelayedLimit(limit);
             },
             onPeerStatus: ({ rulesVersion }, requestRules) => {
               get(SidecarToken.PeerRulesFetch).onPeerVersion(rulesVersion, requestRules);
--- a/src/sidecar/plugins/observability-plugin.ts
+++ b/src/sidecar/plugins/observability-plugin.ts
@@ -13,6 +13,7 @@
       container.bind(SidecarToken.Metrics).toDynamicValue(({ get }) =>
         createSidecarMetrics({
           inProgress: () => get(SidecarToken.Gateway).inProgress,
+          requestLimit: () => get(SidecarToken.Gateway).requestLimit,
           rulesVersion: () => get(SidecarToken.Rules).version,
           suspects: () => get(SidecarToken.Quarantine).suspects,
           quarantined: () => get(SidecarToken.Quarantine).quarantined,
--- a/src/sidecar/plugins/target-plugin.ts
+++ b/src/sidecar/plugins/target-plugin.ts
@@ -83,6 +83,7 @@
     onIdentityMismatch: (targetId) => {
       get(SidecarToken.TargetLifecycle).onIdentityMismatch(targetId);
     },
+    parseStatements: get(SidecarToken.Adapter).parseStatements,
   });
 }
 
--- a/src/sidecar/sidecar-metrics.ts
+++ b/src/sidecar/sidecar-metrics.ts
@@ -1,6 +1,7 @@
 /** Prometheus metrics of a sidecar (prom-client). */
 import { Counter, Gauge, Histogram, Registry } from 'prom-client';
 
+const NO_REQUEST_LIMIT = -1;
 const LATENCY_BUCKETS_SECONDS = [0.005, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5];
 
 export interface SidecarMetrics {
@@ -13,6 +14,8 @@
   readonly latency: Histogram<'kind'>;
   /** Requests that wait for or run at the local target. */
   readonly inProgress: Gauge;
+  /** Requests a second that the local target takes, as it states; -1 without a limit. */
+  readonly requestLimit: Gauge;
   /** Version of the rules in force. */
   readonly rulesVersion: Gauge;
   /** Requests that ran when a target crashed and that no target has answered since. */
@@ -24,6 +27,7 @@
 /** Values that are read when the metrics are scraped. */
 export interface MetricSources {
   inProgress(): number;
+  requestLimit(): number | undefined;
   rulesVersion(): number;
   suspects(): number;
   quarantined(): number;
@@ -62,6 +66,14 @@
         this.set(sources.inProgress());
       },
     }),
+    requestLimit: new Gauge({
+      name: 'sillshore_target_request_limit',
+      help: 'Requests a second that the own target takes, as it states; -1 without a limit',
+      registers,
+      collect() {
+        this.set(sources.requestLimit() ?? NO_REQUEST_LIMIT);
+      },
+    }),
     rulesVersion: new Gauge({
       name: 'sillshore_rules_version',
       help: 'Version of the rules in force',
--- a/src/sidecar/target/target-gateway.test.ts
+++ b/src/sidecar/target/target-gateway.test.ts
@@ -11,6 +11,7 @@
 import { silentEventLog } from '../../kernel/event.js';
 import { ForwardedFields } from '../forwarded-fields.js';
 import type { AttemptCall, AttemptEnd } from '../link/link-messages.js';
+import type { TargetStatements } from '../platform-adapter.js';
 import type { QuarantineUpdate } from '../quarantine/quarantine-update.js';
 import { RequestQuarantine } from '../quarantine/request-quarantine.js';
 import { TargetGateway } from './target-gateway.js';
@@ -47,6 +48,16 @@
 
 const REFUSAL = createFailure(ResultCode.RulesOutdated, 'scripted', { retryAfterMs: 50 });
 
+/** Parses the fields `x-limit` and `x-leaving`. */
+function parseStatements(headers: Readonly<Record<string, unknown>>): TargetStatements {
+  const limit = headers['x-limit'];
+  const isLeaving = headers['x-leaving'] === '1';
+  if (limit === undefined) return { isLeaving, invalid: [] };
+  const requestLimit = Number(limit);
+  if (!Number.isNaN(requestLimit)) return { requestLimit, isLeaving, invalid: [] };
+  return { isLeaving, invalid: [{ statement: 'request limit', value: String(limit) }] };
+}
+
 let target: Server;
 let updates: QuarantineUpdate[];
 let status: number;
@@ -84,6 +95,7 @@
       return authorization.tenant === revokedTenant ? REFUSAL : undefined;
     },
     onIdentityMismatch: () => {},
+    parseStatements,
   });
   gateway.setTarget({ id: 'i-1', state: 'ready', slots: 10, warmUntil: 0 });
 });
@@ -202,3 +214,81 @@
   const failed = await send('failed');
   assert.equal(failed.type === 'answer' && failed.refusedBelow, undefined);
 });
+
+/** Answers all requests with these header fields after a time. */
+function answerWith(fields: Record<string, string>, delayMs = 0, answered = 200): void {
+  target.removeAllListeners('request');
+  target.on('request', (request, response) => {
+    const identity = { [FIELDS.attemptId]: String(request.headers[FIELDS.attemptId]) };
+    setTimeout(() => response.writeHead(answered, { ...identity, ...fields }).end('whole'), delayMs);
+  });
+}
+
+test('a request limit that the target states is reported with its answer', async () => {
+  answerWith({ 'X-Limit': '7.3' });
+  const end = await send('a');
+  assert.equal(end.type === 'answer' && end.status, 200);
+  assert.equal(gateway.requestLimit, 7.3);
+  assert.equal(end.load?.requestLimit, 7.3);
+});
+
+test('an invalid value leaves the stated request limit as it is', async () => {
+  answerWith({ 'X-Limit': '5' });
+  await send('a');
+  answerWith({ 'X-Limit': 'many' });
+  await send('b');
+  assert.equal(gateway.requestLimit, 5);
+});
+
+test('a refusal of the target states its request limit too', async () => {
+  answerWith({ 'X-Limit': '5', [FIELDS.notExecuted]: '1' }, 0, 503);
+  await send('a');
+  assert.equal(gateway.requestLimit, 5);
+});
+
+test('an answer of another target at the address states nothing', async () => {
+  answerWith({ 'X-Limit': '5', 'X-Leaving': '1', [FIELDS.targetId]: 'i-9' }, 0, 421);
+  await send('a');
+  assert.equal(gateway.requestLimit, undefined);
+});
+
+test('requests beyond the stated limit are refused as not run, and not as load', async () => {
+  answerWith({ 'X-Limit': '2' });
+  await send('a');
+  const ends = await Promise.all(['b', 'c', 'd', 'e', 'f'].map(send));
+  const refused = ends.filter((end) => end.type === 'failure');
+  assert.ok(refused.length > 0);
+  for (const end of refused) {
+    assert.deepEqual(
+      [end.outcome, end.execution, end.code, end.offered],
+      ['rate-limited', 'not-run', ResultCode.TargetRateLimited, false],
+    );
+    assert.ok(end.retryAfterMs! >= 400, `${end.retryAfterMs}`);
+    assert.equal(end.load?.threshold, 0);
+  }
+});
+
+test('an answer of an earlier incarnation limits only that incarnation', async () => {
+  answerWith({ 'X-Limit': '5', 'X-Leaving': '1' }, 50);
+  const earlier = send('a');
+  await new Promise((resolve) => setTimeout(resolve, 10));
+  gateway.setTarget({ id: 'i-2', state: 'ready', slots: 10, warmUntil: 0 });
+  const end = await earlier;
+  assert.equal(gateway.requestLimit, undefined);
+  assert.equal(end.load, undefined, 'the load of that incarnation is not reported');
+});
+
+test('a relayed limit holds until the target itself has answered', async () => {
+  gateway.onRelayedLimit({ incarnation: 'i-2', requestsPerSecond: 3 });
+  assert.equal(gateway.requestLimit, undefined, 'it belongs to another incarnation');
+  gateway.setTarget({ id: 'i-2', state: 'ready', slots: 10, warmUntil: 0 });
+  assert.equal(gateway.requestLimit, 3);
+  gateway.onRelayedLimit({ incarnation: 'i-2', requestsPerSecond: 2 });
+  assert.equal(gateway.requestLimit, 2, 'of several the lowest');
+  answerWith({});
+  await new Promise((resolve) => setTimeout(resolve, 600));
+  await send('a');
+  assert.equal(gateway.requestLimit, undefined);
+  gateway.onRelayedLimit({ incarnation: 'i-2', requestsPerSecond: 2 });
+  assert.equal(gateway.requestLimit, undefined, 'the target has answered since');
+});
--- a/src/sidecar/target/target-gateway.ts
+++ b/src/sidecar/target/target-gateway.ts
@@ -9,7 +9,7 @@
 import type { CancelTimer, Clock } from '../../kernel/clock.js';
 import { Event, type EventLog } from '../../kernel/event.js';
 import type { ForwardedFields } from '../forwarded-fields.js';
-import type { FieldNames } from '../platform-adapter.js';
+import type { FieldNames, TargetStatements } from '../platform-adapter.js';
 import {
   incarnationText,
   isSameIncarnation,
@@ -26,9 +26,11 @@
   AttemptEnd,
   AttemptFailure,
   Authorization,
+  RelayedLimit,
 } from '../link/link-messages.js';
 import { keyOfCall } from '../quarantine/request-key.js';
 import type { RequestQuarantine } from '../quarantine/request-quarantine.js';
+import { StatedLimitLog } from './stated-limit-log.js';
 import { TargetClient, type ExchangeEnd } from './target-client.js';
 import { TargetCrashWatch } from './target-crash-watch.js';
 
@@ -48,6 +50,8 @@
   recheckAuthorization(authorization: Authorization, validForMs: number): Failure | undefined;
   /** Called when the target answers as another incarnation than the registered one. */
   onIdentityMismatch(targetId: string): void;
+  /** See {@link PlatformAdapter.parseStatements}. */
+  parseStatements(headers: Readonly<Record<string, unknown>>): TargetStatements;
 }
 
 interface Ticket {
@@ -85,6 +89,11 @@
   /** Watches the incarnation that the gate was created for. */
   private crashWatch: TargetCrashWatch | undefined;
   private incarnation: string | undefined;
+  /** Lowest limit that other nodes relayed; it counts until the target has answered this node. */
+  private relayedLimit: RelayedLimit | undefined;
+  /** Whether the incarnation has answered this node, so that its own statements count. */
+  private hasAnswered = false;
+  private readonly limitLog: StatedLimitLog;
   /** Requests that were interrupted, until it is known whether the target has crashed. */
   private readonly interrupted = new Set<number>();
   private readonly tickets = new Map<number, Ticket>();
@@ -95,7 +104,9 @@
   private timerAt = Infinity;
   private stopping = false;
 
-  constructor(private readonly options: TargetGatewayOptions) {}
+  constructor(private readonly options: TargetGatewayOptions) {
+    this.limitLog = new StatedLimitLog(options.clock, options.log);
+  }
 
   /** Whether new work is refused, since the node stops. */
   get isStopping(): boolean {
@@ -123,6 +134,19 @@
     this.refuseWaiting();
   }
 
+  /** Requests a second that the target takes from all nodes, as it states; undefined: no limit. */
+  get requestLimit(): number | undefined {
+    return this.gate?.report(this.options.clock.now()).requestLimit;
+  }
+
+  /** Called when another node reports a limit that it relayed, since this node may have restarted. */
+  onRelayedLimit(limit: RelayedLimit): void {
+    const { relayedLimit: known } = this;
+    const isLower = limit.requestsPerSecond < (known?.requestsPerSecond ?? Infinity);
+    if (known?.incarnation !== limit.incarnation || isLower) this.relayedLimit = limit;
+    this.applyRelayedLimit();
+  }
+
   /** Requests the target's identity. */
   probe(path: string, timeoutMs: number): Promise<string | undefined> {
     const { address, fields, clock } = this.options;
@@ -263,6 +287,18 @@
       maxLimit: target.slots,
       seed,
     });
+    this.hasAnswered = false;
+    this.applyRelayedLimit();
+  }
+
+  private applyRelayedLimit(): void {
+    const { gate, relayedLimit, target } = this;
+    if (gate === undefined || target === undefined || relayedLimit === undefined) return;
+    if (this.hasAnswered || relayedLimit.incarnation !== this.incarnation) return;
+    const now = this.options.clock.now();
+    this.apply(gate.noteStatedLimit(now, now, relayedLimit.requestsPerSecond));
+    this.limitLog.onLimit(target.id, relayedLimit.requestsPerSecond);
+    this.armTimer();
   }
 
   private watchIncarnation(target: RegisteredTarget): void {
@@ -309,6 +345,7 @@
     const { attemptId, method, path, body } = call;
     const request = { attemptId, method, path, fields, body, timeoutMs };
     ticket.abort = client.send(request, (end) => {
+      this.noteStatements(ticket, target.id, end);
       this.onExchangeEnd(ticketId, target.id, end);
     });
   }
@@ -334,15 +371,54 @@
     const end = withRefusedBelow(ticket, this.toAttemptEnd(exchange, targetId));
     const actions = gate.complete(now, ticketId, outcomeOf(end));
     if (end.type === 'answer' && end.refusedBelow === true) gate.noteWastedRun(now, ticket.context);
-    const load = gate.report(now, ticket.context);
+    const load = gate === this.gate ? gate.report(now, ticket.context) : undefined;
+    const loaded = load === undefined ? end : { ...end, load };
     if (end.type === 'failure') this.logFailure(ticket, end);
     if (end.type === 'answer') this.noteAnswer(ticket);
-    if (isInterrupted(exchange)) this.endAfterCrashCheck(ticketId, ticket, { ...end, load });
-    else ticket.onEnd({ ...end, load });
+    if (isInterrupted(exchange)) this.endAfterCrashCheck(ticketId, ticket, loaded);
+    else ticket.onEnd(loaded);
     this.apply(actions);
     this.armTimer();
   }
 
+  /**
+   * Applies what an answer states, before the answer is passed on: the node where the request began is bound
+   * by it from then on. Each statement belongs to the incarnation that the request was sent to.
+   */
+  private noteStatements(
+    { gate, sentAt = -Infinity }: Ticket,
+    targetId: string,
+    exchange: ExchangeEnd,
+  ): void {
+    if (exchange.type !== 'answer' || this.isOfAnotherTarget(exchange, targetId)) return;
+    const statements = this.options.parseStatements(exchange.headers);
+    for (const invalid of statements.invalid) this.limitLog.onInvalid(targetId, invalid);
+    const isLimitInvalid = statements.invalid.some(({ statement }) => statement === 'request limit');
+    if (!isLimitInvalid && gate === this.gate) {
+      this.noteLimit(gate, targetId, sentAt, statements.requestLimit);
+    }
+  }
+
+  private noteLimit(
+    gate: TargetGate,
+    targetId: string,
+    sentAt: number,
+    requestLimit: number | undefined,
+  ): void {
+    const now = this.options.clock.now();
+    this.hasAnswered = true;
+    this.apply(gate.noteStatedLimit(now, sentAt, requestLimit));
+    this.limitLog.onLimit(targetId, gate.report(now).requestLimit);
+  }
+
+  /** Whether another target has answered, at the address that this one had. */
+  private isOfAnotherTarget(
+    { status, headers }: Extract<ExchangeEnd, { type: 'answer' }>,
+    targetId: string,
+  ): boolean {
+    return status === MISDIRECTED_REQUEST && headers[this.options.fields.targetId] !== targetId;
+  }
+
   private noteAnswer({ call }: Ticket): void {
     this.crashWatch?.onAnswer();
     this.options.quarantine.noteServed(call);
@@ -385,7 +461,8 @@
     const ticket = this.removeTicket(ticketId);
     if (ticket === undefined) return;
     const load = ticket.gate.report(this.options.clock.now(), ticket.context);
-    ticket.onEnd({ ...createNotOfferedFailure('overloaded', code, detail, retryAfterMs), load });
+    const outcome = code === ResultCode.TargetRateLimited ? 'rate-limited' : 'overloaded';
+    ticket.onEnd({ ...createNotOfferedFailure(outcome, code, detail, retryAfterMs), load });
   }
 
   private cancel(ticketId: number): boolean {
--- a/src/target/target-task.test.ts
+++ b/src/target/target-task.test.ts
@@ -55,6 +55,10 @@
 
   noteDownstream(): void {}
 
+  noteStatedLimit(): readonly GateAction[] {
+    return [];
+  }
+
   noteWastedRun(): void {}
 }
 
--- a/test/support/plain-policy.ts
+++ b/test/support/plain-policy.ts
@@ -53,6 +53,10 @@
 
   noteDownstream(): void {}
 
+  noteStatedLimit(): readonly GateAction[] {
+    return [];
+  }
+
   noteWastedRun(): void {}
 
   private dispatchWaiting(): GateAction[] {
