Soak: targets that state request limits and leaves in their answers, checked from outside

Change: scripts/soak statements adds both to the schedule, in series with stops, kills, pauses and the other faults; two checks over what callers and targets observed, each with ledgers that break and keep it.

--- a/test/soak/checks.test.ts
+++ b/test/soak/checks.test.ts
@@ -56,6 +56,26 @@
   beforeStart: false,
 };
 
+/** A request that a node answered with a statement of the target, and another one sent later. */
+const BOUND = { ...REQUEST, attemptId: 'b', sentAt: 5_000, endedAt: 5_050 };
+const BOUND_REQUEST = { ...BOUND, outcome: { ...REQUEST.outcome, body: 'answer to b' } } as const;
+const STATED_LEAVING = { ...RUN, attemptId: 'b', startedAt: 5_010, statedLeaving: true };
+const STATED_LIMIT = { ...RUN, attemptId: 'b', startedAt: 5_010, statedLimit: true };
+const LIMIT = { targetId: 'i-1', requestsPerSecond: 1, from: 5_000, to: 15_000 };
+const LATER = Array.from({ length: 12 }, (_, index) => ({
+  request: {
+    ...REQUEST,
+    attemptId: `c${index}`,
+    outcome: { type: 'answered', status: 200, body: `answer to c${index}` } as const,
+  },
+  run: { ...RUN, attemptId: `c${index}`, startedAt: 10_010 },
+}));
+const BOUND_LEDGER = {
+  requests: [BOUND_REQUEST, ...LATER.map(({ request }) => request)],
+  runs: [STATED_LIMIT, ...LATER.map(({ run }) => run)],
+  limits: [LIMIT],
+};
+
 type Parts = Partial<Ledger>;
 
 /** Ledgers that break one guarantee each. */
@@ -100,6 +120,16 @@
     'a run after it',
     { runs: [RUN], leaves: [{ machine: 'node-2', targetId: 'i-1', at: 9_400 }] },
   ],
+  [
+    'nothing runs at a target that stated that it leaves',
+    'a run after its statement was passed on',
+    { requests: [BOUND_REQUEST, REQUEST], runs: [STATED_LEAVING, RUN] },
+  ],
+  [
+    'targets get no more requests than they state that they take',
+    'more than one and a half times the limit and five',
+    BOUND_LEDGER,
+  ],
   [
     'a change of the rules is in force in time',
     'an old service',
@@ -168,6 +198,22 @@
 /** Ledgers that break no guarantee. */
 const ALLOWED_LEDGERS: readonly (readonly [name: string, parts: Parts])[] = [
   ['an answered request', { requests: [REQUEST], runs: [RUN] }],
+  [
+    'requests at a target that leaves, from a node that has restarted since',
+    {
+      requests: [BOUND_REQUEST, REQUEST],
+      runs: [STATED_LEAVING, RUN],
+      disruptions: [{ ...KILL, from: 6_000, to: 6_500 }],
+    },
+  ],
+  [
+    'eleven requests in 4 s at a limit of one a second',
+    { ...BOUND_LEDGER, runs: BOUND_LEDGER.runs.slice(0, -1) },
+  ],
+  [
+    'requests beyond a limit shortly after it was first stated',
+    { ...BOUND_LEDGER, limits: [{ ...LIMIT, from: 8_000 }] },
+  ],
   ['two runs of what may repeat', { runs: [MOVED, MOVED] }],
   ['a refusal that was run and may repeat', { requests: [{ ...MOVED_REQUEST, outcome: REFUSED }] }],
   [
--- a/test/soak/checks.ts
+++ b/test/soak/checks.ts
@@ -41,6 +41,8 @@
   'planned stops and changes leave no request unanswered': checkLost,
   'routes in all versions of the rules are always found': checkKnown,
   'nothing runs at a target whose leave was acknowledged': checkLeaves,
+  'nothing runs at a target that stated that it leaves': checkStatedLeaves,
+  'targets get no more requests than they state that they take': checkLimits,
   'a change of the rules is in force in time': checkRules,
   'targets get no more time than the deadline leaves': checkDeadlines,
   'requests of disconnected callers are cancelled': checkDisconnected,
@@ -195,6 +197,75 @@
     );
 }
 
+type Statement = 'statedLimit' | 'statedLeaving';
+
+/** When each machine first passed on an answer with a statement, by machine and target. */
+function findPassedOn({ runs, requests }: Ledger, statement: Statement): Map<string, number> {
+  const byAttempt = new Map(requests.map((request) => [request.attemptId, request]));
+  const passedOn = new Map<string, number>();
+  for (const run of runs) {
+    const request = byAttempt.get(run.attemptId);
+    if (run[statement] !== true || request?.outcome.type !== 'answered') continue;
+    if (request.outcome.body !== `answer to ${run.attemptId}`) continue;
+    const key = `${request.machine} ${run.targetId}`;
+    passedOn.set(key, Math.min(request.endedAt, passedOn.get(key) ?? Infinity));
+  }
+  return passedOn;
+}
+
+/** Faults after which a machine is not bound by what it passed on before. */
+const FORGETTING = ['stop', 'kill', 'pause'] as const;
+
+function checkStatedLeaves(ledger: Ledger, { drainMs }: Bounds): Violation[] {
+  const passedOn = findPassedOn(ledger, 'statedLeaving');
+  const byAttempt = new Map(ledger.requests.map((request) => [request.attemptId, request]));
+  return ledger.runs
+    .filter(({ attemptId, targetId, startedAt }) => {
+      const request = byAttempt.get(attemptId);
+      if (request === undefined) return false;
+      const boundAt = passedOn.get(`${request.machine} ${targetId}`) ?? Infinity;
+      if (request.sentAt <= boundAt + drainMs) return false;
+      return !wasDisrupted(ledger, request.machine, boundAt, startedAt, 0, FORGETTING);
+    })
+    .map(({ attemptId, targetId }) =>
+      createViolation(`${attemptId} at ${targetId}, which had stated that it leaves`),
+    );
+}
+
+/** Window over which requests of a target with a limit are counted, in milliseconds. */
+const LIMIT_WINDOW_MS = 4_000;
+/** Time after the first statement from which the limit has to be kept, in milliseconds. */
+const LIMIT_CONTACT_MS = 3_000;
+/** A machine is bound by answers that it passed on this long ago, in milliseconds. */
+const LIMIT_PASSED_ON_MS = 500;
+/** What a window may hold, as a multiple of what the limit allows, and further requests. */
+const LIMIT_WINDOW_SHARE = 1.5;
+const LIMIT_WINDOW_SLACK = 5;
+
+function checkLimits(ledger: Ledger): Violation[] {
+  const passedOn = findPassedOn(ledger, 'statedLimit');
+  const byAttempt = new Map(ledger.requests.map((request) => [request.attemptId, request]));
+  return ledger.limits.flatMap(({ targetId, requestsPerSecond, from, to }) => {
+    const counted = ledger.runs.filter((run) => {
+      const request = byAttempt.get(run.attemptId);
+      if (run.targetId !== targetId || request === undefined) return false;
+      if (run.startedAt < from + LIMIT_CONTACT_MS || run.startedAt > to) return false;
+      const boundAt = passedOn.get(`${request.machine} ${targetId}`) ?? Infinity;
+      if (run.startedAt < boundAt + LIMIT_PASSED_ON_MS) return false;
+      return !wasDisrupted(ledger, request.machine, boundAt, run.startedAt, 0, FORGETTING);
+    });
+    const worst = Math.max(0, ...counted.map(({ startedAt }) => countInWindow(counted, startedAt)));
+    const allowed = (LIMIT_WINDOW_SHARE * requestsPerSecond * LIMIT_WINDOW_MS) / 1_000;
+    if (worst <= allowed + LIMIT_WINDOW_SLACK) return [];
+    return [createViolation(`${targetId} got ${worst} in 4 s at a limit of ${requestsPerSecond}`)];
+  });
+}
+
+function countInWindow(runs: readonly ObservedRun[], end: number): number {
+  return runs.filter(({ startedAt }) => startedAt > end - LIMIT_WINDOW_MS && startedAt <= end)
+    .length;
+}
+
 function checkRules(ledger: Ledger, { applyMs, settlingMs }: Bounds): Violation[] {
   const byAttempt = new Map(ledger.requests.map((request) => [request.attemptId, request]));
   return ledger.runs
--- a/test/soak/ledger.ts
+++ b/test/soak/ledger.ts
@@ -31,6 +31,18 @@
   endedAt: number | undefined;
   /** Whether its connection closed before its answer was written. */
   aborted: boolean;
+  /** Whether its answer stated a request limit. */
+  statedLimit?: boolean;
+  /** Whether its answer stated that the target leaves. */
+  statedLeaving?: boolean;
+}
+
+/** A span in which the answers of a target state a request limit. */
+export interface StatedLimit {
+  readonly targetId: string;
+  readonly requestsPerSecond: number;
+  readonly from: number;
+  readonly to: number;
 }
 
 /** A span in which a machine was disrupted. */
@@ -77,6 +89,7 @@
   readonly exits: ProcessExit[];
   readonly leaves: AcknowledgedLeave[];
   readonly rules: RulesChange[];
+  readonly limits: StatedLimit[];
   /** Log lines of internal errors. */
   readonly internalErrors: string[];
   /** Machines that did not serve again after the last fault. */
@@ -92,6 +105,7 @@
     exits: [],
     leaves: [],
     rules: [],
+    limits: [],
     internalErrors: [],
     notRecovered: [],
   };
--- a/test/soak/schedule.ts
+++ b/test/soak/schedule.ts
@@ -25,8 +25,12 @@
 /** Kinds of drills, in runs with drills only; the schedules of other runs do not depend on them. */
 export const DRILL_KINDS = ['store-older'] as const;
 
-/** Kind of an action or a drill. */
-export type ActionKind = (typeof ACTION_KINDS)[number] | (typeof DRILL_KINDS)[number];
+/** Kinds of statements of targets in their answers, in runs with statements only. */
+export const STATEMENT_KINDS = ['target-states-limit', 'target-states-leaving'] as const;
+
+/** Kind of an action, a drill or a statement. */
+export type ActionKind =
+  (typeof ACTION_KINDS)[number] | (typeof DRILL_KINDS)[number] | (typeof STATEMENT_KINDS)[number];
 
 /** One action; times in milliseconds. */
 export interface Action {
@@ -49,6 +53,11 @@
 ];
 /** Drills are a seventh of all actions. */
 const WEIGHTED_DRILL_KINDS: readonly ActionKind[] = Array.from({ length: 4 }, () => 'store-older');
+/** Statements are a third of all actions. */
+const WEIGHTED_STATEMENT_KINDS: readonly ActionKind[] = Array.from(
+  { length: 6 },
+  () => STATEMENT_KINDS,
+).flat();
 const MAX_FAULT_MS = 2_500;
 const MAX_TIMES = 4;
 const MAX_GAP_MS = 700;
@@ -61,16 +70,20 @@
  * @param machines number of machines
  * @param lengthMs time in which actions begin
  * @param drills whether to include drills
+ * @param statements whether to include statements of targets
  */
 export function createSchedule(
   seed: number,
   machines: number,
   lengthMs: number,
   drills = false,
+  statements = false,
 ): Action[] {
-  const kinds = drills
-    ? [...WEIGHTED_ACTION_KINDS, ...WEIGHTED_DRILL_KINDS]
-    : WEIGHTED_ACTION_KINDS;
+  const kinds = [
+    ...WEIGHTED_ACTION_KINDS,
+    ...(drills ? WEIGHTED_DRILL_KINDS : []),
+    ...(statements ? WEIGHTED_STATEMENT_KINDS : []),
+  ];
   const random = createRandom(hash32(`soak ${seed}`));
   const actions: Action[] = [];
   for (let at = nextPause(random); at < lengthMs; at += nextPause(random)) {
--- a/test/soak/soak-faults.ts
+++ b/test/soak/soak-faults.ts
@@ -7,6 +7,12 @@
 import type { Disruption, Ledger } from './ledger.js';
 import type { Action } from './schedule.js';
 
+/** Step of the request limits that targets state, in requests a second. */
+const LIMIT_STEP_PER_SECOND = 2.5;
+/** Shortest time for which a target states a request limit, in milliseconds. */
+const MIN_LIMIT_MS = 7_500;
+/** Shortest time for which a target states that it leaves, in milliseconds. */
+const MIN_STATED_LEAVING_MS = 1_500;
 const MOVING_SERVICES = ['ledger', 'archive'] as const;
 /** Longest wait for a restarted node to be ready, in milliseconds; its disruption lasts until then. */
 const READY_WITHIN_MS = 15_000;
@@ -104,6 +110,10 @@
         return await repeat(times, gapMs, () => this.changeRules());
       case 'leave':
         return await this.leave(machine, forMs);
+      case 'target-states-limit':
+        return await this.stateLimit(machine, times, forMs);
+      case 'target-states-leaving':
+        return await this.stateLeaving(machine, forMs);
       case 'store-silent':
         return await this.disruptStore(
           () => (faults.silent = true),
@@ -234,6 +244,37 @@
     this.leaving.delete(machine);
   }
 
+  /** Makes the answers of a target state a request limit, for long enough to count requests. */
+  private async stateLimit(
+    { target }: ProcessMachine,
+    times: number,
+    forMs: number,
+  ): Promise<void> {
+    if (target.statements.requestLimit !== undefined) return;
+    const requestsPerSecond = times * LIMIT_STEP_PER_SECOND;
+    const targetId = target.id;
+    const from = performance.now();
+    target.statements = { ...target.statements, requestLimit: String(requestsPerSecond) };
+    await sleep(MIN_LIMIT_MS + forMs);
+    const { leaving = false } = target.statements;
+    target.statements = { leaving };
+    this.ledger.limits.push({ targetId, requestsPerSecond, from, to: performance.now() });
+  }
+
+  /** Makes a target state that it leaves, while it reports itself ready; then a new one takes its place. */
+  private async stateLeaving(machine: ProcessMachine, forMs: number): Promise<void> {
+    if (this.leaving.has(machine)) return;
+    this.leaving.add(machine);
+    const { target } = machine;
+    target.statements = { ...target.statements, leaving: true };
+    await sleep(MIN_STATED_LEAVING_MS + forMs);
+    this.incarnations += 1;
+    target.restart(`i-${this.incarnations}`);
+    const { requestLimit } = target.statements;
+    target.statements = requestLimit === undefined ? {} : { requestLimit };
+    this.leaving.delete(machine);
+  }
+
   /** Makes the store unavailable for a moment and restores it from a copy; one restore at a time. */
   private async restoreOlderStore(ageMs: number, outageMs: number): Promise<void> {
     if (this.isRestoringStore) return;
--- a/test/soak/soak-main.ts
+++ b/test/soak/soak-main.ts
@@ -4,6 +4,7 @@
  *
  *   node dist/test/soak/soak-main.js [first seed] [seeds] [concurrent runs] [machines]
  *   node dist/test/soak/soak-main.js drills [first seed] ...    the same with drills
+ *   node dist/test/soak/soak-main.js statements [first seed] ...  the same with statements of targets
  *   node dist/test/soak/soak-main.js failed                     the seeds in failed-seeds.ts
  */
 import { mkdirSync, writeFileSync } from 'node:fs';
@@ -15,9 +16,10 @@
 
 const runsFailedSeeds = process.argv[2] === 'failed';
 const drills = process.argv[2] === 'drills';
+const statements = process.argv[2] === 'statements';
 const [first = 1, count = 1, concurrency = 1, machines = LONG_RUN.machines] = runsFailedSeeds
   ? []
-  : process.argv.slice(drills ? 3 : 2).map(Number);
+  : process.argv.slice(drills || statements ? 3 : 2).map(Number);
 const seeds = runsFailedSeeds
   ? FAILED_SEEDS.map(({ seed }) => seed)
   : Array.from({ length: count }, (_, index) => first + index);
@@ -26,7 +28,7 @@
 
 async function runSeeds(): Promise<void> {
   for (let seed = pendingSeeds.shift(); seed !== undefined; seed = pendingSeeds.shift()) {
-    report(seed, await runSoak({ ...LONG_RUN, machines, seed, drills }));
+    report(seed, await runSoak({ ...LONG_RUN, machines, seed, drills, statements }));
   }
 }
 
--- a/test/soak/soak-run.ts
+++ b/test/soak/soak-run.ts
@@ -22,6 +22,8 @@
   readonly lengthMs: number;
   /** Whether the schedule includes drills; absent: false. */
   readonly drills?: boolean;
+  /** Whether targets state request limits, and that they leave, in their answers; absent: false. */
+  readonly statements?: boolean;
 }
 
 /** Result of a run. */
@@ -74,7 +76,8 @@
   constructor(private readonly options: SoakOptions) {}
 
   async execute(): Promise<SoakResult> {
-    const { seed, machines, lengthMs, callersPerMachine, drills = false } = this.options;
+    const { seed, machines, lengthMs, callersPerMachine } = this.options;
+    const { drills = false, statements = false } = this.options;
     if (drills) this.mesh.store.era = 1;
     await this.mesh.start();
     this.faults.changeRules();
@@ -87,7 +90,7 @@
       }),
     );
     const running = callers.map((caller) => caller.run());
-    const actions = createSchedule(seed, machines, lengthMs, drills);
+    const actions = createSchedule(seed, machines, lengthMs, drills, statements);
     await this.faults.perform(actions);
     await this.recover();
     for (const caller of callers) caller.stop();
@@ -128,6 +131,8 @@
       response.on('close', () => {
         run.endedAt = performance.now();
         run.aborted = !response.writableFinished;
+        run.statedLimit = response.hasHeader('Server-Limit');
+        run.statedLeaving = response.hasHeader('Server-Leaving');
       });
       if (!path.startsWith('/chain/')) return false;
       const answer = (status: number): void => {
--- a/test/soak/soak.test.ts
+++ b/test/soak/soak.test.ts
@@ -13,6 +13,8 @@
   ['a store that is restored from older copies', { ...SHORT, seed: 2_003, drills: true }],
 ];
 
+const STATEMENTS: SoakOptions = { ...SHORT, lengthMs: 14_000, seed: 2_004, statements: true };
+
 const [newest] = FAILED_SEEDS;
 
 for (const [why, options] of [
@@ -27,6 +29,13 @@
   });
 }
 
+test('a soak with request limits and leaves that targets state keeps every guarantee', async () => {
+  const { violations, requests, served } = await runSoak(STATEMENTS);
+  assert.deepEqual(violations, []);
+  assert.ok(requests > 500, `${requests} requests`);
+  assert.ok(served > 0, `${served} of ${requests} served`);
+});
+
 test('a seed always gives the same schedule, and another seed another one', () => {
   const [first, again, other] = [7, 7, 8].map((seed) => createSchedule(seed, 5, 10_000));
   assert.deepEqual(first, again);
