--- a/test/soak/checks.test.ts
+++ b/test/soak/checks.test.ts
@@ -61,7 +61,7 @@
 const BOUND_REQUEST = { ...BOUND, outcome: { ...REQUEST.outcome, body: 'answer to b' } } as const;
 const STATED_LEAVING = { ...RUN, attemptId: 'b', startedAt: 5_010, statedLeaving: true };
 const STATED_LIMIT = { ...RUN, attemptId: 'b', startedAt: 5_010, statedLimit: true };
-const LIMIT = { targetId: 'i-1', requestsPerSecond: 1, from: 5_000, to: 15_000 };
+const LIMIT = { machine: 'node-2', targetId: 'i-1', requestsPerSecond: 1, from: 5_000, to: 15_000 };
 const LATER = Array.from({ length: 12 }, (_, index) => ({
   request: {
     ...REQUEST,
--- a/test/soak/checks.ts
+++ b/test/soak/checks.ts
@@ -199,6 +199,11 @@
 
 type Statement = 'statedLimit' | 'statedLeaving';
 
+/** The machine that a request was sent to, and the target that ran it: ids repeat over machines. */
+function keyOf(request: ObservedRequest, { machine, targetId }: ObservedRun): string {
+  return `${request.machine} ${machine} ${targetId}`;
+}
+
 /** When each machine first passed on an answer with a statement, by machine and target. */
 function findPassedOn({ runs, requests }: Ledger, statement: Statement): Map<string, number> {
   const byAttempt = new Map(requests.map((request) => [request.attemptId, request]));
@@ -207,7 +212,7 @@
     const request = byAttempt.get(run.attemptId);
     if (run[statement] !== true || request?.outcome.type !== 'answered') continue;
     if (request.outcome.body !== `answer to ${run.attemptId}`) continue;
-    const key = `${request.machine} ${run.targetId}`;
+    const key = keyOf(request, run);
     passedOn.set(key, Math.min(request.endedAt, passedOn.get(key) ?? Infinity));
   }
   return passedOn;
@@ -220,12 +225,12 @@
   const passedOn = findPassedOn(ledger, 'statedLeaving');
   const byAttempt = new Map(ledger.requests.map((request) => [request.attemptId, request]));
   return ledger.runs
-    .filter(({ attemptId, targetId, startedAt }) => {
-      const request = byAttempt.get(attemptId);
+    .filter((run) => {
+      const request = byAttempt.get(run.attemptId);
       if (request === undefined) return false;
-      const boundAt = passedOn.get(`${request.machine} ${targetId}`) ?? Infinity;
+      const boundAt = passedOn.get(keyOf(request, run)) ?? Infinity;
       if (request.sentAt <= boundAt + drainMs) return false;
-      return !wasDisrupted(ledger, request.machine, boundAt, startedAt, 0, FORGETTING);
+      return !wasDisrupted(ledger, request.machine, boundAt, run.startedAt, 0, FORGETTING);
     })
     .map(({ attemptId, targetId }) =>
       createViolation(`${attemptId} at ${targetId}, which had stated that it leaves`),
@@ -245,12 +250,13 @@
 function checkLimits(ledger: Ledger): Violation[] {
   const passedOn = findPassedOn(ledger, 'statedLimit');
   const byAttempt = new Map(ledger.requests.map((request) => [request.attemptId, request]));
-  return ledger.limits.flatMap(({ targetId, requestsPerSecond, from, to }) => {
+  return ledger.limits.flatMap(({ machine, targetId, requestsPerSecond, from, to }) => {
     const counted = ledger.runs.filter((run) => {
       const request = byAttempt.get(run.attemptId);
-      if (run.targetId !== targetId || request === undefined) return false;
+      if (request === undefined || run.machine !== machine) return false;
+      if (run.targetId !== targetId) return false;
       if (run.startedAt < from + LIMIT_CONTACT_MS || run.startedAt > to) return false;
-      const boundAt = passedOn.get(`${request.machine} ${targetId}`) ?? Infinity;
+      const boundAt = passedOn.get(keyOf(request, run)) ?? Infinity;
       if (run.startedAt < boundAt + LIMIT_PASSED_ON_MS) return false;
       return !wasDisrupted(ledger, request.machine, boundAt, run.startedAt, 0, FORGETTING);
     });
--- a/test/soak/ledger.ts
+++ b/test/soak/ledger.ts
@@ -39,6 +39,7 @@
 
 /** A span in which the answers of a target state a request limit. */
 export interface StatedLimit {
+  readonly machine: string;
   readonly targetId: string;
   readonly requestsPerSecond: number;
   readonly from: number;
--- a/test/soak/soak-faults.ts
+++ b/test/soak/soak-faults.ts
@@ -246,7 +246,7 @@
 
   /** Makes the answers of a target state a request limit, for long enough to count requests. */
   private async stateLimit(
-    { target }: ProcessMachine,
+    { id: machine, target }: ProcessMachine,
     times: number,
     forMs: number,
   ): Promise<void> {
@@ -258,7 +258,7 @@
     await sleep(MIN_LIMIT_MS + forMs);
     const { leaving = false } = target.statements;
     target.statements = { leaving };
-    this.ledger.limits.push({ targetId, requestsPerSecond, from, to: performance.now() });
+    this.ledger.limits.push({ machine, targetId, requestsPerSecond, from, to: performance.now() });
   }
 
   /** Makes a target state that it leaves, while it reports itself ready; then a new one takes its place. */
