Use the stated request limits of a service while there is demand

Cause: a router sent 1.25 times what a target's node accepted from it. Change: twice what is accepted, and a minimum by the limit.

--- a/src/core/routing/rate-limited-share.ts
+++ b/src/core/routing/rate-limited-share.ts
@@ -6,10 +6,18 @@
 
 /** Time constant of the measured rate of accepted attempts, in milliseconds. */
 const ACCEPTED_TIME_CONSTANT_MS = 2_000;
-/** Attempts sent for each one that is accepted. */
-const SENT_PER_ACCEPTED = 1.25;
-/** Rate that is sent whatever is accepted, so that a router without a share gets one, per second. */
-const MIN_SENT_PER_SECOND = 0.2;
+/**
+ * Attempts sent for each one that is accepted. A share in which less than one of so many is accepted shrinks,
+ * so it must leave room for attempts that are refused because several routers send at the same time.
+ */
+const SENT_PER_ACCEPTED = 2;
+/**
+ * Rates that are sent whatever is accepted, so that a router without a share gets one: a part of the target's
+ * limit, and a rate per second up to the limit itself. The lowest one finds out that a limit of 0 has ended.
+ */
+const MIN_SENT_SHARE = 0.05;
+const MIN_SENT_PER_SECOND = 0.5;
+const LOWEST_SENT_PER_SECOND = 0.2;
 /**
  * Attempts in hand that each less important class must leave to the more important ones (trunk
  * reservation).
@@ -27,6 +35,12 @@
   private acceptedAt = 0;
   private inHand = 1;
   private filledAt: number | undefined;
+  private requestLimit = 0;
+
+  /** @param requestsPerSecond requests that the target takes from all routers; undefined: no limit */
+  setLimit(requestsPerSecond: number | undefined): void {
+    this.requestLimit = requestsPerSecond ?? 0;
+  }
 
   /** Records an attempt that the target's node accepted. */
   noteAccepted(now: number): void {
@@ -48,7 +62,12 @@
   /** Attempts a second that may be sent. */
   ratePerSecond(now: number): number {
     const acceptedPerSecond = (this.acceptedUntil(now) / ACCEPTED_TIME_CONSTANT_MS) * MS_PER_SECOND;
-    return SENT_PER_ACCEPTED * acceptedPerSecond + MIN_SENT_PER_SECOND;
+    return SENT_PER_ACCEPTED * acceptedPerSecond + this.minSentPerSecond();
+  }
+
+  private minSentPerSecond(): number {
+    const byRate = Math.min(MIN_SENT_PER_SECOND, this.requestLimit);
+    return Math.max(LOWEST_SENT_PER_SECOND, MIN_SENT_SHARE * this.requestLimit, byRate);
   }
 
   private acceptedUntil(now: number): number {
--- a/src/core/routing/target-state.ts
+++ b/src/core/routing/target-state.ts
@@ -89,6 +89,7 @@
 
   private noteLoad(now: number, load: LoadReport, kind: string): void {
     this.report = load;
+    this.rateLimitedShare.setLimit(load.requestLimit);
     this.reportedAt = now;
     this.outstandingAtReport = this.outstanding;
     let threshold = this.thresholds.get(kind);
