Emulator: targets that state a request limit

The gate tells its stated limit without a load report, and an answer that changes nothing costs no pass over its queue.

--- a/src/core/overload.ts
+++ b/src/core/overload.ts
@@ -62,6 +62,8 @@
     sentAt: number,
     requestsPerSecond: number | undefined,
   ): readonly GateAction[];
+  /** Requests a second that the target takes from all nodes, as it states; undefined: no limit. */
+  statedLimit(): number | undefined;
 }
 
 /** Parameters of a target gate that come from the rules. */
--- a/src/core/policies/adaptive-gate.ts
+++ b/src/core/policies/adaptive-gate.ts
@@ -150,10 +150,16 @@
     sentAt: number,
     requestsPerSecond: number | undefined,
   ): readonly GateAction[] {
+    const before = this.rate.requestsPerSecond;
     this.rate.note(now, sentAt, requestsPerSecond);
+    if (this.rate.requestsPerSecond === before) return [];
     return [...this.drain(now), ...this.evictExcess(now)];
   }
 
+  statedLimit(): number | undefined {
+    return this.rate.requestsPerSecond;
+  }
+
   private wastedThreshold(now: number, request: RequestContext): number {
     const share = request.depth === 0 ? this.wastedRuns.shareOf(now, request) : 0;
     return share === 0 ? 0 : thresholdForClassShare(request, share);
--- a/src/core/policies/adaptive-variants.ts
+++ b/src/core/policies/adaptive-variants.ts
@@ -85,5 +85,6 @@
     },
     noteStatedLimit: (now, sentAt, requestsPerSecond) =>
       gate.noteStatedLimit(now, sentAt, requestsPerSecond),
+    statedLimit: () => gate.statedLimit(),
   };
 }
--- a/src/core/policies/bounded-gate.ts
+++ b/src/core/policies/bounded-gate.ts
@@ -97,6 +97,10 @@
     return this.drain(now);
   }
 
+  statedLimit(): number | undefined {
+    return this.rate.requestsPerSecond;
+  }
+
   private drain(now: number): GateAction[] {
     const { limit, queue, refusesAtDeadline } = this.options;
     this.rateResumesAt = undefined;
--- a/src/emulator/back-end.ts
+++ b/src/emulator/back-end.ts
@@ -45,6 +45,8 @@
   state: BackEndState = 'serving';
   /** Whether answers say that the back end is leaving. */
   announcesLeaving = false;
+  /** Requests a second that answers state as taken from all nodes; undefined: none (a fault). */
+  statedLimit: number | undefined;
   /** Factor on the service time (a fault). */
   slowdown = 1;
   /** Share of requests whose connection is reset at once (a fault). */
--- a/src/emulator/faults.ts
+++ b/src/emulator/faults.ts
@@ -64,6 +64,18 @@
         },
       );
       break;
+    case 'stated-limit':
+      schedulePeriod(
+        () => {
+          for (const side of sidesOf(simulation, fault)) {
+            side.backEnd.statedLimit = fault.requestsPerSecond;
+          }
+        },
+        () => {
+          for (const side of sidesOf(simulation, fault)) side.backEnd.statedLimit = undefined;
+        },
+      );
+      break;
     case 'platform-outage':
       // It only delays the list of machines; see listedAt.
       break;
--- a/src/emulator/phases.ts
+++ b/src/emulator/phases.ts
@@ -100,6 +100,8 @@
   }
   if (fault.type === 'lost-answers') return active ? 1 - fault.share : 1;
   if (fault.type === 'shedding' || fault.type === 'platform-outage') return 1;
+  // The slots are free: the bound does not know of the limit.
+  if (fault.type === 'stated-limit') return 1;
   if (active) return 0;
   const warmUpLeft = fault.toMs + fault.warmUpMs - at;
   if (at < fault.toMs || warmUpLeft <= 0) return 1;
--- a/src/emulator/scenario.ts
+++ b/src/emulator/scenario.ts
@@ -130,6 +130,13 @@
     ...periodFields,
     share: z.number().min(0).max(1).default(0.4),
   }),
+  /** Answers state the requests a second that the target takes from all nodes together. */
+  z.strictObject({
+    type: z.literal('stated-limit'),
+    ...targetFields,
+    ...periodFields,
+    requestsPerSecond: z.number().min(0).max(1_000_000),
+  }),
 ]);
 
 /** One fault with its period. */
--- a/src/emulator/simulation.test.ts
+++ b/src/emulator/simulation.test.ts
@@ -101,3 +101,14 @@
   const result = runScenario({ ...calm, nodesPerZone: 'one-per-target' }, 'adaptive', 7);
   for (const { kind, ends, sent } of result.kinds) assert.equal(ends.complete, sent, kind);
 });
+
+test('with one node per target, requests go to the other targets while two state request limits', () => {
+  const text = readFileSync('examples/experiments/sidecars-stated-limit.yaml', 'utf8');
+  const scenario = scenarioOf(text);
+  const limited = scenario.faults.filter((fault) => fault.toMs <= 8_000);
+  const result = runScenario({ ...scenario, durationMs: 8_000, faults: limited }, 'adaptive', 1);
+  for (const { kind, ends, sent } of result.kinds) {
+    const complete = ends.complete ?? 0;
+    assert.ok(complete >= 0.99 * sent, `${kind}: ${complete} of ${sent}`);
+  }
+});
--- a/src/emulator/target-side.ts
+++ b/src/emulator/target-side.ts
@@ -23,6 +23,8 @@
   readonly ticket: number;
   readonly attempt: IncomingAttempt;
   readonly offeredAt: number;
+  /** When it was sent to the back end; 0 before. */
+  sentAt: number;
   state: EntryState;
   /** Set once dispatched. */
   waiter: ConnectionWaiter | undefined;
@@ -87,6 +89,7 @@
       ticket,
       attempt,
       offeredAt: now,
+      sentAt: 0,
       state: 'waiting',
       waiter: undefined,
       job: undefined,
@@ -159,6 +162,7 @@
       return;
     }
     entry.state = 'sent';
+    entry.sentAt = this.simulation.queue.now();
     this.simulation.queue.schedule(this.simulation.deployment.localDelayMs, () => {
       if (entry.state !== 'sent') return;
       const { record, site } = entry.attempt;
@@ -171,8 +175,9 @@
     this.discard(entry);
     const { record, site } = entry.attempt;
     this.simulation.recorder.onRefusal(record, site, 'gate', refusal.code);
+    const outcome = refusal.code === ResultCode.TargetRateLimited ? 'rate-limited' : 'overloaded';
     entry.attempt.reply(
-      this.createNotRunEnd(entry.attempt, 'overloaded', refusal.code, refusal.retryAfterMs),
+      this.createNotRunEnd(entry.attempt, outcome, refusal.code, refusal.retryAfterMs),
     );
   }
 
@@ -183,15 +188,16 @@
     const attemptsUsed = this.options.ledger.close(entry.attempt.id);
     if (this.options.backEnd.announcesLeaving) this.markLeaving();
     this.complete(entry, 'success');
-    const { gate } = this.options;
-    if (isLoadRefusal(failureCode))
-      gate.noteWastedRun(this.simulation.queue.now(), attempt.context);
+    const { gate, backEnd } = this.options;
+    const now = this.simulation.queue.now();
+    this.apply(gate.noteStatedLimit(now, entry.sentAt, backEnd.statedLimit));
+    if (isLoadRefusal(failureCode)) gate.noteWastedRun(now, attempt.context);
     const asFailure = !succeeded && this.simulation.profile.retriesErrorAnswers;
     entry.attempt.reply({
       outcome: asFailure ? 'failed' : 'success',
       complete: succeeded,
       code: succeeded ? ResultCode.Ok : failureCode,
-      load: this.options.gate.report(this.simulation.queue.now(), entry.attempt.context),
+      load: gate.report(now, entry.attempt.context),
       retryAfterMs: undefined,
       mayHaveRun: true,
       attemptsUsed,
--- a/src/sidecar/target/target-gateway.ts
+++ b/src/sidecar/target/target-gateway.ts
@@ -138,7 +138,7 @@
 
   /** Requests a second that the target takes from all nodes, as it states; undefined: no limit. */
   get requestLimit(): number | undefined {
-    return this.gate?.report(this.options.clock.now()).requestLimit;
+    return this.gate?.statedLimit();
   }
 
   /** Called when another node reports a limit that it relayed, since this node may have restarted. */
@@ -413,7 +413,7 @@
     const now = this.options.clock.now();
     this.hasAnswered = true;
     this.apply(gate.noteStatedLimit(now, sentAt, requestLimit));
-    this.limitLog.onLimit(targetId, gate.report(now).requestLimit);
+    this.limitLog.onLimit(targetId, gate.statedLimit());
   }
 
   /** Whether another target has answered, at the address that this one had. */
--- a/src/target/target-task.test.ts
+++ b/src/target/target-task.test.ts
@@ -59,6 +59,10 @@
     return [];
   }
 
+  statedLimit(): number | undefined {
+    return undefined;
+  }
+
   noteWastedRun(): void {}
 }
 
--- a/test/support/plain-policy.ts
+++ b/test/support/plain-policy.ts
@@ -57,6 +57,10 @@
     return [];
   }
 
+  statedLimit(): number | undefined {
+    return undefined;
+  }
+
   noteWastedRun(): void {}
 
   private dispatchWaiting(): GateAction[] {
