--- a/src/core/routing/rate-limited-share.ts
+++ b/src/core/routing/rate-limited-share.ts
@@ -1,7 +1,7 @@
 /**
  * Bounds what one router sends to a target that has stated a request limit. The node beside the target keeps
- * the limit for all routers; each router only follows what that node accepts from it and sends a little more,
- * so that few attempts are refused and the limit is still used when other routers send less.
+ * the limit for all routers; each router follows what that node accepts from it and sends up to twice as much,
+ * so that the limit is used when other routers send less, without messages between routers.
  */
 
 /** Time constant of the measured rate of accepted attempts, in milliseconds. */
