Plainer comment on trial requests

Cause: a comment repeated a figure that follows from the constant beside it. Change: the comment only; no code, test or bound.

--- a/src/core/limit/request-rate-limit.ts
+++ b/src/core/limit/request-rate-limit.ts
@@ -6,8 +6,8 @@
 /** Requests that the rate allows in this time may start together, in milliseconds. */
 const BURST_TOLERANCE_MS = 100;
 /**
- * Lowest rate at which requests start, per second. A target that states less, or 0, still gets one request
- * each 2.5 s, because only an answer can show that its limit has changed.
+ * Lowest rate at which requests start, per second. A target that states less, or 0, still gets trial requests,
+ * because only an answer can show that its limit has changed.
  */
 export const MIN_TRIAL_RATE = 0.4;
 
