--- a/src/sidecar/directory/node-directory.ts
+++ b/src/sidecar/directory/node-directory.ts
@@ -165,6 +165,15 @@
     await pause(clock, STARTUP_REPORT_MS);
   }
 
+  /** Links that this node uses, by whether the other node responds. */
+  linkCounts(): { readonly reachable: number; readonly unreachable: number } {
+    const links = [...this.peers.values()].map(({ link }) => link);
+    return {
+      reachable: links.filter(({ isReachable }) => isReachable).length,
+      unreachable: links.filter(({ isKnownUnreachable }) => isKnownUnreachable).length,
+    };
+  }
+
   /** Whether the link to a node is open. */
   isReachable(node: string): boolean {
     return this.peers.get(node)?.link.isReachable ?? false;
--- a/src/sidecar/directory/prefix-watch.ts
+++ b/src/sidecar/directory/prefix-watch.ts
@@ -2,7 +2,12 @@
 import type { Clock } from '../../kernel/clock.js';
 import { Event, type EventLog } from '../../kernel/event.js';
 import type { Random } from '../../core/random.js';
-import type { MetadataStore, StoreEvent, StoreItem } from '../../store/metadata-store.js';
+import type {
+  MetadataStore,
+  StoreEvent,
+  StoreFailure,
+  StoreItem,
+} from '../../store/metadata-store.js';
 import type { StoreBackoff } from '../../store/store-backoff.js';
 import type { StoreEras } from '../../store/store-eras.js';
 
@@ -112,7 +117,7 @@
     const requestedAt = this.options.clock.bootNow();
     const listing = await store.list(prefix);
     if (listing.isErr) {
-      this.onFailure(listing.error.detail);
+      this.onFailure(listing.error);
       return;
     }
     this.onSuccess();
@@ -136,7 +141,7 @@
     if (result.isErr) {
       // Changes may have been missed, and another wait could be cut off as well: list again.
       this.revision = undefined;
-      this.onFailure(result.error.detail);
+      this.onFailure(result.error);
       return;
     }
     this.onSuccess();
@@ -164,9 +169,11 @@
     this.options.log.emit(Event.PlatformRecovered, { prefix: this.options.prefix });
   }
 
-  private onFailure(detail: string): void {
+  private onFailure({ detail, waitedMs, connection }: StoreFailure): void {
     const { log, prefix, backoff } = this.options;
-    if (this.available) log.emit(Event.PlatformUnavailable, { prefix, detail });
+    if (this.available) {
+      log.emit(Event.PlatformUnavailable, { prefix, detail, waitedMs, connection });
+    }
     this.available = false;
     backoff.noteFailed();
   }
--- a/src/sidecar/link/peer-link.ts
+++ b/src/sidecar/link/peer-link.ts
@@ -465,7 +465,8 @@
     } else if (now - this.pingedAt > CLOSE_AFTER_MS) {
       this.socket?.close('no reply to ping');
     } else if (now - this.pingedAt > UNRESPONSIVE_AFTER_MS && !this.unresponsive) {
-      this.setUnresponsive(true, 'unresponsive');
+      const silentMs = Math.round(now - this.lastReceivedAt);
+      this.setUnresponsive(true, `unresponsive: nothing received for ${silentMs} ms`);
     }
     this.scheduleCheck(CHECK_INTERVAL_MS);
   }
--- a/src/sidecar/platform-adapter.ts
+++ b/src/sidecar/platform-adapter.ts
@@ -5,7 +5,7 @@
 import type { Result } from 'true-myth';
 import type { Failure } from '../core/failure.js';
 import type { StatedLoad } from '../core/overload.js';
-import type { MetadataStore, StoreEraSink } from '../store/metadata-store.js';
+import type { MetadataStore, OnUnansweredCall, StoreEraSink } from '../store/metadata-store.js';
 import type { RoutingRules } from './rules/routing-rules.js';
 
 export type { StatedLoad };
@@ -121,6 +121,12 @@
    * @param address IP address and port of the store
    * @param timeoutMs time limit for an answer, in addition to the wait time that a watch requests
    * @param eras receives the era of each answer; an answer that it does not accept is a failure
+   * @param onUnanswered called for each call without an answer
    */
-  createStore(address: string, timeoutMs: number, eras: StoreEraSink): MetadataStore;
+  createStore(
+    address: string,
+    timeoutMs: number,
+    eras: StoreEraSink,
+    onUnanswered?: OnUnansweredCall,
+  ): MetadataStore;
 }
--- a/src/sidecar/plugins/observability-plugin.ts
+++ b/src/sidecar/plugins/observability-plugin.ts
@@ -17,6 +17,8 @@
           requestLimit: () => get(SidecarToken.Gateway).requestLimit,
           slowdown: () => get(SidecarToken.Gateway).slowdown,
           rulesVersion: () => get(SidecarToken.Rules).version,
+          rulesUnconfirmedMs: () => get(SidecarToken.RulesFreshness).ageMs(),
+          linkCounts: () => get(SidecarToken.Directory).linkCounts(),
           suspects: () => get(SidecarToken.Quarantine).suspects,
           quarantined: () => get(SidecarToken.Quarantine).quarantined,
         }),
--- a/src/sidecar/plugins/rules-plugin.ts
+++ b/src/sidecar/plugins/rules-plugin.ts
@@ -33,6 +33,7 @@
         return new ActiveRules({
           log: get(Token.EventLog),
           parse: (document) => adapter.parseRules(document),
+          unconfirmedMs: () => get(SidecarToken.RulesFreshness).ageMs(),
           onChanged: (rules) => {
             get(SidecarToken.FreshnessRefresher).wake();
             get(SidecarToken.Listener).setLimits(rules.limits);
--- a/src/sidecar/plugins/store-plugin.ts
+++ b/src/sidecar/plugins/store-plugin.ts
@@ -19,7 +19,10 @@
       container.bind(SidecarToken.Store).toDynamicValue(({ get }) => {
         const { address } = get(SidecarToken.Settings).store;
         const eras = get(SidecarToken.StoreEras);
-        return get(SidecarToken.Adapter).createStore(address, STORE_TIMEOUT_MS, eras);
+        const { createStore } = get(SidecarToken.Adapter);
+        return createStore(address, STORE_TIMEOUT_MS, eras, (connection) => {
+          get(SidecarToken.Metrics).storeUnanswered.inc({ connection });
+        });
       });
       container.bind(SidecarToken.StoreEras).toDynamicValue(({ get }) => {
         const log = get(Token.EventLog);
--- a/src/sidecar/rules/active-rules.ts
+++ b/src/sidecar/rules/active-rules.ts
@@ -11,6 +11,8 @@
 export interface ActiveRulesOptions {
   readonly log: EventLog;
   parse(document: Buffer): Result<RoutingRules, Failure>;
+  /** Milliseconds since the rules in force were last confirmed; infinite: never. */
+  unconfirmedMs?(): number;
   /** Called after rules have come into force. */
   onChanged(rules: RoutingRules): void;
 }
@@ -55,10 +57,15 @@
       this.options.log.emit(Event.OlderRevisionIgnored, { source, version, kept: this.version });
       return version;
     }
+    const unconfirmedMs = this.options.unconfirmedMs?.() ?? Infinity;
     // The bytes may be a view into a larger buffer.
     this.currentDocument = Buffer.from(document);
     this.current = new RouteTable(rules.value);
-    this.options.log.emit(Event.RulesInForce, { source, version });
+    this.options.log.emit(Event.RulesInForce, {
+      source,
+      version,
+      ...(Number.isFinite(unconfirmedMs) && { unconfirmedMs: Math.round(unconfirmedMs) }),
+    });
     this.options.onChanged(rules.value);
     return version;
   }
--- a/src/sidecar/sidecar-metrics.ts
+++ b/src/sidecar/sidecar-metrics.ts
@@ -4,6 +4,8 @@
 
 const NO_REQUEST_LIMIT = -1;
 const NO_SLOWDOWN = -1;
+const NEVER_CONFIRMED = -1;
+const MS_PER_SECOND = 1_000;
 const LATENCY_BUCKETS_SECONDS = [0.005, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5];
 
 export interface SidecarMetrics {
@@ -26,6 +28,12 @@
   readonly slowdown: Gauge;
   /** Version of the rules in force. */
   readonly rulesVersion: Gauge;
+  /** Time since the rules were last confirmed to be the newest, in seconds; -1: never. */
+  readonly rulesUnconfirmed: Gauge;
+  /** Calls to the store that got no answer, by connection. */
+  readonly storeUnanswered: Counter<'connection'>;
+  /** Links to other nodes that are in use, by whether the other node responds. */
+  readonly links: Gauge<'state'>;
   /** Requests that ran when a target crashed and that no target has answered since. */
   readonly suspects: Gauge;
   /** Suspects that are not sent to targets. */
@@ -40,6 +48,8 @@
   admissionShares(): readonly { readonly service: string; readonly shares: readonly number[] }[];
   slowdown(): number | undefined;
   rulesVersion(): number;
+  rulesUnconfirmedMs(): number;
+  linkCounts(): { readonly reachable: number; readonly unreachable: number };
   suspects(): number;
   quarantined(): number;
 }
@@ -121,6 +131,32 @@
         this.set(sources.rulesVersion());
       },
     }),
+    rulesUnconfirmed: new Gauge({
+      name: 'sillshore_rules_unconfirmed_seconds',
+      help: 'Time since the rules in force were last confirmed to be the newest; -1: never',
+      registers,
+      collect() {
+        const milliseconds = sources.rulesUnconfirmedMs();
+        this.set(Number.isFinite(milliseconds) ? milliseconds / MS_PER_SECOND : NEVER_CONFIRMED);
+      },
+    }),
+    storeUnanswered: new Counter({
+      name: 'sillshore_store_unanswered_calls_total',
+      help: 'Calls to the store that got no answer, by whether their connection was new',
+      labelNames: ['connection'],
+      registers,
+    }),
+    links: new Gauge({
+      name: 'sillshore_peer_links',
+      help: 'Links to other nodes that this node uses, by whether the other node responds',
+      labelNames: ['state'],
+      registers,
+      collect() {
+        const { reachable, unreachable } = sources.linkCounts();
+        this.set({ state: 'reachable' }, reachable);
+        this.set({ state: 'unreachable' }, unreachable);
+      },
+    }),
     suspects: new Gauge({
       name: 'sillshore_suspect_requests',
       help: 'Requests under which a target ended, and that none has answered since',
--- a/src/store/metadata-store.ts
+++ b/src/store/metadata-store.ts
@@ -27,8 +27,18 @@
 export interface StoreFailure {
   readonly cause: 'refused' | 'unknown' | 'malformed';
   readonly detail: string;
+  /** Time from the call to the failure, in milliseconds; absent: the store answered. */
+  readonly waitedMs?: number;
+  /** Connection of a call without an answer; absent: the store answered. */
+  readonly connection?: StoreConnectionKind;
 }
 
+/** Whether a connection had carried a call before. */
+export type StoreConnectionKind = 'new' | 'reused';
+
+/** Called when a call has got no answer. */
+export type OnUnansweredCall = (connection: StoreConnectionKind) => void;
+
 /** All items of a prefix, and the store's revision when the first of them was read. */
 export interface StoreListing {
   readonly items: readonly StoreItem[];
