--- a/src/sidecar/plugins/target-plugin.ts
+++ b/src/sidecar/plugins/target-plugin.ts
@@ -109,12 +109,13 @@
   const settings = get(SidecarToken.Settings);
   const { service } = settings.target;
   const registration = get(SidecarToken.Registration);
+  const { host, ports, advertised = `${host}:${ports[0]}` } = settings.listen;
   const record = (): NodeRecord => {
     const { current } = registration;
     const startedAt = current?.startedAt;
     return {
       node: settings.node.id,
-      address: `${settings.listen.host}:${settings.listen.ports[0]}`,
+      address: advertised,
       zone: settings.node.zone,
       region: settings.node.region,
       service,
--- a/src/sidecar/settings.ts
+++ b/src/sidecar/settings.ts
@@ -57,6 +57,8 @@
     host: z.string().min(1),
     /** First and last port of the range for messages between nodes. */
     ports: z.tuple([z.int().min(0).max(65_535), z.int().min(0).max(65_535)]),
+    /** Where other nodes reach this one, for example behind a relay; absent: `host` and the first port. */
+    advertised: address.optional(),
   }),
   /** The local target. */
   target: z.object({ service: name, address }),
--- a/src/stand-ins/link/start-link.test.ts
+++ b/src/stand-ins/link/start-link.test.ts
@@ -66,3 +66,35 @@
     assert.equal(received, 'first second');
   });
 });
+
+test('open connections stay silent for good while new ones work', async () => {
+  await withLink(async (link, socket) => {
+    socket.write('ping');
+    await once(socket, 'data');
+    link.silenceOpenConnections();
+    socket.on('data', () => assert.fail('the connection is silent'));
+    socket.on('close', () => assert.fail('the connection stays open'));
+    socket.write('lost');
+    while (link.lostBytes() < 'lost'.length) await new Promise((done) => setImmediate(done));
+    const second = connect(splitAddress(link.address));
+    second.write('ping');
+    assert.equal(String((await once(second, 'data'))[0]), 'ping');
+    second.destroy();
+    socket.removeAllListeners('close');
+  });
+});
+
+test('a part of the open connections can be silenced', async () => {
+  await withLink(async (link, socket) => {
+    const second = connect(splitAddress(link.address));
+    for (const each of [socket, second]) {
+      each.write('ping');
+      await once(each, 'data');
+    }
+    link.silenceOpenConnections(0.5);
+    for (const each of [socket, second]) each.write('again');
+    await Promise.race([once(socket, 'data'), once(second, 'data')]);
+    assert.equal(link.lostBytes(), 'again'.length);
+    second.destroy();
+  });
+});
--- a/src/stand-ins/link/start-link.ts
+++ b/src/stand-ins/link/start-link.ts
@@ -33,6 +33,12 @@
   /** Bytes lost in silent directions so far. */
   readonly lostBytes: () => number;
   control(change: Partial<LinkFaults>): void;
+  /**
+   * Makes open connections silent for good, in both directions and without a reset; new ones work.
+   *
+   * @param share part of the open connections, from 0 to 1
+   */
+  silenceOpenConnections(share?: number): void;
   stop(): Promise<void>;
 }
 
@@ -41,6 +47,7 @@
   let faults = NO_LINK_FAULTS;
   let lostBytes = 0;
   const sockets = new Set<Socket>();
+  const connections = new Set<{ isSilent: boolean }>();
   const destination = splitAddress(target);
 
   const track = (socket: Socket): void => {
@@ -49,7 +56,12 @@
     socket.on('error', () => socket.destroy());
     socket.once('close', () => sockets.delete(socket));
   };
-  const relay = (from: Socket, to: Socket, isSilent: () => boolean): void => {
+  const relay = (
+    from: Socket,
+    to: Socket,
+    isSilent: () => boolean,
+    isSilencedForGood: () => boolean,
+  ): void => {
     const runDelayed = createOrderedDelay(() => faults.delayMs);
     from.on('data', (chunk: Buffer) => {
       if (isSilent()) {
@@ -65,6 +77,7 @@
       runDelayed(() => to.end());
     });
     from.once('close', () => {
+      if (isSilencedForGood()) return;
       runDelayed(() => to.destroy());
     });
   };
@@ -76,8 +89,20 @@
     const outbound = connect({ ...destination, allowHalfOpen: true });
     track(inbound);
     track(outbound);
-    relay(inbound, outbound, () => faults.silentForward);
-    relay(outbound, inbound, () => faults.silentBackward);
+    const connection = { isSilent: false };
+    connections.add(connection);
+    const isSilencedForGood = (): boolean => connection.isSilent;
+    const isSilentForward = (): boolean => connection.isSilent || faults.silentForward;
+    const isSilentBackward = (): boolean => connection.isSilent || faults.silentBackward;
+    relay(inbound, outbound, isSilentForward, isSilencedForGood);
+    relay(outbound, inbound, isSilentBackward, isSilencedForGood);
+    let openEnds = 2;
+    for (const socket of [inbound, outbound]) {
+      socket.once('close', () => {
+        openEnds -= 1;
+        if (openEnds === 0) connections.delete(connection);
+      });
+    }
   });
 
   const address = await listenTcp(server, listen);
@@ -91,6 +116,12 @@
       faults = { ...faults, ...change };
       if (faults.cut) closeAll();
     },
+    silenceOpenConnections: (share = 1) => {
+      const open = [...connections].filter(({ isSilent }) => !isSilent);
+      for (const connection of open.slice(0, Math.ceil(share * open.length))) {
+        connection.isSilent = true;
+      }
+    },
     stop: () =>
       new Promise((resolve) => {
         server.close(() => {
--- /dev/null
+++ b/test/sidecar-silent-connections.test.ts
@@ -0,0 +1,112 @@
+/** Nodes whose open connections go silent, without a reset, while new ones work. */
+import assert from 'node:assert/strict';
+import { after, before, test } from 'node:test';
+import { setTimeout as delay } from 'node:timers/promises';
+import { Mesh, type Machine } from './stand-ins/mesh.js';
+
+const NODES = 8;
+/** Rules have to be in force this long after their acknowledgement, in milliseconds. */
+const APPLY_MS = 2_000;
+/** From this time after a fault on its connections a node keeps all bounds, in milliseconds. */
+const SETTLING_MS = 3_000;
+/** Requests that begin later after the fault than this have to find a target, in milliseconds. */
+const FIND_TARGET_MS = 1_500;
+const OK = 200;
+
+let mesh: Mesh;
+let version = 0;
+
+before(async () => {
+  mesh = new Mesh({}, { relayed: true });
+  await mesh.start();
+  changeRules();
+  for (let count = 0; count < NODES; count += 1) {
+    const service = count % 2 === 0 ? 'a' : 'b';
+    await mesh.add({ service, zone: `z${count % 3}`, slots: 20, workMs: 5 });
+  }
+  await mesh.sendHeartbeats();
+  for (const machine of mesh.machines) {
+    for (const path of ['/a/x', '/b/x']) {
+      await mesh.sendUntil(machine, { path }, ({ status }) => status === OK);
+    }
+  }
+});
+
+after(() => mesh.stop());
+
+/** Puts a new version into the store and returns a path that only this version serves. */
+function changeRules(): string {
+  version += 1;
+  const added = `/added-${version}/`;
+  mesh.putRules(version, [
+    { path: '/a/', service: 'a' },
+    { path: '/b/', service: 'b' },
+    { path: added, service: 'a' },
+  ]);
+  return `${added}x`;
+}
+
+async function isServed(machine: Machine, path: string): Promise<boolean> {
+  const { status } = await mesh.send(machine, { path, deadlineMs: 1_000 });
+  return status === OK;
+}
+
+/** Nodes that refuse the path as unknown. */
+async function findOutdated(path: string): Promise<readonly string[]> {
+  const answers = await Promise.all(
+    mesh.machines.map(async (machine) => {
+      const { status } = await mesh.send(machine, { path, deadlineMs: 1_000 });
+      return { id: machine.id, status };
+    }),
+  );
+  return answers.filter(({ status }) => status === 404).map(({ id }) => id);
+}
+
+for (const share of [1, 0.5]) {
+  test(`new rules are in force in time when ${share * 100}% of the open connections have gone silent`, async () => {
+    // A wait for changes that has just begun is the longest to be silent.
+    changeRules();
+    await delay(500);
+    mesh.silenceOpenConnections(share);
+    await delay(SETTLING_MS - APPLY_MS);
+    const path = changeRules();
+    await delay(APPLY_MS);
+    assert.deepEqual(await findOutdated(path), []);
+  });
+}
+
+test('new rules are in force in time when connections have gone silent twice', async () => {
+  changeRules();
+  await delay(500);
+  mesh.silenceOpenConnections();
+  await delay(1_200);
+  mesh.silenceOpenConnections();
+  await delay(SETTLING_MS - APPLY_MS);
+  const path = changeRules();
+  await delay(APPLY_MS);
+  assert.deepEqual(await findOutdated(path), []);
+});
+
+test('requests find a target soon after open connections have gone silent', async () => {
+  for (const machine of mesh.machines) await mesh.sendUntil(machine, { path: '/a/x' }, isOk);
+  mesh.silenceOpenConnections();
+  const silentAt = performance.now();
+  const failed: string[] = [];
+  while (performance.now() < silentAt + 2 * FIND_TARGET_MS) {
+    const begunMs = performance.now() - silentAt;
+    for (const machine of mesh.machines) {
+      for (const path of ['/a/x', '/b/x']) {
+        void isServed(machine, path).then((served) => {
+          if (!served && begunMs > FIND_TARGET_MS) failed.push(`${machine.id} ${begunMs} ms`);
+        });
+      }
+    }
+    await delay(100);
+  }
+  await delay(1_000);
+  assert.deepEqual(failed, []);
+});
+
+function isOk({ status }: { readonly status: number }): boolean {
+  return status === OK;
+}
--- a/test/stand-ins/mesh.ts
+++ b/test/stand-ins/mesh.ts
@@ -7,6 +7,7 @@
 import type { Kernel } from '../../src/kernel/kernel.js';
 import { createSidecar } from '../../src/sidecar/create-sidecar.js';
 import { validateSidecarSettings } from '../../src/sidecar/settings.js';
+import { startLink, type Link } from '../../src/stand-ins/link/start-link.js';
 import { findFreePorts } from '../../src/trials/free-ports.js';
 import {
   createRulesDocument,
@@ -20,6 +21,12 @@
   type TargetStandInOptions,
 } from '../../platform/stand-ins/target-stand-in.js';
 
+/** Options of a deployment. */
+export interface MeshOptions {
+  /** Whether connections to other nodes, to the targets and to the store go through relays. */
+  readonly relayed?: boolean;
+}
+
 const PORTS_PER_NODE = 5;
 const WAIT_STEP_MS = 10;
 const WAIT_LIMIT_MS = 30_000;
@@ -33,6 +40,8 @@
   readonly registration: string;
   readonly metrics: string;
   readonly linkPort: number;
+  /** Relays to the node, to its target and to the store; none unless the deployment is relayed. */
+  readonly relays: readonly Link[];
   kernel: Kernel;
   /** Starts the node again with the same settings. */
   restart(): Promise<void>;
@@ -65,7 +74,10 @@
   private attempts = 0;
 
   /** @param bounds settings of all nodes, in addition to the defaults */
-  constructor(private readonly bounds: Readonly<Record<string, unknown>> = {}) {}
+  constructor(
+    private readonly bounds: Readonly<Record<string, unknown>> = {},
+    private readonly options: MeshOptions = {},
+  ) {}
 
   async start(): Promise<void> {
     this.storeAddress = await this.store.listen();
@@ -77,6 +89,9 @@
     await target.listen();
     const [entry, readiness, registration, link, metrics] = await findFreePorts(PORTS_PER_NODE);
     const id = `node-${this.machines.length + 1}`;
+    const relays = await this.startRelays(`127.0.0.1:${link}`, target.address);
+    const [toNode, toTarget, toStore] = relays;
+    target.reportedAddress = toTarget?.address;
     const settings = validateSidecarSettings({
       node: { id, zone: options.zone, region: 'r' },
       listen: {
@@ -86,9 +101,10 @@
         metrics: `127.0.0.1:${metrics}`,
         host: '127.0.0.1',
         ports: [link, link],
+        ...(toNode && { advertised: toNode.address }),
       },
-      target: { service: options.service, address: target.address },
-      store: { address: this.storeAddress },
+      target: { service: options.service, address: toTarget?.address ?? target.address },
+      store: { address: toStore?.address ?? this.storeAddress },
       limits: { memoryMb: 350 },
       bounds: {
         ...{ gracePeriod: '6s', retryRatio: 0.2, retryWindow: '10s', retrySlack: 60 },
@@ -104,6 +120,7 @@
       registration: settings.listen.registration,
       metrics: settings.listen.metrics!,
       linkPort: link!,
+      relays,
       kernel: create(),
       restart: async () => {
         machine.kernel = create();
@@ -115,6 +132,13 @@
     return machine;
   }
 
+  /** Makes open connections between nodes, to targets and to the store silent; new ones work. */
+  silenceOpenConnections(share = 1): void {
+    for (const { relays } of this.machines) {
+      for (const relay of relays) relay.silenceOpenConnections(share);
+    }
+  }
+
   /** Writes the rules to the store, as operators do. */
   putRules(
     version: number,
@@ -154,9 +178,20 @@
 
   async stop(): Promise<void> {
     await Promise.all(this.machines.map(({ kernel }) => kernel.stop()));
-    for (const { target } of this.machines) target.close();
+    for (const { target, relays } of this.machines) {
+      target.close();
+      await Promise.all(relays.map((relay) => relay.stop()));
+    }
     this.store.close();
   }
+
+  private async startRelays(node: string, target: string): Promise<readonly Link[]> {
+    if (this.options.relayed !== true) return [];
+    const destinations = [node, target, this.storeAddress];
+    return await Promise.all(
+      destinations.map((destination) => startLink('127.0.0.1:0', destination)),
+    );
+  }
 }
 
 /** Sends one request on its own connection. */
--- a/test/support/process-mesh.ts
+++ b/test/support/process-mesh.ts
@@ -58,6 +58,8 @@
   readonly target: Link;
   /** From the node to the store. */
   readonly store: Link;
+  /** From other nodes to the node. */
+  readonly peers: Link;
 }
 
 /** One machine: a target and the process of its sidecar. */
@@ -145,8 +147,7 @@
   async end(): Promise<ProcessEnd | undefined> {
     clearInterval(this.heartbeats);
     this.target.close();
-    const { callers, target, store } = this.links ?? {};
-    await Promise.all([callers?.stop(), target?.stop(), store?.stop()]);
+    await Promise.all(Object.values(this.links ?? {}).map((link: Link) => link.stop()));
     if (!this.isRunning) return undefined;
     return await this.process.stop('SIGKILL');
   }
@@ -175,7 +176,7 @@
     );
     const id = `node-${this.machines.length + 1}`;
     const links = this.options.relayed
-      ? await startLinks(entry!, target.address, this.storeAddress)
+      ? await startLinks(entry!, target.address, this.storeAddress, link!)
       : undefined;
     target.reportedAddress = links?.target.address;
     const file = join(this.directory, `${id}.json`);
@@ -188,6 +189,7 @@
           ...{ entry, readiness, registration, metrics },
           host: '127.0.0.1',
           ports: [linkPort, linkPort],
+          ...(links && { advertised: links.peers.address }),
         },
         target: { service: options.service, address: links?.target.address ?? target.address },
         store: { address: links?.store.address ?? this.storeAddress },
@@ -232,12 +234,18 @@
   }
 }
 
-async function startLinks(entry: string, target: string, store: string): Promise<MachineLinks> {
+async function startLinks(
+  entry: string,
+  target: string,
+  store: string,
+  node: string,
+): Promise<MachineLinks> {
   const anyPort = '127.0.0.1:0';
-  const [callers, toTarget, toStore] = await Promise.all([
+  const [callers, toTarget, toStore, peers] = await Promise.all([
     startLink(anyPort, entry),
     startLink(anyPort, target),
     startLink(anyPort, store),
+    startLink(anyPort, node),
   ]);
-  return { callers, target: toTarget, store: toStore };
+  return { callers, target: toTarget, store: toStore, peers };
 }
