Replace a silent connection between nodes at once, not after four seconds

Cause: an unresponsive link was closed only 4 s after its ping, and connected again after that. Nothing was asked on an idle link, and a status written to a silent one was lost unnoticed. Change: an unresponsive connection is replaced by a second one as soon as that has its greeting. The old one is kept for 4 s for calls that cannot be repeated and were written to it; their answers are used, else their outcome stays unknown, so none runs twice and none is reported as not run. If the other node speaks again first, the second connection is dropped, and a check that is late because this process stalled proves nothing: slow nodes keep their connections. A link that was idle for a second is pinged before this node relies on it, an idle one each 30 s, and the accepting end closes a connection on which nothing came for 100 s.

--- a/src/sidecar/link/link-server.test.ts
+++ b/src/sidecar/link/link-server.test.ts
@@ -172,6 +172,20 @@
   assert.deepEqual([question, reply], [13, { type: 'grants', grants }]);
 });
 
+test('a connection on which nothing is received is closed, and one that pings is not', async () => {
+  const silent = connect(socket.remotePort!, '127.0.0.1');
+  await new Promise((resolve) => silent.once('data', resolve));
+  const closed = new Promise((resolve) => silent.once('close', resolve));
+  for (let passed = 0; passed < 150_000; passed += 30_000) {
+    socket.write(encodeMessage({ type: 'ping' }));
+    await next('pong');
+    clock.advance(30_000);
+  }
+  await closed;
+  socket.write(encodeMessage({ type: 'ping' }));
+  await next('pong');
+});
+
 test('the end of a connection cancels its running calls', async () => {
   const before = dispatched.length;
   socket.write(encodeMessage({ type: 'call', id: 4, sentAt: clock.now(), call: CALL }));
--- a/src/sidecar/link/link-server.ts
+++ b/src/sidecar/link/link-server.ts
@@ -1,6 +1,6 @@
 /** The accepting end of links: serves other nodes' calls for the local target. */
 import { createServer, type AddressInfo, type Server } from 'node:net';
-import type { Clock } from '../../kernel/clock.js';
+import type { CancelTimer, Clock } from '../../kernel/clock.js';
 import { ResultCode } from '../../core/result-code.js';
 import { ageAuthorization } from './age-authorization.js';
 import { createNotOfferedFailure, type AttemptPort, type CancelAttempt } from './attempt-port.js';
@@ -17,6 +17,13 @@
 } from './link-messages.js';
 import { LinkSocket } from './link-socket.js';
 
+/** Interval of the checks for silent connections, in milliseconds. */
+const SILENCE_CHECK_INTERVAL_MS = 30_000;
+/**
+ * Connections on which nothing was received for this time are closed, in milliseconds. The connecting node
+ * pings an idle connection several times in it, so the connection has gone silent or its node has failed.
+ */
+const MAX_SILENCE_MS = 100_000;
 /** Calls with a longer transit time are refused. */
 const MAX_TRANSIT_MS = 400;
 
@@ -54,6 +61,7 @@
 export class LinkServer {
   private readonly server: Server;
   private readonly connections = new Set<IncomingLink>();
+  private cancelSilenceCheck: CancelTimer = () => {};
 
   constructor(private readonly options: LinkServerOptions) {
     this.server = createServer((socket) => {
@@ -69,6 +77,7 @@
       this.server.once('error', reject);
       this.server.listen(port, host, () => {
         this.server.off('error', reject);
+        this.scheduleSilenceCheck();
         resolve((this.server.address() as AddressInfo).port);
       });
     });
@@ -87,8 +96,19 @@
 
   /** Stops listening and closes all connections. */
   close(): void {
+    this.cancelSilenceCheck();
     this.server.close();
-    for (const link of this.connections) link.close();
+    for (const link of this.connections) link.close('stopped');
+  }
+
+  private scheduleSilenceCheck(): void {
+    this.cancelSilenceCheck = this.options.clock.schedule(SILENCE_CHECK_INTERVAL_MS, () => {
+      const silentSince = this.options.clock.now() - MAX_SILENCE_MS;
+      for (const link of this.connections) {
+        if (link.receivedAt < silentSince) link.close('nothing received for too long');
+      }
+      this.scheduleSilenceCheck();
+    });
   }
 }
 
@@ -97,11 +117,15 @@
   private socket: LinkSocket | undefined;
   private readonly running = new Map<number, CancelAttempt>();
   private sentLeftIncarnation: string | undefined;
+  /** Time of the last message; of the connection before the first one. */
+  receivedAt: number;
 
   constructor(
     private readonly options: LinkServerOptions,
     private readonly onEnded: () => void,
-  ) {}
+  ) {
+    this.receivedAt = options.clock.now();
+  }
 
   attach(socket: LinkSocket): void {
     this.socket = socket;
@@ -115,11 +139,12 @@
     this.socket?.send(message);
   }
 
-  close(): void {
-    this.socket?.end('stopped');
+  close(detail: string): void {
+    this.socket?.end(detail);
   }
 
   onMessage(message: LinkMessage): void {
+    this.receivedAt = this.options.clock.now();
     switch (message.type) {
       case 'call':
         this.onCall(message);
--- a/src/sidecar/link/peer-link.test.ts
+++ b/src/sidecar/link/peer-link.test.ts
@@ -295,3 +295,91 @@
   assert.deepEqual(ends, [answer]);
   assert.deepEqual(rejected, [['z']]);
 });
+
+/** Makes the link unresponsive: the other node reads and sends nothing more on its connection. */
+async function silenceConnection(): Promise<Socket> {
+  const silent = peer;
+  silent.pause();
+  link.dispatch(createCall(true), () => {});
+  for (let step = 0; step < 200 && peer === silent; step += 1) {
+    advance(5);
+    await new Promise((resolve) => setTimeout(resolve, 1));
+  }
+  return silent;
+}
+
+test('a connection that has gone silent is replaced within a second', async () => {
+  const from = clock.now();
+  const silent = await silenceConnection();
+  assert.notEqual(peer, silent);
+  await until(() => reachable);
+  assert.ok(clock.now() - from <= 1_000, `${clock.now() - from} ms`);
+  received.length = 0;
+  link.dispatch(createCall(true), () => {});
+  await until(() => hasReceived('call'));
+});
+
+// Guards against an answer that is lost, or a call that is reported as not run, when its connection is replaced.
+test('the answer to a call that cannot be repeated is used when it arrives on the replaced connection', async () => {
+  const ends: AttemptEnd[] = [];
+  link.dispatch(createCall(false), (end) => ends.push(end));
+  await until(() => hasReceived('call'));
+  const { id } = received.find((message) => message.type === 'call')!;
+  const replaced = await silenceConnection();
+  await until(() => reachable);
+  assert.deepEqual(ends, []);
+  const answer = { type: 'answer', status: 200, fields: [], body: Buffer.alloc(0) } as const;
+  replaced.write(encodeMessage({ type: 'end', id, clock: 1, end: answer }));
+  await until(() => ends.length > 0);
+  assert.deepEqual(ends, [answer]);
+});
+
+test('a call that cannot be repeated ends with unknown execution when its replaced connection stays silent', async () => {
+  const ends: AttemptEnd[] = [];
+  link.dispatch(createCall(false), (end) => ends.push(end));
+  await until(() => hasReceived('call'));
+  await silenceConnection();
+  await until(() => reachable);
+  for (let step = 0; step < 100 && ends.length === 0; step += 1) {
+    // Keeps the new connection responsive.
+    sendFromPeer({ type: 'pong' });
+    await new Promise((resolve) => setTimeout(resolve, 2));
+    advance(50);
+  }
+  const [end] = ends;
+  assert.equal(end?.type === 'failure' && end.execution, 'unknown');
+});
+
+test('the replacement is given up when the other node responds again', async () => {
+  greetsAtOnce = false;
+  const first = await silenceConnection();
+  first.write(encodeMessage({ type: 'pong' }));
+  await until(() => reachable);
+  const replacement = peer;
+  await until(() => replacement.destroyed || replacement.readableEnded);
+  received.length = 0;
+  first.resume();
+  link.dispatch(createCall(true), () => {});
+  await until(() => hasReceived('call'));
+});
+
+test('a stall of this process is not taken for silence of the other node', async () => {
+  link.dispatch(createCall(true), () => {});
+  await until(() => hasReceived('call'));
+  advance(250);
+  await until(() => hasReceived('ping'));
+  // All timers that came due during the stall fire before anything is read.
+  const { now } = clock;
+  clock.now = () => now.call(clock) + 2_000;
+  clock.advance(130);
+  assert.equal(reachable, true);
+  sendFromPeer({ type: 'pong' });
+  await new Promise((resolve) => setTimeout(resolve, 20));
+  clock.advance(300);
+  assert.equal(reachable, true);
+});
+
+test('an idle connection is verified', async () => {
+  advance(30_100);
+  await until(() => hasReceived('ping'));
+});
--- a/src/sidecar/link/peer-link.ts
+++ b/src/sidecar/link/peer-link.ts
@@ -1,9 +1,8 @@
 /**
  * The connecting end of links: sends calls to the target of another node. Connects on demand, and
- * reconnects with increasing delays until it is closed.
+ * reconnects with increasing delays until it is closed. A connection that goes silent is replaced; answers
+ * that still arrive on it are used.
  */
-import { connect } from 'node:net';
-import { splitAddress } from '../../core/host-and-port.js';
 import { ResultCode } from '../../core/result-code.js';
 import type { CancelTimer, Clock } from '../../kernel/clock.js';
 import { ageAuthorization } from './age-authorization.js';
@@ -30,29 +29,25 @@
   NodeStatus,
   RelayedLimit,
 } from './link-messages.js';
-import { LinkSocket } from './link-socket.js';
+import { CLOSE_AFTER_MS, ConnectionLiveness, PING_AFTER_MS } from './connection-liveness.js';
+import {
+  OutgoingConnection,
+  type Greeting,
+  type OutgoingConnectionListener,
+} from './outgoing-connection.js';
 import { PeerClock } from './peer-clock.js';
 
-/** Time limit for the connection and the greeting. */
-const CONNECT_TIMEOUT_MS = 600;
 const INITIAL_RECONNECT_DELAY_MS = 50;
 const MAX_RECONNECT_DELAY_MS = 1_000;
+/** Idle time after which a connection is verified before this node relies on it, in milliseconds. */
+const VERIFY_AFTER_MS = 1_000;
+/** Longest time between two checks of a connection. */
+const MAX_CHECK_INTERVAL_MS = 30_000;
 /**
  * Idle time after which a call that is not idempotent is held until the other node answers a ping:
  * on a broken link it would be lost without anyone knowing whether it ran.
  */
 const TRUSTED_IDLE_MS = 100;
-/**
- * Idle time, while an answer is pending, after which the other node is pinged. Idle time before the
- * call does not count, since most links of a large fleet are rarely used.
- */
-const PING_AFTER_MS = 250;
-/** Time after a ping without any message at which the other node counts as unresponsive. */
-const UNRESPONSIVE_AFTER_MS = 350;
-/** Time after a ping without any message at which the connection is closed. */
-const CLOSE_AFTER_MS = 4_000;
-const CHECK_INTERVAL_MS = 125;
-
 /** Callbacks of a link. */
 export interface PeerLinkListener {
   /** Called with the status of the other node. */
@@ -99,25 +94,30 @@
 interface PendingCall {
   readonly call: AttemptCall;
   readonly onEnd: (end: AttemptEnd) => void;
-  /** Whether the call was written to a connection. */
-  sent: boolean;
+  /** Connection to which the call was written; undefined: it was not written yet. */
+  connection: OutgoingConnection | undefined;
   readonly createdAt: number;
   /** Boot time of the dispatch; undefined when the call needs no API key. */
   readonly requestedAt: number | undefined;
 }
 
+type AnswerMessage = Extract<LinkMessage, { type: 'end' }>;
+
 /** An unanswered request for the confirmation of the other node's rules. */
 interface ConfirmationRequest {
   readonly number: number;
   readonly requestedAt: number;
 }
 
-type Phase = 'idle' | 'connecting' | 'open';
-
 /** A link to one other node; reconnects until it is closed. */
-export class PeerLink implements AttemptPort, QuotaPort, AdmissionPort {
-  private phase: Phase = 'idle';
-  private socket: LinkSocket | undefined;
+export class PeerLink implements AttemptPort, QuotaPort, AdmissionPort, OutgoingConnectionListener {
+  /** Connection in use; the other node has sent its greeting. */
+  private current: OutgoingConnection | undefined;
+  /** Connection that waits for the greeting. */
+  private opening: OutgoingConnection | undefined;
+  /** Replaced connections, kept for a limited time for the answers to calls that were written to them. */
+  private readonly retired = new Map<OutgoingConnection, CancelTimer>();
+  private liveness: ConnectionLiveness;
   private readonly peerClock = new PeerClock();
   private readonly pending = new Map<number, PendingCall>();
   /** Calls that are held until the next message of the other node. */
@@ -125,10 +125,8 @@
   private lastId = 0;
   private reconnectDelayMs = INITIAL_RECONNECT_DELAY_MS;
   private cancelReconnect: CancelTimer = () => {};
-  private cancelConnectTimer: CancelTimer = () => {};
-  private cancelCheck: CancelTimer | undefined;
-  private lastReceivedAt = 0;
-  private pingedAt: number | undefined;
+  private cancelCheck: CancelTimer = () => {};
+  private checkAt = Infinity;
   private unresponsive = false;
   private closed = false;
   private reachable = false;
@@ -138,7 +136,9 @@
   private readonly quotaQueries = new Map<number, OnQuotaReply>();
   private readonly demandReports = new Map<number, OnPlanReply>();
 
-  constructor(private readonly options: PeerLinkOptions) {}
+  constructor(private readonly options: PeerLinkOptions) {
+    this.liveness = new ConnectionLiveness(options.clock.now());
+  }
 
   /** Whether the link is open and the other node responsive. */
   get isReachable(): boolean {
@@ -147,7 +147,7 @@
 
   /** Whether calls may be dispatched: the link is reachable, or connects for the first time. */
   get isReachableOrConnecting(): boolean {
-    return this.reachable || (this.phase === 'connecting' && !this.failed);
+    return this.reachable || (this.opening !== undefined && !this.failed && !this.unresponsive);
   }
 
   /** Whether the last connection failed or was closed, or the other node is unresponsive. */
@@ -157,57 +157,64 @@
 
   /** Connects unless the link is open, connecting or closed for good. */
   open(): void {
-    if (this.phase !== 'idle' || this.closed) return;
-    this.cancelReconnect();
-    this.connect();
+    if (this.current === undefined) this.connect();
+  }
+
+  /** Checks that the other node responds, although no answer is pending. */
+  verify(): void {
+    const silentMs = this.liveness.silentMs(this.options.clock.now());
+    if (this.current !== undefined && silentMs > VERIFY_AFTER_MS) this.ping();
   }
 
   /** Requests the other node's rules. */
   requestRules(): void {
-    if (this.phase === 'open') this.socket?.send({ type: 'rules-wanted' });
+    this.current?.send({ type: 'rules-wanted' });
   }
 
   /** Requests how recently the other node's rules were confirmed. */
   requestConfirmation(): void {
-    if (this.phase !== 'open') return;
+    if (this.current === undefined) return;
     this.lastId += 1;
     this.confirmationRequest = { number: this.lastId, requestedAt: this.options.clock.bootNow() };
-    this.socket?.send({ type: 'confirmation-wanted', question: this.lastId });
+    this.current.send({ type: 'confirmation-wanted', question: this.lastId });
+    this.verify();
   }
 
   /** Sends a quota query; `onReply` is never called when the connection is lost first. */
   queryQuota(wanted: QuotaQuery, onReply: OnQuotaReply): void {
-    if (this.phase !== 'open') return;
+    if (this.current === undefined) return;
     this.lastId += 1;
     this.quotaQueries.set(this.lastId, onReply);
-    this.socket?.send({ type: 'quota-wanted', question: this.lastId, wanted });
+    this.current.send({ type: 'quota-wanted', question: this.lastId, wanted });
   }
 
   /** Sends a demand report; `onReply` is never called when the connection is lost first. */
   reportDemand(report: DemandReport, onReply: OnPlanReply): void {
-    if (this.phase !== 'open') return;
+    if (this.current === undefined) return;
     this.lastId += 1;
     this.demandReports.set(this.lastId, onReply);
-    this.socket?.send({ type: 'demand-report', question: this.lastId, report });
+    this.current.send({ type: 'demand-report', question: this.lastId, report });
   }
 
   /** Sends a capacity report, which has no reply. */
   reportCapacity(report: CapacityReport): void {
-    if (this.phase === 'open') this.socket?.send({ type: 'capacity-report', report });
+    this.current?.send({ type: 'capacity-report', report });
   }
 
   /** Sends this node's status to the other node. */
   announceStatus(status: NodeStatus): void {
-    if (this.phase === 'open') this.socket?.send({ type: 'status', status });
+    if (this.current === undefined) return;
+    this.current.send({ type: 'status', status });
+    this.verify();
   }
 
   /** Sends a quarantine update to the other node. */
   sendUpdate(update: QuarantineUpdate): void {
-    if (this.phase === 'open') this.socket?.send(update);
+    this.current?.send(update);
   }
 
   dispatch(call: AttemptCall, onEnd: (end: AttemptEnd) => void): CancelAttempt {
-    if (this.closed || this.socket?.hasRoom === false) {
+    if (this.closed || this.current?.hasRoom === false) {
       onEnd(
         createNotOfferedFailure(
           'unreachable',
@@ -221,10 +228,11 @@
     const id = this.lastId;
     const { clock } = this.options;
     const requestedAt = call.authorization && clock.bootNow();
-    const pending = { call, onEnd, sent: false, createdAt: clock.now(), requestedAt };
+    const createdAt = clock.now();
+    const pending = { call, onEnd, connection: undefined, createdAt, requestedAt };
     this.pending.set(id, pending);
     this.open();
-    if (this.phase === 'open') this.sendOrHold(id, pending);
+    if (this.current !== undefined) this.sendOrHold(id, pending);
     this.scheduleCheck(PING_AFTER_MS);
     return () => this.cancel(id);
   }
@@ -233,24 +241,24 @@
   close(detail: string): void {
     this.closed = true;
     this.cancelReconnect();
-    this.cancelCheck?.();
-    this.socket?.close(detail);
-    this.failAll(detail);
+    this.cancelCheck();
+    for (const connection of [this.current, this.opening, ...this.retired.keys()]) {
+      connection?.close(detail);
+    }
+    this.failPending(detail);
   }
 
-  onMessage(message: LinkMessage): void {
-    this.lastReceivedAt = this.options.clock.now();
-    this.pingedAt = undefined;
+  onMessage(connection: OutgoingConnection, message: LinkMessage): void {
+    if (connection !== this.current) {
+      // What else a replaced connection delivers may be older than what the current one has delivered.
+      if (message.type === 'end') this.onAnswer(message);
+      this.closeIfUnused(connection);
+      return;
+    }
+    this.liveness.noteReceived(this.options.clock.now());
     switch (message.type) {
       case 'end':
-        this.peerClock.noteStamp(
-          this.lastReceivedAt,
-          message.clock,
-          this.pending.get(message.id)?.createdAt,
-        );
-        if (message.rejected) this.options.listener.onRejectedMembers?.(message.rejected);
-        this.noteConfirmation(message.confirmation, this.pending.get(message.id)?.requestedAt);
-        this.onEnd(message.id, message.end);
+        this.onAnswer(message);
         break;
       case 'quota-reply':
         this.quotaQueries.get(message.question)?.(message.reply);
@@ -263,9 +271,6 @@
       case 'confirmation':
         this.onConfirmation(message.question, message.confirmation);
         break;
-      case 'hello':
-        this.onHello(message);
-        break;
       case 'status':
         this.options.listener.onStatus(message.status);
         break;
@@ -287,66 +292,63 @@
       case 'pong':
         break;
       default:
-        this.socket?.close(`unexpected message ${message.type}`);
+        connection.close(`unexpected message ${message.type}`);
     }
-    if (this.unresponsive) this.setUnresponsive(false, 'responsive again');
+    if (this.unresponsive) this.onResponsiveAgain();
     this.sendHeld();
   }
 
-  onClosed(detail: string): void {
-    this.cancelConnectTimer();
-    this.socket = undefined;
-    this.phase = 'idle';
-    this.unresponsive = false;
-    this.failed = true;
-    this.quotaQueries.clear();
-    this.demandReports.clear();
-    this.updateReachable(detail);
-    this.failAll(detail);
-    this.scheduleReconnect();
-  }
-
-  private connect(): void {
-    this.phase = 'connecting';
-    const { address, clock } = this.options;
-    const socket = connect(splitAddress(address));
-    const link = new LinkSocket(socket, this);
-    this.socket = link;
-    this.cancelConnectTimer = clock.schedule(CONNECT_TIMEOUT_MS, () => {
-      link.close('connection or greeting timed out');
-    });
+  onClosed(connection: OutgoingConnection, detail: string): void {
+    if (connection === this.current) {
+      this.current = undefined;
+      this.onCurrentClosed(detail);
+    } else if (connection === this.opening) {
+      this.opening = undefined;
+      if (this.current === undefined) this.onCurrentClosed(detail);
+      else this.scheduleReconnect();
+    } else if (this.retired.has(connection)) {
+      this.retired.get(connection)?.();
+      this.retired.delete(connection);
+      this.failPending(detail, connection);
+    }
   }
 
-  private onHello({ status, clock }: Extract<LinkMessage, { type: 'hello' }>): void {
-    if (status.node !== this.options.node) {
-      this.socket?.close(`unexpected node ${status.node} at this address`);
-      return;
-    }
-    this.cancelConnectTimer();
-    this.phase = 'open';
+  onGreeting(connection: OutgoingConnection, { status, clock }: Greeting): void {
+    const replaced = this.current;
+    this.current = connection;
+    this.opening = undefined;
+    this.cancelReconnect();
     this.failed = false;
+    this.unresponsive = false;
     this.reconnectDelayMs = INITIAL_RECONNECT_DELAY_MS;
+    const now = this.options.clock.now();
+    this.liveness = new ConnectionLiveness(now);
     this.peerClock.reset();
-    this.peerClock.noteStamp(this.options.clock.now(), clock);
-    const own = this.options.status();
-    this.socket?.send({ type: 'status', status: own });
+    this.peerClock.noteStamp(now, clock);
+    this.introduce(connection);
+    this.options.listener.onStatus(status);
+    this.updateReachable(replaced === undefined ? 'connected' : 'silent connection replaced');
+    for (const [id, call] of this.pending) if (call.connection === undefined) this.held.add(id);
+    this.sendHeld();
+    this.scheduleCheck(this.pending.size > 0 ? PING_AFTER_MS : Infinity);
+    if (replaced !== undefined) this.retire(replaced);
+  }
+
+  /** Sends what the other node has to know before any call. */
+  private introduce(connection: OutgoingConnection): void {
+    connection.send({ type: 'status', status: this.options.status() });
     const update = this.options.quarantine.currentUpdate();
-    if (update !== undefined) this.socket?.send(update);
+    if (update !== undefined) connection.send(update);
     const incarnation = this.options.leftTarget();
-    if (incarnation !== undefined) this.socket?.send({ type: 'target-left', incarnation });
-    // Sent before any call: a node that has restarted doesn't know the limit.
+    if (incarnation !== undefined) connection.send({ type: 'target-left', incarnation });
+    // A node that has restarted doesn't know the limit.
     const limit = this.options.relayedLimit();
-    if (limit !== undefined) this.socket?.send({ type: 'target-limit', ...limit });
-    this.options.listener.onStatus(status);
-    this.updateReachable('connected');
-    for (const [id, { sent }] of this.pending) if (!sent) this.held.add(id);
-    // The check for a call that was dispatched while connecting may have run before the link was open.
-    if (this.pending.size > 0) this.scheduleCheck(PING_AFTER_MS);
+    if (limit !== undefined) connection.send({ type: 'target-limit', ...limit });
   }
 
   private sendRules(): void {
     const document = this.options.rulesDocument();
-    if (document !== undefined) this.socket?.send({ type: 'rules', document });
+    if (document !== undefined) this.current?.send({ type: 'rules', document });
   }
 
   /** Ignores replies to earlier requests, which may have been written before the latest request. */
@@ -366,7 +368,7 @@
 
   /** Holds a call that is not idempotent unless a message of the other node was received recently. */
   private sendOrHold(id: number, pending: PendingCall): void {
-    const receivedRecently = this.options.clock.now() - this.lastReceivedAt <= TRUSTED_IDLE_MS;
+    const receivedRecently = this.liveness.silentMs(this.options.clock.now()) <= TRUSTED_IDLE_MS;
     if (pending.call.idempotent || receivedRecently) {
       this.sendCall(id, pending);
       return;
@@ -376,7 +378,7 @@
   }
 
   private sendHeld(): void {
-    if (this.held.size === 0 || this.phase !== 'open') return;
+    if (this.held.size === 0 || this.current === undefined) return;
     const ids = [...this.held];
     this.held.clear();
     for (const id of ids) {
@@ -387,9 +389,10 @@
 
   /** Pings the other node unless a ping is pending. */
   private ping(): void {
-    if (this.pingedAt !== undefined) return;
-    this.pingedAt = this.options.clock.now();
-    this.socket?.send({ type: 'ping' });
+    if (this.liveness.isPinged) return;
+    this.liveness.notePinged(this.options.clock.now());
+    this.current?.send({ type: 'ping' });
+    this.scheduleCheck(PING_AFTER_MS);
   }
 
   private sendCall(id: number, pending: PendingCall): void {
@@ -398,14 +401,17 @@
     const timeLeftMs = pending.call.timeLeftMs - heldMs;
     const dueInMs = pending.call.dueInMs - heldMs;
     const authorization = ageAuthorization(pending.call.authorization, heldMs);
-    pending.sent = true;
+    pending.connection = this.current;
     const sentAt = this.peerClock.at(now);
     const call = { ...pending.call, ...authorization, timeLeftMs, dueInMs };
-    this.socket?.send({ type: 'call', id, sentAt, call });
+    this.current?.send({ type: 'call', id, sentAt, call });
   }
 
-  private onEnd(id: number, end: AttemptEnd): void {
+  private onAnswer({ id, clock, end, confirmation, rejected }: AnswerMessage): void {
     const pending = this.pending.get(id);
+    this.peerClock.noteStamp(this.options.clock.now(), clock, pending?.createdAt);
+    if (rejected) this.options.listener.onRejectedMembers?.(rejected);
+    this.noteConfirmation(confirmation, pending?.requestedAt);
     this.pending.delete(id);
     if (end.load !== undefined) this.options.listener.onRequestLimit(end.load.requestLimit);
     pending?.onEnd(end);
@@ -416,87 +422,128 @@
     if (pending === undefined) return false;
     this.pending.delete(id);
     this.held.delete(id);
-    if (pending.sent) this.socket?.send({ type: 'cancel', id });
-    return pending.sent;
+    pending.connection?.send({ type: 'cancel', id });
+    return pending.connection !== undefined;
+  }
+
+  private connect(): void {
+    if (this.opening !== undefined || this.closed) return;
+    this.cancelReconnect();
+    const { node, address, clock } = this.options;
+    this.opening = new OutgoingConnection({ node, address, clock, listener: this });
+  }
+
+  private onCurrentClosed(detail: string): void {
+    this.unresponsive = false;
+    this.failed = true;
+    this.quotaQueries.clear();
+    this.demandReports.clear();
+    this.updateReachable(detail);
+    this.failPending(detail);
+    if (this.opening === undefined) this.scheduleReconnect();
   }
 
   private scheduleReconnect(): void {
     if (this.closed) return;
     this.cancelReconnect = this.options.clock.schedule(this.reconnectDelayMs, () => {
-      this.open();
+      this.connect();
     });
     this.reconnectDelayMs = Math.min(MAX_RECONNECT_DELAY_MS, this.reconnectDelayMs * 2);
   }
 
-  /** Fails all pending calls: those that were written may have run, the others have not. */
-  private failAll(detail: string): void {
-    const all = [...this.pending.values()];
-    this.pending.clear();
-    this.held.clear();
+  /** Keeps a replaced connection while calls that were written to it may still be answered. */
+  private retire(connection: OutgoingConnection): void {
+    const cancelTimer = this.options.clock.schedule(CLOSE_AFTER_MS, () => {
+      connection.close('no answer on the replaced connection');
+    });
+    this.retired.set(connection, cancelTimer);
+    this.closeIfUnused(connection);
+  }
+
+  private closeIfUnused(connection: OutgoingConnection): void {
+    if (!this.retired.has(connection)) return;
+    for (const call of this.pending.values()) if (call.connection === connection) return;
+    connection.close('replaced');
+  }
+
+  /**
+   * Fails pending calls: those that were written may have run, the others have not.
+   *
+   * @param retired fails only the calls that were written to this connection; absent: fails all that were not
+   *   written to a retired one
+   */
+  private failPending(detail: string, retired?: OutgoingConnection): void {
     const failureDetail = `link to ${this.options.node}: ${detail}`;
-    for (const { onEnd, sent } of all) {
+    for (const [id, { connection, onEnd }] of [...this.pending]) {
+      const isRetired = connection !== undefined && this.retired.has(connection);
+      if (retired === undefined ? isRetired : connection !== retired) continue;
+      this.pending.delete(id);
+      this.held.delete(id);
       onEnd(
-        sent
-          ? createLostFailure(ResultCode.PeerLost, failureDetail)
-          : createUnsentFailure(failureDetail),
+        connection === undefined
+          ? createUnsentFailure(failureDetail)
+          : createLostFailure(ResultCode.PeerLost, failureDetail),
       );
     }
   }
 
+  /** Schedules a check, unless one is due earlier. */
   private scheduleCheck(delayMs: number): void {
-    this.cancelCheck ??= this.options.clock.schedule(delayMs, () => {
-      this.cancelCheck = undefined;
-      this.checkLiveness();
+    const { clock } = this.options;
+    const limitedMs = Math.min(delayMs, MAX_CHECK_INTERVAL_MS);
+    const at = clock.now() + limitedMs;
+    if (this.closed || at >= this.checkAt) return;
+    this.cancelCheck();
+    this.checkAt = at;
+    this.cancelCheck = clock.schedule(limitedMs, () => {
+      this.checkAt = Infinity;
+      this.checkLiveness(at);
     });
   }
 
-  /** Checks, while answers are pending, that the other node still sends messages. */
-  private checkLiveness(): void {
-    if (this.closed || this.phase !== 'open') return;
-    const now = this.options.clock.now();
-    if (this.pending.size === 0 && !this.unresponsive && this.pingedAt === undefined) return;
-    if (this.pingedAt === undefined) {
-      const idleMs = now - this.idleSince();
-      if (idleMs < PING_AFTER_MS) {
-        this.scheduleCheck(PING_AFTER_MS - idleMs);
-        return;
-      }
-      this.ping();
-    } else if (now - this.pingedAt > CLOSE_AFTER_MS) {
-      this.socket?.close('no reply to ping');
-    } else if (now - this.pingedAt > UNRESPONSIVE_AFTER_MS && !this.unresponsive) {
-      const silentMs = Math.round(now - this.lastReceivedAt);
-      this.setUnresponsive(true, `unresponsive: nothing received for ${silentMs} ms`);
-    }
-    this.scheduleCheck(CHECK_INTERVAL_MS);
-  }
-
-  /** Returns the time since which an answer is pending and nothing was received. */
-  private idleSince(): number {
+  /** Checks that the other node still sends messages. */
+  private checkLiveness(dueAt: number): void {
+    if (this.closed || this.current === undefined) return;
     const [oldest] = this.pending.values();
-    return Math.max(this.lastReceivedAt, oldest?.createdAt ?? 0);
-  }
-
-  private setUnresponsive(unresponsive: boolean, detail: string): void {
-    this.unresponsive = unresponsive;
-    this.updateReachable(detail);
-    if (!unresponsive) return;
+    const now = this.options.clock.now();
+    const { state, nextCheckMs } = this.liveness.check(now, dueAt, oldest?.createdAt);
+    if (state === 'ping-due') this.ping();
+    else if (state === 'lost') this.current.close('no reply to ping');
+    else if (state === 'unresponsive' && !this.unresponsive) this.onUnresponsive();
+    this.scheduleCheck(nextCheckMs);
+  }
+
+  /** Replaces the connection: it may have gone silent for good while a new one works. */
+  private onUnresponsive(): void {
+    this.unresponsive = true;
+    const silentMs = Math.round(this.liveness.silentMs(this.options.clock.now()));
+    this.updateReachable(`unresponsive: nothing received for ${silentMs} ms`);
     const failureDetail = `link to ${this.options.node} is unresponsive`;
     // Calls that were not sent can go to another node, and idempotent ones need not wait for an answer
     // that may never arrive.
-    for (const [id, { call, onEnd, sent }] of [...this.pending]) {
-      if (sent && !call.idempotent) continue;
+    for (const [id, { call, onEnd, connection }] of [...this.pending]) {
+      if (connection !== undefined && !call.idempotent) continue;
       this.cancel(id);
       onEnd(
-        sent
-          ? createLostFailure(ResultCode.PeerTimeout, failureDetail)
-          : createUnsentFailure(failureDetail),
+        connection === undefined
+          ? createUnsentFailure(failureDetail)
+          : createLostFailure(ResultCode.PeerTimeout, failureDetail),
       );
     }
+    this.connect();
+  }
+
+  private onResponsiveAgain(): void {
+    this.unresponsive = false;
+    this.cancelReconnect();
+    const { opening } = this;
+    this.opening = undefined;
+    opening?.close('the link is responsive again');
+    this.updateReachable('responsive again');
   }
 
   private updateReachable(detail: string): void {
-    const reachable = this.phase === 'open' && !this.unresponsive;
+    const reachable = this.current !== undefined && !this.unresponsive;
     if (reachable === this.reachable) return;
     this.reachable = reachable;
     this.options.listener.onReachableChanged(reachable, detail);
