--- a/src/sidecar/directory/node-directory.test.ts
+++ b/src/sidecar/directory/node-directory.test.ts
@@ -2,7 +2,6 @@
 import assert from 'node:assert/strict';
 import { afterEach, beforeEach, test } from 'node:test';
 import { waitUntil } from '../../../test/stand-ins/mesh.js';
-import { createRandom } from '../../core/random.js';
 import { ManualClock } from '../../kernel/clock.js';
 import { silentEventLog } from '../../kernel/event.js';
 import type { NodeStatus } from '../link/link-messages.js';
@@ -51,7 +50,6 @@
     ...{ node: 'own', zone: 'z', region: 'r', service: 'own-service' },
     clock,
     log: silentEventLog,
-    random: createRandom(1),
     localTarget: { dispatch: () => assert.fail('no call') },
     localQuota: { queryQuota: () => assert.fail('no quota query') },
     status: () => ({ ...STATUS, node: 'own' }),
--- a/src/sidecar/directory/node-directory.ts
+++ b/src/sidecar/directory/node-directory.ts
@@ -9,7 +9,6 @@
   subsetRank,
   type SubsetCandidate,
 } from '../../core/routing/target-subset.js';
-import type { Random } from '../../core/random.js';
 import type { CancelTimer, Clock } from '../../kernel/clock.js';
 import { pause } from '../../kernel/pause.js';
 import { Event, type EventLog } from '../../kernel/event.js';
@@ -34,7 +33,6 @@
   readonly service: string;
   readonly clock: Clock;
   readonly log: EventLog;
-  readonly random: Random;
   /** Runs attempts at the local target. */
   readonly localTarget: AttemptPort;
   /** Counts tenants' limits at this node. */
@@ -82,8 +80,6 @@
 /** Longest wait for the first of these connections, in milliseconds. */
 const STARTUP_CONNECT_TIMEOUT_MS = 600;
 const STARTUP_CONNECT_CHECK_MS = 20;
-/** Peers that are asked at the same time how recently their rules were confirmed. */
-const CONFIRMATION_PEERS = 3;
 /** Time for peers to send their reports about this node after the first link has opened, in milliseconds. */
 const STARTUP_REPORT_MS = 100;
 
@@ -238,6 +234,15 @@
     return nodes;
   }
 
+  /** Nodes of this node's region that are not known to be unreachable, this one included. */
+  reachableNodesOfRegion(): readonly string[] {
+    const nodes = [this.options.node];
+    for (const [node, { link, record }] of this.peers) {
+      if (!link.isKnownUnreachable && record.region === this.options.region) nodes.push(node);
+    }
+    return nodes;
+  }
+
   /** Port to a node that counts tenants' limits; undefined while no link to it is open. */
   quotaPortOf(node: string): QuotaPort | undefined {
     return node === this.options.node ? this.options.localQuota : this.openLinkTo(node);
@@ -287,21 +292,6 @@
     for (const { link } of this.peers.values()) link.announceStatus(status);
   }
 
-  /**
-   * Asks some random connected nodes how recently their rules were confirmed.
-   *
-   * @returns the number of nodes asked
-   */
-  requestConfirmations(): number {
-    const reachable = [...this.peers.values()].filter(({ link }) => link.isReachable);
-    const first = Math.floor(this.options.random.next() * reachable.length);
-    const requested = Math.min(CONFIRMATION_PEERS, reachable.length);
-    for (let count = 0; count < requested; count += 1) {
-      reachable[(first + count) % reachable.length]!.link.requestConfirmation();
-    }
-    return requested;
-  }
-
   /**
    * Asks these nodes how recently their rules were confirmed, and connects to those that are not connected.
    *
--- a/src/sidecar/directory/prefix-watch.ts
+++ b/src/sidecar/directory/prefix-watch.ts
@@ -90,11 +90,18 @@
    * @returns whether the store answered
    */
   async check(): Promise<boolean> {
+    const { backoff } = this.options;
+    await backoff.waitForTurn();
     const { revision, era } = this;
     if (revision === undefined) return false;
     const requestedAt = this.options.clock.bootNow();
     const result = await this.options.store.poll(this.options.prefix, revision);
-    if (result.isErr || result.value.type !== 'events') return false;
+    if (result.isErr) {
+      backoff.noteFailed();
+      return false;
+    }
+    backoff.noteAnswered();
+    if (result.value.type !== 'events') return false;
     if (this.closed || era !== this.options.eras.current) return false;
     const { events, at } = result.value;
     if (events.length > 0) {
--- a/src/sidecar/directory/watch-timing.ts
+++ b/src/sidecar/directory/watch-timing.ts
@@ -18,8 +18,8 @@
 const MS_PER_SECOND = 1_000;
 
 /**
- * Wait of one call for changes, in milliseconds. If the connection of a call has become unresponsive, this is
- * noticed only at the end of the wait; in a large fleet other nodes report new rules in the meantime.
+ * Wait of one call for changes, in milliseconds. Its connection may go silent unnoticed, so that a wait alone
+ * does not bound the delay of a change.
  *
  * @param minMs wait in a small fleet
  */
--- a/src/sidecar/plugins/directory-plugin.ts
+++ b/src/sidecar/plugins/directory-plugin.ts
@@ -26,7 +26,6 @@
           service: target.service,
           clock: get(Token.Clock),
           log: get(Token.EventLog),
-          random: createRandom(seedOf(`${node.id} peers`)),
           localTarget: get(SidecarToken.Gateway),
           localQuota: get(SidecarToken.QuotaCounting),
           status: get(SidecarToken.Status),
--- a/src/sidecar/plugins/rules-plugin.ts
+++ b/src/sidecar/plugins/rules-plugin.ts
@@ -18,8 +18,8 @@
 import { RequestAuthorizer } from '../tenants/request-authorizer.js';
 import { SidecarOrder, SidecarToken } from './tokens.js';
 
-/** Wait of one watch call in a small fleet, in milliseconds. */
-const MIN_WAIT_MS = 5_000;
+/** Wait of one watch call in a small fleet, in milliseconds; confirmations bound what it can miss. */
+const MIN_WAIT_MS = 10_000;
 /** Part of the key revocation time that is reserved for the delay between a check and its use. */
 const REVOCATION_MARGIN_MS = 300;
 
@@ -90,7 +90,6 @@
           onCurrent: (requestedAt) => {
             // An older version in the store comes from an older copy, which may also lack versions newer than ours.
             if (storeVersion === rules.version) freshness.confirm(storeVersion, requestedAt);
-            // Without tenants confirmations are needed only once the fleet is known to be large.
             get(SidecarToken.FreshnessRefresher).wake();
           },
         });
@@ -128,9 +127,9 @@
   });
 }
 
-function roleOf({ get }: ResolutionContext): ConfirmationRole | undefined {
+function roleOf({ get }: ResolutionContext): ConfirmationRole {
   const { id } = get(SidecarToken.Settings).node;
-  const nodes = get(SidecarToken.Directory).countingCandidates();
+  const nodes = get(SidecarToken.Directory).reachableNodesOfRegion();
   return confirmationRole(id, nodes, refreshSpread(id));
 }
 
@@ -140,33 +139,15 @@
 
 function createRefresher(context: ResolutionContext): FreshnessRefresher {
   const { get } = context;
-  const { node } = get(SidecarToken.Settings);
-  const spread = refreshSpread(node.id);
   return new FreshnessRefresher({
     clock: get(Token.Clock),
     freshness: get(SidecarToken.RulesFreshness),
     get refreshPosition() {
-      return roleOf(context)?.position ?? spread;
-    },
-    get hasRole() {
-      return roleOf(context) !== undefined;
-    },
-    isNeeded: () => {
-      const { table } = get(SidecarToken.Rules);
-      return table?.tenants !== undefined || (table !== undefined && roleOf(context) !== undefined);
+      return roleOf(context).position;
     },
+    hasRules: () => get(SidecarToken.Rules).table !== undefined,
     isStoreAvailable: () => get(SidecarToken.RulesWatch).isAvailable,
-    queryStore: () => {
-      // Without tenants a node that gets no confirmation waits for changes of the store itself.
-      const isNeeded = get(SidecarToken.Rules).table?.tenants !== undefined;
-      if (!isNeeded && roleOf(context)?.isSource !== true) return Promise.resolve(false);
-      return get(SidecarToken.RulesWatch).check();
-    },
-    queryPeers: () => {
-      const directory = get(SidecarToken.Directory);
-      const sources = roleOf(context)?.sources;
-      if (sources === undefined) return directory.requestConfirmations();
-      return directory.requestConfirmationsOf(sources);
-    },
+    queryStore: () => get(SidecarToken.RulesWatch).check(),
+    queryPeers: () => get(SidecarToken.Directory).requestConfirmationsOf(roleOf(context).sources),
   });
 }
--- a/src/sidecar/rules/confirmation-sources.test.ts
+++ b/src/sidecar/rules/confirmation-sources.test.ts
@@ -9,6 +9,10 @@
 
 const LARGE = 70;
 const MAX_AGE_MS = 4_700;
+/** New rules have to be in force this long after their acknowledgement, in milliseconds. */
+const APPLY_MS = 2_000;
+/** Time in which silent links are noticed and replaced, in milliseconds. */
+const LINK_REPLACEMENT_MS = 1_900;
 const STEP_MS = 20;
 
 interface Member {
@@ -20,6 +24,8 @@
 }
 
 interface Fleet {
+  /** Until then questions to other nodes get no reply. */
+  linksSilentUntil: number;
   readonly clock: ManualClock;
   readonly members: ReadonlyMap<string, Member>;
   /** Longest age of a confirmation at any node since the start, in milliseconds. */
@@ -29,6 +35,7 @@
 function startFleet(size: number): Fleet {
   const clock = new ManualClock();
   const members = new Map<string, Member>();
+  const fleet = { clock, members, oldestMs: 0, linksSilentUntil: -Infinity };
   const names = Array.from({ length: size }, (_, index) => `node-${index}`);
   names.forEach((node, index) => {
     const freshness = new RulesFreshness({
@@ -42,12 +49,9 @@
       clock,
       freshness,
       get refreshPosition() {
-        return role()?.position ?? index / size;
+        return role().position;
       },
-      get hasRole() {
-        return role() !== undefined;
-      },
-      isNeeded: () => true,
+      hasRules: () => true,
       isStoreAvailable: () => true,
       queryStore: () => {
         const own = members.get(node)!;
@@ -55,9 +59,9 @@
         if (!own.isCutOff) freshness.confirm(1, clock.bootNow());
         return Promise.resolve(!own.isCutOff);
       },
-      // Without traffic a node of a small fleet has no peer that it could ask.
       queryPeers: () => {
-        const sources = role()?.sources ?? [];
+        const { sources } = role();
+        if (clock.now() < fleet.linksSilentUntil) return sources.length;
         for (const source of sources) {
           const confirmation = members.get(source)!.freshness.confirmation;
           if (confirmation !== undefined) freshness.confirmByPeer(confirmation, clock.bootNow());
@@ -71,7 +75,7 @@
     freshness.confirm(1, clock.bootNow());
     refresher.wake();
   }
-  return { clock, members, oldestMs: 0 };
+  return fleet;
 }
 
 async function pass(fleet: Fleet, milliseconds: number): Promise<void> {
@@ -91,16 +95,41 @@
   for (const { refresher } of members.values()) refresher.close();
 }
 
-test('in a large fleet without traffic one node asks the store for all', async () => {
-  const fleet = startFleet(LARGE);
-  await pass(fleet, 10_000);
-  stop(fleet);
-  assert.ok(countQueries(fleet) <= 12, `${countQueries(fleet)} calls in 10 s`);
-  assert.ok(fleet.oldestMs < MAX_AGE_MS, `${fleet.oldestMs} ms`);
-});
+for (const size of [1, 5, 17, LARGE, 195]) {
+  test(`in a fleet of ${size} nodes without traffic one node asks the store for all`, async () => {
+    const fleet = startFleet(size);
+    await pass(fleet, 10_000);
+    stop(fleet);
+    assert.ok(countQueries(fleet) <= 12, `${countQueries(fleet)} calls in 10 s`);
+    assert.ok(fleet.oldestMs < APPLY_MS, `${fleet.oldestMs} ms`);
+  });
+}
 
-test('a fleet of up to 24 nodes has no sources', async () => {
-  assert.equal(confirmationRole('a', Array<string>(24).fill('b'), 0), undefined);
+// Guards against rules that a node does not receive for seconds while all its connections are silent.
+for (const size of [17, 195]) {
+  test(`in a fleet of ${size} nodes rules are confirmed within 2 s while links are silent`, async () => {
+    const fleet = startFleet(size);
+    await pass(fleet, 3_000);
+    const queriesBefore = countQueries(fleet);
+    for (let fault = 0; fault < 2; fault += 1) {
+      fleet.linksSilentUntil = fleet.clock.now() + LINK_REPLACEMENT_MS;
+      await pass(fleet, 3_000);
+    }
+    stop(fleet);
+    assert.ok(fleet.oldestMs < APPLY_MS, `${fleet.oldestMs} ms`);
+    // One call of each node a fault, and one a second of the fleet.
+    const queries = countQueries(fleet) - queriesBefore;
+    assert.ok(queries <= 2 * size + 8, `${queries} calls`);
+  });
+}
+
+test('nodes of a small fleet wait for rules themselves', () => {
+  const nodes = Array.from({ length: 24 }, (_, index) => `node-${index}`);
+  for (const node of nodes) {
+    const role = confirmationRole(node, nodes, 0);
+    assert.equal(restFromWatchMs(role, 0), 0);
+    assert.equal(role.sources.length, role.isSource ? 2 : 3);
+  }
 });
 
 test('nodes wait for rules themselves unless a source has confirmed theirs within two seconds', () => {
@@ -110,13 +139,12 @@
   assert.equal(resting.length, LARGE - 3);
   for (const role of roles) assert.equal(restFromWatchMs(role, 2_000), 0);
   for (const role of roles) assert.equal(restFromWatchMs(role, Infinity), 0);
-  assert.equal(restFromWatchMs(undefined, 0), 0, 'a small fleet');
 });
 
 test('confirmations stay new when sources are cut off from the store or fail', async () => {
   const fleet = startFleet(LARGE);
   const [first, second] = [...fleet.members.keys()]
-    .map((node) => ({ node, role: confirmationRole(node, [...fleet.members.keys()], 0)! }))
+    .map((node) => ({ node, role: confirmationRole(node, [...fleet.members.keys()], 0) }))
     .filter(({ role }) => role.isSource)
     .sort((one, other) => one.role.position - other.role.position);
   await pass(fleet, 3_000);
--- a/src/sidecar/rules/confirmation-sources.ts
+++ b/src/sidecar/rules/confirmation-sources.ts
@@ -1,6 +1,7 @@
 /**
- * Nodes of a large fleet that confirm the rules for all others. With random peers the confirmations of a
- * fleet spread slowly, and a node without traffic has no peer to ask, so that each node asked the store.
+ * Nodes that confirm the rules for all others of their region, so that one call to the store serves them all. With random
+ * peers the confirmations of a fleet spread slowly, and a node without traffic has no peer to ask, so that
+ * each node asked the store.
  */
 import { isLargeFleet } from '../../core/fleet-size.js';
 import { rankNodes } from '../../core/rendezvous.js';
@@ -18,29 +19,30 @@
   /** Nodes to ask, first the one that refreshes first; this node is not among them. */
   readonly sources: readonly string[];
   readonly isSource: boolean;
+  /** Whether the sources report new rules to this node, so that it need not wait for them at the store. */
+  readonly reliesOnSources: boolean;
   /** Position of this node in the order in which nodes refresh, from 0 (first) to 1 (last). */
   readonly position: number;
 }
 
 /**
- * Role of a node; undefined in a small fleet.
+ * Role of a node.
  *
- * @param nodes nodes not known to be unreachable, this one included
+ * @param nodes nodes of the region that are not known to be unreachable, this one included
  * @param spread random number of this node that spreads the refreshes of the other nodes, from 0 to 1
  */
 export function confirmationRole(
   node: string,
   nodes: readonly string[],
   spread: number,
-): ConfirmationRole | undefined {
-  // Small fleets ask random peers.
-  if (!isLargeFleet(nodes.length)) return undefined;
+): ConfirmationRole {
   const chosen = rankNodes(RENDEZVOUS_KEY, nodes).slice(0, SOURCE_COUNT);
   const rank = chosen.indexOf(node);
   const isSource = rank >= 0;
   return {
     sources: chosen.filter((source) => source !== node),
     isSource,
+    reliesOnSources: !isSource && isLargeFleet(nodes.length),
     position: isSource
       ? rank * SOURCE_POSITION_STEP
       : FIRST_OTHER_POSITION + (1 - FIRST_OTHER_POSITION) * spread,
@@ -62,7 +64,7 @@
  *
  * @param ageMs age of the node's confirmation
  */
-export function restFromWatchMs(role: ConfirmationRole | undefined, ageMs: number): number {
-  if (role === undefined || role.isSource) return 0;
+export function restFromWatchMs(role: ConfirmationRole, ageMs: number): number {
+  if (!role.reliesOnSources) return 0;
   return Math.min(MAX_REST_MS, Math.max(0, MAX_RELIED_AGE_MS - ageMs));
 }
--- a/src/sidecar/rules/freshness-refresher.test.ts
+++ b/src/sidecar/rules/freshness-refresher.test.ts
@@ -7,9 +7,10 @@
 
 let clock: ManualClock;
 let freshness: RulesFreshness;
-let needed: boolean;
+let hasRules: boolean;
 let storeAvailable: boolean;
 let storeAnswers: boolean;
+let storeConfirms: boolean;
 let storeQueries: number;
 let peerQueries: number;
 let peersReached: number;
@@ -18,7 +19,7 @@
 
 beforeEach(() => {
   clock = new ManualClock();
-  [needed, storeAvailable, storeAnswers] = [true, true, true];
+  [hasRules, storeAvailable, storeAnswers, storeConfirms] = [true, true, true, true];
   [storeQueries, peerQueries, peersReached, peerAgeMs] = [0, 0, 0, undefined];
   const [log, maxAgeMs, rulesVersion] = [silentEventLog, () => 4_700, () => 1];
   freshness = new RulesFreshness({ clock, log, maxAgeMs, rulesVersion });
@@ -26,11 +27,11 @@
     clock,
     freshness,
     refreshPosition: 0.5,
-    isNeeded: () => needed,
+    hasRules: () => hasRules,
     isStoreAvailable: () => storeAvailable,
     queryStore: () => {
       storeQueries += 1;
-      if (storeAnswers) freshness.confirm(1, clock.bootNow());
+      if (storeAnswers && storeConfirms) freshness.confirm(1, clock.bootNow());
       return Promise.resolve(storeAnswers);
     },
     queryPeers: () => {
@@ -52,8 +53,8 @@
   }
 }
 
-test('does not refresh when the rules need no confirmation', async () => {
-  needed = false;
+test('does not refresh while there are no rules', async () => {
+  hasRules = false;
   refresher.wake();
   await pass(10_000);
   assert.equal(storeQueries, 0);
@@ -76,11 +77,18 @@
   assert.equal(storeQueries, 1);
 });
 
-test('an idle node refreshes as rarely as it can while keys remain accepted', async () => {
+test('a node without traffic refreshes as often as one with', async () => {
   refresher.wake();
-  await pass(20_000, false);
-  assert.ok(storeQueries >= 5 && storeQueries <= 7, `${storeQueries}`);
-  assert.ok(freshness.ageMs() < 4_700);
+  await pass(14_000, false);
+  assert.ok(storeQueries >= 9 && storeQueries <= 11, `${storeQueries}`);
+  assert.ok(freshness.ageMs() <= 1_500);
+});
+
+test('asks a store that answers without confirming the rules once a second', async () => {
+  storeConfirms = false;
+  refresher.wake();
+  await pass(10_000);
+  assert.ok(storeQueries >= 7 && storeQueries <= 11, `${storeQueries}`);
 });
 
 test('asks other nodes first, and the store only when they know no newer confirmation', async () => {
--- a/src/sidecar/rules/freshness-refresher.ts
+++ b/src/sidecar/rules/freshness-refresher.ts
@@ -1,8 +1,9 @@
 /**
- * Renews the confirmation of the rules before API keys are no longer accepted. Answers to calls confirm the
- * rules as well. A node asks other nodes first, and the store only when they know no newer confirmation. Each
- * node refreshes at another age, so that the store's answers to the first nodes serve all; in a large fleet
- * these are the same nodes for all (see `confirmation-sources.ts`).
+ * Renews the confirmation of the rules, which bounds the time for which a node can miss a change: a wait for
+ * changes whose connection has gone silent looks like one without changes. It also keeps API keys accepted.
+ * Answers to calls confirm the rules as well. A node asks the sources first (see `confirmation-sources.ts`),
+ * and the store only when they know no newer confirmation. Each node refreshes at another age, so that the
+ * store's answers to the first nodes serve all.
  */
 import type { CancelTimer, Clock } from '../../kernel/clock.js';
 import { pause } from '../../kernel/pause.js';
@@ -12,36 +13,28 @@
 const FIRST_REFRESH_MS = 1_000;
 /** Span of ages over which the other nodes follow, in milliseconds. */
 const REFRESH_SPREAD_MS = 800;
-/** Time in which other nodes can reply before the store is asked, in milliseconds. */
+/** Time in which other nodes of the region can reply before the store is asked, in milliseconds. */
 const PEER_REPLY_WAIT_MS = 60;
 /** Time for the connections to other nodes that could not be asked yet, in milliseconds. */
 const PEER_CONNECT_WAIT_MS = 100;
-/** Time without a check of an API key after which a node is idle, in milliseconds. */
-const IDLE_AFTER_MS = 5_000;
-/** An idle node refreshes at least this long before keys would no longer be accepted, in milliseconds. */
-const IDLE_LEAD_MS = 700;
-/** Time until the next attempt when nobody confirmed the rules, in milliseconds. */
+/** Time until the next attempt when nobody answered, in milliseconds. */
 const RETRY_MS = 300;
+/** Time until the next attempt when the store answered with rules that this node cannot use, in milliseconds. */
+const UNCONFIRMED_RETRY_MS = 1_000;
 
 export interface FreshnessRefresherOptions {
   readonly clock: Clock;
   readonly freshness: RulesFreshness;
   /** Position of this node in the order in which nodes refresh, from 0 (first) to 1 (last). */
   readonly refreshPosition: number;
-  /**
-   * Whether this node has a part in the confirmations of a large fleet. It is then never idle, since other
-   * nodes rely on its confirmations or it relies on theirs for new rules, and `queryPeers` connects to the
-   * nodes that it cannot ask yet.
-   */
-  readonly hasRole?: boolean;
-  /** Whether the rules in force need confirmations. */
-  isNeeded(): boolean;
+  /** Whether there are rules in force. */
+  hasRules(): boolean;
   /** Whether the store is available to this node. */
   isStoreAvailable(): boolean;
   /** Asks the store; resolves with whether it answered. */
   queryStore(): Promise<boolean>;
   /**
-   * Asks some other nodes; their replies arrive later.
+   * Asks some other nodes, whose replies arrive later, and connects to those that cannot be asked yet.
    *
    * @returns the number of nodes asked
    */
@@ -68,8 +61,8 @@
   }
 
   private check(): void {
-    const { freshness, isNeeded } = this.options;
-    if (this.closed || !isNeeded()) return;
+    const { freshness, hasRules } = this.options;
+    if (this.closed || !hasRules()) return;
     const delayMs = this.refreshAfterMs() - freshness.ageMs();
     if (delayMs > 0) this.checkAfter(delayMs);
     else void this.refresh();
@@ -77,29 +70,23 @@
 
   /** Age at which the confirmation is refreshed, in milliseconds. */
   private refreshAfterMs(): number {
-    const { freshness, refreshPosition, hasRole } = this.options;
-    const spreadMs = REFRESH_SPREAD_MS * refreshPosition;
-    const { maxAgeMs } = freshness;
-    const isIdle = freshness.unusedMs > IDLE_AFTER_MS && Number.isFinite(maxAgeMs);
-    const inUseMs = FIRST_REFRESH_MS + spreadMs;
-    return isIdle && hasRole !== true
-      ? Math.max(inUseMs, maxAgeMs - IDLE_LEAD_MS - spreadMs)
-      : inUseMs;
+    return FIRST_REFRESH_MS + REFRESH_SPREAD_MS * this.options.refreshPosition;
   }
 
   private async refresh(): Promise<void> {
     const { queryPeers, queryStore, clock, freshness, isStoreAvailable } = this.options;
     this.refreshing = true;
     let asked = queryPeers();
-    if (asked === 0 && this.options.hasRole === true) {
+    if (asked === 0) {
       await pause(clock, PEER_CONNECT_WAIT_MS);
       asked = queryPeers();
     }
     if (asked > 0) await pause(clock, PEER_REPLY_WAIT_MS);
     const isFresh = (): boolean => freshness.ageMs() < this.refreshAfterMs();
-    if (!isFresh() && isStoreAvailable() && !this.closed) await queryStore();
+    const hasAnswered = !isFresh() && isStoreAvailable() && !this.closed && (await queryStore());
     this.refreshing = false;
-    this.checkAfter(isFresh() ? this.refreshAfterMs() - freshness.ageMs() : RETRY_MS);
+    const retryMs = hasAnswered ? UNCONFIRMED_RETRY_MS : RETRY_MS;
+    this.checkAfter(isFresh() ? this.refreshAfterMs() - freshness.ageMs() : retryMs);
   }
 
   private checkAfter(delayMs: number): void {
--- a/src/sidecar/rules/rules-freshness.ts
+++ b/src/sidecar/rules/rules-freshness.ts
@@ -1,5 +1,6 @@
 /**
- * Tracks how recently the rules in force were confirmed to be the newest. A revoked API key must not be
+ * Tracks how recently the rules in force were confirmed to be the newest. A node whose confirmation is old may
+ * have missed a change, and asks for one (see `freshness-refresher.ts`). A revoked API key must not be
  * accepted for longer than a set time, even at a node that does not receive the change: so keys are accepted
  * only if the rules were confirmed within that time.
  *
@@ -35,8 +36,6 @@
 export class RulesFreshness {
   private newest: Confirmed | undefined;
   private outdated = false;
-  /** Boot time at which an API key was last checked. */
-  private lastUsedAt = -Infinity;
 
   constructor(private readonly options: RulesFreshnessOptions) {}
 
@@ -72,21 +71,10 @@
 
   /** Milliseconds for which API keys are accepted without another confirmation; 0 or less: they are refused. */
   remainingMs(): number {
-    this.lastUsedAt = this.options.clock.bootNow();
     this.update();
     return this.options.maxAgeMs() - this.ageMs();
   }
 
-  /** Longest age of the confirmation at which API keys are accepted, in milliseconds. */
-  get maxAgeMs(): number {
-    return this.options.maxAgeMs();
-  }
-
-  /** Milliseconds since an API key was last checked. */
-  get unusedMs(): number {
-    return this.options.clock.bootNow() - this.lastUsedAt;
-  }
-
   /** Discards the confirmation: the store was restored from an older copy. */
   reset(): void {
     this.newest = undefined;
