Open new connections to a target from which nothing is received while requests wait

Callers: after a silence on a node's kept connections to its target each of these connections takes one request and holds it, and its slot, until its deadline (5 s); nothing else reaches the target until all are used up. Change: while a request waits and nothing has been received from the target for 300 ms, idle connections are closed, so that the next request opens its own. Requests under way are left alone: a target that is only slow costs a new connection, no request (connection-silence.ts).

--- a/src/sidecar/target/target-client.ts
+++ b/src/sidecar/target/target-client.ts
@@ -10,6 +10,7 @@
 import { splitAddress } from '../../core/host-and-port.js';
 import type { CancelTimer, Clock } from '../../kernel/clock.js';
 import type { RawFields } from '../link/link-messages.js';
+import { ConnectionSilence } from './connection-silence.js';
 
 /** Idle connections are closed after this time, well before targets usually close them. */
 const IDLE_SOCKET_TIMEOUT_MS = 4_000;
@@ -61,6 +62,7 @@
   private readonly agent: Agent;
   private readonly host: string;
   private readonly port: number;
+  private readonly silence = new ConnectionSilence();
 
   constructor(private readonly options: TargetClientOptions) {
     const { host, port } = splitAddress(options.address);
@@ -81,9 +83,12 @@
    * @returns aborts the exchange; `onEnd` is not called then
    */
   send(request: TargetRequest, onEnd: (end: ExchangeEnd) => void): () => void {
-    const { agent, host, port } = this;
+    const { agent, host, port, silence } = this;
     const { identityField, clock } = this.options;
-    const exchange = new Exchange(request, { agent, host, port, identityField, clock }, onEnd);
+    // Each idle connection that has gone silent would cost a request.
+    if (silence.isSuspected(clock.now())) this.closeIdle();
+    const options = { agent, host, port, identityField, clock, silence };
+    const exchange = new Exchange(request, options, onEnd);
     exchange.start();
     return () => {
       exchange.abort();
@@ -138,9 +143,12 @@
    * agent's own `destroy` would abort those exchanges too.
    */
   close(): void {
-    const { agent } = this;
-    agent.maxFreeSockets = 0;
-    for (const sockets of Object.values(agent.freeSockets)) {
+    this.agent.maxFreeSockets = 0;
+    this.closeIdle();
+  }
+
+  private closeIdle(): void {
+    for (const sockets of Object.values(this.agent.freeSockets)) {
       for (const socket of [...(sockets ?? [])]) socket.destroy();
     }
   }
@@ -152,6 +160,7 @@
   readonly port: number;
   readonly identityField: string;
   readonly clock: Clock;
+  readonly silence: ConnectionSilence;
 }
 
 /** One request and its answer. */
@@ -223,17 +232,22 @@
   private write(): void {
     if (this.ended) return;
     this.sent = true;
+    const { silence, clock } = this.options;
+    silence.noteSent(this, clock.now());
     const { body } = this.message;
     if (body.length > 0) this.request?.end(body);
     else this.request?.end();
   }
 
   private onResponse(response: IncomingMessage): void {
+    const { silence, clock } = this.options;
+    silence.noteReceived(clock.now());
     if (response.headers[this.options.identityField] !== this.message.attemptId) {
       this.fail('broken', 'the answer belongs to another request');
       return;
     }
     response.on('data', (chunk: Buffer) => {
+      silence.noteReceived(clock.now());
       this.receivedBytes += chunk.length;
       if (this.receivedBytes > MAX_ANSWER_BYTES) this.fail('broken', 'the answer is too long');
       else this.chunks.push(chunk);
@@ -272,6 +286,7 @@
 
   private finish(): void {
     this.ended = true;
+    this.options.silence.noteEnded(this);
     this.cancelTimer();
     this.cancelConnectTimer();
   }
--- a/test/sidecar-silent-connections.test.ts
+++ b/test/sidecar-silent-connections.test.ts
@@ -22,7 +22,8 @@
   changeRules();
   for (let count = 0; count < NODES; count += 1) {
     const service = count % 2 === 0 ? 'a' : 'b';
-    await mesh.add({ service, zone: `z${count % 3}`, slots: 20, workMs: 5 });
+    const workOf = ({ path }: { readonly path: string }): number => (path === '/a/slow' ? 100 : 5);
+    await mesh.add({ service, zone: `z${count % 3}`, slots: 20, workMs: 5, workOf });
   }
   await mesh.sendHeartbeats();
   for (const machine of mesh.machines) {
@@ -46,8 +47,8 @@
   return `${added}x`;
 }
 
-async function isServed(machine: Machine, path: string): Promise<boolean> {
-  const { status } = await mesh.send(machine, { path, deadlineMs: 1_000 });
+async function isServed(machine: Machine, path: string, deadlineMs = 1_000): Promise<boolean> {
+  const { status } = await mesh.send(machine, { path, deadlineMs });
   return status === OK;
 }
 
@@ -107,6 +108,29 @@
   assert.deepEqual(failed, []);
 });
 
+test('requests are served soon after all kept connections to targets have gone silent', async () => {
+  const send = (path: string): Promise<boolean> => isServed(mesh.machines[0]!, path, 5_000);
+  // Opens many connections to each target.
+  await Promise.all(Array.from({ length: 60 }, () => send('/a/slow')));
+  for (const { relays } of mesh.machines) relays!.target.silenceOpenConnections();
+  const silentAt = performance.now();
+  const failed: string[] = [];
+  const requests: Promise<void>[] = [];
+  while (performance.now() < silentAt + 2 * FIND_TARGET_MS) {
+    const begunAt = performance.now();
+    const request = send('/a/x').then((served) => {
+      const tookMs = performance.now() - begunAt;
+      if (served && tookMs < FIND_TARGET_MS) return;
+      const begunMs = begunAt - silentAt;
+      if (begunMs > FIND_TARGET_MS) failed.push(`begun at ${begunMs} ms, took ${tookMs} ms`);
+    });
+    requests.push(request);
+    await delay(25);
+  }
+  await Promise.all(requests);
+  assert.deepEqual(failed, []);
+});
+
 function isOk({ status }: { readonly status: number }): boolean {
   return status === OK;
 }
--- a/test/stand-ins/mesh.ts
+++ b/test/stand-ins/mesh.ts
@@ -31,6 +31,16 @@
 const WAIT_STEP_MS = 10;
 const WAIT_LIMIT_MS = 30_000;
 
+/** Relays around one node. */
+export interface MachineRelays {
+  /** From other nodes to the node. */
+  readonly peers: Link;
+  /** From the node to its target. */
+  readonly target: Link;
+  /** From the node to the store. */
+  readonly store: Link;
+}
+
 /** One machine: a target and its sidecar node. */
 export interface Machine {
   readonly id: string;
@@ -40,8 +50,8 @@
   readonly registration: string;
   readonly metrics: string;
   readonly linkPort: number;
-  /** Relays to the node, to its target and to the store; none unless the deployment is relayed. */
-  readonly relays: readonly Link[];
+  /** Relays to the node, to its target and to the store; undefined unless the deployment is relayed. */
+  readonly relays: MachineRelays | undefined;
   kernel: Kernel;
   /** Starts the node again with the same settings. */
   restart(): Promise<void>;
@@ -90,8 +100,7 @@
     const [entry, readiness, registration, link, metrics] = await findFreePorts(PORTS_PER_NODE);
     const id = `node-${this.machines.length + 1}`;
     const relays = await this.startRelays(`127.0.0.1:${link}`, target.address);
-    const [toNode, toTarget, toStore] = relays;
-    target.reportedAddress = toTarget?.address;
+    target.reportedAddress = relays?.target.address;
     const settings = validateSidecarSettings({
       node: { id, zone: options.zone, region: 'r' },
       listen: {
@@ -101,10 +110,10 @@
         metrics: `127.0.0.1:${metrics}`,
         host: '127.0.0.1',
         ports: [link, link],
-        ...(toNode && { advertised: toNode.address }),
+        ...(relays && { advertised: relays.peers.address }),
       },
-      target: { service: options.service, address: toTarget?.address ?? target.address },
-      store: { address: toStore?.address ?? this.storeAddress },
+      target: { service: options.service, address: relays?.target.address ?? target.address },
+      store: { address: relays?.store.address ?? this.storeAddress },
       limits: { memoryMb: 350 },
       bounds: {
         ...{ gracePeriod: '6s', retryRatio: 0.2, retryWindow: '10s', retrySlack: 60 },
@@ -135,7 +144,7 @@
   /** Makes open connections between nodes, to targets and to the store silent; new ones work. */
   silenceOpenConnections(share = 1): void {
     for (const { relays } of this.machines) {
-      for (const relay of relays) relay.silenceOpenConnections(share);
+      for (const relay of listRelays(relays)) relay.silenceOpenConnections(share);
     }
   }
 
@@ -180,20 +189,27 @@
     await Promise.all(this.machines.map(({ kernel }) => kernel.stop()));
     for (const { target, relays } of this.machines) {
       target.close();
-      await Promise.all(relays.map((relay) => relay.stop()));
+      await Promise.all(listRelays(relays).map((relay) => relay.stop()));
     }
     this.store.close();
   }
 
-  private async startRelays(node: string, target: string): Promise<readonly Link[]> {
-    if (this.options.relayed !== true) return [];
-    const destinations = [node, target, this.storeAddress];
-    return await Promise.all(
-      destinations.map((destination) => startLink('127.0.0.1:0', destination)),
-    );
+  private async startRelays(node: string, target: string): Promise<MachineRelays | undefined> {
+    if (this.options.relayed !== true) return undefined;
+    const startRelay = (destination: string): Promise<Link> =>
+      startLink('127.0.0.1:0', destination);
+    return {
+      peers: await startRelay(node),
+      target: await startRelay(target),
+      store: await startRelay(this.storeAddress),
+    };
   }
 }
 
+function listRelays(relays: MachineRelays | undefined): readonly Link[] {
+  return relays === undefined ? [] : [relays.peers, relays.target, relays.store];
+}
+
 /** Sends one request on its own connection. */
 export function sendRequest(address: string, options: CallerRequest): Promise<CallerAnswer> {
   const {
