Verify all open connections when several have gone silent together

Callers: a target that joins gets no request from nodes whose wait for records is silent: up to 13.5 s in a small fleet, 29.8 s in a large one. Idle links are found silent one by one, each by a request. Evidence: 'a target that joins after open connections have gone silent gets requests in time' takes 6.3 s without the replaced waits, bound 4 s. Change: when two nodes become unresponsive within a second, the fault is more likely on this node's side than at each of them: all links are pinged, and the store's connections are replaced, waits included (event 605). One node that fails changes nothing.

--- a/src/kernel/event.ts
+++ b/src/kernel/event.ts
@@ -67,6 +67,7 @@
   PeerRejected = 602,
   FrameRejected = 603,
   PeerTargetChanged = 604,
+  PeersSilent = 605,
   OperatorRequest = 700,
   OperatorRejected = 701,
 }
@@ -142,6 +143,7 @@
   [Event.PeerRejected]: ['warn', 'peer rejected'],
   [Event.FrameRejected]: ['warn', 'frame rejected'],
   [Event.PeerTargetChanged]: ['info', 'target of a peer changed'],
+  [Event.PeersSilent]: ['warn', 'several peers silent: open connections verified or replaced'],
   [Event.OperatorRequest]: ['info', 'operator request'],
   [Event.OperatorRejected]: ['warn', 'operator request rejected'],
 };
--- a/src/sidecar/directory/node-directory.test.ts
+++ b/src/sidecar/directory/node-directory.test.ts
@@ -61,6 +61,7 @@
     onRulesDocument: () => {},
     onRulesConfirmation: () => {},
     isStoreAvailable: () => storeAvailable,
+    onPeerUnresponsive: () => {},
     onOwnRecordLost: () => {
       ownRecordLosses += 1;
     },
--- a/src/sidecar/directory/node-directory.ts
+++ b/src/sidecar/directory/node-directory.ts
@@ -58,6 +58,8 @@
   onRulesConfirmation(confirmation: RulesConfirmation, requestedAt: number): void;
   /** Whether this node receives changes from the store now. */
   isStoreAvailable(): boolean;
+  /** Called when an open connection to a peer has become unresponsive. */
+  onPeerUnresponsive(node: string): void;
   /** Called when the store holds no valid record of this node. */
   onOwnRecordLost(): void;
   /** Called when a peer reports that this incarnation of the local target has left. */
@@ -305,6 +307,11 @@
     return reachable.length;
   }
 
+  /** Checks that all connected nodes respond. */
+  verifyLinks(): void {
+    for (const { link } of this.peers.values()) link.verify();
+  }
+
   /** Sends a quarantine update to all connected nodes. */
   sendUpdate(update: QuarantineUpdate): void {
     for (const { link } of this.peers.values()) link.sendUpdate(update);
@@ -392,6 +399,9 @@
         onReachableChanged: (reachable, detail) => {
           this.onReachable(node, reachable, detail);
         },
+        onUnresponsive: () => {
+          this.options.onPeerUnresponsive(node);
+        },
         onRules: (document) => {
           this.options.onRulesDocument(document);
         },
--- a/src/sidecar/link/peer-link.test.ts
+++ b/src/sidecar/link/peer-link.test.ts
@@ -63,6 +63,7 @@
       onReachableChanged: (now) => {
         reachable = now;
       },
+      onUnresponsive: () => {},
       onRules: () => {},
       onRequestLimit: (requestLimit) => requestLimits.push(requestLimit),
       onRejectedMembers: (members) => rejected.push(members),
--- a/src/sidecar/link/peer-link.ts
+++ b/src/sidecar/link/peer-link.ts
@@ -54,6 +54,8 @@
   onStatus(status: NodeStatus): void;
   /** Called when the link opens or closes, and when the other node stops or resumes responding. */
   onReachableChanged(reachable: boolean, detail: string): void;
+  /** Called when the connection is open and the other node does not respond. */
+  onUnresponsive(): void;
   onRules(document: Uint8Array): void;
   /** Called when the other node reports that the local target has left in this incarnation. */
   onLocalTargetLeft(incarnation: string): void;
@@ -531,6 +533,7 @@
       );
     }
     this.connect();
+    this.options.listener.onUnresponsive();
   }
 
   private onResponsiveAgain(): void {
--- a/src/sidecar/plugins/directory-plugin.ts
+++ b/src/sidecar/plugins/directory-plugin.ts
@@ -1,11 +1,13 @@
 /** Plug-in for the directory of nodes. */
 import { createRandom } from '../../core/random.js';
+import { Event } from '../../kernel/event.js';
 import { registerPlugin } from '../../kernel/plugin.js';
 import { Token } from '../../kernel/token.js';
 import { NodeDirectory } from '../directory/node-directory.js';
 import { NODE_RECORD_PREFIX } from '../directory/node-record.js';
 import { recordBatchPauseMs, waitForChangesMs } from '../directory/watch-timing.js';
 import { PrefixWatch } from '../directory/prefix-watch.js';
+import { WidespreadSilence } from '../link/widespread-silence.js';
 import { seedOf } from '../seed.js';
 import { SidecarOrder, SidecarToken } from './tokens.js';
 
@@ -19,6 +21,11 @@
     bind: (container) => {
       container.bind(SidecarToken.Directory).toDynamicValue(({ get }) => {
         const { node, target } = get(SidecarToken.Settings);
+        const silence = new WidespreadSilence(get(Token.Clock), (silentNodes) => {
+          get(Token.EventLog).emit(Event.PeersSilent, { silentNodes });
+          get(SidecarToken.Directory).verifyLinks();
+          get(SidecarToken.Store).replaceConnections();
+        });
         return new NodeDirectory({
           node: node.id,
           zone: node.zone,
@@ -43,6 +50,9 @@
           onRulesConfirmation: (confirmation, requestedAt) => {
             get(SidecarToken.RulesFreshness).confirmByPeer(confirmation, requestedAt);
           },
+          onPeerUnresponsive: (peer) => {
+            silence.noteUnresponsive(peer);
+          },
           isStoreAvailable: () => get(SidecarToken.DirectoryWatch).isAvailable,
           onOwnRecordLost: () => {
             get(SidecarToken.Publisher).writeAgain();
--- a/test/sidecar-silent-connections.test.ts
+++ b/test/sidecar-silent-connections.test.ts
@@ -11,6 +11,8 @@
 const SETTLING_MS = 3_000;
 /** Requests that begin later after the fault than this have to find a target, in milliseconds. */
 const FIND_TARGET_MS = 1_500;
+/** A target that joins has to get requests this long after its registration, in milliseconds. */
+const JOIN_MS = 4_000;
 const OK = 200;
 
 let mesh: Mesh;
@@ -42,6 +44,7 @@
   mesh.putRules(version, [
     { path: '/a/', service: 'a' },
     { path: '/b/', service: 'b' },
+    { path: '/joining/', service: 'c' },
     { path: added, service: 'a' },
   ]);
   return `${added}x`;
@@ -93,18 +96,20 @@
   mesh.silenceOpenConnections();
   const silentAt = performance.now();
   const failed: string[] = [];
+  const requests: Promise<void>[] = [];
   while (performance.now() < silentAt + 2 * FIND_TARGET_MS) {
     const begunMs = performance.now() - silentAt;
     for (const machine of mesh.machines) {
       for (const path of ['/a/x', '/b/x']) {
-        void isServed(machine, path).then((served) => {
+        const request = isServed(machine, path).then((served) => {
           if (!served && begunMs > FIND_TARGET_MS) failed.push(`${machine.id} ${begunMs} ms`);
         });
+        requests.push(request);
       }
     }
     await delay(100);
   }
-  await delay(1_000);
+  await Promise.all(requests);
   assert.deepEqual(failed, []);
 });
 
@@ -131,6 +136,28 @@
   assert.deepEqual(failed, []);
 });
 
+test('a target that joins after open connections have gone silent gets requests in time', async () => {
+  // Calls show a node that its links are silent.
+  const callAll = (): Promise<unknown> =>
+    Promise.all(mesh.machines.map((machine) => isServed(machine, '/a/x')));
+  await callAll();
+  mesh.silenceOpenConnections();
+  const calls: Promise<unknown>[] = [];
+  for (let count = 0; count < 10; count += 1) {
+    calls.push(callAll());
+    await delay(100);
+  }
+  const joining = await mesh.add({ service: 'c', zone: 'z0', slots: 20, workMs: 5 });
+  assert.equal(await joining.target.sendHeartbeat(joining.registration), OK);
+  const joinedAt = performance.now();
+  for (const machine of mesh.machines) {
+    await mesh.sendUntil(machine, { path: '/joining/x' }, isOk);
+    const tookMs = performance.now() - joinedAt;
+    assert.ok(tookMs < JOIN_MS, `${machine.id}: ${tookMs} ms`);
+  }
+  await Promise.all(calls);
+});
+
 function isOk({ status }: { readonly status: number }): boolean {
   return status === OK;
 }
