--- a/test/soak/checks.test.ts
+++ b/test/soak/checks.test.ts
@@ -142,6 +142,19 @@
       ],
     },
   ],
+  [
+    'a change of the rules is in force in time',
+    'an old service, more than three seconds after connections went silent',
+    {
+      requests: [MOVED_REQUEST],
+      runs: [MOVED],
+      rules: [
+        { at: 0, movedTo: 'ledger' },
+        { at: 7_000, movedTo: 'archive' },
+      ],
+      disruptions: [{ ...KILL, kind: 'connections', from: 6_900, to: 6_900 }],
+    },
+  ],
   [
     'targets get no more time than the deadline leaves',
     'more time',
@@ -258,6 +271,18 @@
       ],
     },
   ],
+  [
+    'the old service within three seconds of a silence of connections',
+    {
+      requests: [MOVED_REQUEST],
+      runs: [MOVED],
+      rules: [
+        { at: 0, movedTo: 'ledger' },
+        { at: 7_000, movedTo: 'archive' },
+      ],
+      disruptions: [{ ...KILL, kind: 'connections', from: 7_100, to: 7_100 }],
+    },
+  ],
   [
     'more time from a node that has just started',
     {
--- a/test/soak/checks.ts
+++ b/test/soak/checks.ts
@@ -127,7 +127,7 @@
 }
 
 /** Faults that may close a caller's connection, or end a node, from outside. */
-const UNPLANNED = ['kill', 'pause', 'callers'] as const;
+const UNPLANNED = ['kill', 'pause', 'callers', 'connections'] as const;
 /** Faults that delay what a node sends to its target. */
 const DELAYING = ['pause', 'target'] as const;
 
@@ -272,6 +272,9 @@
     .length;
 }
 
+/** Faults that last; the time for a change begins again when they have settled. */
+const LASTING = ['stop', 'kill', 'pause', 'callers', 'target', 'store'] as const;
+
 function checkRules(ledger: Ledger, { applyMs, settlingMs }: Bounds): Violation[] {
   const byAttempt = new Map(ledger.requests.map((request) => [request.attemptId, request]));
   return ledger.runs
@@ -279,7 +282,9 @@
       const request = byAttempt.get(attemptId);
       if (!path.startsWith(MOVING_PATH) || request === undefined) return false;
       const { machine, sentAt, endedAt } = request;
-      if (wasDisrupted(ledger, machine, sentAt - applyMs, endedAt, settlingMs)) return false;
+      if (wasDisrupted(ledger, machine, sentAt - applyMs, endedAt, settlingMs, LASTING))
+        return false;
+      if (wasDisrupted(ledger, machine, sentAt, endedAt, settlingMs)) return false;
       return !findAllowedServices(ledger, sentAt, endedAt, applyMs).has(service);
     })
     .map(({ attemptId, service }) => createViolation(`${attemptId} ran at ${service}`));
--- a/test/soak/ledger.ts
+++ b/test/soak/ledger.ts
@@ -49,7 +49,7 @@
 /** A span in which a machine was disrupted. */
 export interface Disruption {
   readonly machine: string;
-  readonly kind: 'stop' | 'kill' | 'pause' | 'callers' | 'target' | 'store';
+  readonly kind: 'stop' | 'kill' | 'pause' | 'callers' | 'target' | 'store' | 'connections';
   readonly from: number;
   /** Infinity while it lasts. */
   to: number;
--- a/test/soak/schedule.ts
+++ b/test/soak/schedule.ts
@@ -28,9 +28,24 @@
 /** Kinds of statements of targets in their answers, in runs with statements only. */
 export const STATEMENT_KINDS = ['target-states-limit', 'target-states-leaving'] as const;
 
-/** Kind of an action, a drill or a statement. */
+/** Kinds of silences of open connections, in runs with silences only. */
+export const SILENCE_KINDS = ['machine-connections-silent', 'all-connections-silent'] as const;
+
+/** Kind of an action, a drill, a statement or a silence. */
 export type ActionKind =
-  (typeof ACTION_KINDS)[number] | (typeof DRILL_KINDS)[number] | (typeof STATEMENT_KINDS)[number];
+  | (typeof ACTION_KINDS)[number]
+  | (typeof DRILL_KINDS)[number]
+  | (typeof STATEMENT_KINDS)[number]
+  | (typeof SILENCE_KINDS)[number];
+
+/** What a schedule includes beside the kinds of all runs. */
+export interface ScheduleExtras {
+  readonly drills?: boolean;
+  /** Statements of targets. */
+  readonly statements?: boolean;
+  /** Silences of open connections. */
+  readonly silences?: boolean;
+}
 
 /** One action; times in milliseconds. */
 export interface Action {
@@ -58,6 +73,11 @@
   { length: 6 },
   () => STATEMENT_KINDS,
 ).flat();
+/** Silences are a quarter of all actions. */
+const WEIGHTED_SILENCE_KINDS: readonly ActionKind[] = Array.from(
+  { length: 4 },
+  () => SILENCE_KINDS,
+).flat();
 const MAX_FAULT_MS = 2_500;
 const MAX_TIMES = 4;
 const MAX_GAP_MS = 700;
@@ -69,20 +89,18 @@
  *
  * @param machines number of machines
  * @param lengthMs time in which actions begin
- * @param drills whether to include drills
- * @param statements whether to include statements of targets
  */
 export function createSchedule(
   seed: number,
   machines: number,
   lengthMs: number,
-  drills = false,
-  statements = false,
+  { drills = false, statements = false, silences = false }: ScheduleExtras = {},
 ): Action[] {
   const kinds = [
     ...WEIGHTED_ACTION_KINDS,
     ...(drills ? WEIGHTED_DRILL_KINDS : []),
     ...(statements ? WEIGHTED_STATEMENT_KINDS : []),
+    ...(silences ? WEIGHTED_SILENCE_KINDS : []),
   ];
   const random = createRandom(hash32(`soak ${seed}`));
   const actions: Action[] = [];
--- a/test/soak/soak-faults.ts
+++ b/test/soak/soak-faults.ts
@@ -87,13 +87,8 @@
     this.isOver = true;
   }
 
-  private async performAction({
-    kind,
-    machine: index,
-    forMs,
-    times,
-    gapMs,
-  }: Action): Promise<void> {
+  private async performAction(action: Action): Promise<void> {
+    const { kind, machine: index, forMs, times, gapMs } = action;
     const machine = this.mesh.machines[index]!;
     const { links } = machine;
     const { faults } = this.mesh.store;
@@ -146,6 +141,10 @@
         );
       case 'store-older':
         return await this.restoreOlderStore(forMs, gapMs);
+      case 'machine-connections-silent':
+        return await this.silenceConnections([machine], action);
+      case 'all-connections-silent':
+        return await this.silenceConnections(this.mesh.machines, action);
       case 'callers-cut':
         return await this.disruptLink(machine, 'callers', links!.callers, { cut: true }, forMs);
       case 'callers-delayed':
@@ -171,6 +170,24 @@
     }
   }
 
+  /** Makes open connections of machines silent for good, in a series that overlaps with other actions. */
+  private async silenceConnections(
+    machines: readonly ProcessMachine[],
+    { times, gapMs }: Action,
+  ): Promise<void> {
+    await repeat(times, gapMs, () => {
+      for (const machine of machines) {
+        const { peers, target, store } = machine.links!;
+        const share = times % 2 === 0 ? 0.5 : 1;
+        for (const link of [peers, target, store]) link.silenceOpenConnections(share);
+      }
+      // A link has a machine at each end.
+      for (const machine of this.mesh.machines) {
+        this.recordDisruption(machine, 'connections').to = performance.now();
+      }
+    });
+  }
+
   /** Sends a series of stop signals and restarts the node; kills it when the grace period is over. */
   private async stopNode(
     machine: ProcessMachine,
--- a/test/soak/soak-main.ts
+++ b/test/soak/soak-main.ts
@@ -5,21 +5,27 @@
  *   node dist/test/soak/soak-main.js [first seed] [seeds] [concurrent runs] [machines]
  *   node dist/test/soak/soak-main.js drills [first seed] ...    the same with drills
  *   node dist/test/soak/soak-main.js statements [first seed] ...  the same with statements of targets
+ *   node dist/test/soak/soak-main.js silences [first seed] ...  the same with silences of open connections
  *   node dist/test/soak/soak-main.js failed                     the seeds in failed-seeds.ts
  */
 import { mkdirSync, writeFileSync } from 'node:fs';
 import { join } from 'node:path';
 import { FAILED_SEEDS, LONG_RUN } from './failed-seeds.js';
+import type { ScheduleExtras } from './schedule.js';
 import { runSoak, type SoakResult } from './soak-run.js';
 
 const FAILURES_DIRECTORY = 'soak-failures';
 
 const runsFailedSeeds = process.argv[2] === 'failed';
-const drills = process.argv[2] === 'drills';
-const statements = process.argv[2] === 'statements';
+const EXTRAS: Readonly<Record<string, ScheduleExtras>> = {
+  drills: { drills: true },
+  statements: { statements: true },
+  silences: { silences: true },
+};
+const extras = EXTRAS[process.argv[2] ?? ''];
 const [first = 1, count = 1, concurrency = 1, machines = LONG_RUN.machines] = runsFailedSeeds
   ? []
-  : process.argv.slice(drills || statements ? 3 : 2).map(Number);
+  : process.argv.slice(extras === undefined ? 2 : 3).map(Number);
 const seeds = runsFailedSeeds
   ? FAILED_SEEDS.map(({ seed }) => seed)
   : Array.from({ length: count }, (_, index) => first + index);
@@ -28,7 +34,7 @@
 
 async function runSeeds(): Promise<void> {
   for (let seed = pendingSeeds.shift(); seed !== undefined; seed = pendingSeeds.shift()) {
-    report(seed, await runSoak({ ...LONG_RUN, machines, seed, drills, statements }));
+    report(seed, await runSoak({ ...LONG_RUN, ...extras, machines, seed }));
   }
 }
 
--- a/test/soak/soak-run.ts
+++ b/test/soak/soak-run.ts
@@ -8,22 +8,18 @@
 import { ProcessMesh, type ProcessMachine } from '../support/process-mesh.js';
 import { checkLedger, type Bounds, type Violation } from './checks.js';
 import { createLedger, type Ledger, type ObservedRun } from './ledger.js';
-import { createSchedule, type Action } from './schedule.js';
+import { createSchedule, type Action, type ScheduleExtras } from './schedule.js';
 import { SoakCaller } from './soak-callers.js';
 import { SoakFaults } from './soak-faults.js';
 
 /** Options of a run. */
-export interface SoakOptions {
+export interface SoakOptions extends ScheduleExtras {
   readonly seed: number;
   /** Number of machines; three services are assigned to them in turn. */
   readonly machines: number;
   readonly callersPerMachine: number;
   /** Time in which actions begin, in milliseconds. */
   readonly lengthMs: number;
-  /** Whether the schedule includes drills; absent: false. */
-  readonly drills?: boolean;
-  /** Whether targets state request limits, and that they leave, in their answers; absent: false. */
-  readonly statements?: boolean;
 }
 
 /** Result of a run. */
@@ -77,8 +73,7 @@
 
   async execute(): Promise<SoakResult> {
     const { seed, machines, lengthMs, callersPerMachine } = this.options;
-    const { drills = false, statements = false } = this.options;
-    if (drills) this.mesh.store.era = 1;
+    if (this.options.drills === true) this.mesh.store.era = 1;
     await this.mesh.start();
     this.faults.changeRules();
     for (let index = 0; index < machines; index += 1) await this.addMachine(index);
@@ -90,7 +85,7 @@
       }),
     );
     const running = callers.map((caller) => caller.run());
-    const actions = createSchedule(seed, machines, lengthMs, drills, statements);
+    const actions = createSchedule(seed, machines, lengthMs, this.options);
     await this.faults.perform(actions);
     await this.recover();
     for (const caller of callers) caller.stop();
