List again when a check finds the store's history gone during a silent wait; split the link and the directory

Cause: a check for changes on a new connection can find the history compacted, or another era of the store, while the wait in progress is on a silent connection and will not be told. The check only failed, so that the node listed again when the wait was over (10 s and more). Change: such a check ends the wait, and everything is listed again. A question whose connection was replaced is forgotten, and the delay of reconnects starts anew when a node responds again.

--- a/src/sidecar/directory/node-directory.ts
+++ b/src/sidecar/directory/node-directory.ts
@@ -4,12 +4,8 @@
  */
 import { rankNodes } from '../../core/rendezvous.js';
 import type { TargetView } from '../../core/overload.js';
-import {
-  chooseSubset,
-  subsetRank,
-  type SubsetCandidate,
-} from '../../core/routing/target-subset.js';
-import type { CancelTimer, Clock } from '../../kernel/clock.js';
+import { chooseSubset, subsetRank } from '../../core/routing/target-subset.js';
+import type { Clock } from '../../kernel/clock.js';
 import { pause } from '../../kernel/pause.js';
 import { Event, type EventLog } from '../../kernel/event.js';
 import type { StoreEvent, StoreItem } from '../../store/metadata-store.js';
@@ -20,6 +16,7 @@
 import type { RulesConfirmation } from '../rules/rules-freshness.js';
 import { incarnationText } from './target-registration.js';
 import { PeerLink } from '../link/peer-link.js';
+import { toCandidate, viewOf, withIncarnation, type Peer, type PeerCandidate } from './peer.js';
 import type { QuarantineExchange, QuarantineUpdate } from '../quarantine/quarantine-update.js';
 import { recordBatchPauseMs } from './watch-timing.js';
 import { RelayedLimits } from './relayed-limits.js';
@@ -88,18 +85,6 @@
 /** Factor by which a subset is widened when its targets have more than one attempt of this node each. */
 const SUBSET_WIDENING_FACTOR = 2;
 
-interface Peer {
-  record: NodeRecord;
-  /** Rank in this node's order of targets; see {@link subsetRank}. */
-  rank: number;
-  readonly link: PeerLink;
-  /** Last status that the node sent over the link. */
-  lastStatus: NodeStatus | undefined;
-  /** The store no longer holds the record; the node is kept for a limited time. */
-  isRecordExpired: boolean;
-  cancelRemoval: CancelTimer;
-}
-
 /** Tracks the nodes of the system and owns the links to them. */
 export class NodeDirectory {
   private readonly peers = new Map<string, Peer>();
@@ -502,37 +487,7 @@
   isWhole: boolean;
 }
 
-interface PeerCandidate extends SubsetCandidate {
-  readonly peer: Peer;
-}
-
-function toCandidate(id: string, peer: Peer): PeerCandidate {
-  const { record, rank, link, lastStatus } = peer;
-  const usable = !link.isKnownUnreachable && (lastStatus?.target ?? record.target) === 'ready';
-  return { id, zone: record.zone, rank, usable, peer };
-}
-
 /** Incarnation of the target that a record names. */
 function incarnationIn({ targetId: id, targetStartedAt: startedAt }: NodeRecord): string {
   return incarnationText(startedAt === undefined ? { id } : { id, startedAt });
 }
-
-function viewOf(id: string, peer: Peer): TargetView {
-  const { record, lastStatus } = peer;
-  const { zone, region } = record;
-  return {
-    id,
-    zone,
-    region,
-    eligible: isEligible(peer),
-    ...withIncarnation(lastStatus?.incarnation),
-  };
-}
-
-function withIncarnation(incarnation: string | undefined): { readonly incarnation?: string } {
-  return incarnation === undefined ? {} : { incarnation };
-}
-
-function isEligible({ record, link, lastStatus }: Peer): boolean {
-  return link.isReachableOrConnecting && (lastStatus?.target ?? record.target) === 'ready';
-}
--- a/src/sidecar/directory/prefix-watch.test.ts
+++ b/src/sidecar/directory/prefix-watch.test.ts
@@ -146,32 +146,45 @@
   assert.deepEqual(calls, ['list', 'after 10', 'list', 'list', 'after 20']);
 });
 
-test('replaces the connections when a wait does not deliver a change that a check has found', async () => {
-  const ends: (() => void)[] = [];
-  let replaced = 0;
+/** A watch of which every wait is silent until the connections are replaced. */
+function startSilentWatch(poll: () => WatchOutcome): {
+  readonly watch: PrefixWatch;
+  readonly clock: ManualClock;
+  readonly eras: StoreEras;
+  readonly calls: string[];
+  readonly received: number[];
+  readonly stop: () => Promise<void>;
+} {
+  const waits: (() => void)[] = [];
+  const calls: string[] = [];
   const received: number[] = [];
-  const afters: number[] = [];
+  const endWaits = (): void => {
+    for (const end of waits.splice(0)) end();
+  };
   const store = {
-    list: () => Promise.resolve(Result.ok({ items: [], at: 10 })),
-    poll: () => Promise.resolve(Result.ok({ type: 'events', events: [EVENT], at: 12 })),
+    list: () => {
+      calls.push('list');
+      return Promise.resolve(Result.ok({ items: [], at: 10 }));
+    },
+    poll: () => Promise.resolve(poll()),
     watch: (_prefix: string, after: number) => {
-      afters.push(after);
-      if (afters.length > 1) watch.close();
+      calls.push(`after ${after}`);
       return new Promise((resolve) => {
-        ends.push(() => {
+        waits.push(() => {
           resolve(Result.ok({ type: 'interrupted' }));
         });
       });
     },
     replaceConnections: () => {
-      replaced += 1;
-      for (const end of ends) end();
+      calls.push('replace');
+      endWaits();
     },
   } as unknown as MetadataStore;
   const clock = new ManualClock();
+  const eras = new StoreEras();
   const random = createRandom(0x5eed);
   const watch = new PrefixWatch({
-    ...{ prefix: 'k', store, backoff: new StoreBackoff(clock, random), eras: new StoreEras() },
+    ...{ prefix: 'k', store, backoff: new StoreBackoff(clock, random), eras },
     ...{ clock, log: silentEventLog, random, waitMs: () => 100, pauseAfterEventsMs: () => 0 },
     onListing: () => {},
     onEvents: (events) => {
@@ -179,15 +192,50 @@
     },
   });
   const running = watch.run();
-  while (ends.length === 0) await new Promise((resolve) => setImmediate(resolve));
-  await watch.check();
-  assert.deepEqual(received, [12]);
-  clock.advance(199);
-  assert.equal(replaced, 0);
-  clock.advance(1);
-  assert.equal(replaced, 1);
-  while (ends.length === 1) await new Promise((resolve) => setImmediate(resolve));
-  for (const end of ends) end();
-  await running;
-  assert.deepEqual(afters, [10, 10], 'the next wait starts from the same revision');
+  const stop = async (): Promise<void> => {
+    watch.close();
+    endWaits();
+    await running;
+  };
+  return { watch, clock, eras, calls, received, stop };
+}
+
+async function settle(): Promise<void> {
+  for (let round = 0; round < 5; round += 1) await new Promise((done) => setImmediate(done));
+}
+
+test('replaces the connections when a wait does not deliver a change that a check has found', async () => {
+  const silent = startSilentWatch(() => Result.ok({ type: 'events', events: [EVENT], at: 12 }));
+  await settle();
+  await silent.watch.check();
+  assert.deepEqual(silent.received, [12]);
+  silent.clock.advance(199);
+  await settle();
+  assert.deepEqual(silent.calls, ['list', 'after 10']);
+  silent.clock.advance(1);
+  await settle();
+  assert.deepEqual(silent.calls, ['list', 'after 10', 'replace', 'after 10']);
+  await silent.stop();
+});
+
+test('lists again when a check finds the history compacted during a silent wait', async () => {
+  const silent = startSilentWatch(() => Result.ok({ type: 'compacted' }));
+  await settle();
+  await silent.watch.check();
+  await settle();
+  assert.deepEqual(silent.calls, ['list', 'after 10', 'replace', 'list', 'after 10']);
+  await silent.stop();
+});
+
+test('lists again when a check finds another era during a silent wait', async () => {
+  const silent = startSilentWatch(() => {
+    silent.eras.accept(2);
+    return Result.ok({ type: 'events', events: [], at: 5 });
+  });
+  silent.eras.accept(1);
+  await settle();
+  await silent.watch.check();
+  await settle();
+  assert.deepEqual(silent.calls, ['list', 'after 10', 'replace', 'list', 'after 10']);
+  await silent.stop();
 });
--- a/src/sidecar/directory/prefix-watch.ts
+++ b/src/sidecar/directory/prefix-watch.ts
@@ -101,8 +101,12 @@
       return false;
     }
     backoff.noteAnswered();
-    if (result.value.type !== 'events') return false;
-    if (this.closed || era !== this.options.eras.current) return false;
+    if (this.closed || result.value.type === 'interrupted') return false;
+    // The revision has no meaning in another era.
+    if (result.value.type === 'compacted' || era !== this.options.eras.current) {
+      this.listAgain(revision);
+      return false;
+    }
     const { events, at } = result.value;
     if (events.length > 0) {
       // Otherwise each check during a rest would return these changes again.
@@ -171,6 +175,13 @@
     await this.pause(this.options.pauseAfterEventsMs());
   }
 
+  /** Ends the wait in progress, whose connection may be silent, so that everything is listed again. */
+  private listAgain(revision: number): void {
+    if (this.revision !== revision) return;
+    this.revision = undefined;
+    this.options.store.replaceConnections();
+  }
+
   /** Replaces all connections to the store unless the wait in progress delivers what a check has found. */
   private expectDelivery(revision: number): void {
     this.options.clock.schedule(DELIVERY_TIME_MS, () => {
--- a/src/sidecar/link/peer-link.ts
+++ b/src/sidecar/link/peer-link.ts
@@ -4,14 +4,9 @@
  * that still arrive on it are used.
  */
 import { ResultCode } from '../../core/result-code.js';
-import type { CancelTimer, Clock } from '../../kernel/clock.js';
+import type { CancelTimer } from '../../kernel/clock.js';
 import { ageAuthorization } from './age-authorization.js';
-import {
-  createAttemptFailure,
-  createNotOfferedFailure,
-  type AttemptPort,
-  type CancelAttempt,
-} from './attempt-port.js';
+import { createNotOfferedFailure, type AttemptPort, type CancelAttempt } from './attempt-port.js';
 import type {
   AdmissionPort,
   CapacityReport,
@@ -20,21 +15,16 @@
 } from '../admission/admission-messages.js';
 import type { OnQuotaReply, QuotaPort, QuotaQuery } from '../quota/quota-messages.js';
 import type { RulesConfirmation } from '../rules/rules-freshness.js';
-import type { QuarantineExchange, QuarantineUpdate } from '../quarantine/quarantine-update.js';
-import type {
-  AttemptCall,
-  AttemptEnd,
-  AttemptFailure,
-  LinkMessage,
-  NodeStatus,
-  RelayedLimit,
-} from './link-messages.js';
+import type { QuarantineUpdate } from '../quarantine/quarantine-update.js';
+import type { AttemptCall, AttemptEnd, LinkMessage, NodeStatus } from './link-messages.js';
 import { CLOSE_AFTER_MS, ConnectionLiveness, PING_AFTER_MS } from './connection-liveness.js';
 import {
   OutgoingConnection,
   type Greeting,
   type OutgoingConnectionListener,
 } from './outgoing-connection.js';
+import type { PeerLinkOptions } from './peer-link-options.js';
+import { PendingCalls, type PendingCall } from './pending-calls.js';
 import { PeerClock } from './peer-clock.js';
 
 const INITIAL_RECONNECT_DELAY_MS = 50;
@@ -48,61 +38,6 @@
  * on a broken link it would be lost without anyone knowing whether it ran.
  */
 const TRUSTED_IDLE_MS = 100;
-/** Callbacks of a link. */
-export interface PeerLinkListener {
-  /** Called with the status of the other node. */
-  onStatus(status: NodeStatus): void;
-  /** Called when the link opens or closes, and when the other node stops or resumes responding. */
-  onReachableChanged(reachable: boolean, detail: string): void;
-  /** Called when the connection is open and the other node does not respond. */
-  onUnresponsive(): void;
-  onRules(document: Uint8Array): void;
-  /** Called when the other node reports that the local target has left in this incarnation. */
-  onLocalTargetLeft(incarnation: string): void;
-  /**
-   * Called when the other node reports how recently its rules were confirmed.
-   *
-   * @param requestedAt boot time of the request that the report answers; the report is not older
-   */
-  onRulesConfirmation(confirmation: RulesConfirmation, requestedAt: number): void;
-  /**
-   * Called before an attempt ends with a load report of the other node.
-   *
-   * @param requestLimit requests a second that its target states; undefined: none
-   */
-  onRequestLimit(requestLimit: number | undefined): void;
-  /** Called when invalid members of a message of the other node were ignored. */
-  onRejectedMembers?(members: readonly string[]): void;
-}
-
-export interface PeerLinkOptions {
-  /** Expected identity of the other node. */
-  readonly node: string;
-  /** IP address and port. */
-  readonly address: string;
-  readonly clock: Clock;
-  /** Returns this node's current status. */
-  status(): NodeStatus;
-  /** Returns the document of the rules in force; undefined: none. */
-  rulesDocument(): Buffer | undefined;
-  readonly quarantine: QuarantineExchange;
-  /** Returns the recorded incarnation in which the other node's target has left; undefined: none. */
-  leftTarget(): string | undefined;
-  /** Returns the request limit that this node relayed from the other node's target; undefined: none. */
-  relayedLimit(): RelayedLimit | undefined;
-  readonly listener: PeerLinkListener;
-}
-
-interface PendingCall {
-  readonly call: AttemptCall;
-  readonly onEnd: (end: AttemptEnd) => void;
-  /** Connection to which the call was written; undefined: it was not written yet. */
-  connection: OutgoingConnection | undefined;
-  readonly createdAt: number;
-  /** Boot time of the dispatch; undefined when the call needs no API key. */
-  readonly requestedAt: number | undefined;
-}
-
 type AnswerMessage = Extract<LinkMessage, { type: 'end' }>;
 
 /** An unanswered request for the confirmation of the other node's rules. */
@@ -121,9 +56,7 @@
   private readonly retired = new Map<OutgoingConnection, CancelTimer>();
   private liveness: ConnectionLiveness;
   private readonly peerClock = new PeerClock();
-  private readonly pending = new Map<number, PendingCall>();
-  /** Calls that are held until the next message of the other node. */
-  private readonly held = new Set<number>();
+  private readonly pending = new PendingCalls();
   private lastId = 0;
   private reconnectDelayMs = INITIAL_RECONNECT_DELAY_MS;
   private cancelReconnect: CancelTimer = () => {};
@@ -232,7 +165,7 @@
     const requestedAt = call.authorization && clock.bootNow();
     const createdAt = clock.now();
     const pending = { call, onEnd, connection: undefined, createdAt, requestedAt };
-    this.pending.set(id, pending);
+    this.pending.add(id, pending);
     this.open();
     if (this.current !== undefined) this.sendOrHold(id, pending);
     this.scheduleCheck(PING_AFTER_MS);
@@ -317,6 +250,7 @@
 
   onGreeting(connection: OutgoingConnection, { status, clock }: Greeting): void {
     const replaced = this.current;
+    if (replaced !== undefined) this.dropQuestions();
     this.current = connection;
     this.opening = undefined;
     this.cancelReconnect();
@@ -330,12 +264,18 @@
     this.introduce(connection);
     this.options.listener.onStatus(status);
     this.updateReachable(replaced === undefined ? 'connected' : 'silent connection replaced');
-    for (const [id, call] of this.pending) if (call.connection === undefined) this.held.add(id);
+    this.pending.holdUnwritten();
     this.sendHeld();
-    this.scheduleCheck(this.pending.size > 0 ? PING_AFTER_MS : Infinity);
+    this.scheduleCheck(this.pending.isEmpty ? Infinity : PING_AFTER_MS);
     if (replaced !== undefined) this.retire(replaced);
   }
 
+  /** Forgets questions whose replies can no longer arrive. */
+  private dropQuestions(): void {
+    this.quotaQueries.clear();
+    this.demandReports.clear();
+  }
+
   /** Sends what the other node has to know before any call. */
   private introduce(connection: OutgoingConnection): void {
     connection.send({ type: 'status', status: this.options.status() });
@@ -375,18 +315,13 @@
       this.sendCall(id, pending);
       return;
     }
-    this.held.add(id);
+    this.pending.hold(id);
     this.ping();
   }
 
   private sendHeld(): void {
-    if (this.held.size === 0 || this.current === undefined) return;
-    const ids = [...this.held];
-    this.held.clear();
-    for (const id of ids) {
-      const pending = this.pending.get(id);
-      if (pending !== undefined) this.sendCall(id, pending);
-    }
+    if (this.current === undefined) return;
+    for (const [id, call] of this.pending.takeHeld()) this.sendCall(id, call);
   }
 
   /** Pings the other node unless a ping is pending. */
@@ -410,22 +345,18 @@
   }
 
   private onAnswer({ id, clock, end, confirmation, rejected }: AnswerMessage): void {
-    const pending = this.pending.get(id);
+    const pending = this.pending.take(id);
     this.peerClock.noteStamp(this.options.clock.now(), clock, pending?.createdAt);
     if (rejected) this.options.listener.onRejectedMembers?.(rejected);
     this.noteConfirmation(confirmation, pending?.requestedAt);
-    this.pending.delete(id);
     if (end.load !== undefined) this.options.listener.onRequestLimit(end.load.requestLimit);
     pending?.onEnd(end);
   }
 
   private cancel(id: number): boolean {
-    const pending = this.pending.get(id);
-    if (pending === undefined) return false;
-    this.pending.delete(id);
-    this.held.delete(id);
-    pending.connection?.send({ type: 'cancel', id });
-    return pending.connection !== undefined;
+    const connection = this.pending.take(id)?.connection;
+    connection?.send({ type: 'cancel', id });
+    return connection !== undefined;
   }
 
   private connect(): void {
@@ -438,8 +369,7 @@
   private onCurrentClosed(detail: string): void {
     this.unresponsive = false;
     this.failed = true;
-    this.quotaQueries.clear();
-    this.demandReports.clear();
+    this.dropQuestions();
     this.updateReachable(detail);
     this.failPending(detail);
     if (this.opening === undefined) this.scheduleReconnect();
@@ -447,6 +377,7 @@
 
   private scheduleReconnect(): void {
     if (this.closed) return;
+    this.cancelReconnect();
     this.cancelReconnect = this.options.clock.schedule(this.reconnectDelayMs, () => {
       this.connect();
     });
@@ -463,9 +394,9 @@
   }
 
   private closeIfUnused(connection: OutgoingConnection): void {
-    if (!this.retired.has(connection)) return;
-    for (const call of this.pending.values()) if (call.connection === connection) return;
-    connection.close('replaced');
+    if (this.retired.has(connection) && !this.pending.hasCallsOn(connection)) {
+      connection.close('replaced');
+    }
   }
 
   /**
@@ -475,18 +406,12 @@
    *   written to a retired one
    */
   private failPending(detail: string, retired?: OutgoingConnection): void {
+    const ids = this.pending.select(({ connection }) => {
+      if (retired !== undefined) return connection === retired;
+      return connection === undefined || !this.retired.has(connection);
+    });
     const failureDetail = `link to ${this.options.node}: ${detail}`;
-    for (const [id, { connection, onEnd }] of [...this.pending]) {
-      const isRetired = connection !== undefined && this.retired.has(connection);
-      if (retired === undefined ? isRetired : connection !== retired) continue;
-      this.pending.delete(id);
-      this.held.delete(id);
-      onEnd(
-        connection === undefined
-          ? createUnsentFailure(failureDetail)
-          : createLostFailure(ResultCode.PeerLost, failureDetail),
-      );
-    }
+    for (const id of ids) this.pending.fail(id, ResultCode.PeerLost, failureDetail);
   }
 
   /** Schedules a check, unless one is due earlier. */
@@ -506,9 +431,8 @@
   /** Checks that the other node still sends messages. */
   private checkLiveness(dueAt: number): void {
     if (this.closed || this.current === undefined) return;
-    const [oldest] = this.pending.values();
     const now = this.options.clock.now();
-    const { state, nextCheckMs } = this.liveness.check(now, dueAt, oldest?.createdAt);
+    const { state, nextCheckMs } = this.liveness.check(now, dueAt, this.pending.oldestAt);
     if (state === 'ping-due') this.ping();
     else if (state === 'lost') this.current.close('no reply to ping');
     else if (state === 'unresponsive' && !this.unresponsive) this.onUnresponsive();
@@ -520,17 +444,15 @@
     this.unresponsive = true;
     const silentMs = Math.round(this.liveness.silentMs(this.options.clock.now()));
     this.updateReachable(`unresponsive: nothing received for ${silentMs} ms`);
-    const failureDetail = `link to ${this.options.node} is unresponsive`;
     // Calls that were not sent can go to another node, and idempotent ones need not wait for an answer
     // that may never arrive.
-    for (const [id, { call, onEnd, connection }] of [...this.pending]) {
-      if (connection !== undefined && !call.idempotent) continue;
-      this.cancel(id);
-      onEnd(
-        connection === undefined
-          ? createUnsentFailure(failureDetail)
-          : createLostFailure(ResultCode.PeerTimeout, failureDetail),
-      );
+    const abandoned = this.pending.select(
+      ({ call, connection }) => connection === undefined || call.idempotent,
+    );
+    const failureDetail = `link to ${this.options.node} is unresponsive`;
+    for (const id of abandoned) {
+      this.pending.get(id)?.connection?.send({ type: 'cancel', id });
+      this.pending.fail(id, ResultCode.PeerTimeout, failureDetail);
     }
     this.connect();
     this.options.listener.onUnresponsive();
@@ -539,6 +461,7 @@
   private onResponsiveAgain(): void {
     this.unresponsive = false;
     this.cancelReconnect();
+    this.reconnectDelayMs = INITIAL_RECONNECT_DELAY_MS;
     const { opening } = this;
     this.opening = undefined;
     opening?.close('the link is responsive again');
@@ -552,19 +475,3 @@
     this.options.listener.onReachableChanged(reachable, detail);
   }
 }
-
-/** Creates the failure of a call that was written and whose answer is lost. */
-function createLostFailure(code: ResultCode, detail: string): AttemptFailure {
-  return createAttemptFailure({
-    outcome: 'failed',
-    execution: 'unknown',
-    code,
-    detail,
-    offered: true,
-  });
-}
-
-/** Creates the failure of a call that was never written. */
-function createUnsentFailure(detail: string): AttemptFailure {
-  return createNotOfferedFailure('unreachable', ResultCode.PeerUnreachable, detail);
-}
