--- a/src/stand-ins/link/commands.ts
+++ b/src/stand-ins/link/commands.ts
@@ -12,7 +12,8 @@
     description: 'run a TCP link that can be cut or delayed',
     details: `
       Relays TCP connections until SIGTERM. POST /control on the control address switches faults:
-      {"cut": true}, {"silentForward": true}, {"silentBackward": true}, {"delayMs": 50}.
+      {"cut": true}, {"silentForward": true}, {"silentBackward": true}, {"delayMs": 50},
+      and {"silenceOpen": 1} for open connections, or a share of them, that go silent for good.
       Datagrams are not relayed.
     `,
     examples: [
@@ -28,15 +29,17 @@
   control = Option.String('--control', { required: true });
 
   protected async run(): Promise<ExitCode> {
-    const { startLink, linkFaultsSchema } = await import('./start-link.js');
+    const { startLink, linkControlSchema } = await import('./start-link.js');
     const { closeServer, listenOn, readBody, sendJson } = await import('../http-server.js');
     const { waitForStopSignal } = await import('../stop-signal.js');
     const link = await startLink(this.listen, this.target);
     const server = createServer((request, response) => {
       readBody(request)
         .then((body) => {
-          const change = linkFaultsSchema.partial().parse(JSON.parse(body.toString('utf8')));
+          const control = linkControlSchema.parse(JSON.parse(body.toString('utf8')));
+          const { silenceOpen, ...change } = control;
           link.control(change as Parameters<typeof link.control>[0]);
+          if (silenceOpen !== undefined) link.silenceOpenConnections(silenceOpen);
           sendJson(response, 200, { done: true });
         })
         .catch((error: unknown) => {
--- a/src/stand-ins/link/start-link.ts
+++ b/src/stand-ins/link/start-link.ts
@@ -16,6 +16,12 @@
   delayMs: z.number().min(0).max(60_000),
 });
 
+/** Schema of a change of a link's faults. */
+export const linkControlSchema = linkFaultsSchema.partial().extend({
+  /** Share of the open connections that go silent for good, while new ones work. */
+  silenceOpen: z.number().min(0).max(1).optional(),
+});
+
 /** Faults in force on a link. */
 export type LinkFaults = z.infer<typeof linkFaultsSchema>;
 
