Verify links whatever their last message when several peers are silent

Cause: found while reading: the check of all links after a widespread silence left out links that had received something within the last second, and so those that were in use until the silence, 0.6 s before. Change: only checks of idle links look at the last message. Before/after: the test of the link fails before (no ping), passes after.

--- a/src/sidecar/link/peer-link.test.ts
+++ b/src/sidecar/link/peer-link.test.ts
@@ -384,3 +384,12 @@
   advance(30_100);
   await until(() => hasReceived('ping'));
 });
+
+test('a link without calls is found silent when it is verified, however recent its last message', async () => {
+  link.announceStatus({ ...STATUS, node: 'own' });
+  assert.equal(hasReceived('ping'), false, 'the greeting has just arrived');
+  peer.pause();
+  link.verify();
+  advance(700);
+  assert.equal(reachable, false);
+});
--- a/src/sidecar/link/peer-link.ts
+++ b/src/sidecar/link/peer-link.ts
@@ -97,8 +97,7 @@
 
   /** Checks that the other node responds, although no answer is pending. */
   verify(): void {
-    const silentMs = this.liveness.silentMs(this.options.clock.now());
-    if (this.current !== undefined && silentMs > VERIFY_AFTER_MS) this.ping();
+    if (this.current !== undefined) this.ping();
   }
 
   /** Requests the other node's rules. */
@@ -112,7 +111,7 @@
     this.lastId += 1;
     this.confirmationRequest = { number: this.lastId, requestedAt: this.options.clock.bootNow() };
     this.current.send({ type: 'confirmation-wanted', question: this.lastId });
-    this.verify();
+    this.verifyIfIdle();
   }
 
   /** Sends a quota query; `onReply` is never called when the connection is lost first. */
@@ -140,7 +139,7 @@
   announceStatus(status: NodeStatus): void {
     if (this.current === undefined) return;
     this.current.send({ type: 'status', status });
-    this.verify();
+    this.verifyIfIdle();
   }
 
   /** Sends a quarantine update to the other node. */
@@ -324,6 +323,12 @@
     for (const [id, call] of this.pending.takeHeld()) this.sendCall(id, call);
   }
 
+  /** Verifies a connection on which nothing was received for some time, and on which a loss would go unnoticed. */
+  private verifyIfIdle(): void {
+    const silentMs = this.liveness.silentMs(this.options.clock.now());
+    if (silentMs > VERIFY_AFTER_MS) this.verify();
+  }
+
   /** Pings the other node unless a ping is pending. */
   private ping(): void {
     if (this.liveness.isPinged) return;
