Soak: time in which the driving process stands still counts for nobody

By the logs of the six nodes no request began or ended anywhere from 11 ms before to 495 ms after its node received it: the process that runs the callers, relays and targets stood still, with the request in a relay. No silence had begun. Ruled out: the node, which sent it on 9 ms after it was read (687 ms in all, 500 of them in the stall).

--- a/test/soak/checks.test.ts
+++ b/test/soak/checks.test.ts
@@ -160,6 +160,15 @@
     'more time',
     { requests: [REQUEST], runs: [{ ...RUN, timeLeftMs: 3_600 }] },
   ],
+  [
+    'targets get no more time than the deadline leaves',
+    'more time than a stall of the relays explains',
+    {
+      requests: [REQUEST],
+      runs: [{ ...RUN, startedAt: 10_200, timeLeftMs: 3_600 }],
+      driverStalls: [{ from: 9_000, to: 10_100 }],
+    },
+  ],
   [
     'targets get no more time than the deadline leaves',
     'no time at all',
@@ -283,6 +292,14 @@
       disruptions: [{ ...KILL, kind: 'connections', from: 7_100, to: 7_100 }],
     },
   ],
+  [
+    'a request that was in a relay while the relays stood still',
+    {
+      requests: [REQUEST],
+      runs: [{ ...RUN, startedAt: 10_520, timeLeftMs: 2_991 }],
+      driverStalls: [{ from: 10_000, to: 10_500 }],
+    },
+  ],
   [
     'more time from a node that has just started',
     {
--- a/test/soak/ledger.ts
+++ b/test/soak/ledger.ts
@@ -55,6 +55,12 @@
   to: number;
 }
 
+/** A span in which the process that drives the run stood still, with its callers, relays and targets. */
+export interface DriverStall {
+  readonly from: number;
+  readonly to: number;
+}
+
 /** The exit of a node's process. */
 export interface ProcessExit {
   readonly machine: string;
@@ -87,6 +93,7 @@
   readonly requests: ObservedRequest[];
   readonly runs: ObservedRun[];
   readonly disruptions: Disruption[];
+  readonly driverStalls: DriverStall[];
   readonly exits: ProcessExit[];
   readonly leaves: AcknowledgedLeave[];
   readonly rules: RulesChange[];
@@ -103,6 +110,7 @@
     requests: [],
     runs: [],
     disruptions: [],
+    driverStalls: [],
     exits: [],
     leaves: [],
     rules: [],
--- a/test/soak/soak-run.ts
+++ b/test/soak/soak-run.ts
@@ -48,6 +48,9 @@
 /** Time after the last fault within which every node has to serve again. */
 const RECOVERY_MS = 15_000;
 const RECOVERY_CHECK_MS = 100;
+const STALL_CHECK_MS = 20;
+/** Shorter stalls are not recorded, in milliseconds. */
+const MIN_STALL_MS = 100;
 const WORK_MS_IN_PATH = /\/(\d+)$/;
 
 /** Runs one seed. */
@@ -68,6 +71,7 @@
   private readonly ledger: Ledger = createLedger();
   private readonly faults = new SoakFaults(this.mesh, this.ledger, SOAK_BOUNDS);
   private probes = 0;
+  private stallTimer: NodeJS.Timeout | undefined;
 
   constructor(private readonly options: SoakOptions) {}
 
@@ -78,6 +82,7 @@
     this.faults.changeRules();
     for (let index = 0; index < machines; index += 1) await this.addMachine(index);
     await this.mesh.waitUntilServing(['/read/1', '/write/1', '/moved/1', '/chain/1']);
+    this.recordStalls();
     const callers = this.mesh.machines.flatMap((machine) =>
       Array.from({ length: callersPerMachine }, (_, index) => {
         const relayed = index % 2 === 0;
@@ -94,9 +99,20 @@
   }
 
   async end(): Promise<void> {
+    clearInterval(this.stallTimer);
     await this.mesh.stop();
   }
 
+  /** Records when this process, which runs the callers, relays and targets, stood still. */
+  private recordStalls(): void {
+    let lastAt = performance.now();
+    this.stallTimer = setInterval(() => {
+      const now = performance.now();
+      if (now - lastAt > MIN_STALL_MS) this.ledger.driverStalls.push({ from: lastAt, to: now });
+      lastAt = now;
+    }, STALL_CHECK_MS);
+  }
+
   private async addMachine(index: number): Promise<void> {
     const service = SERVICES[index % SERVICES.length]!;
     const machine = await this.mesh.add({
