Test silences in a fleet whose nodes rely on others for new rules

Guards against rules that are late in large fleets: there a node rests from its own wait and relies on three sources, whose waits are up to 28.8 s.

--- a/test/sidecar-silent-connections.test.ts
+++ b/test/sidecar-silent-connections.test.ts
@@ -5,6 +5,8 @@
 import { Mesh, type Machine } from './stand-ins/mesh.js';
 
 const NODES = 8;
+/** Above the size from which nodes rely on others for new rules. */
+const LARGE = 28;
 /** Rules have to be in force this long after their acknowledgement, in milliseconds. */
 const APPLY_MS = 2_000;
 /** From this time after a fault on its connections a node keeps all bounds, in milliseconds. */
@@ -158,6 +160,41 @@
   await Promise.all(calls);
 });
 
+test('new rules are in force in time in a large fleet whose open connections have gone silent', async () => {
+  const fleet = new Mesh({}, { relayed: true });
+  await fleet.start();
+  try {
+    fleet.putRules(1, [{ path: '/a/', service: 'a' }]);
+    for (let count = 0; count < LARGE; count += 1) {
+      await fleet.add({ service: 'a', zone: 'z', slots: 5, workMs: 1 });
+    }
+    await fleet.sendHeartbeats();
+    // Nodes rely on the sources once they know that the fleet is large and have connected to them.
+    await delay(10_000);
+    const callsBefore = countStoreCalls(fleet);
+    fleet.silenceOpenConnections();
+    await delay(SETTLING_MS - APPLY_MS);
+    fleet.putRules(2, [{ path: '/b/', service: 'a' }]);
+    await delay(APPLY_MS);
+    const answers = await Promise.all(
+      fleet.machines.map((machine) => fleet.send(machine, { path: '/b/x', deadlineMs: 1_000 })),
+    );
+    assert.deepEqual(
+      answers.filter(({ status }) => status === 404),
+      [],
+    );
+    // Two checks of the rules of each node, one wait for rules and one for records begun again.
+    const calls = countStoreCalls(fleet) - callsBefore;
+    assert.ok(calls <= 4 * LARGE, `${calls} calls`);
+  } finally {
+    await fleet.stop();
+  }
+});
+
+function countStoreCalls({ store }: Mesh): number {
+  return [...store.calls.values()].reduce((sum, count) => sum + count, 0);
+}
+
 function isOk({ status }: { readonly status: number }): boolean {
   return status === OK;
 }
