--- a/src/sidecar/directory/peer.ts
+++ b/src/sidecar/directory/peer.ts
@@ -6,6 +6,7 @@
 import type { PeerLink } from '../link/peer-link.js';
 import type { NodeRecord } from './node-record.js';
 
+/** A node with its record, its link and what it last reported. */
 export interface Peer {
   record: NodeRecord;
   /** Rank in this node's order of targets; see {@link subsetRank}. */
@@ -23,6 +24,7 @@
   readonly peer: Peer;
 }
 
+/** Describes a peer's target for the choice of a subset. */
 export function toCandidate(id: string, peer: Peer): PeerCandidate {
   const { record, rank, link, lastStatus } = peer;
   const usable = !link.isKnownUnreachable && (lastStatus?.target ?? record.target) === 'ready';
@@ -42,6 +44,7 @@
   };
 }
 
+/** A member for the incarnation; none when it is unknown. */
 export function withIncarnation(incarnation: string | undefined): {
   readonly incarnation?: string;
 } {
--- a/src/sidecar/link/outgoing-connection.ts
+++ b/src/sidecar/link/outgoing-connection.ts
@@ -29,6 +29,7 @@
   readonly listener: OutgoingConnectionListener;
 }
 
+/** A connection that this node has opened; ends by itself unless the greeting arrives in time. */
 export class OutgoingConnection implements LinkSocketListener {
   private readonly socket: LinkSocket;
   private readonly cancelGreetingTimer: CancelTimer;
--- a/src/sidecar/link/pending-calls.ts
+++ b/src/sidecar/link/pending-calls.ts
@@ -4,6 +4,7 @@
 import type { AttemptCall, AttemptEnd } from './link-messages.js';
 import type { OutgoingConnection } from './outgoing-connection.js';
 
+/** A call that has not ended. */
 export interface PendingCall {
   readonly call: AttemptCall;
   readonly onEnd: (end: AttemptEnd) => void;
@@ -17,6 +18,7 @@
 /** Result code of calls that were written and whose answers are lost. */
 type LostCode = ResultCode.PeerLost | ResultCode.PeerTimeout;
 
+/** Calls by their number on the link. */
 export class PendingCalls {
   private readonly calls = new Map<number, PendingCall>();
   /** Calls that are held until the next message of the other node. */
--- a/src/sidecar/link/widespread-silence.ts
+++ b/src/sidecar/link/widespread-silence.ts
@@ -10,6 +10,7 @@
 /** Window in which they are counted, and shortest time between two reports, in milliseconds. */
 const WINDOW_MS = 1_000;
 
+/** Counts the nodes that have become unresponsive within a window. */
 export class WidespreadSilence {
   /** Times at which nodes became unresponsive. */
   private readonly silentAt = new Map<string, number>();
--- a/src/store/store-connections.ts
+++ b/src/store/store-connections.ts
@@ -22,6 +22,7 @@
   readonly interrupt: () => void;
 }
 
+/** Kept connections, used again last in, first out, and connections for single requests. */
 export class StoreConnections implements StoreTransport {
   private readonly agent = new Agent({ keepAlive: true, scheduling: 'lifo' });
   private readonly waits = new Set<Wait>();
