--- a/review/1/run.mjs
+++ b/review/1/run.mjs
@@ -14,9 +14,9 @@
 
 /** Promises that a client has to log, one after the other. */
 const PROMISES = 6;
-const WORK_MS = 300;
+const WORK_MS = 400;
 /** The surplus answer comes this much later. */
-const SURPLUS_MS = 40;
+const SURPLUS_MS = 80;
 /** Statuses that promise that the request has not run and never will. */
 const PROMISED = new Set([408, 421, 429, 503]);
 
