--- a/review/build.sh
+++ b/review/build.sh
@@ -3,6 +3,6 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p out/review
-npx --no-install esbuild platform/stand-ins/store-stand-in.ts \
+node_modules/.bin/esbuild platform/stand-ins/store-stand-in.ts \
   --bundle --platform=node --format=esm --target=node20 --log-level=warning \
   --outfile=out/review/store-stand-in.mjs
--- a/review/lib/harness.mjs
+++ b/review/lib/harness.mjs
@@ -49,19 +49,27 @@
   }
 }
 
+/** Ports below those that the system gives to outgoing connections, which could take one of a stopped node. */
+const FIRST_PORT = 12_000;
+const PORTS = 18_000;
+const usedPorts = new Set();
+
+function isFree(port) {
+  return new Promise((done) => {
+    const server = createServer();
+    server.on('error', () => done(false));
+    server.listen(port, '127.0.0.1', () => server.close(() => done(true)));
+  });
+}
+
 async function findFreePorts(count) {
-  const servers = await Promise.all(
-    Array.from(
-      { length: count },
-      () =>
-        new Promise((done) => {
-          const server = createServer();
-          server.listen(0, '127.0.0.1', () => done(server));
-        }),
-    ),
-  );
-  const ports = servers.map((server) => server.address().port);
-  await Promise.all(servers.map((server) => new Promise((done) => server.close(done))));
+  const ports = [];
+  while (ports.length < count) {
+    const port = FIRST_PORT + Math.floor(Math.random() * PORTS);
+    if (usedPorts.has(port) || !(await isFree(port))) continue;
+    usedPorts.add(port);
+    ports.push(port);
+  }
   return ports;
 }
 
@@ -284,7 +292,7 @@
       });
     });
     const keep = (chunk) => {
-      this.output = (this.output + chunk.toString()).slice(-200_000);
+      this.output = (this.output + chunk.toString().replaceAll(`${ROOT}/`, '')).slice(-200_000);
     };
     child.stdout.on('data', keep);
     child.stderr.on('data', keep);
@@ -302,6 +310,7 @@
       if ((await get(this.ready, '/v1/readiness')) === 200) return true;
       await delay(25);
     }
+    console.log(this.output.split('\n').slice(-8).join('\n'));
     return false;
   }
 }
@@ -368,6 +377,10 @@
       ...{ id, target, entry, ready, registration, metrics, link, settingsPath, settings },
     });
     this.machines.push(machine);
+    // The platform starts a process that ended by itself again, after a short delay.
+    machine.onExit = (code, signal, asked) => {
+      if (!asked) setTimeout(() => machine.start(), 500);
+    };
     if (start) {
       machine.start();
       target.beat(registration);
@@ -474,7 +487,7 @@
   try {
     code = await body(record);
   } catch (error) {
-    record.say(`the case couldn't run: ${error.stack}`);
+    record.say(`the case couldn't run: ${error.stack.replaceAll(`${ROOT}/`, '')}`);
   }
   watchdog.close();
   record.write();
