An answer without a final status is a broken answer

Change: only 200 to 599 is a final status; anything else is a broken answer, whose execution is unknown, and its connection is closed. Checked in the client of the target, in the decoder of links, since nodes of earlier versions relay any status, and in both places of the first product. No status that throws reaches the writer of answers any more.

--- a/src/sidecar/link/link-codec.test.ts
+++ b/src/sidecar/link/link-codec.test.ts
@@ -209,3 +209,13 @@
   clock.noteStamp(300, 1_230);
   assert.equal(clock.at(300), 1_230);
 });
+
+for (const status of [0, 99, 101, 600, 200.5, Infinity]) {
+  test(`an answer that an earlier version relays with the status ${status} fails its attempt only`, () => {
+    const answer = { type: 'answer', status, fields: [], body: Buffer.alloc(0) } as const;
+    const message = decodeMessage(encodeMessage({ type: 'end', id: 4, clock: 3, end: answer }));
+    assert.ok(message?.type === 'end' && message.end.type === 'failure', JSON.stringify(message));
+    const { id, end } = message;
+    assert.deepEqual([id, end.execution, end.offered, end.code], [4, 'unknown', true, 3002]);
+  });
+}
--- a/src/sidecar/link/link-codec.ts
+++ b/src/sidecar/link/link-codec.ts
@@ -4,7 +4,9 @@
  */
 import { deserialize, serialize, setInternalBufferSize } from 'bson';
 import type { AttemptOutcome, LoadReport } from '../../core/request.js';
-import type { Execution, ResultCode } from '../../core/result-code.js';
+import { ResultCode, type Execution } from '../../core/result-code.js';
+import { isFinalStatus } from '../../core/final-status.js';
+import { createAttemptFailure } from './attempt-port.js';
 import { loadFromBytes, loadToBytes } from './load-codec.js';
 import {
   costFromDocument,
@@ -27,7 +29,6 @@
 } from './quota-codec.js';
 import type { RulesConfirmation } from '../rules/rules-freshness.js';
 import type {
-  AttemptAnswer,
   AttemptCall,
   AttemptEnd,
   AttemptFailure,
@@ -327,10 +328,13 @@
   return { authorization: { tenant: tenant as string, fingerprint, rulesVersion, validForMs } };
 }
 
-function answerFromDocument(document: Document): AttemptAnswer {
+/** Nodes of earlier versions relay any number of three digits as a status. */
+function answerFromDocument(document: Document): AttemptEnd {
+  const { s: status } = document;
+  if (!isFinalStatus(status)) return createNoFinalStatusFailure(status);
   return {
     type: 'answer',
-    status: document['s'] as number,
+    status,
     fields: splitFields(document['h'] as string),
     body: document['b'] as Uint8Array,
     ...loadFromDocument(document),
@@ -339,6 +343,16 @@
   };
 }
 
+function createNoFinalStatusFailure(status: unknown): AttemptFailure {
+  return createAttemptFailure({
+    outcome: 'failed',
+    execution: 'unknown',
+    code: ResultCode.AnswerIncomplete,
+    detail: `the answer has no final status: ${String(status)}`,
+    offered: true,
+  });
+}
+
 function failureFromDocument(document: Document): AttemptFailure {
   const retryAfterMs = document['r'] as number | undefined;
   return {
--- a/src/sidecar/target/target-client-answers.test.ts
+++ b/src/sidecar/target/target-client-answers.test.ts
@@ -80,6 +80,9 @@
   ['that is empty', '', 'end'],
   ['that switches protocols', 'HTTP/1.1 101 S\r\nx-id: 1\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\n', 'stay'],
   ['of another request', ANSWER.replace('x-id: 1', 'x-id: 2'), 'stay'],
+  ...['000', '001', '099', '101', '600', '999'].map(
+    (status) => [`with the status ${status}`, ANSWER.replace('200', status), 'stay'] as const,
+  ),
 ];
 
 for (const [name, bytes, close] of BROKEN) {
@@ -92,6 +95,14 @@
   });
 }
 
+for (const status of [200, 207, 226, 299, 308, 399, 451, 499, 599]) {
+  test(`an answer with the status ${status} is accepted`, async () => {
+    answerWith(ANSWER.replace('200', String(status)), 'stay');
+    const end = await send();
+    assert.ok(end.type === 'answer' && end.status === status, JSON.stringify(end));
+  });
+}
+
 for (const status of ['100 Continue', '102 Processing', '103 Early Hints']) {
   test(`the answer follows an interim status ${status}`, async () => {
     answerWith(`HTTP/1.1 ${status}\r\n\r\n${ANSWER}`, 'stay');
--- a/src/sidecar/target/target-client.ts
+++ b/src/sidecar/target/target-client.ts
@@ -1,12 +1,13 @@
 /**
  * Sends requests to the local target over a pool of connections. An answer is accepted only when it is
- * complete and carries the identity of its request; after anything else the connection is closed, so
- * that no answer can reach another request.
+ * complete, has a final status and carries the identity of its request; after anything else the connection is
+ * closed, so that no answer can reach another request.
  */
 import { Agent, request as httpRequest, type ClientRequest, type IncomingMessage } from 'node:http';
 import type { OutgoingHttpHeaders } from 'node:http';
 import { connect, type Socket } from 'node:net';
 import { hasKnownLength } from '../../core/answer-body.js';
+import { isFinalStatus } from '../../core/final-status.js';
 import { splitAddress } from '../../core/host-and-port.js';
 import type { CancelTimer, Clock } from '../../kernel/clock.js';
 import type { RawFields } from '../link/link-messages.js';
@@ -242,6 +243,10 @@
   private onResponse(response: IncomingMessage): void {
     const { silence, clock } = this.options;
     silence.noteReceived(clock.now());
+    if (!isFinalStatus(response.statusCode)) {
+      this.fail('broken', `the answer has no final status: ${response.statusCode}`);
+      return;
+    }
     if (response.headers[this.options.identityField] !== this.message.attemptId) {
       this.fail('broken', 'the answer belongs to another request');
       return;
@@ -270,7 +275,7 @@
     const { chunks } = this;
     this.onEnd({
       type: 'answer',
-      status: response.statusCode ?? 0,
+      status: response.statusCode!,
       fields: response.rawHeaders,
       headers: response.headers,
       body: chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks),
--- a/src/target/attempt-codec.ts
+++ b/src/target/attempt-codec.ts
@@ -3,6 +3,7 @@
 import { z } from 'zod';
 import type { AttemptResult, TargetAttempt } from '../core/attempt.js';
 import { createFailure, type Failure } from '../core/failure.js';
+import { isFinalStatus } from '../core/final-status.js';
 import { CRITICALITIES } from '../core/request.js';
 import { describeResultCode, ResultCode } from '../core/result-code.js';
 import type { AttemptMessage, AttemptReply } from '../peer/messages.js';
@@ -104,7 +105,15 @@
 export function decodeResult(reply: AttemptReply): AttemptResult {
   const { outcome, attemptsUsed, answer, failure, load } = reply;
   const end = load === undefined ? { outcome, attemptsUsed } : { outcome, attemptsUsed, load };
-  if (answer !== undefined) return { type: 'answer', answer, ...end };
+  if (answer !== undefined && isFinalStatus(answer.status)) {
+    return { type: 'answer', answer, ...end };
+  }
+  if (answer !== undefined) {
+    // Nodes of earlier versions relay any number of three digits as a status.
+    const detail = `the answer has no final status: ${answer.status}`;
+    const failure = createFailure(ResultCode.AnswerIncomplete, detail);
+    return { type: 'failure', failure, ...end, outcome: 'failed' };
+  }
   if (failure === undefined) {
     const detail = 'the reply holds neither an answer nor a failure';
     return { type: 'failure', failure: createFailure(ResultCode.OutcomeUnknown, detail), ...end };
--- a/src/target/backend-contract.test.ts
+++ b/src/target/backend-contract.test.ts
@@ -41,6 +41,12 @@
 const OK = 'HTTP/1.1 200 OK\r\n';
 
 const FAULTS: readonly FaultCase[] = [
+  ...['000', '099', '101', '600'].map((status) => ({
+    name: `no final status: ${status}`,
+    script: replyWith(`HTTP/1.1 ${status} X\r\nContent-Length: 2\r\n\r\nok`),
+    code: ResultCode.AnswerIncomplete,
+    execution: 'unknown',
+  })),
   {
     name: 'truncated: fewer bytes than Content-Length',
     script: replyWith(`${OK}Content-Length: 10\r\n\r\nhalf`, true),
--- a/src/target/node-backend-client.ts
+++ b/src/target/node-backend-client.ts
@@ -11,6 +11,7 @@
 } from 'node:http';
 import type { Socket } from 'node:net';
 import { hasBody, hasKnownLength } from '../core/answer-body.js';
+import { isFinalStatus } from '../core/final-status.js';
 import { connectionTokens } from '../core/forwarded-fields.js';
 import { createFailure } from '../core/failure.js';
 import type { HeaderFields, HttpRequest } from '../core/http-message.js';
@@ -158,8 +159,12 @@
   }
 
   private onResponse(response: IncomingMessage): void {
+    if (!isFinalStatus(response.statusCode)) {
+      this.fail('failed', `the answer has no final status: ${response.statusCode}`);
+      return;
+    }
     const declared = Number(response.headers['content-length'] ?? 0);
-    const expectsBody = this.message.method !== 'HEAD' && hasBody(response.statusCode ?? 0);
+    const expectsBody = this.message.method !== 'HEAD' && hasBody(response.statusCode);
     if (expectsBody && declared > this.limits.maxAnswerBytes) {
       this.fail('too-large', `answer of ${declared} bytes is too large`);
       return;
@@ -199,7 +204,7 @@
     this.finish();
     this.resolve({
       type: 'answer',
-      answer: { status: response.statusCode ?? 0, headers, body: joinChunks(this.chunks) },
+      answer: { status: response.statusCode!, headers, body: joinChunks(this.chunks) },
       closes: connectionTokens(headers).has('close'),
     });
   }
