An answer that cannot be written fails its own request only

Ruled out: nothing further; a second line of defence against values that are not known. Change: the exchange with the caller reports what cannot be written; 502 with result 3002 is sent in its place, with event 424, and if that cannot be written either, this one connection is closed. The same in the first product.

--- a/src/entry/entry-task.ts
+++ b/src/entry/entry-task.ts
@@ -172,7 +172,11 @@
     exchange.onClose(() => {
       reservation.release();
     });
-    exchange.answer(result.answer, this.phase !== 'serving');
+    const unwritable = exchange.answer(result.answer, this.phase !== 'serving');
+    if (unwritable === undefined) return;
+    const { code, detail } = unwritable;
+    this.options.log.emit(Event.AnswerUnwritable, { code, detail, service, kind });
+    this.answerProblem(exchange, unwritable);
   }
 
   /** Answers a request that was never routed. */
--- a/src/entry/http-exchange.ts
+++ b/src/entry/http-exchange.ts
@@ -96,17 +96,27 @@
     });
   }
 
-  /** Sends the whole answer. Does nothing when the caller is gone. */
-  answer(answer: HttpAnswer, closeConnection: boolean): void {
+  /**
+   * Sends the whole answer. Does nothing when the caller is gone.
+   *
+   * @returns why the answer cannot be written (3002); nothing of it has been sent then
+   */
+  answer(answer: HttpAnswer, closeConnection: boolean): Failure | undefined {
     const { response, request } = this;
-    if (this.abandoned || response.destroyed || response.headersSent) return;
+    if (this.abandoned || response.destroyed || response.headersSent) return undefined;
     const headers = answer.headers.flatMap(([name, value]) => [name, value]);
     if (this.needsLength(answer)) headers.push('Content-Length', String(answer.body.length));
     if (this.decideClose(closeConnection)) headers.push('Connection', 'close');
-    response.writeHead(answer.status, headers);
+    try {
+      response.writeHead(answer.status, headers);
+    } catch (error) {
+      const detail = `the answer cannot be written: ${(error as Error).message}`;
+      return createFailure(ResultCode.AnswerIncomplete, detail);
+    }
     response.end(this.method === 'HEAD' ? undefined : answer.body);
     this.limitWriteTime();
     if (!request.complete) this.linger();
+    return undefined;
   }
 
   private needsLength({ status, headers }: HttpAnswer): boolean {
--- a/src/sidecar/entry/caller-exchange.ts
+++ b/src/sidecar/entry/caller-exchange.ts
@@ -82,19 +82,26 @@
   }
 
   /**
-   * Sends the whole answer. Further calls have no effect.
+   * Sends the whole answer. Calls after a successful one have no effect.
    *
    * @param connectionFields header fields about the connection
+   * @returns why the answer cannot be written (3002); nothing of it has been sent then
    */
-  answer({ status, fields, body }: CallerAnswer, connectionFields: RawFields): void {
+  answer({ status, fields, body }: CallerAnswer, connectionFields: RawFields): Failure | undefined {
     const { response } = this;
-    if (this.answered || response.destroyed) return;
-    this.answered = true;
+    if (this.answered || response.destroyed) return undefined;
     const all = [...fields, ...connectionFields];
     const bodied = hasBody(status);
     if (bodied) all.push('Content-Length', String(body.length));
-    response.writeHead(status, all);
+    try {
+      response.writeHead(status, all);
+    } catch (error) {
+      const detail = `the answer cannot be written: ${(error as Error).message}`;
+      return createFailure(ResultCode.AnswerIncomplete, detail);
+    }
+    this.answered = true;
     if (bodied && this.method !== 'HEAD' && body.length > 0) response.end(body);
     else response.end();
+    return undefined;
   }
 }
--- a/src/sidecar/entry/entry-listener.test.ts
+++ b/src/sidecar/entry/entry-listener.test.ts
@@ -47,11 +47,14 @@
 let acceptedRequests: TestRequest[];
 let droppedPaths: string[];
 let callers: Caller[];
+/** Sent in place of an answer that cannot be written. */
+let unwritableReplacement: CallerAnswer;
 
 beforeEach(async () => {
   acceptedRequests = [];
   droppedPaths = [];
   callers = [];
+  unwritableReplacement = { status: 502, fields: [], body: Buffer.from('unwritable') };
   port = await findFreePort();
   listener = new EntryListener(
     {
@@ -66,6 +69,7 @@
         };
       },
       onRequestDropped: ({ path }) => droppedPaths.push(path),
+      onUnwritableAnswer: () => unwritableReplacement,
     },
     systemClock,
   );
@@ -209,7 +213,7 @@
   await waitForRequests(1);
   await listener.close();
   const next = new EntryListener(
-    { handle: () => assert.fail(), onRequestDropped() {} },
+    { handle: () => assert.fail(), onRequestDropped() {}, onUnwritableAnswer: () => assert.fail() },
     systemClock,
   );
   await next.listen('127.0.0.1', port);
@@ -243,3 +247,42 @@
   assert.equal(acceptedRequests.length, BURST);
   assert.deepEqual(droppedPaths, []);
 });
+
+const UNWRITABLE: readonly (readonly [string, Partial<CallerAnswer>])[] = [
+  ['a status below 100', { status: 0 }],
+  ['a field name that is no token', { fields: ['a b', 'c'] }],
+  ['a field value with a line break', { fields: ['X-Odd', 'a\r\nX-Smuggled: 1'] }],
+];
+
+for (const [name, parts] of UNWRITABLE) {
+  test(`an answer with ${name} fails its own request only`, async () => {
+    const [one, other] = [connectCaller(), connectCaller()];
+    one.write('/1');
+    one.write('/2');
+    other.write('/other');
+    await waitForRequests(3);
+    const find = (path: string): TestRequest =>
+      acceptedRequests.find((each) => each.path === path)!;
+    find('/1').answer({ status: 200, fields: [], body: Buffer.from('odd'), ...parts });
+    answer(find('/2'), 'second');
+    answer(find('/other'), 'other');
+    await waitUntil(() => one.text.endsWith('second') && other.text.endsWith('other'));
+    assert.match(one.text, /^HTTP\/1\.1 502 [^]*unwritable.*HTTP\/1\.1 200 [^]*second$/);
+    assert.doesNotMatch(one.text, /odd|smuggled/i);
+    assert.ok(!one.reset && !other.reset);
+  });
+}
+
+test('a connection is closed when no answer to its request can be written', async () => {
+  unwritableReplacement = { status: 0, fields: [], body: Buffer.alloc(0) };
+  const [one, other] = [connectCaller(), connectCaller()];
+  one.write('/1');
+  other.write('/other');
+  await waitForRequests(2);
+  const find = (path: string): TestRequest => acceptedRequests.find((each) => each.path === path)!;
+  find('/1').answer({ status: 0, fields: [], body: Buffer.alloc(0) });
+  await waitUntil(() => one.ended);
+  answer(find('/other'), 'other');
+  await waitUntil(() => other.text.endsWith('other'));
+  assert.equal(one.text, '');
+});
--- a/src/sidecar/entry/entry-listener.ts
+++ b/src/sidecar/entry/entry-listener.ts
@@ -1,6 +1,7 @@
 /** Serves the callers' interface over `node:http`: connections, their requests and the answers. */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import { Server as NetServer, type Socket } from 'node:net';
+import type { Failure } from '../../core/failure.js';
 import { AcceptBurst } from '../../http/accept-burst.js';
 import type { Clock } from '../../kernel/clock.js';
 import type { CallerLimits } from '../rules/routing-rules.js';
@@ -25,6 +26,8 @@
   handle(exchange: CallerExchange, answer: (answer: CallerAnswer) => void): AcceptedRequest;
   /** A request is dropped because its connection ends without an answer to it; it is not run. */
   onRequestDropped(exchange: CallerExchange): void;
+  /** The answer to a request cannot be written; returns the one that is sent in its place. */
+  onUnwritableAnswer(exchange: CallerExchange, failure: Failure): CallerAnswer;
 }
 
 /** Listener of the callers' interface. */
@@ -182,7 +185,11 @@
     slot.answered = true;
     const closes = this.shouldClose(connection, slot, exchange.request);
     if (closes) connection.finish();
-    exchange.answer(answer, closes ? ['Connection', 'close'] : this.keepAliveFields);
+    const connectionFields = closes ? ['Connection', 'close'] : this.keepAliveFields;
+    const failure = exchange.answer(answer, connectionFields);
+    if (failure === undefined) return;
+    const replacement = this.handler.onUnwritableAnswer(exchange, failure);
+    if (exchange.answer(replacement, connectionFields) !== undefined) connection.destroy();
   }
 
   /**
--- a/src/sidecar/entry/entry-service.ts
+++ b/src/sidecar/entry/entry-service.ts
@@ -81,6 +81,13 @@
     const { log, fields } = this.options;
     log.emit(Event.RequestAfterClose, { id: exchange.field(fields.attemptId) });
   }
+
+  onUnwritableAnswer(exchange: CallerExchange, failure: Failure): CallerAnswer {
+    const { log, fields } = this.options;
+    const { code, detail } = failure;
+    log.emit(Event.AnswerUnwritable, { id: exchange.field(fields.attemptId), code, detail });
+    return createProblemAnswer(failure);
+  }
 }
 
 /** One request from its head to its answer. */
