A malformed frame closes its link only

Cause: members of frames were taken for what they should be and failed where they were used, outside of the decoder: a status without a node, a call without fields, rules that are no bytes. Change: members are checked where a frame is decoded (frame-members.ts); a frame with a member of another type is malformed, which closes its link, as before for others. The handlers of frames see only messages of the declared types.

--- a/src/sidecar/link/link-codec.ts
+++ b/src/sidecar/link/link-codec.ts
@@ -7,6 +7,7 @@
 import { ResultCode, type Execution } from '../../core/result-code.js';
 import { isFinalStatus } from '../../core/final-status.js';
 import { createAttemptFailure } from './attempt-port.js';
+import { bytesMember, numberMember, statusMember, textMember } from './frame-members.js';
 import { loadFromBytes, loadToBytes } from './load-codec.js';
 import {
   costFromDocument,
@@ -34,7 +35,6 @@
   AttemptFailure,
   Authorization,
   LinkMessage,
-  NodeStatus,
   RawFields,
 } from './link-messages.js';
 
@@ -215,16 +215,16 @@
     case FrameCode.Hello:
       return {
         type: 'hello',
-        status: document['s'] as NodeStatus,
-        clock: document['c'] as number,
+        status: statusMember(document['s']),
+        clock: numberMember(document['c']),
       };
     case FrameCode.Status:
-      return { type: 'status', status: document['s'] as NodeStatus };
+      return { type: 'status', status: statusMember(document['s']) };
     case FrameCode.Call:
       return {
         type: 'call',
         id,
-        sentAt: document['c'] as number,
+        sentAt: numberMember(document['c']),
         call: callFromDocument(document),
       };
     case FrameCode.Cancel:
@@ -248,9 +248,9 @@
     case FrameCode.RulesWanted:
       return { type: 'rules-wanted' };
     case FrameCode.Rules:
-      return { type: 'rules', document: document['b'] as Uint8Array };
+      return { type: 'rules', document: bytesMember(document['b']) };
     case FrameCode.TargetLeft:
-      return { type: 'target-left', incarnation: document['l'] as string };
+      return { type: 'target-left', incarnation: textMember(document['l']) };
     case FrameCode.TargetLimit:
       return targetLimitFromDocument(document);
     case FrameCode.TargetEnds:
@@ -275,7 +275,13 @@
 function endMessage(id: number, document: Document, end: AttemptEnd): LinkMessage {
   const confirmation = confirmationFromDocument(document);
   const rejected = rejectedMembers(document, end);
-  const message = { type: 'end', id, clock: document['n'] as number, end, ...rejected } as const;
+  const message = {
+    type: 'end',
+    id,
+    clock: numberMember(document['n']),
+    end,
+    ...rejected,
+  } as const;
   return confirmation === undefined ? message : { ...message, confirmation };
 }
 
@@ -300,23 +306,23 @@
 
 function callFromDocument(document: Document): AttemptCall {
   return {
-    attemptId: document['a'] as string,
+    attemptId: textMember(document['a']),
     requestId: requestIdFromDocument(document),
-    service: document['s'] as string,
-    kind: document['k'] as string,
-    rank: document['r'] as number,
-    idempotent: document['x'] as boolean,
-    depth: document['d'] as number,
+    service: textMember(document['s']),
+    kind: textMember(document['k']),
+    rank: numberMember(document['r']),
+    idempotent: document['x'] === true,
+    depth: numberMember(document['d']),
     repeated: document['e'] === true,
     committed: document['w'] === true,
-    timeLeftMs: document['l'] as number,
-    dueInMs: document['u'] as number,
-    callerService: document['o'] as string,
+    timeLeftMs: numberMember(document['l']),
+    dueInMs: numberMember(document['u']),
+    callerService: textMember(document['o']),
     ...authorizationFromDocument(document),
-    method: document['m'] as string,
-    path: document['p'] as string,
-    fields: splitFields(document['h'] as string),
-    body: document['b'] as Uint8Array,
+    method: textMember(document['m']),
+    path: textMember(document['p']),
+    fields: splitFields(textMember(document['h'])),
+    body: bytesMember(document['b']),
   };
 }
 
@@ -324,8 +330,13 @@
   readonly authorization?: Authorization;
 } {
   if (tenant === undefined) return {};
-  const [fingerprint, rulesVersion, validForMs] = [f as string, v as number, g as number];
-  return { authorization: { tenant: tenant as string, fingerprint, rulesVersion, validForMs } };
+  const authorization = {
+    tenant: textMember(tenant),
+    fingerprint: textMember(f),
+    rulesVersion: numberMember(v),
+    validForMs: numberMember(g),
+  };
+  return { authorization };
 }
 
 /** Nodes of earlier versions relay any number of three digits as a status. */
@@ -335,8 +346,8 @@
   return {
     type: 'answer',
     status,
-    fields: splitFields(document['h'] as string),
-    body: document['b'] as Uint8Array,
+    fields: splitFields(textMember(document['h'])),
+    body: bytesMember(document['b']),
     ...loadFromDocument(document),
     ...(document['w'] === true ? { refusedBelow: true } : {}),
     ...costFromDocument(document),
@@ -354,15 +365,15 @@
 }
 
 function failureFromDocument(document: Document): AttemptFailure {
-  const retryAfterMs = document['r'] as number | undefined;
+  const { r: retryAfterMs } = document;
   return {
     type: 'failure',
-    outcome: document['o'] as AttemptOutcome,
-    execution: document['e'] as Execution,
-    code: document['c'] as ResultCode,
-    detail: document['d'] as string,
-    offered: document['f'] as boolean,
-    ...(retryAfterMs === undefined ? {} : { retryAfterMs }),
+    outcome: textMember(document['o']) as AttemptOutcome,
+    execution: textMember(document['e']) as Execution,
+    code: numberMember(document['c']),
+    detail: textMember(document['d']),
+    offered: document['f'] === true,
+    ...(retryAfterMs === undefined ? {} : { retryAfterMs: numberMember(retryAfterMs) }),
     ...loadFromDocument(document),
   };
 }
@@ -375,7 +386,7 @@
 }
 
 function requestIdFromDocument({ a, q }: Document): string {
-  return typeof q === 'number' ? (a as string).slice(0, q) : (q as string);
+  return typeof q === 'number' ? textMember(a).slice(0, q) : textMember(q);
 }
 
 function splitFields(text: string): RawFields {
