A process counts limits of tenants only under a key that it has written itself

A holder released its key at its stop, and the answer was lost. Its next process found the key as it was, renewed the old lease and counted, without changing the key. So the release still met its condition when the store did it, 4.5 s late: the key named nobody, the holder renewed its lease for ever, and the next node that started took the key. Ruled out: overlapping leases and grants that outlive their holder; both end by themselves within seconds, and the two counters went on (events 416 and 417). Change: a process that finds the key of its node writes it again under the same lease, on condition of the revision that it read, and counts only when that write is confirmed. A lease that the same process continues needs no write. Events 416 and 417 say how a node came to count, with which lease and revision, and whether a release was confirmed. The stand-in of the store can do writes late.

--- a/spec/quota-lease.pml
+++ b/spec/quota-lease.pml
@@ -4,12 +4,14 @@
  *
  * A node writes the group's key to the store under a lease, and renews the lease. It counts until the lease
  * duration has passed since it sent the last request that the store granted. Requests and responses may take any
- * time. Node 1 may be suspended; node 0 may be killed and started again, and then takes over its own key. Time is
- * discrete.
+ * time. Node 1 may be suspended; node 0 may be stopped and started again, and then takes over its own key. When it
+ * stops it releases the key, with a write that the store may do at any later time while the key has the revision
+ * that this node wrote. A node that holds the key renews its lease without looking at the key. Time is discrete.
  *
  * A mutant removes one mechanism: -DFROM_ANSWER (the lease duration starts when the response arrives), -DUNTIL_TOLD
  * (a holder counts until a response says that the lease has ended), -DSTEADY_CLOCK (the clock stops during a
- * suspension), -DBLIND_WRITE (the key is written without the condition that no other node holds it).
+ * suspension), -DBLIND_WRITE (the key is written without the condition that no other node holds it),
+ * -DADOPT_BY_RENEWAL (a node that is started again renews the lease of its key without writing the key).
  */
 
 #define END 5
@@ -20,7 +22,10 @@
 
 /* The store. */
 byte holder = NONE;
-byte leaseEndsAt;
+byte leaseEndsAt[2];
+bool releasePending;
+/* Whether the key still has the revision that the release expects. */
+bool releaseMatches;
 
 /* The nodes. */
 bool holds[2];
@@ -31,7 +36,7 @@
 bool granted[2];
 bool suspended[2];
 byte sleptFor[2];
-bool killed;
+bool stopped;
 hidden byte askedAtBefore;
 
 #ifdef STEADY_CLOCK
@@ -55,9 +60,18 @@
         :: else
         fi;
         if
-        :: holder != NONE && now >= leaseEndsAt -> holder = NONE
+        :: holder != NONE && now >= leaseEndsAt[holder] ->
+            holder = NONE;
+            releaseMatches = false
         :: else
         fi }
+    :: atomic { releasePending ->
+        releasePending = false;
+        if
+        :: releaseMatches -> holder = NONE
+        :: else
+        fi;
+        releaseMatches = false }
     /* Node 0. */
     :: atomic { !suspended[0] && !asked[0] ->
         asked[0] = true;
@@ -65,13 +79,22 @@
     :: atomic { asked[0] && !answered[0] ->
         answered[0] = true;
         if
+        :: holds[0] && now < leaseEndsAt[0] ->
+            leaseEndsAt[0] = now + LIFE;
+            granted[0] = true
+#ifdef ADOPT_BY_RENEWAL
+        :: !holds[0] && holder == 0 ->
+            leaseEndsAt[0] = now + LIFE;
+            granted[0] = true
+#endif
 #ifdef BLIND_WRITE
-        :: true ->
+        :: !holds[0] ->
 #else
-        :: holder == NONE || holder == 0 ->
+        :: !holds[0] && (holder == NONE || holder == 0) ->
 #endif
             holder = 0;
-            leaseEndsAt = now + LIFE;
+            releaseMatches = false;
+            leaseEndsAt[0] = now + LIFE;
             granted[0] = true
         :: else -> granted[0] = false
         fi }
@@ -101,13 +124,17 @@
     :: atomic { asked[1] && !answered[1] ->
         answered[1] = true;
         if
+        :: holds[1] && now < leaseEndsAt[1] ->
+            leaseEndsAt[1] = now + LIFE;
+            granted[1] = true
 #ifdef BLIND_WRITE
-        :: true ->
+        :: !holds[1] ->
 #else
-        :: holder == NONE || holder == 1 ->
+        :: !holds[1] && (holder == NONE || holder == 1) ->
 #endif
             holder = 1;
-            leaseEndsAt = now + LIFE;
+            releaseMatches = false;
+            leaseEndsAt[1] = now + LIFE;
             granted[1] = true
         :: else -> granted[1] = false
         fi }
@@ -132,8 +159,10 @@
         askedAt[1] = 0 }
     :: atomic { !suspended[1] && sleptFor[1] == 0 -> suspended[1] = true }
     :: atomic { suspended[1] -> suspended[1] = false }
-    :: atomic { !killed ->
-        killed = true;
+    :: atomic { !stopped ->
+        stopped = true;
+        releasePending = holds[0];
+        releaseMatches = holds[0] && holder == 0;
         holds[0] = false;
         asked[0] = false;
         answered[0] = false }
--- a/src/sidecar/quota/quota-lease.test.ts
+++ b/src/sidecar/quota/quota-lease.test.ts
@@ -14,6 +14,10 @@
 class OneKeyStore implements Partial<MetadataStore> {
   item: StoreItem | undefined;
   isUnavailable = false;
+  /** Whether writes get no answer and are done by {@link doLateWrites}. */
+  isLate = false;
+  writes = 0;
+  private readonly lateWrites: StoreTransaction[] = [];
   private revision = 0;
   private lastLease = 0;
   private readonly leases = new Set<string>();
@@ -36,8 +40,19 @@
     );
   }
 
-  transact({ conditions, puts }: StoreTransaction): ReturnType<MetadataStore['transact']> {
+  transact(transaction: StoreTransaction): ReturnType<MetadataStore['transact']> {
     if (this.isUnavailable) return Promise.resolve(Result.err(UNAVAILABLE));
+    this.writes += 1;
+    if (!this.isLate) return this.apply(transaction);
+    this.lateWrites.push(transaction);
+    return Promise.resolve(Result.err(UNAVAILABLE));
+  }
+
+  async doLateWrites(): Promise<void> {
+    for (const transaction of this.lateWrites.splice(0)) await this.apply(transaction);
+  }
+
+  private apply({ conditions, puts }: StoreTransaction): ReturnType<MetadataStore['transact']> {
     if (conditions[0]!.revision !== (this.item?.revision ?? 0)) {
       return Promise.resolve(Result.ok({ type: 'conflict' }));
     }
@@ -158,3 +173,66 @@
   await first.acquire();
   assert.equal(first.isHeld, true);
 });
+
+test('a release that is done late does not take the key from the next process of its node', async () => {
+  const stopped = createLease('a');
+  await stopped.acquire();
+  store.isLate = true;
+  await stopped.close();
+  store.isLate = false;
+  const [restarted, other] = [createLease('a'), createLease('b')];
+  await restarted.acquire();
+  assert.equal(restarted.isHeld, true);
+  await store.doLateWrites();
+  await other.acquire();
+  assert.deepEqual([restarted.isHeld, other.isHeld], [true, false]);
+});
+
+test('a process does not count while the write with which it continues a lease has no answer', async () => {
+  await createLease('a').acquire();
+  store.isLate = true;
+  const restarted = createLease('a');
+  await restarted.acquire();
+  assert.equal(restarted.isHeld, false);
+  store.isLate = false;
+  await pass(200);
+  await restarted.acquire();
+  assert.equal(restarted.isHeld, true);
+  await store.doLateWrites();
+  await pass(5_000);
+  assert.equal(restarted.isHeld, true, 'the late write no longer meets its condition');
+});
+
+test('an acquisition that is done late is continued by its own node and by no other', async () => {
+  store.isLate = true;
+  const [first, second] = [createLease('a'), createLease('b')];
+  await first.acquire();
+  store.isLate = false;
+  await store.doLateWrites();
+  await second.acquire();
+  await pass(200);
+  await first.acquire();
+  assert.deepEqual([first.isHeld, second.isHeld], [true, false]);
+});
+
+test('a holder stops counting soon after another writer has changed its key', async () => {
+  const [holder, other] = [createLease('a'), createLease('b')];
+  await holder.acquire();
+  store.item = { ...store.item!, revision: 99, value: Buffer.from('') };
+  await pass(3_200);
+  assert.equal(holder.isHeld, false);
+  await other.acquire();
+  assert.equal(other.isHeld, true);
+});
+
+test('a lease that continues without a restart is not written again', async () => {
+  const lease = createLease('a');
+  await lease.acquire();
+  store.isUnavailable = true;
+  await pass(3_900);
+  store.isUnavailable = false;
+  await pass(200);
+  await lease.acquire();
+  await pass(10_000);
+  assert.deepEqual([lease.isHeld, store.writes], [true, 1]);
+});
--- a/src/sidecar/quota/quota-lease.ts
+++ b/src/sidecar/quota/quota-lease.ts
@@ -1,7 +1,8 @@
 /**
  * Decides which node counts the limits of a group of tenants: the holder of the group's key in the store,
  * under a lease. The holder stops by its own clock before the lease can expire, so that two nodes never count
- * at the same time.
+ * at the same time. A process counts only after it has written the key itself: a write of an earlier process
+ * whose answer was lost may still be applied, but not once the key has another revision.
  */
 import type { Clock } from '../../kernel/clock.js';
 import { Event, type EventLog } from '../../kernel/event.js';
@@ -13,6 +14,8 @@
 /** The holder stops counting this long before the lease can expire, in milliseconds. */
 const LEASE_MARGIN_MS = 200;
 const RENEW_INTERVAL_MS = 1_000;
+/** The holder checks its key at each so many renewals; stale reads make a check cost as much as a renewal. */
+const RENEWALS_PER_CHECK = 3;
 /** Minimum time between attempts to become the holder, in milliseconds. */
 const ATTEMPT_INTERVAL_MS = 200;
 /** Value of a key that its holder has released. */
@@ -30,13 +33,27 @@
   onAcquired(): void;
 }
 
+/** A write of the key. */
+interface KeyWrite {
+  readonly holder: string;
+  /** Lease with which the key expires; absent: none. */
+  readonly lease?: string;
+  /** Revision that the key must have; 0: it must not exist. */
+  readonly expected: number;
+}
+
 /** Reads a group's key from the store; the answer is not older than the call. */
 export type ReadGroupKey = (key: string) => Promise<Result<StoreItem | undefined, StoreFailure>>;
 
+/** How a node came to count: it found no holder, or it continues the lease of an earlier process of its own. */
+type Acquisition = 'acquired' | 'adopted';
+
 /** Lease of one group, as seen by this node. */
 export class QuotaLease {
   private lease: string | undefined;
-  private revision = 0;
+  /** Revision of the key that this process has written; undefined: none in this era of the store. */
+  private revision: number | undefined;
+  private renewals = 0;
   /** Boot time of the last request to the store that confirmed the lease. */
   private confirmedAt = -Infinity;
   private attempt: Promise<void> | undefined;
@@ -83,6 +100,8 @@
    */
   reset(): void {
     if (!this.isHeld) this.othersMayCountUntil = this.options.clock.bootNow() + LEASE_TTL_MS;
+    // The store assigns revisions again.
+    this.revision = undefined;
     this.lose('the store was restored from an older copy');
   }
 
@@ -90,9 +109,11 @@
   async close(): Promise<void> {
     this.closed = true;
     this.cancelRenewal();
-    if (!this.isHeld) return;
+    if (!this.isHeld || this.revision === undefined) return;
     this.lease = undefined;
-    await this.write(NO_HOLDER, undefined);
+    const written = await this.write({ holder: NO_HOLDER, expected: this.revision });
+    const detail = written === undefined ? 'the release is not confirmed' : 'released';
+    this.options.log.emit(Event.QuotaCountingEnded, { group: this.options.group, detail });
   }
 
   private get isWaitingForOthers(): boolean {
@@ -115,35 +136,42 @@
     else if (holder === NO_HOLDER) await this.acquireKey(item?.revision ?? 0);
   }
 
-  /** Continues a lease that this process or an earlier process of this node holds. */
-  private async adopt(item: StoreItem, requestedAt: number): Promise<void> {
-    if (item.lease === undefined) return;
-    const renewed = await this.options.store.renewLease(item.lease);
-    if (renewed.isOk && renewed.value) this.onHeld(item.lease, item.revision, requestedAt);
+  /** Continues a lease of this node, after a write of the key unless this process has written it last. */
+  private async adopt({ lease, revision }: StoreItem, requestedAt: number): Promise<void> {
+    if (lease === undefined) return;
+    const renewed = await this.options.store.renewLease(lease);
+    if (renewed.isErr || !renewed.value || this.closed) return;
+    const isOwn = revision === this.revision;
+    const own = isOwn ? revision : await this.write({ ...this.holding(lease), expected: revision });
+    if (own !== undefined) this.onHeld(lease, own, requestedAt, 'adopted');
   }
 
-  private async acquireKey(revision: number): Promise<void> {
-    const { store, node, clock } = this.options;
+  private async acquireKey(expected: number): Promise<void> {
+    const { store, clock } = this.options;
     const requestedAt = clock.bootNow();
     const granted = await store.grantLease(LEASE_TTL_MS);
-    if (granted.isErr) return;
-    this.revision = revision;
-    const written = await this.write(node, granted.value.id);
-    if (written !== undefined) this.onHeld(granted.value.id, written, requestedAt);
+    if (granted.isErr || this.closed) return;
+    const { id: lease } = granted.value;
+    const written = await this.write({ ...this.holding(lease), expected });
+    if (written !== undefined) this.onHeld(lease, written, requestedAt, 'acquired');
+  }
+
+  private holding(lease: string): Pick<KeyWrite, 'holder' | 'lease'> {
+    return { holder: this.options.node, lease };
   }
 
   /** @returns revision of the write; undefined when it failed or its outcome is unknown */
-  private async write(holder: string, lease: string | undefined): Promise<number | undefined> {
+  private async write({ holder, lease, expected }: KeyWrite): Promise<number | undefined> {
     const { key } = this;
     const value = Buffer.from(holder);
     const result = await this.options.store.transact({
-      conditions: [{ key, revision: this.revision }],
+      conditions: [{ key, revision: expected }],
       puts: [lease === undefined ? { key, value } : { key, value, lease }],
     });
     return result.isOk && result.value.type === 'committed' ? result.value.revision : undefined;
   }
 
-  private onHeld(lease: string, revision: number, requestedAt: number): void {
+  private onHeld(lease: string, revision: number, requestedAt: number, by: Acquisition): void {
     if (this.closed) return;
     const { group, node, log, onAcquired } = this.options;
     // The same lease without a gap: no other node has counted in the meantime.
@@ -153,7 +181,7 @@
     this.confirmedAt = requestedAt;
     this.knownHolder = node;
     if (!isSame) {
-      log.emit(Event.QuotaCountingBegun, { group });
+      log.emit(Event.QuotaCountingBegun, { group, by, lease, revision });
       onAcquired();
     }
     this.scheduleRenewal();
@@ -178,6 +206,21 @@
     }
     if (renewed.isOk) this.confirmedAt = requestedAt;
     this.scheduleRenewal();
+    this.renewals += 1;
+    if (this.renewals % RENEWALS_PER_CHECK === 0) await this.checkKey();
+  }
+
+  /** Stops counting if the key was changed: the lease alone says nothing about the key. */
+  private async checkKey(): Promise<void> {
+    const { store } = this.options;
+    const { lease, revision } = this;
+    const stale = await store.read(this.key, { mayBeStale: true });
+    if (stale.isErr || stale.value?.revision === revision) return;
+    const current = await store.read(this.key);
+    if (current.isErr || current.value?.revision === revision) return;
+    if (lease === this.lease && revision === this.revision) {
+      this.lose('another writer has changed the key');
+    }
   }
 
   private lose(detail: string): void {
--- a/src/store/metadata-store.ts
+++ b/src/store/metadata-store.ts
@@ -57,6 +57,12 @@
   readonly revision: number;
 }
 
+/** How one key is read. */
+export interface ReadOptions {
+  /** Whether the answer may be some seconds old; such a read is cheaper for the store. */
+  readonly mayBeStale?: boolean;
+}
+
 /** One write. */
 export interface StorePut {
   readonly key: string;
@@ -99,8 +105,8 @@
 
 /** Operations of the metadata store. */
 export interface MetadataStore {
-  /** Reads one key; linearizable. */
-  read(key: string): Promise<Result<StoreItem | undefined, StoreFailure>>;
+  /** Reads one key; linearizable unless the options say otherwise. */
+  read(key: string, options?: ReadOptions): Promise<Result<StoreItem | undefined, StoreFailure>>;
   /** Reads all keys of a prefix, page by page; linearizable, not a snapshot. */
   list(prefix: string): Promise<Result<StoreListing, StoreFailure>>;
   /**
--- a/test/sidecar-quotas.test.ts
+++ b/test/sidecar-quotas.test.ts
@@ -4,6 +4,8 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import { ResultCode } from '../src/core/result-code.js';
 import type { RouteOptions, TenantOptions } from '../platform/stand-ins/rules-document.js';
+import { groupOfTenant, orderCandidates } from '../src/sidecar/quota/quota-groups.js';
+import { QUOTA_KEY_PREFIX } from '../src/sidecar/quota/quota-lease.js';
 import { Mesh, waitUntil, type CallerAnswer, type Machine } from './stand-ins/mesh.js';
 
 const WINDOW_MS = 1_000;
@@ -153,3 +155,36 @@
   const answers = await load('small-1', 18, 1_000, [callers[0]!]);
   assert.deepEqual(listDistinctOutcomes(answers), ['200']);
 });
+
+test('the bound holds after a release of quota keys that the store does late', async () => {
+  const [holder, asking] = [callers[0]!, callers[1]!];
+  const group = groupOfTenant('small');
+  assert.equal(mesh.store.get(`${QUOTA_KEY_PREFIX}${group}`), holder.id);
+  assert.equal(
+    orderCandidates(
+      group,
+      mesh.machines.map(({ id }) => id),
+    )[0],
+    ledger.id,
+  );
+  mesh.store.faults.lateWriteMs = 1_500;
+  await holder.kernel.stop();
+  mesh.store.faults.lateWriteMs = 0;
+  await holder.restart();
+  const warm = { path: '/read/warm', apiKey: 'small-1' };
+  await mesh.sendUntil(holder, warm, isServed);
+  await sleep(1_500);
+  // A node that starts begins to count the groups that nobody counts, and another one asks it first.
+  for (const machine of [ledger, asking]) {
+    await machine.kernel.stop();
+    await machine.restart();
+    await machine.target.sendHeartbeat(machine.registration);
+    await sleep(1_200);
+  }
+  for (const caller of [holder, asking]) await mesh.sendUntil(caller, warm, isServed);
+  await sleep(1_200);
+  arrivals.clear();
+  await load('small-1', 150, 3_000, [holder, asking]);
+  const most = busiestWindow(arrivals.get('small'));
+  assert.ok(most <= boundOf(SMALL), `${most} in a window, ${boundOf(SMALL)} allowed`);
+});
