A node writes its record again when a late write has replaced it

A node that starts keeps the record of its earlier process when the content is right, without a write, so that a write of that process without an answer still meets its condition. Done late, it replaces the record, and the node, which ignored reports of its own record, never put it right: other nodes would go by another address or by a target that leaves. Ruled out: a write at each start instead; it would cost every other node a call. Change: the watch of the records, which each node has anyway, hands the own record to the publisher, which writes it again when it has a later revision than its own writes and other content.

--- a/src/sidecar/directory/record-publisher.test.ts
+++ b/src/sidecar/directory/record-publisher.test.ts
@@ -188,3 +188,36 @@
   await settle();
   assert.equal(stored, true);
 });
+
+const KEY = 'sillshore/nodes/n';
+
+/** A publisher that has kept the record of an earlier process without writing it. */
+async function adopt(): Promise<Created> {
+  const created = create();
+  const value = Buffer.from(JSON.stringify(READY));
+  created.publisher.takePrevious({ key: KEY, revision: 5, lease: '9', value });
+  await created.publisher.publish(READY);
+  assert.deepEqual(created.store.writes, []);
+  return created;
+}
+
+test('a write of an earlier process that is done late does not stay in place of the record', async () => {
+  const { store, publisher } = await adopt();
+  const late = { key: KEY, revision: 6, value: Buffer.from(JSON.stringify(LEAVING)) };
+  publisher.noteStored([late]);
+  await settle();
+  assert.deepEqual(
+    store.writes.map(({ target }) => target),
+    ['ready'],
+  );
+});
+
+test('a reported record that is older than the own one, or equal to it, is not written again', async () => {
+  const { store, publisher } = await adopt();
+  const older = { key: KEY, revision: 4, value: Buffer.from(JSON.stringify(LEAVING)) };
+  const equal = { key: KEY, revision: 6, value: Buffer.from(JSON.stringify(READY)) };
+  const other = { key: 'sillshore/nodes/m', revision: 7, value: Buffer.from('{}') };
+  publisher.noteStored([older, equal, other]);
+  await settle();
+  assert.deepEqual(store.writes, []);
+});
--- a/src/sidecar/directory/record-publisher.ts
+++ b/src/sidecar/directory/record-publisher.ts
@@ -1,6 +1,7 @@
 /**
  * Writes this node's record into the store, under a lease, and only if the stored record has the revision
- * that was last seen: so a late write of an earlier process fails.
+ * that was last seen. A record that an earlier process left is kept if its content is right; a write of that
+ * process that is applied late can still replace it, so replaced records are written again.
  */
 import { Event, type EventLog } from '../../kernel/event.js';
 import type { CancelTimer, Clock } from '../../kernel/clock.js';
@@ -77,6 +78,20 @@
     void this.run();
   }
 
+  /**
+   * Called with items that the store reports. A record of this node with a later revision than its own writes,
+   * and other content, was written by an earlier process or by another writer, and is written again.
+   */
+  noteStored(items: readonly StoreItem[]): void {
+    const { written, running, revision: known = 0 } = this;
+    if (written === undefined || running) return;
+    const stored = items.findLast(({ key }) => key === keyOfNode(this.options.node));
+    if (stored === undefined || stored.revision <= known) return;
+    if (stored.value.equals(this.encode(written))) return;
+    this.options.log.emit(Event.OwnRecordReplaced, { revision: stored.revision, known });
+    this.writeAgain();
+  }
+
   /** Whether a record was written in another era: the store may have lost a newer one. */
   isFromOtherEra({ storeEra }: NodeRecord): boolean {
     return storeEra !== this.options.eras.current;
--- a/src/sidecar/plugins/directory-plugin.ts
+++ b/src/sidecar/plugins/directory-plugin.ts
@@ -77,9 +77,11 @@
           pauseAfterEventsMs: () => recordBatchPauseMs(directory.size),
           onListing: (items) => {
             directory.replaceAll(items);
+            get(SidecarToken.Publisher).noteStored(items);
           },
           onEvents: (events) => {
             directory.apply(events);
+            get(SidecarToken.Publisher).noteStored(events.filter((event) => event.type === 'put'));
           },
         });
       });
--- a/test/sidecar-outage.test.ts
+++ b/test/sidecar-outage.test.ts
@@ -3,6 +3,7 @@
 import { after, before, test } from 'node:test';
 import { setTimeout as delay } from 'node:timers/promises';
 import { TARGET_ACCEPT_TIME_MS } from '../src/sidecar/entry/planned-stop.js';
+import { findFreePorts } from '../src/trials/free-ports.js';
 import { Mesh, sendRequest, waitUntil, type CallerAnswer, type Machine } from './stand-ins/mesh.js';
 
 const OPTIONS = { zone: 'z', slots: 4, workMs: 1 };
@@ -72,6 +73,15 @@
   }
 });
 
+test('a record that a late write of an earlier process has replaced is written again', async () => {
+  const key = `sillshore/nodes/${second.id}`;
+  const right = mesh.store.get(key)!;
+  const nobody = `127.0.0.1:${(await findFreePorts(1))[0]}`;
+  mesh.store.put(key, JSON.stringify({ ...(JSON.parse(right) as object), address: nobody }));
+  await waitUntil(() => mesh.store.get(key) === right);
+  assert.notEqual(mesh.store.leaseOf(key), 0);
+});
+
 test('rules are found when the history of their write is lost', async () => {
   mesh.putRules(4, [
     { path: '/read/', service: 'ledger' },
