A connection to the target carries each attempt at most once

The target refused an attempt and said so twice; in between the node had sent the attempt again, under the same id and over the same connection, so that the surplus refusal passed for the answer to the second sending. Change: the connections to the target remember the attempts that they have carried in the last 30 s. An attempt that is sent again goes over another idle connection, or a new one; an idle connection that has carried it and would be used next is closed. Bytes that arrive on an idle connection close it: before, the rest of them could be read as the answer to the next request. Event 409 says after how many milliseconds an attempt failed, and what is known of its execution. With one sending of an id on a connection, a second answer with that id belongs to nobody. Closing a connection after each refusal was not tried: under overload it would cost a connection for each.

--- a/src/sidecar/target/target-client-answers.test.ts
+++ b/src/sidecar/target/target-client-answers.test.ts
@@ -48,9 +48,13 @@
   server.close();
 });
 
-function send(body = new Uint8Array(0), onAbort?: (abort: () => void) => void): Promise<ExchangeEnd> {
-  const fields = ['Host', 'h', 'x-id', '1', 'Content-Length', String(body.length)];
-  const request = { attemptId: '1', method: 'POST', path: '/', fields, body, timeoutMs: 5_000 };
+function send(
+  body = new Uint8Array(0),
+  onAbort?: (abort: () => void) => void,
+  attemptId = '1',
+): Promise<ExchangeEnd> {
+  const fields = ['Host', 'h', 'x-id', attemptId, 'Content-Length', String(body.length)];
+  const request = { attemptId, method: 'POST', path: '/', fields, body, timeoutMs: 5_000 };
   return new Promise((resolve) => {
     const abort = client.send(request, resolve);
     onAbort?.(abort);
@@ -157,3 +161,56 @@
   const ends = await Promise.all(Array.from({ length: PARALLEL }, () => send()));
   assert.ok(ends.every(({ type }) => type === 'answer'));
 });
+
+function sendAs(attemptId: string): Promise<ExchangeEnd> {
+  return send(undefined, undefined, attemptId);
+}
+
+/** Answers each request with its number on its connection; returns the connections in order of requests. */
+function answerInOrder(): Socket[] {
+  const used: Socket[] = [];
+  onRequest = (socket) => {
+    used.push(socket);
+    const id = received.slice(received.lastIndexOf('x-id: ') + 6).split('\r')[0]!;
+    socket.write(ANSWER.replace('x-id: 1', `x-id: ${id}`).replace('ok', `0${used.length}`));
+  };
+  return used;
+}
+
+function bodyOf(end: ExchangeEnd): string {
+  assert.ok(end.type === 'answer', JSON.stringify(end));
+  return Buffer.from(end.body).toString();
+}
+
+test('a surplus answer does not pass for that of the same attempt when it is sent again', async () => {
+  const used = answerInOrder();
+  assert.equal(bodyOf(await sendAs('1')), '01');
+  // The attempt comes again after others have used the connection.
+  for (const id of ['2', '3']) await sendAs(id);
+  const wait = onRequest;
+  onRequest = (socket) => {
+    used[0]!.write(ANSWER.replace('ok', 'no'));
+    setTimeout(() => {
+      wait(socket);
+    }, 40);
+  };
+  assert.equal(bodyOf(await sendAs('1')), '04');
+  assert.notEqual(used[3], used[0]);
+});
+
+test('an attempt that is sent again uses another idle connection, and none is closed', async () => {
+  const used = answerInOrder();
+  await Promise.all([sendAs('1'), sendAs('2')]);
+  for (const id of ['3', '3', '4', '5']) await sendAs(id);
+  assert.notEqual(used[3], used[2]);
+  assert.deepEqual([opened, sockets.size], [2, 2]);
+});
+
+test('bytes on an idle connection close it', async () => {
+  const used = answerInOrder();
+  await sendAs('1');
+  used[0]!.setNoDelay(true);
+  used[0]!.write('HTTP/1.1 503 X\r\nx-i');
+  await waitUntil(() => sockets.size === 0);
+  assert.equal(bodyOf(await sendAs('2')), '02');
+});
--- a/src/sidecar/target/target-client.ts
+++ b/src/sidecar/target/target-client.ts
@@ -3,7 +3,7 @@
  * complete, has a final status and carries the identity of its request; after anything else the connection is
  * closed, so that no answer can reach another request.
  */
-import { Agent, request as httpRequest, type ClientRequest, type IncomingMessage } from 'node:http';
+import { request as httpRequest, type ClientRequest, type IncomingMessage } from 'node:http';
 import type { OutgoingHttpHeaders } from 'node:http';
 import { connect, type Socket } from 'node:net';
 import { hasKnownLength } from '../../core/answer-body.js';
@@ -12,9 +12,8 @@
 import type { CancelTimer, Clock } from '../../kernel/clock.js';
 import type { RawFields } from '../link/link-messages.js';
 import { ConnectionSilence } from './connection-silence.js';
+import { TargetConnections } from './target-connections.js';
 
-/** Idle connections are closed after this time, well before targets usually close them. */
-const IDLE_SOCKET_TIMEOUT_MS = 4_000;
 const CONNECT_TIMEOUT_MS = 1_000;
 
 const CONNECTION_REFUSED = 'ECONNREFUSED';
@@ -60,7 +59,7 @@
 
 /** Connections to one incarnation of the target. */
 export class TargetClient {
-  private readonly agent: Agent;
+  private readonly connections: TargetConnections;
   private readonly host: string;
   private readonly port: number;
   private readonly silence = new ConnectionSilence();
@@ -69,13 +68,7 @@
     const { host, port } = splitAddress(options.address);
     this.host = host;
     this.port = port;
-    // First in, first out: unsolicited bytes are noticed while a connection is idle.
-    this.agent = new Agent({
-      keepAlive: true,
-      scheduling: 'fifo',
-      maxFreeSockets: Infinity,
-      timeout: IDLE_SOCKET_TIMEOUT_MS,
-    });
+    this.connections = new TargetConnections(options.clock);
   }
 
   /**
@@ -84,11 +77,11 @@
    * @returns aborts the exchange; `onEnd` is not called then
    */
   send(request: TargetRequest, onEnd: (end: ExchangeEnd) => void): () => void {
-    const { agent, host, port, silence } = this;
+    const { connections, host, port, silence } = this;
     const { identityField, clock } = this.options;
     // Each idle connection that has gone silent would cost a request.
-    if (silence.isSuspected(clock.now())) this.closeIdle();
-    const options = { agent, host, port, identityField, clock, silence };
+    if (silence.isSuspected(clock.now())) connections.closeIdle();
+    const options = { connections, host, port, identityField, clock, silence };
     const exchange = new Exchange(request, options, onEnd);
     exchange.start();
     return () => {
@@ -139,24 +132,14 @@
     });
   }
 
-  /**
-   * Closes idle connections; running exchanges go on, and their connections close afterwards. The
-   * agent's own `destroy` would abort those exchanges too.
-   */
+  /** See {@link TargetConnections.close}. */
   close(): void {
-    this.agent.maxFreeSockets = 0;
-    this.closeIdle();
-  }
-
-  private closeIdle(): void {
-    for (const sockets of Object.values(this.agent.freeSockets)) {
-      for (const socket of [...(sockets ?? [])]) socket.destroy();
-    }
+    this.connections.close();
   }
 }
 
 interface ExchangeOptions {
-  readonly agent: Agent;
+  readonly connections: TargetConnections;
   readonly host: string;
   readonly port: number;
   readonly identityField: string;
@@ -181,13 +164,15 @@
   ) {}
 
   start(): void {
-    const { agent, host, port, clock } = this.options;
-    const { method, path, fields, timeoutMs } = this.message;
+    const { connections, host, port, clock } = this.options;
+    const { attemptId, method, path, fields, timeoutMs } = this.message;
     this.cancelTimer = clock.schedule(timeoutMs, () => {
       this.fail(this.sent ? 'timeout' : 'unreachable', 'answer timed out');
     });
     const headers = fields as unknown as OutgoingHttpHeaders;
+    const { agent } = connections;
     let request: ClientRequest;
+    connections.prepare(attemptId);
     try {
       request = httpRequest({ agent, host, port, method, path, headers });
     } catch (error) {
@@ -216,6 +201,7 @@
   }
 
   private onSocket(socket: Socket): void {
+    this.options.connections.assign(socket, this.message.attemptId);
     if (!socket.connecting) {
       this.write();
       return;
--- a/src/sidecar/target/target-gateway.ts
+++ b/src/sidecar/target/target-gateway.ts
@@ -556,9 +556,14 @@
     });
   }
 
-  private logFailure({ call }: Ticket, { outcome, code, detail }: AttemptFailure): void {
+  private logFailure(
+    { call, sentAt }: Ticket,
+    { outcome, code, detail, execution }: AttemptFailure,
+  ): void {
+    const { log, clock } = this.options;
     const { attemptId: id, kind } = call;
-    this.options.log.emit(Event.AttemptFailed, { id, kind, outcome, code, detail });
+    const ms = sentAt === undefined ? undefined : Math.round(clock.now() - sentAt);
+    log.emit(Event.AttemptFailed, { id, kind, outcome, code, execution, ms, detail });
   }
 }
 
