A target's own refusal status after a run is passed on as an unknown outcome

A target's 408, 429 or 503 without the field that says that it did not run the request went to the caller unchanged; the caller takes these statuses for a promise that the request has not run, and sends one that may run only once again (REFUSED). Ruled out: changing it for requests that may be repeated: for them the status is returned as the target gave it. Change: for a request that may run only once such an answer ends as 502, result 3006, execution unknown, without the target's signature. Before/after: sidecar-surplus-answers.test.js, three new cases (408, 429, 503): the answer was passed on before, now 502 and unknown; reads get it unchanged. The four statuses are now given for such requests only when nothing has run.

--- a/src/sidecar/entry/problem-answer.ts
+++ b/src/sidecar/entry/problem-answer.ts
@@ -1,5 +1,6 @@
 /** Answers to callers that the node itself makes: refusals and failures as problem documents (RFC 9457). */
 import type { Failure } from '../../core/failure.js';
+import { meansNotRun } from '../../core/http-status.js';
 import { describeResultCode, ResultCode } from '../../core/result-code.js';
 import type { RawFields } from '../link/link-messages.js';
 
@@ -7,9 +8,6 @@
 const BAD_GATEWAY = 502;
 const UNAVAILABLE = 503;
 
-/** Statuses that callers take to mean that the request has not run and never will. */
-const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
-
 /** An answer made by the node itself. */
 export interface ProblemAnswer {
   readonly status: number;
@@ -46,5 +44,5 @@
     // Invalid input keeps its own status. Any other request that was not run may be retried.
     return httpStatus < 500 && code !== ResultCode.Cancelled ? httpStatus : UNAVAILABLE;
   }
-  return NOT_RUN_STATUSES.has(httpStatus) ? BAD_GATEWAY : httpStatus;
+  return meansNotRun(httpStatus) ? BAD_GATEWAY : httpStatus;
 }
--- a/src/sidecar/link/link-codec.ts
+++ b/src/sidecar/link/link-codec.ts
@@ -5,7 +5,7 @@
 import { deserialize, serialize, setInternalBufferSize } from 'bson';
 import type { AttemptOutcome, LoadReport } from '../../core/request.js';
 import { ResultCode, type Execution } from '../../core/result-code.js';
-import { isFinalStatus } from '../../core/final-status.js';
+import { isFinalStatus } from '../../core/http-status.js';
 import { createAttemptFailure } from './attempt-port.js';
 import { bytesMember, numberMember, statusMember, textMember } from './frame-members.js';
 import { loadFromBytes, loadToBytes } from './load-codec.js';
--- a/src/sidecar/target/target-client.ts
+++ b/src/sidecar/target/target-client.ts
@@ -7,7 +7,7 @@
 import type { OutgoingHttpHeaders } from 'node:http';
 import { connect, type Socket } from 'node:net';
 import { hasKnownLength } from '../../core/answer-body.js';
-import { isFinalStatus } from '../../core/final-status.js';
+import { isFinalStatus } from '../../core/http-status.js';
 import { splitAddress } from '../../core/host-and-port.js';
 import type { CancelTimer, Clock } from '../../kernel/clock.js';
 import type { RawFields } from '../link/link-messages.js';
--- a/src/sidecar/target/target-failures.ts
+++ b/src/sidecar/target/target-failures.ts
@@ -39,6 +39,20 @@
   });
 }
 
+/**
+ * Failure of an attempt that may not run twice and whose answer has a status that callers take for a promise that
+ * it has not run, while the target has not said so.
+ */
+export function createUnconfirmedRefusalFailure(status: number): AttemptFailure {
+  return createAttemptFailure({
+    outcome: 'failed',
+    execution: 'unknown',
+    code: ResultCode.OutcomeUnknown,
+    detail: `the target answered with status ${status} and may have run the request`,
+    offered: true,
+  });
+}
+
 const FAILURE_CODES = {
   unreachable: ResultCode.TargetUnreachable,
   broken: ResultCode.AnswerIncomplete,
--- a/src/sidecar/target/target-gateway.ts
+++ b/src/sidecar/target/target-gateway.ts
@@ -4,6 +4,7 @@
  */
 import type { GateAction, OverloadPolicy, Refusal, TargetGate } from '../../core/overload.js';
 import { CostTally, type ServiceCosts } from '../../core/admission/cost-tally.js';
+import { meansNotRun } from '../../core/http-status.js';
 import { CRITICALITIES, type LoadReport, type RequestContext } from '../../core/request.js';
 import { ResultCode } from '../../core/result-code.js';
 import type { Failure } from '../../core/failure.js';
@@ -43,6 +44,7 @@
 import {
   createLeavingFailure,
   createRefusedByTargetFailure,
+  createUnconfirmedRefusalFailure,
   createUnregisteredFailure,
   MISDIRECTED_REQUEST,
   toFailure,
@@ -415,7 +417,7 @@
     const { gate } = ticket;
     const now = this.options.clock.now();
     const { call, callCosts, refusedBelow, sentAt = now } = ticket;
-    const answered = withRefusedBelow(refusedBelow, this.toAttemptEnd(exchange, targetId));
+    const answered = withRefusedBelow(refusedBelow, this.toAttemptEnd(exchange, targetId, call));
     const end = withCost(callCosts, call.service, now - sentAt, answered);
     const actions = gate.complete(now, ticketId, outcomeOf(end));
     if (end.type === 'answer' && end.refusedBelow === true) gate.noteWastedRun(now, ticket.context);
@@ -493,7 +495,11 @@
     });
   }
 
-  private toAttemptEnd(exchange: ExchangeEnd, targetId: string): AttemptEnd {
+  private toAttemptEnd(
+    exchange: ExchangeEnd,
+    targetId: string,
+    { idempotent }: AttemptCall,
+  ): AttemptEnd {
     if (exchange.type === 'failure') return toFailure(exchange);
     const { status, fields, headers, body } = exchange;
     const { forwardedFields } = this.options;
@@ -507,6 +513,7 @@
     if (status === MISDIRECTED_REQUEST || headers[notExecuted] !== undefined) {
       return createRefusedByTargetFailure(status);
     }
+    if (!idempotent && meansNotRun(status)) return createUnconfirmedRefusalFailure(status);
     return { type: 'answer', status, fields: forwardedFields.fromTarget(fields), body };
   }
 
--- a/src/target/attempt-codec.ts
+++ b/src/target/attempt-codec.ts
@@ -3,7 +3,7 @@
 import { z } from 'zod';
 import type { AttemptResult, TargetAttempt } from '../core/attempt.js';
 import { createFailure, type Failure } from '../core/failure.js';
-import { isFinalStatus } from '../core/final-status.js';
+import { isFinalStatus } from '../core/http-status.js';
 import { CRITICALITIES } from '../core/request.js';
 import { describeResultCode, ResultCode } from '../core/result-code.js';
 import type { AttemptMessage, AttemptReply } from '../peer/messages.js';
--- a/src/target/node-backend-client.ts
+++ b/src/target/node-backend-client.ts
@@ -11,7 +11,7 @@
 } from 'node:http';
 import type { Socket } from 'node:net';
 import { hasBody, hasKnownLength } from '../core/answer-body.js';
-import { isFinalStatus } from '../core/final-status.js';
+import { isFinalStatus } from '../core/http-status.js';
 import { connectionTokens } from '../core/forwarded-fields.js';
 import { createFailure } from '../core/failure.js';
 import type { HeaderFields, HttpRequest } from '../core/http-message.js';
--- a/test/sidecar-surplus-answers.test.ts
+++ b/test/sidecar-surplus-answers.test.ts
@@ -23,6 +23,7 @@
   await mesh.start();
   mesh.putRules(1, [
     { path: '/log/', service: 'ledger', kind: 'non_idempotent' },
+    { path: '/read/', service: 'ledger' },
     { path: '/own/', service: 'guide' },
   ]);
   const options = { zone: 'z', slots: 8, workMs: 1 };
@@ -91,3 +92,21 @@
     }
   }
 });
+
+for (const status of [408, 429, 503]) {
+  test(`a target's ${status} after a run is no promise that the request has not run`, async () => {
+    target.target.behaviour = ({ attemptId }, response) => {
+      response.writeHead(status, { 'X-Attempt-Id': attemptId, 'X-Server-Stamp': 's' }).end('ran');
+      return true;
+    };
+    const request = { path: '/log/write', body: 'x' };
+    const write = await mesh.send(entry, { ...request, method: 'POST' });
+    assert.deepEqual([write.status, write.headers['sillshore-execution']], [502, 'unknown']);
+    assert.equal(write.headers['x-server-stamp'], undefined);
+    const read = await mesh.send(entry, { path: '/read/1' });
+    assert.deepEqual(
+      [read.status, read.headers['x-server-stamp'], read.body],
+      [status, 's', 'ran'],
+    );
+  });
+}
