A delay beyond the runtime's longest timer does not fire at once

A timer of more than 2^31 - 1 ms, as a route's time-out of weeks gives, fires after 1 ms, so that every request of that route would end at its deadline at once. Change: the system's clock waits 24.8 days at the longest. Before/after: clock.test.js, delays of 2^31 ms, 1e15 ms and Infinity fired within 20 ms, now none does.

--- a/src/kernel/clock.test.ts
+++ b/src/kernel/clock.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { ManualClock } from './clock.js';
+import { ManualClock, systemClock } from './clock.js';
 
 /** Schedules a timer that records its name and the time at which it fired. */
 function scheduleRecording(
@@ -57,3 +57,13 @@
   clock.advance(0);
   assert.deepEqual(fired, ['past@7']);
 });
+
+test('a delay that the runtime cannot hold does not fire at once', async () => {
+  let fired = 0;
+  const cancels = [2 ** 31, 1e15, Infinity].map((delayMs) =>
+    systemClock.schedule(delayMs, () => (fired += 1)),
+  );
+  await new Promise((resolve) => setTimeout(resolve, 20));
+  for (const cancel of cancels) cancel();
+  assert.equal(fired, 0);
+});
--- a/src/kernel/clock.ts
+++ b/src/kernel/clock.ts
@@ -12,10 +12,13 @@
   wallNow(): number;
   /** Monotonic milliseconds that include the time for which the machine was suspended. */
   bootNow(): number;
-  /** Calls `callback` once after `delayMs`. */
+  /** Calls `callback` once after `delayMs`; the system's clock after 24.8 days at the latest. */
   schedule(delayMs: number, callback: () => void): CancelTimer;
 }
 
+/** Longest delay that the runtime accepts, in milliseconds; longer ones would fire at once. */
+const MAX_TIMER_MS = 2 ** 31 - 1;
+
 const bootTime = new BootTime(
   () => performance.now(),
   () => Date.now(),
@@ -26,7 +29,7 @@
   wallNow: () => Date.now(),
   bootNow: () => bootTime.now(),
   schedule: (delayMs, callback) => {
-    const timer = setTimeout(callback, delayMs);
+    const timer = setTimeout(callback, Math.min(delayMs, MAX_TIMER_MS));
     return () => {
       clearTimeout(timer);
     };
