Soak: spoiled answers, refusals that come twice, and limits over a store that writes late

Change: 'scripts/soak spoils' (start lines that are none; refusals that come again) and 'scripts/soak limits' (tenants, one of them always beyond its limit; writes done 1.5 to 4 s late), with one new guarantee on limits of tenants and its counter-example.

--- a/test/soak/checks.test.ts
+++ b/test/soak/checks.test.ts
@@ -1,6 +1,7 @@
 /** Checks that a ledger that breaks one guarantee is reported as breaking that one and no other. */
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
+import { LIMITED_TENANT, MAX_LIMITED_RUNS } from './soak-tenants.js';
 import { checkLedger, GUARANTEES, type Bounds } from './checks.js';
 import { createLedger, type Ledger, type ObservedRequest, type ObservedRun } from './ledger.js';
 
@@ -76,6 +77,12 @@
   limits: [LIMIT],
 };
 
+const OVER_LIMIT = Array.from({ length: Math.floor(MAX_LIMITED_RUNS) + 1 }, (_, index) => ({
+  ...RUN,
+  attemptId: `t${index}`,
+  tenant: LIMITED_TENANT,
+}));
+
 type Parts = Partial<Ledger>;
 
 /** Ledgers that break one guarantee each. */
@@ -125,6 +132,18 @@
     'a run after its statement was passed on',
     { requests: [BOUND_REQUEST, REQUEST], runs: [STATED_LEAVING, RUN] },
   ],
+  [
+    'a tenant has no more requests run than its limit allows',
+    'more in a window than the limit and its allowance',
+    {
+      requests: OVER_LIMIT.map(({ attemptId }) => ({
+        ...REQUEST,
+        attemptId,
+        outcome: { type: 'answered', status: 200, body: `answer to ${attemptId}` },
+      })),
+      runs: OVER_LIMIT,
+    },
+  ],
   [
     'targets get no more requests than they state that they take',
     'more than one and a half times the limit and five',
--- a/test/soak/checks.ts
+++ b/test/soak/checks.ts
@@ -1,4 +1,5 @@
 /** The guarantees that a soak run checks against what callers, targets and operators observed. */
+import { LIMITED_TENANT, MAX_LIMITED_RUNS, QUOTA_WINDOW_MS } from './soak-tenants.js';
 import type { Disruption, Ledger, ObservedRequest, ObservedRun } from './ledger.js';
 
 /** A broken guarantee. */
@@ -43,6 +44,7 @@
   'nothing runs at a target whose leave was acknowledged': checkLeaves,
   'nothing runs at a target that stated that it leaves': checkStatedLeaves,
   'targets get no more requests than they state that they take': checkLimits,
+  'a tenant has no more requests run than its limit allows': checkTenantLimit,
   'a change of the rules is in force in time': checkRules,
   'targets get no more time than the deadline leaves': checkDeadlines,
   'requests of disconnected callers are cancelled': checkDisconnected,
@@ -272,6 +274,24 @@
     .length;
 }
 
+/** Counts each request once, at any time, and not the calls of targets. */
+function checkTenantLimit({ runs, requests }: Ledger): Violation[] {
+  const sent = new Set(requests.map(({ attemptId }) => attemptId));
+  const firstRuns = new Map<string, number>();
+  for (const { attemptId, tenant, startedAt } of runs) {
+    if (tenant !== LIMITED_TENANT || !sent.has(attemptId)) continue;
+    firstRuns.set(attemptId, Math.min(startedAt, firstRuns.get(attemptId) ?? Infinity));
+  }
+  const times = [...firstRuns.values()].sort((one, other) => one - other);
+  let worst = 0;
+  for (let last = 0, first = 0; last < times.length; last += 1) {
+    while (times[last]! - times[first]! > QUOTA_WINDOW_MS) first += 1;
+    worst = Math.max(worst, last - first + 1);
+  }
+  if (worst <= MAX_LIMITED_RUNS) return [];
+  return [createViolation(`${worst} in ${QUOTA_WINDOW_MS} ms, ${MAX_LIMITED_RUNS} allowed`)];
+}
+
 /** Faults that last; the time for a change begins again when they have settled. */
 const LASTING = ['stop', 'kill', 'pause', 'callers', 'target', 'store'] as const;
 
--- a/test/soak/ledger.ts
+++ b/test/soak/ledger.ts
@@ -24,6 +24,8 @@
   readonly machine: string;
   readonly service: string;
   readonly targetId: string;
+  /** Tenant that the target was given; empty: none. */
+  readonly tenant?: string;
   readonly startedAt: number;
   /** Time left by the deadline field that the target received; undefined: no field. */
   readonly timeLeftMs: number | undefined;
--- a/test/soak/schedule.ts
+++ b/test/soak/schedule.ts
@@ -31,12 +31,20 @@
 /** Kinds of silences of open connections, in runs with silences only. */
 export const SILENCE_KINDS = ['machine-connections-silent', 'all-connections-silent'] as const;
 
-/** Kind of an action, a drill, a statement or a silence. */
+/** Kinds of spoiled answers of targets, in runs with spoiled answers only. */
+export const SPOIL_KINDS = ['target-spoils-answers', 'target-repeats-refusals'] as const;
+
+/** Kinds of faults of the store that matter to limits of tenants, in runs with limits only. */
+export const LIMIT_KINDS = ['store-writes-late'] as const;
+
+/** Kind of an action, a drill, a statement, a silence, a spoiled answer or a fault around limits. */
 export type ActionKind =
   | (typeof ACTION_KINDS)[number]
   | (typeof DRILL_KINDS)[number]
   | (typeof STATEMENT_KINDS)[number]
-  | (typeof SILENCE_KINDS)[number];
+  | (typeof SILENCE_KINDS)[number]
+  | (typeof SPOIL_KINDS)[number]
+  | (typeof LIMIT_KINDS)[number];
 
 /** What a schedule includes beside the kinds of all runs. */
 export interface ScheduleExtras {
@@ -45,6 +53,10 @@
   readonly statements?: boolean;
   /** Silences of open connections. */
   readonly silences?: boolean;
+  /** Spoiled answers of targets. */
+  readonly spoils?: boolean;
+  /** Tenants with limits, and a store that does writes late. */
+  readonly limits?: boolean;
 }
 
 /** One action; times in milliseconds. */
@@ -73,6 +85,15 @@
   { length: 6 },
   () => STATEMENT_KINDS,
 ).flat();
+/** Spoiled answers are a third of all actions, late writes a quarter. */
+const WEIGHTED_SPOIL_KINDS: readonly ActionKind[] = Array.from(
+  { length: 6 },
+  () => SPOIL_KINDS,
+).flat();
+const WEIGHTED_LIMIT_KINDS: readonly ActionKind[] = Array.from(
+  { length: 8 },
+  () => LIMIT_KINDS,
+).flat();
 /**
  * Kinds of runs with silences: other faults are left out, and actions are further apart, since the bounds of a
  * machine hold only some seconds after its last fault.
@@ -99,12 +120,15 @@
   seed: number,
   machines: number,
   lengthMs: number,
-  { drills = false, statements = false, silences = false }: ScheduleExtras = {},
+  extras: ScheduleExtras = {},
 ): Action[] {
+  const { drills = false, statements = false, silences = false } = extras;
   const kinds = [
     ...(silences ? WEIGHTED_KINDS_WITH_SILENCES : WEIGHTED_ACTION_KINDS),
     ...(drills ? WEIGHTED_DRILL_KINDS : []),
     ...(statements ? WEIGHTED_STATEMENT_KINDS : []),
+    ...(extras.spoils === true ? WEIGHTED_SPOIL_KINDS : []),
+    ...(extras.limits === true ? WEIGHTED_LIMIT_KINDS : []),
   ];
   const random = createRandom(hash32(`soak ${seed}`));
   const actions: Action[] = [];
--- a/test/soak/soak-callers.ts
+++ b/test/soak/soak-callers.ts
@@ -22,21 +22,25 @@
 const MAX_WORK_MS = 120;
 const MAX_LONG_WORK_MS = 1_800;
 
+export interface SoakCallerOptions {
+  readonly name: string;
+  readonly seed: number;
+  readonly machine: ProcessMachine;
+  readonly ledger: Ledger;
+  /** Whether it connects over the relay, and so is subject to the relay's faults. */
+  readonly relayed: boolean;
+  /** Absent: requests need no key. */
+  readonly apiKey?: string | undefined;
+}
+
 /** One caller; after `stop` it ends with its last request. */
 export class SoakCaller {
   private readonly random: Random;
   private stopped = false;
   private count = 0;
 
-  constructor(
-    private readonly name: string,
-    seed: number,
-    private readonly machine: ProcessMachine,
-    private readonly ledger: Ledger,
-    /** Whether it connects over the relay, and so is subject to the relay's faults. */
-    private readonly relayed: boolean,
-  ) {
-    this.random = createRandom(hash32(`caller ${seed} ${name}`));
+  constructor(private readonly options: SoakCallerOptions) {
+    this.random = createRandom(hash32(`caller ${options.seed} ${options.name}`));
   }
 
   stop(): void {
@@ -45,8 +49,8 @@
 
   async run(): Promise<void> {
     while (!this.stopped) {
-      const { callerAddress, entry } = this.machine;
-      const connection = new RawCaller(this.relayed ? callerAddress : entry);
+      const { machine, relayed } = this.options;
+      const connection = new RawCaller(relayed ? machine.callerAddress : machine.entry);
       while (!this.stopped && !connection.isEnded) await this.step(connection);
       connection.close();
       await sleep(this.random.nextInt(MAX_RECONNECT_MS));
@@ -81,14 +85,16 @@
 
   private drawRequest(route = this.drawRoute()): RawRequest {
     this.count += 1;
+    const { apiKey } = this.options;
     const isLong = this.random.next() < SHARE_LONG_WORK;
     const workMs = this.random.nextInt(isLong ? MAX_LONG_WORK_MS : MAX_WORK_MS);
     return {
-      attemptId: `${this.name}-${this.count}`,
+      attemptId: `${this.options.name}-${this.count}`,
       method: route === '/write/' ? 'POST' : 'GET',
       path: `${route}${workMs}`,
       deadlineMs: DEADLINE_MS,
       ...(route === '/write/' ? { body: 'entry' } : {}),
+      ...(apiKey === undefined ? {} : { apiKey }),
     };
   }
 
@@ -104,14 +110,14 @@
     outstandingBefore: number,
     disconnectedAt?: number,
   ): void {
-    const machine = this.machine.id;
+    const { machine, relayed, ledger } = this.options;
     const wasAnswered = record.outcome.type === 'answered';
     const disconnectedBeforeAnswerAt = wasAnswered ? undefined : disconnectedAt;
-    this.ledger.requests.push({
+    ledger.requests.push({
       ...record,
-      relayed: this.relayed,
+      relayed,
       ...{
-        machine,
+        machine: machine.id,
         outstandingBefore,
         deadlineMs: DEADLINE_MS,
         disconnectedAt: disconnectedBeforeAnswerAt,
--- a/test/soak/soak-faults.ts
+++ b/test/soak/soak-faults.ts
@@ -6,6 +6,8 @@
 import type { Bounds } from './checks.js';
 import type { Disruption, Ledger } from './ledger.js';
 import type { Action } from './schedule.js';
+import type { SpoiledAnswers } from './spoiled-answers.js';
+import type { TenantOptions } from '../../platform/stand-ins/rules-document.js';
 
 /** Step of the request limits that targets state, in requests a second. */
 const LIMIT_STEP_PER_SECOND = 2.5;
@@ -13,6 +15,8 @@
 const MIN_LIMIT_MS = 7_500;
 /** Shortest time for which a target states that it leaves, in milliseconds. */
 const MIN_STATED_LEAVING_MS = 1_500;
+/** Shortest delay of writes that the store does late, in milliseconds. */
+const MIN_LATE_WRITE_MS = 1_500;
 const MOVING_SERVICES = ['ledger', 'archive'] as const;
 /** Longest wait for a restarted node to be ready, in milliseconds; its disruption lasts until then. */
 const READY_WITHIN_MS = 15_000;
@@ -36,6 +40,8 @@
     private readonly mesh: ProcessMesh,
     private readonly ledger: Ledger,
     private readonly bounds: Bounds,
+    private readonly spoiled: SpoiledAnswers,
+    private readonly tenants?: readonly TenantOptions[],
   ) {}
 
   /** Performs a schedule; resolves when all its actions have ended. */
@@ -59,7 +65,7 @@
       { path: '/chain/', service: 'archive' },
       { path: '/moved/', service: movedTo },
     ];
-    this.mesh.putRules(this.version, routes);
+    this.mesh.putRules(this.version, routes, this.tenants);
     this.ledger.rules.push({ at: performance.now(), movedTo });
   }
 
@@ -141,6 +147,16 @@
         );
       case 'store-older':
         return await this.restoreOlderStore(forMs, gapMs);
+      case 'store-writes-late':
+        return await this.disruptStore(
+          () => (faults.lateWriteMs = MIN_LATE_WRITE_MS + forMs),
+          () => (faults.lateWriteMs = 0),
+          forMs,
+        );
+      case 'target-spoils-answers':
+        return await this.spoil(this.spoiled.spoiling, machine, forMs);
+      case 'target-repeats-refusals':
+        return await this.spoil(this.spoiled.refusing, machine, forMs);
       case 'machine-connections-silent':
         return await this.silenceConnections([machine], action);
       case 'all-connections-silent':
@@ -170,6 +186,13 @@
     }
   }
 
+  /** Answers that a target spoils excuse nobody. */
+  private async spoil(machines: Set<string>, { id }: ProcessMachine, forMs: number): Promise<void> {
+    machines.add(id);
+    await sleep(forMs);
+    machines.delete(id);
+  }
+
   /** Makes open connections of machines silent for good, in a series, and then changes the rules. */
   private async silenceConnections(
     machines: readonly ProcessMachine[],
--- a/test/soak/soak-main.ts
+++ b/test/soak/soak-main.ts
@@ -6,6 +6,8 @@
  *   node dist/test/soak/soak-main.js drills [first seed] ...    the same with drills
  *   node dist/test/soak/soak-main.js statements [first seed] ...  the same with statements of targets
  *   node dist/test/soak/soak-main.js silences [first seed] ...  the same with silences of open connections
+ *   node dist/test/soak/soak-main.js spoils [first seed] ...    the same with spoiled answers of targets
+ *   node dist/test/soak/soak-main.js limits [first seed] ...    the same with limits of tenants
  *   node dist/test/soak/soak-main.js failed                     the seeds in failed-seeds.ts
  */
 import { mkdirSync, writeFileSync } from 'node:fs';
@@ -20,6 +22,8 @@
   drills: { drills: true },
   statements: { statements: true },
   silences: SILENCE_RUN,
+  spoils: { spoils: true },
+  limits: { limits: true },
 };
 const extras = EXTRAS[process.argv[2] ?? ''];
 const [first = 1, count = 1, concurrency = 1, machines = LONG_RUN.machines] = runsFailedSeeds
--- a/test/soak/soak-run.ts
+++ b/test/soak/soak-run.ts
@@ -11,6 +11,8 @@
 import { createSchedule, type Action, type ScheduleExtras } from './schedule.js';
 import { SoakCaller } from './soak-callers.js';
 import { SoakFaults } from './soak-faults.js';
+import { SpoiledAnswers } from './spoiled-answers.js';
+import { LIMITED_KEY, QUOTA_SETTINGS, TENANTS, UNLIMITED_KEY } from './soak-tenants.js';
 
 /** Options of a run. */
 export interface SoakOptions extends ScheduleExtras {
@@ -64,16 +66,24 @@
 }
 
 class SoakRun {
-  private readonly mesh = new ProcessMesh({
-    relayed: true,
-    gracePeriodMs: SOAK_BOUNDS.gracePeriodMs,
-  });
+  private readonly mesh: ProcessMesh;
   private readonly ledger: Ledger = createLedger();
-  private readonly faults = new SoakFaults(this.mesh, this.ledger, SOAK_BOUNDS);
+  private readonly spoiled: SpoiledAnswers;
+  private readonly faults: SoakFaults;
   private probes = 0;
   private stallTimer: NodeJS.Timeout | undefined;
 
-  constructor(private readonly options: SoakOptions) {}
+  constructor(private readonly options: SoakOptions) {
+    const limits = options.limits === true;
+    this.mesh = new ProcessMesh({
+      relayed: true,
+      gracePeriodMs: SOAK_BOUNDS.gracePeriodMs,
+      ...(limits ? { bounds: QUOTA_SETTINGS, apiKey: UNLIMITED_KEY } : {}),
+    });
+    this.spoiled = new SpoiledAnswers(options.seed);
+    const tenants = limits ? TENANTS : undefined;
+    this.faults = new SoakFaults(this.mesh, this.ledger, SOAK_BOUNDS, this.spoiled, tenants);
+  }
 
   async execute(): Promise<SoakResult> {
     const { seed, machines, lengthMs, callersPerMachine } = this.options;
@@ -86,7 +96,10 @@
     const callers = this.mesh.machines.flatMap((machine) =>
       Array.from({ length: callersPerMachine }, (_, index) => {
         const relayed = index % 2 === 0;
-        return new SoakCaller(`${machine.id}-${index}`, seed, machine, this.ledger, relayed);
+        return new SoakCaller({
+          ...{ name: `${machine.id}-${index}`, seed, machine, ledger: this.ledger, relayed },
+          apiKey: this.apiKeyOf(index),
+        });
       }),
     );
     const running = callers.map((caller) => caller.run());
@@ -103,6 +116,12 @@
     await this.mesh.stop();
   }
 
+  /** A quarter of the callers, one at each machine, belong to the tenant with a limit. */
+  private apiKeyOf(caller: number): string | undefined {
+    if (this.options.limits !== true) return undefined;
+    return caller === 0 ? LIMITED_KEY : UNLIMITED_KEY;
+  }
+
   /** Records when this process, which runs the callers, relays and targets, stood still. */
   private recordStalls(): void {
     let lastAt = performance.now();
@@ -130,11 +149,13 @@
     target.behaviour = ({ attemptId, path, headers }, response) => {
       const expected = headers['x-expected-instance'];
       if (expected !== undefined && expected !== target.id) return false;
+      if (this.spoiled.refuse(machine.id, attemptId, response)) return true;
       const deadlineField = headers['x-deadline-ms'];
       const run: ObservedRun = {
         ...{ attemptId, path, service, machine: machine.id, targetId: target.id },
         startedAt: performance.now(),
         timeLeftMs: deadlineField === undefined ? undefined : Number(deadlineField),
+        tenant: String(headers['x-tenant'] ?? ''),
         endedAt: undefined,
         aborted: false,
       };
@@ -145,6 +166,7 @@
         run.statedLimit = response.hasHeader('Server-Limit');
         run.statedLeaving = response.hasHeader('Server-Leaving');
       });
+      if (this.spoiled.spoil(machine.id, attemptId, response)) return true;
       if (!path.startsWith('/chain/')) return false;
       const answer = (status: number): void => {
         const fields = { 'X-Attempt-Id': attemptId, 'X-Server-Stamp': `stamp ${target.id}` };
@@ -182,7 +204,8 @@
     this.probes += 1;
     try {
       const attemptId = `probe-${this.probes}`;
-      return (await sendRequest(machine.entry, { path, attemptId })).status === 200;
+      const key = this.options.limits === true ? { apiKey: UNLIMITED_KEY } : {};
+      return (await sendRequest(machine.entry, { path, attemptId, ...key })).status === 200;
     } catch {
       return false;
     }
--- a/test/support/process-mesh.ts
+++ b/test/support/process-mesh.ts
@@ -13,7 +13,11 @@
   SIDECAR_PROGRAM,
   type ProcessEnd,
 } from '../../src/trials/managed-process.js';
-import { createRulesDocument, type RouteOptions } from '../../platform/stand-ins/rules-document.js';
+import {
+  createRulesDocument,
+  type RouteOptions,
+  type TenantOptions,
+} from '../../platform/stand-ins/rules-document.js';
 import { sendRequest, waitUntil } from '../stand-ins/mesh.js';
 import { StoreStandIn } from '../../platform/stand-ins/store-stand-in.js';
 import {
@@ -48,6 +52,10 @@
   readonly gracePeriodMs?: number;
   /** Whether connections to the nodes, the targets and the store go through relays. */
   readonly relayed?: boolean;
+  /** Bounds in the nodes' settings, in addition to the defaults. */
+  readonly bounds?: Readonly<Record<string, unknown>>;
+  /** Key of the requests that check whether a node serves; absent: they need none. */
+  readonly apiKey?: string;
 }
 
 /** Relays around a node, which inject faults into its connections. */
@@ -197,6 +205,7 @@
         bounds: {
           gracePeriod: `${this.options.gracePeriodMs ?? 6_000}ms`,
           ...{ retryRatio: 0.2, retryWindow: '10s', retrySlack: 60 },
+          ...this.options.bounds,
         },
         log: { level: 'debug', maxLinesPerSecond: 10_000 },
       }),
@@ -208,8 +217,12 @@
   }
 
   /** Writes the operators' configuration document to the store. */
-  putRules(version: number, routes: readonly RouteOptions[]): void {
-    this.store.put('op/config', createRulesDocument(version, routes));
+  putRules(
+    version: number,
+    routes: readonly RouteOptions[],
+    tenants?: readonly TenantOptions[],
+  ): void {
+    this.store.put('op/config', createRulesDocument(version, routes, tenants));
   }
 
   /** Waits until all running nodes report that they are ready and each serves every path. */
@@ -229,8 +242,9 @@
 
   private async isServed(machine: ProcessMachine, path: string): Promise<boolean> {
     const attemptId = `warm-${Math.random().toString(36).slice(2)}`;
-    const answer = await sendRequest(machine.entry, { path, attemptId });
-    return answer.status === OK;
+    const { apiKey } = this.options;
+    const request = { path, attemptId, ...(apiKey === undefined ? {} : { apiKey }) };
+    return (await sendRequest(machine.entry, request)).status === OK;
   }
 }
 
--- a/test/support/raw-caller.ts
+++ b/test/support/raw-caller.ts
@@ -33,6 +33,7 @@
   readonly method?: string;
   readonly deadlineMs?: number;
   readonly body?: string;
+  readonly apiKey?: string;
 }
 
 interface PendingRequest extends RawRequest {
@@ -153,12 +154,13 @@
   }
 }
 
-function serialize({ attemptId, path, method, deadlineMs, body }: RawRequest): string {
+function serialize({ attemptId, path, method, deadlineMs, body, apiKey }: RawRequest): string {
   const lines = [
     `${method ?? 'GET'} ${path} HTTP/1.1`,
     `Host: ${HOST}`,
     `X-Attempt-Id: ${attemptId}`,
     `X-Deadline-Ms: ${deadlineMs ?? 5_000}`,
+    ...(apiKey === undefined ? [] : [`X-Credential: ${apiKey}`]),
     ...(body === undefined ? [] : [`Content-Length: ${Buffer.byteLength(body)}`]),
   ];
   return `${lines.join('\r\n')}\r\n\r\n${body ?? ''}`;
