--- a/test/sidecar-silent-connections.test.ts
+++ b/test/sidecar-silent-connections.test.ts
@@ -115,6 +115,25 @@
   assert.deepEqual(failed, []);
 });
 
+test('a target that leaves after links between nodes have gone silent gets no requests of any node', async () => {
+  for (const machine of mesh.machines) await mesh.sendUntil(machine, { path: '/a/x' }, isOk);
+  for (const { relays } of mesh.machines) relays!.peers.silenceOpenConnections(0.7);
+  await delay(SETTLING_MS);
+  const path = changeRules();
+  const { target, registration } = mesh.machines[0]!;
+  assert.equal(await target.sendHeartbeat(registration, 'draining'), OK);
+  await delay(APPLY_MS);
+  const received = target.receivedCount;
+  const send = (machine: Machine): Promise<boolean>[] =>
+    Array.from({ length: 20 }, () => isServed(machine, '/a/x'));
+  const served = await Promise.all(mesh.machines.flatMap(send));
+  assert.ok(served.every((isServedNow) => isServedNow));
+  assert.equal(target.receivedCount, received);
+  assert.deepEqual(await findOutdated(path), []);
+  target.restart('i-back');
+  assert.equal(await target.sendHeartbeat(registration), OK);
+});
+
 test('requests are served soon after all kept connections to targets have gone silent', async () => {
   const send = (path: string): Promise<boolean> => isServed(mesh.machines[0]!, path, 5_000);
   // Opens many connections to each target.
