--- a/src/kernel/event.ts
+++ b/src/kernel/event.ts
@@ -109,7 +109,7 @@
   [Event.MemberLeaving]: ['info', 'member is leaving'],
   [Event.MemberRefuted]: ['info', 'suspicion of this node refuted'],
   [Event.MemberRecordRejected]: ['warn', 'record of a member rejected'],
-  [Event.OwnRecordReplaced]: ['warn', "record of this node was replaced: written again"],
+  [Event.OwnRecordReplaced]: ['warn', 'record of this node was replaced: written again'],
   [Event.RequestRefused]: ['info', 'request refused'],
   [Event.RequestFailed]: ['info', 'request failed'],
   [Event.TargetDraining]: ['info', 'target is leaving'],
