--- a/src/trials/deployment-plan.ts
+++ b/src/trials/deployment-plan.ts
@@ -22,6 +22,8 @@
   readonly changeRules?: (rules: Rules) => Rules;
   readonly changeWorkload?: (workload: Workload) => Workload;
   readonly changeSettings?: (settings: Settings) => Settings;
+  /** Flags of the nodes' runtime. */
+  readonly nodeRuntimeFlags?: readonly string[];
 }
 
 export interface PlannedNode {
@@ -47,6 +49,7 @@
   readonly platformPort: number;
   readonly platformControlPort: number;
   readonly nodes: readonly PlannedNode[];
+  readonly nodeRuntimeFlags: readonly string[];
   readonly targets: readonly PlannedTarget[];
   readonly machines: readonly Machine[];
   /** Scratch directory of the run. */
@@ -116,6 +119,7 @@
     platformPort,
     platformControlPort,
     nodes,
+    nodeRuntimeFlags: options.nodeRuntimeFlags ?? [],
     targets,
     machines: [...nodes.map(nodeMachine), ...targets.map(targetMachine)],
     directory,
--- a/src/trials/deployment.ts
+++ b/src/trials/deployment.ts
@@ -290,7 +290,8 @@
   }
 
   private spawnNode({ settings, settingsFile }: PlannedNode): ManagedProcess {
-    return this.spawn(settings.node.id, ['node', '--settings', settingsFile]);
+    const args = ['node', '--settings', settingsFile];
+    return this.spawn(settings.node.id, args, this.plan.nodeRuntimeFlags);
   }
 
   private spawnTarget(target: PlannedTarget): ManagedProcess {
@@ -307,8 +308,12 @@
     ]);
   }
 
-  private spawn(name: string, args: readonly string[]): ManagedProcess {
-    const process = new ManagedProcess(name, args);
+  private spawn(
+    name: string,
+    args: readonly string[],
+    runtimeFlags: readonly string[] = [],
+  ): ManagedProcess {
+    const process = new ManagedProcess(name, args, undefined, runtimeFlags);
     this.started.push(process);
     return process;
   }
--- a/src/trials/managed-process.ts
+++ b/src/trials/managed-process.ts
@@ -43,8 +43,10 @@
     readonly name: string,
     readonly args: readonly string[],
     program = PROGRAM,
+    runtimeFlags: readonly string[] = [],
   ) {
-    this.child = spawn(process.execPath, [program, ...args], { stdio: ['ignore', 'pipe', 'pipe'] });
+    const command = [...runtimeFlags, program, ...args];
+    this.child = spawn(process.execPath, command, { stdio: ['ignore', 'pipe', 'pipe'] });
     this.child.stdout!.setEncoding('utf8').on('data', (text: string) => {
       this.output = (this.output + text).slice(-MAX_OUTPUT_CHARACTERS * 16);
       this.notify();
@@ -63,6 +65,11 @@
     });
   }
 
+  /** Process id. */
+  get id(): number {
+    return this.child.pid ?? 0;
+  }
+
   get running(): boolean {
     return this.end === undefined;
   }
--- a/test/support/process-mesh.ts
+++ b/test/support/process-mesh.ts
@@ -54,6 +54,10 @@
   readonly relayed?: boolean;
   /** Bounds in the nodes' settings, in addition to the defaults. */
   readonly bounds?: Readonly<Record<string, unknown>>;
+  /** Limits in the nodes' settings, in addition to the memory of 350 MB. */
+  readonly limits?: Readonly<Record<string, unknown>>;
+  /** Flags of the nodes' runtime. */
+  readonly runtimeFlags?: readonly string[];
   /** Key of the requests that check whether a node serves; absent: they need none. */
   readonly apiKey?: string;
 }
@@ -82,7 +86,11 @@
     readonly entry: string,
     readonly readiness: string,
     readonly registration: string,
+    readonly metrics: string,
+    /** Address for messages between nodes. */
+    readonly peerAddress: string,
     private readonly settingsFile: string,
+    private readonly runtimeFlags: readonly string[],
     /** Relays around the node, if any. */
     readonly links: MachineLinks | undefined,
   ) {}
@@ -109,6 +117,7 @@
       this.id,
       ['sidecar', '--settings', this.settingsFile],
       SIDECAR_PROGRAM,
+      this.runtimeFlags,
     );
     this.heartbeats ??= setInterval(() => {
       void this.target.sendHeartbeat(this.registration);
@@ -201,7 +210,7 @@
         },
         target: { service: options.service, address: links?.target.address ?? target.address },
         store: { address: links?.store.address ?? this.storeAddress },
-        limits: { memoryMb: 350 },
+        limits: { memoryMb: 350, ...this.options.limits },
         bounds: {
           gracePeriod: `${this.options.gracePeriodMs ?? 6_000}ms`,
           ...{ retryRatio: 0.2, retryWindow: '10s', retrySlack: 60 },
@@ -210,7 +219,18 @@
         log: { level: 'debug', maxLinesPerSecond: 10_000 },
       }),
     );
-    const machine = new ProcessMachine(id, target, entry!, readiness!, registration!, file, links);
+    const machine = new ProcessMachine(
+      id,
+      target,
+      entry!,
+      readiness!,
+      registration!,
+      metrics!,
+      link!,
+      file,
+      this.options.runtimeFlags ?? [],
+      links,
+    );
     this.machines.push(machine);
     machine.start();
     return machine;
