A body costs what it holds, whatever the number of its chunks

What callers saw: a process ended with its heap spent while clients sent chunked bodies in chunks of one byte; every request in progress was cut off. Cause: each chunk was kept as a Buffer of its own, some hundred bytes beside its content, and the budget of buffers counted the content only. Evidence: "unfinished bodies in chunks of one byte do not exhaust the heap" ended the process on (20 clients, 60 MB of old space). Change: small chunks are copied into blocks of 16 KiB; the reservation covers the blocks. A body of one chunk is still passed on without a copy. Why it works: the memory of a body now follows its bytes, which the budget bounds.

--- a/src/sidecar/entry/caller-exchange.ts
+++ b/src/sidecar/entry/caller-exchange.ts
@@ -1,5 +1,6 @@
 /** One caller's request and its answer, on top of `node:http`. */
 import { hasBody } from '../../core/answer-body.js';
+import { BodyBuffer } from '../../core/body-buffer.js';
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { BufferReservation } from '../../core/byte-budget.js';
 import { createFailure, type Failure } from '../../core/failure.js';
@@ -57,8 +58,7 @@
       onBody(new Uint8Array(0));
       return;
     }
-    const chunks: Buffer[] = [];
-    let length = 0;
+    const buffer = new BodyBuffer();
     let done = false;
     const finish = (body: Uint8Array | Failure): void => {
       if (done) return;
@@ -67,17 +67,15 @@
     };
     request.on('data', (chunk: Buffer) => {
       if (done) return;
-      length += chunk.length;
-      if (length > maxBytes) {
+      buffer.append(chunk);
+      if (buffer.length > maxBytes) {
         finish(createFailure(ResultCode.BodyTooLarge, `request body exceeds ${maxBytes} bytes`));
-      } else if (!reservation.cover(length)) {
+      } else if (!reservation.cover(buffer.heldBytes)) {
         finish(createFailure(ResultCode.BufferExhausted, 'no buffer left for the request'));
-      } else {
-        chunks.push(chunk);
       }
     });
     request.on('end', () => {
-      finish(chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks));
+      if (!done) finish(buffer.take());
     });
   }
 
