Unfinished bodies end at their deadline, and the largest one yields

What callers saw: requests with a body were refused for lack of buffers for as long as some clients kept their own bodies unfinished. Cause: nothing bounded the time of a body, and whoever came later was refused, whatever it asked for. Change: a body that is not whole at the request's deadline gets 408 as not run. When the buffers are spent, the largest unfinished body is refused with 503 as not run, and the smaller one goes on. A declared length beyond the limit is refused before it is read. Metric sillshore_client_limit_hits_total{port,limit}. Why it works: nothing was passed on before the body is whole, so that both refusals are true, and a stalled body cannot outlast its own deadline.

--- a/src/sidecar/entry/caller-exchange.ts
+++ b/src/sidecar/entry/caller-exchange.ts
@@ -1,8 +1,6 @@
 /** One caller's request and its answer, on top of `node:http`. */
 import { hasBody } from '../../core/answer-body.js';
-import { BodyBuffer } from '../../core/body-buffer.js';
 import type { IncomingMessage, ServerResponse } from 'node:http';
-import type { BufferReservation } from '../../core/byte-budget.js';
 import { createFailure, type Failure } from '../../core/failure.js';
 import { ResultCode } from '../../core/result-code.js';
 import type { RawFields } from '../link/link-messages.js';
@@ -42,41 +40,16 @@
     return typeof value === 'string' ? value : undefined;
   }
 
-  /**
-   * Reads the whole body. `onBody` is not called if the connection ends first.
-   *
-   * @param reservation grows to cover the bytes read so far
-   */
-  readBody(
-    maxBytes: number,
-    reservation: BufferReservation,
-    onBody: (body: Uint8Array | Failure) => void,
-  ): void {
-    const { request } = this;
-    const declared = request.headers['content-length'];
-    if (declared === undefined && request.headers['transfer-encoding'] === undefined) {
-      onBody(new Uint8Array(0));
-      return;
-    }
-    const buffer = new BodyBuffer();
-    let done = false;
-    const finish = (body: Uint8Array | Failure): void => {
-      if (done) return;
-      done = true;
-      onBody(body);
-    };
-    request.on('data', (chunk: Buffer) => {
-      if (done) return;
-      buffer.append(chunk);
-      if (buffer.length > maxBytes) {
-        finish(createFailure(ResultCode.BodyTooLarge, `request body exceeds ${maxBytes} bytes`));
-      } else if (!reservation.cover(buffer.heldBytes)) {
-        finish(createFailure(ResultCode.BufferExhausted, 'no buffer left for the request'));
-      }
-    });
-    request.on('end', () => {
-      if (!done) finish(buffer.take());
-    });
+  /** Whether the head announces a body. */
+  get hasBody(): boolean {
+    const { headers } = this.request;
+    return headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined;
+  }
+
+  /** Declared length of the body in bytes; undefined: none is declared. */
+  get declaredBodyBytes(): number | undefined {
+    const length = this.request.headers['content-length'];
+    return length === undefined ? undefined : Number(length);
   }
 
   /**
--- a/src/sidecar/entry/entry-service.ts
+++ b/src/sidecar/entry/entry-service.ts
@@ -1,7 +1,6 @@
 /** Handles callers' requests: reads each one, finds its route, sends it to a target and answers it. */
 import { createHash } from 'node:crypto';
 import { Result } from 'true-myth';
-import type { ByteBudget } from '../../core/byte-budget.js';
 import { createFailure, type Failure } from '../../core/failure.js';
 import { rankOf, type RequestContext } from '../../core/request.js';
 import { isLoadRefusal, ResultCode } from '../../core/result-code.js';
@@ -21,6 +20,8 @@
 import type { ObservedCosts } from '../admission/observed-costs.js';
 import type { ActiveRules } from '../rules/active-rules.js';
 import type { ConnectionSide, AcceptedRequest } from '../../http/caller-connection.js';
+import type { BodyIntake } from './body-intake.js';
+import { BodyReader, tooLarge } from './body-reader.js';
 import type { CallerAnswer, CallerExchange } from './caller-exchange.js';
 import type { ExchangeHandler } from './entry-listener.js';
 import { createDrainingFailure, type PlannedStop } from './planned-stop.js';
@@ -49,7 +50,7 @@
   readonly quotas: TenantQuotas;
   readonly admission: SharedAdmission;
   readonly observedCosts: ObservedCosts;
-  readonly buffers: ByteBudget;
+  readonly bodies: BodyIntake;
   readonly clock: Clock;
   readonly log: EventLog;
   /** Retries that all nodes together may send beyond the retry ratio. */
@@ -63,6 +64,7 @@
 
 const MS_PER_SECOND = 1_000;
 const NO_KIND = '';
+const NO_BODY = new Uint8Array(0);
 /** Lowest status that stands for a failure of the target. */
 const SERVER_ERROR = 500;
 
@@ -100,6 +102,8 @@
   private service: string | undefined;
   /** Cancels the wait for the decision on the tenant's limit. */
   private cancelWait: () => void = () => {};
+  /** Stops reading the body. */
+  private cancelRead: () => void = () => {};
   /** Whether the request was answered or its connection ended. */
   private ended = false;
 
@@ -109,7 +113,7 @@
     private readonly answer: Answer,
   ) {
     this.receivedAt = exchange.receivedAt;
-    this.reservation = options.buffers.reserve(0);
+    this.reservation = options.bodies.reserve();
   }
 
   start(): void {
@@ -132,6 +136,7 @@
     if (!this.ended) this.noteCost();
     this.ended = true;
     this.cancelWait();
+    this.cancelRead();
     this.reservation.release();
     this.routed?.cancel();
   }
@@ -184,18 +189,32 @@
   }
 
   private readBody(table: RouteTable, route: Route, authorized: Authorized): void {
-    const { maxBodyBytes } = table.rules.limits;
-    this.exchange.readBody(maxBodyBytes, this.reservation, (body) => {
+    const { exchange, reservation } = this;
+    if (!exchange.hasBody) {
+      this.admitByLimit(route, NO_BODY, authorized);
+      return;
+    }
+    const { maxBodyBytes: maxBytes } = table.rules.limits;
+    if ((exchange.declaredBodyBytes ?? 0) > maxBytes) {
+      this.refuse(tooLarge(maxBytes));
+      return;
+    }
+    const limits = { maxBytes, reservation, dueAt: this.receivedAt + this.timeoutOf(route) };
+    const reader = new BodyReader(exchange, this.options.bodies, limits, (body) => {
       if (this.ended) return;
-      if (!(body instanceof Uint8Array)) {
-        this.refuse(body);
-        return;
-      }
-      const rechecked =
-        body.length === 0 ? Result.ok(authorized) : this.checkAuthorization(table, route);
-      if (rechecked.isErr) this.refuse(rechecked.error);
-      else this.admitByLimit(route, body, rechecked.value);
+      if (body instanceof Uint8Array) this.onBody(table, route, body, authorized);
+      else this.refuse(body);
     });
+    this.cancelRead = () => {
+      reader.cancel();
+    };
+  }
+
+  private onBody(table: RouteTable, route: Route, body: Uint8Array, authorized: Authorized): void {
+    const rechecked =
+      body.length === 0 ? Result.ok(authorized) : this.checkAuthorization(table, route);
+    if (rechecked.isErr) this.refuse(rechecked.error);
+    else this.admitByLimit(route, body, rechecked.value);
   }
 
   /** Counts the request against its tenant's limit, which may require a request to another node. */
@@ -270,26 +289,30 @@
     this.routed.start();
   }
 
+  /** Time from the head of the request to its deadline, in milliseconds. */
+  private timeoutOf({ rules }: Route): number {
+    const callerTimeLeftMs = Number(this.exchange.field(this.options.fields.timeLeft));
+    return callerTimeLeftMs > 0 ? Math.min(callerTimeLeftMs, rules.timeoutMs) : rules.timeoutMs;
+  }
+
   /** Calls of the local target inherit the criticality of the request that they are made for. */
   private createContext(
-    { rules }: Route,
+    route: Route,
     service: string,
     attemptId: string,
     { tenant }: Authorized,
   ): RequestContext {
     const { parentOf, gateway } = this.options;
+    const { rules } = route;
     const parentId = parentOf(attemptId);
     const parent = parentId === undefined ? undefined : gateway.contextOf(parentId);
-    const callerTimeLeftMs = Number(this.exchange.field(this.options.fields.timeLeft));
-    const timeoutMs =
-      callerTimeLeftMs > 0 ? Math.min(callerTimeLeftMs, rules.timeoutMs) : rules.timeoutMs;
     return {
       requestId: parent?.requestId ?? attemptId,
       tenant: tenant?.name ?? parent?.tenant ?? '',
       service,
       kind: rules.name,
       criticality: parent?.criticality ?? criticalityOf(tenant?.rank, rules.rank),
-      deadline: this.receivedAt + timeoutMs,
+      deadline: this.receivedAt + this.timeoutOf(route),
       dueAt: this.receivedAt + rules.aimMs,
       idempotent: rules.idempotent,
       depth: parentId === undefined ? 0 : (parent?.depth ?? 0) + 1,
@@ -372,6 +395,7 @@
     if (this.ended) return;
     this.ended = true;
     this.cancelWait();
+    this.cancelRead();
     this.reservation.release();
     this.noteCost();
     const { code, detail, execution } = failure;
--- a/src/sidecar/plugins/entry-plugin.ts
+++ b/src/sidecar/plugins/entry-plugin.ts
@@ -7,6 +7,7 @@
 import { Token } from '../../kernel/token.js';
 import { splitAddress } from '../../core/host-and-port.js';
 import { ObservedCosts } from '../admission/observed-costs.js';
+import { BodyIntake } from '../entry/body-intake.js';
 import { CallersDrain } from '../entry/callers-drain.js';
 import { EntryListener } from '../entry/entry-listener.js';
 import { EntryService } from '../entry/entry-service.js';
@@ -16,6 +17,7 @@
 import { SidecarOrder, SidecarToken } from './tokens.js';
 
 const POLICY = 'adaptive';
+const BODY_LIMIT_NAMES = { yielded: 'body-bytes', late: 'body-time' } as const;
 const BYTES_PER_MB = 1024 * 1024;
 /** Share of the memory limit that bodies of callers' requests may use. */
 const BODY_MEMORY_SHARE = 0.3;
@@ -100,7 +102,9 @@
     quotas: get(SidecarToken.TenantQuotas),
     admission: get(SidecarToken.SharedAdmission),
     observedCosts: new ObservedCosts({ costs, gateway, clock, parentOf }),
-    buffers: get(SidecarToken.Buffers),
+    bodies: new BodyIntake(get(SidecarToken.Buffers), clock, (end) => {
+      metrics.limitHits.inc({ port: 'entry', limit: BODY_LIMIT_NAMES[end] });
+    }),
     clock,
     log: get(Token.EventLog),
     retrySlack: () => settings.current.bounds.retrySlack * RETRY_SLACK_SHARE,
--- a/src/sidecar/sidecar-metrics.ts
+++ b/src/sidecar/sidecar-metrics.ts
@@ -14,6 +14,8 @@
   readonly requests: Counter<'kind' | 'code'>;
   /** Requests whose connection closed before the complete answer, by the side that closed it. */
   readonly unanswered: Counter<'ended_by'>;
+  /** Times that a limit on what clients may hold was reached, by port and limit. */
+  readonly limitHits: Counter<'port' | 'limit'>;
   /** Time from the head of a request to its answer, in seconds. */
   readonly latency: Histogram<'kind'>;
   /** Requests that wait for or run at the local target. */
@@ -72,6 +74,12 @@
       labelNames: ['ended_by'],
       registers,
     }),
+    limitHits: new Counter({
+      name: 'sillshore_client_limit_hits_total',
+      help: 'Times that a limit on what clients may hold was reached, by port and limit',
+      labelNames: ['port', 'limit'],
+      registers,
+    }),
     latency: new Histogram({
       name: 'sillshore_request_seconds',
       help: 'Time from the head of a request to its answer',
