Requests sent ahead on the callers' port are bounded

What callers saw: a process ended with its heap spent, or answered nothing for half a minute, while clients sent many requests ahead and read no answer. Cause: every request that the parser finds becomes a request, a response and a slot, however many of its connection are unanswered. A read block of 64 KiB holds thousands, all parsed in one turn before any pause takes effect. Change: a connection may have limits.requestsAhead unanswered requests, all together limits.openRequests, counted by their header fields. Beyond that a connection ends after the answers to what it accepted, and at once when its client goes on. Whether a request is the newest of its connection no longer copies the set of its slots. Why it works: what one turn can create is bounded, and a connection beyond its bound is read no more.

--- a/src/entry/entry-server.ts
+++ b/src/entry/entry-server.ts
@@ -150,7 +150,10 @@
   }
 
   open(socket: Socket): void {
-    const connection = new CallerConnection(socket, this.clock, () => this.bySocket.delete(socket));
+    const connection = new CallerConnection(socket, this.clock, {
+      onClosed: () => this.bySocket.delete(socket),
+      onSlotEnded: () => {},
+    });
     this.bySocket.set(socket, connection);
   }
 
--- a/src/http/caller-connection.ts
+++ b/src/http/caller-connection.ts
@@ -34,6 +34,17 @@
 export interface ConnectionSlot {
   request: AcceptedRequest | undefined;
   answered: boolean;
+  /** Units that it takes of the allowance of requests. */
+  readonly units: number;
+  /** Bytes of its answer that are not known to be read. */
+  unreadBytes: number;
+}
+
+/** Callbacks of a connection to its listener. */
+export interface ConnectionListener {
+  onClosed(): void;
+  /** Called once for each accepted request, when its answer was written or the connection ended. */
+  onSlotEnded(slot: ConnectionSlot): void;
 }
 
 type Phase = 'open' | 'answering' | 'closing';
@@ -43,12 +54,21 @@
   private phase: Phase = 'open';
   private endedBy: ConnectionSide = 'caller';
   private readonly slots = new Set<ConnectionSlot>();
+  private newest: ConnectionSlot | undefined;
+  private units = 0;
+  private unread = 0;
+  private unreadAnswers = 0;
+  private unreadSince: number | undefined;
+  /** Units of the requests that were read after the last one that was accepted. */
+  ignoredUnits = 0;
+  /** Whether such a request was reported; a client may send thousands. */
+  hasReportedIgnored = false;
   private cancelTimeout: CancelTimer = () => {};
 
   constructor(
-    private readonly socket: Socket,
+    readonly socket: Socket,
     private readonly clock: Clock,
-    onClosed: () => void,
+    private readonly listener: ConnectionListener,
   ) {
     // node:http calls this method after an answer with `Connection: close`. The original destroys the
     // socket, which resets the connection when bytes of a next request are unread.
@@ -57,7 +77,7 @@
     };
     socket.on('close', () => {
       this.cancelTimeout();
-      onClosed();
+      listener.onClosed();
       this.notifyConnectionEnd();
     });
   }
@@ -72,9 +92,29 @@
     return this.slots.size;
   }
 
+  /** Units of the requests whose answers are not fully written. */
+  get heldUnits(): number {
+    return this.units;
+  }
+
+  /** Whether a request was ever accepted. */
+  get hasServed(): boolean {
+    return this.newest !== undefined;
+  }
+
+  /** Bytes of answers that the caller is not known to have read. */
+  get unreadBytes(): number {
+    return this.unread;
+  }
+
+  /** Since when the answer that is being written is, in milliseconds; undefined: none is. */
+  get answerSince(): number | undefined {
+    return this.unreadSince;
+  }
+
   /** Whether no request was accepted after this one. */
   isNewest(slot: ConnectionSlot): boolean {
-    return [...this.slots].at(-1) === slot;
+    return this.newest === slot;
   }
 
   /** Whether an accepted request can still be answered. */
@@ -83,16 +123,28 @@
   }
 
   /** Accepts a request. It is finished when its answer has been passed to the operating system. */
-  accept(response: ServerResponse): ConnectionSlot {
-    const slot: ConnectionSlot = { request: undefined, answered: false };
+  accept(response: ServerResponse, units = 1): ConnectionSlot {
+    const slot: ConnectionSlot = { request: undefined, answered: false, units, unreadBytes: 0 };
     this.slots.add(slot);
+    this.newest = slot;
+    this.units += units;
     response.once('finish', () => {
-      this.slots.delete(slot);
+      if (!this.slots.delete(slot)) return;
+      this.release(slot);
       this.endWhenFinished();
     });
     return slot;
   }
 
+  /** The answer of this many bytes is handed over to be written. */
+  noteAnswer(slot: ConnectionSlot, bytes: number, now: number): void {
+    slot.answered = true;
+    slot.unreadBytes = bytes;
+    this.unread += bytes;
+    this.unreadAnswers += 1;
+    this.unreadSince ??= now;
+  }
+
   /** Accepts no further requests; ends when all accepted requests are answered. */
   finish(): void {
     if (this.phase === 'open') this.phase = 'answering';
@@ -130,6 +182,18 @@
   private notifyConnectionEnd(): void {
     const left = [...this.slots];
     this.slots.clear();
-    for (const { request, answered } of left) request?.onConnectionEnd(this.endedBy, answered);
+    for (const slot of left) {
+      this.release(slot);
+      slot.request?.onConnectionEnd(this.endedBy, slot.answered);
+    }
+  }
+
+  private release(slot: ConnectionSlot): void {
+    this.units -= slot.units;
+    this.unread -= slot.unreadBytes;
+    if (slot.answered) this.unreadAnswers -= 1;
+    // The time of the next answer begins when the one before it is written.
+    this.unreadSince = this.unreadAnswers > 0 ? this.clock.now() : undefined;
+    this.listener.onSlotEnded(slot);
   }
 }
--- /dev/null
+++ b/src/http/connection-guard.ts
@@ -0,0 +1,148 @@
+/**
+ * Bounds what the clients of one HTTP listener make the process hold: connections, unanswered
+ * requests, and answers that are not read. The decisions are in `src/core/holding`; a client that
+ * exceeds a bound loses its connection, after the answers to what was accepted where that is
+ * possible.
+ */
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import type { Socket } from 'node:net';
+import {
+  RequestAllowance,
+  weighRequest,
+  type RequestBounds,
+} from '../core/holding/request-allowance.js';
+import type { CancelTimer, Clock } from '../kernel/clock.js';
+import { CallerConnection, type ConnectionSlot } from './caller-connection.js';
+import { ReadGate } from './read-gate.js';
+
+/** Bounds on what clients may hold. */
+export interface ClientLimits {
+  /** Open connections. */
+  readonly connections: number;
+  /** Unanswered requests. */
+  readonly requests: RequestBounds;
+  /** Bytes of answers that clients have not read, over all connections; one client may exceed it alone. */
+  readonly unreadAnswerBytes: number;
+  /** Time within which an answer must be read, in milliseconds. */
+  readonly answerReadTimeoutMs: number;
+}
+
+/** Name of a bound that was reached. */
+export type ClientLimit =
+  'connections' | 'requests-ahead' | 'requests' | 'answer-bytes' | 'answer-time';
+
+/** Called whenever a client reaches a bound. */
+export type OnClientLimit = (limit: ClientLimit) => void;
+
+/**
+ * Outcome of a request: its slot; `refused`: it is to be refused, since the whole listener holds too
+ * much; undefined: it is ignored, since its connection is closing.
+ */
+export type Acceptance = ConnectionSlot | 'refused' | undefined;
+
+/** The open connections of one listener. */
+export class ConnectionGuard {
+  private readonly bySocket = new Map<Socket, CallerConnection>();
+  /** Connections with answers that are not read in full. */
+  private readonly writing = new Set<CallerConnection>();
+  private readonly allowance: RequestAllowance;
+  private readonly gate: ReadGate;
+  private unreadBytes = 0;
+  private cancelCheck: CancelTimer | undefined;
+
+  constructor(
+    private readonly limits: ClientLimits,
+    private readonly clock: Clock,
+    private readonly onLimit: OnClientLimit = () => {},
+  ) {
+    this.allowance = new RequestAllowance(limits.requests);
+    this.gate = new ReadGate(() => this.bySocket.keys());
+  }
+
+  /** Open connections, oldest first. */
+  get connections(): readonly CallerConnection[] {
+    return [...this.bySocket.values()];
+  }
+
+  get size(): number {
+    return this.bySocket.size;
+  }
+
+  /** Requests whose answers are not fully written. */
+  get unfinishedCount(): number {
+    let count = 0;
+    for (const connection of this.bySocket.values()) count += connection.unfinishedCount;
+    return count;
+  }
+
+  of(socket: object): CallerConnection | undefined {
+    return this.bySocket.get(socket as Socket);
+  }
+
+  /** Adds a connection. */
+  open(socket: Socket): CallerConnection | undefined {
+    const connection = new CallerConnection(socket, this.clock, {
+      onClosed: () => this.bySocket.delete(socket),
+      onSlotEnded: (slot) => {
+        this.onSlotEnded(connection, slot);
+      },
+    });
+    this.bySocket.set(socket, connection);
+    return connection;
+  }
+
+  /** Accepts a request, refuses it, or closes its connection because it holds too much. */
+  accept(
+    connection: CallerConnection,
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Acceptance {
+    const units = weighRequest(request.rawHeaders.length);
+    if (connection.unfinishedCount > 0 || connection.ignoredUnits > 0) this.gate.noteAhead(units);
+    if (!connection.acceptsRequests) {
+      this.ignore(connection, units);
+      return undefined;
+    }
+    const decision = this.allowance.tryTake(units, connection.heldUnits);
+    if (decision === 'accepted') return connection.accept(response, units);
+    if (connection.unfinishedCount === 0) {
+      this.onLimit('requests');
+      return 'refused';
+    }
+    this.onLimit('requests-ahead');
+    connection.finish();
+    this.ignore(connection, units);
+    return undefined;
+  }
+
+  /** The answer to a request is handed over to be written. */
+  noteAnswer(connection: CallerConnection, slot: ConnectionSlot, bytes: number): void {
+    connection.noteAnswer(slot, bytes, this.clock.now());
+    this.unreadBytes += bytes;
+    this.writing.add(connection);
+  }
+
+  /** Stops the checks. */
+  close(): void {
+    this.cancelCheck?.();
+  }
+
+  destroyAll(): void {
+    for (const connection of this.connections) connection.destroy();
+  }
+
+  /**
+   * Requests that were read after their connection stopped to accept any stay in memory until it is
+   * closed. A client that sends many is not waited for.
+   */
+  private ignore(connection: CallerConnection, units: number): void {
+    connection.ignoredUnits += units;
+    if (connection.ignoredUnits > this.limits.requests.perConnection) connection.destroy();
+  }
+
+  private onSlotEnded(connection: CallerConnection, slot: ConnectionSlot): void {
+    this.allowance.release(slot.units);
+    this.unreadBytes -= slot.unreadBytes;
+    if (connection.answerSince === undefined) this.writing.delete(connection);
+  }
+}
--- /dev/null
+++ b/src/sidecar/client-limits.ts
@@ -0,0 +1,36 @@
+/** Bounds on what the clients of each port may hold, from the settings. */
+import type { ClientLimits } from '../http/connection-guard.js';
+import type { SidecarSettings } from './settings.js';
+
+const BYTES_PER_MB = 1024 * 1024;
+/** Share of the descriptors that connections of callers may take. */
+const CALLER_DESCRIPTOR_SHARE = 0.5;
+/** Share of the descriptors that connections to each other HTTP port may take. */
+const SERVICE_PORT_DESCRIPTOR_SHARE = 0.05;
+/** Share of the memory limit that answers may use which callers have not read. */
+const ANSWER_MEMORY_SHARE = 0.15;
+/** Unanswered requests of clients of another HTTP port, as a share of those of callers. */
+const SERVICE_PORT_REQUEST_SHARE = 1 / 32;
+
+/** Bounds for callers. */
+export function callerLimits({ limits }: SidecarSettings): ClientLimits {
+  return {
+    connections: Math.floor(limits.fileDescriptors * CALLER_DESCRIPTOR_SHARE),
+    requests: { perConnection: limits.requestsAhead, total: limits.openRequests },
+    unreadAnswerBytes: limits.memoryMb * BYTES_PER_MB * ANSWER_MEMORY_SHARE,
+    answerReadTimeoutMs: limits.answerReadTimeout,
+  };
+}
+
+/** Bounds for the clients of another HTTP port. */
+export function servicePortLimits({ limits }: SidecarSettings): ClientLimits {
+  return {
+    connections: Math.floor(limits.fileDescriptors * SERVICE_PORT_DESCRIPTOR_SHARE),
+    requests: {
+      perConnection: limits.requestsAhead,
+      total: Math.ceil(limits.openRequests * SERVICE_PORT_REQUEST_SHARE),
+    },
+    unreadAnswerBytes: Infinity,
+    answerReadTimeoutMs: limits.answerReadTimeout,
+  };
+}
--- a/src/sidecar/entry/entry-failures.ts
+++ b/src/sidecar/entry/entry-failures.ts
@@ -5,6 +5,7 @@
 
 const NOT_READY_RETRY_MS = 500;
 const UNCOUNTED_RETRY_MS = 300;
+const TOO_MANY_RETRY_MS = 500;
 
 /** Refusal of a request beyond its tenant's limit. */
 export function overLimit(retryAfterMs: number): Failure {
@@ -31,3 +32,9 @@
   const detail = `no route for ${place} in version ${version}`;
   return createFailure(ResultCode.UnknownKind, detail);
 }
+
+/** Refusal of a request that is not read, since callers hold too many unanswered ones. */
+export function tooManyRequests(): Failure {
+  const detail = 'too many requests are unanswered';
+  return createFailure(ResultCode.BufferExhausted, detail, { retryAfterMs: TOO_MANY_RETRY_MS });
+}
--- a/src/sidecar/entry/entry-listener.test.ts
+++ b/src/sidecar/entry/entry-listener.test.ts
@@ -6,12 +6,20 @@
 import { systemClock } from '../../kernel/clock.js';
 import { waitUntil } from '../../../test/stand-ins/mesh.js';
 import type { ConnectionSide } from '../../http/caller-connection.js';
+import { ConnectionGuard, type ClientLimits } from '../../http/connection-guard.js';
 import type { CallerAnswer, CallerExchange } from './caller-exchange.js';
 import { EntryListener } from './entry-listener.js';
 
 /** More than the socket buffers of both ends hold. */
 const LARGE_BYTES = 16 * 1024 * 1024;
 
+const LIMITS: ClientLimits = {
+  connections: 100,
+  requests: { perConnection: 64, total: 1_000 },
+  unreadAnswerBytes: 2 * LARGE_BYTES,
+  answerReadTimeoutMs: 30_000,
+};
+
 /** One request that the listener accepted. */
 interface TestRequest {
   readonly path: string;
@@ -69,8 +77,10 @@
         };
       },
       onRequestDropped: ({ path }) => droppedPaths.push(path),
+      onTooManyRequests: () => assert.fail(),
       onUnwritableAnswer: () => unwritableReplacement,
     },
+    new ConnectionGuard(LIMITS, systemClock),
     systemClock,
   );
   await listener.listen('127.0.0.1', port);
@@ -213,7 +223,13 @@
   await waitForRequests(1);
   await listener.close();
   const next = new EntryListener(
-    { handle: () => assert.fail(), onRequestDropped() {}, onUnwritableAnswer: () => assert.fail() },
+    {
+      handle: () => assert.fail(),
+      onRequestDropped() {},
+      onTooManyRequests: () => assert.fail(),
+      onUnwritableAnswer: () => assert.fail(),
+    },
+    new ConnectionGuard(LIMITS, systemClock),
     systemClock,
   );
   await next.listen('127.0.0.1', port);
--- a/src/sidecar/entry/entry-listener.ts
+++ b/src/sidecar/entry/entry-listener.ts
@@ -6,11 +6,12 @@
 import type { Clock } from '../../kernel/clock.js';
 import type { CallerLimits } from '../rules/routing-rules.js';
 import type { RawFields } from '../link/link-messages.js';
-import {
+import type {
+  AcceptedRequest,
   CallerConnection,
-  type ConnectionSlot,
-  type AcceptedRequest,
+  ConnectionSlot,
 } from '../../http/caller-connection.js';
+import type { ConnectionGuard } from '../../http/connection-guard.js';
 import { CallerExchange, type CallerAnswer } from './caller-exchange.js';
 
 const MAX_HEADER_BYTES = 64 * 1024;
@@ -26,6 +27,8 @@
   handle(exchange: CallerExchange, answer: (answer: CallerAnswer) => void): AcceptedRequest;
   /** A request is dropped because its connection ends without an answer to it; it is not run. */
   onRequestDropped(exchange: CallerExchange): void;
+  /** A request is refused unread, since callers hold too many; it is not run. */
+  onTooManyRequests(): CallerAnswer;
   /** The answer to a request cannot be written; returns the one that is sent in its place. */
   onUnwritableAnswer(exchange: CallerExchange, failure: Failure): CallerAnswer;
 }
@@ -33,7 +36,6 @@
 /** Listener of the callers' interface. */
 export class EntryListener {
   private readonly server: Server;
-  private readonly connections = new Map<Socket, CallerConnection>();
   /** Whether each answer closes its connection. */
   private draining = false;
   /** Resolves when the address is free; defined once no more requests are accepted. */
@@ -43,6 +45,7 @@
 
   constructor(
     private readonly handler: ExchangeHandler,
+    private readonly guard: ConnectionGuard,
     private readonly clock: Clock,
   ) {
     this.burst = new AcceptBurst(clock);
@@ -61,7 +64,7 @@
     });
     // The connection was idle for too long. Requests that cross its end are not accepted.
     this.server.on('timeout', (socket) => {
-      this.connections.get(socket)?.finish();
+      this.guard.of(socket)?.finish();
     });
     this.server.on('clientError', (_error, socket) => {
       this.onInputError(socket as Socket);
@@ -70,14 +73,12 @@
 
   /** Open connections. */
   get connectionCount(): number {
-    return this.connections.size;
+    return this.guard.size;
   }
 
   /** Requests whose answers are not fully written. */
   get requestCount(): number {
-    let count = 0;
-    for (const connection of this.connections.values()) count += connection.unfinishedCount;
-    return count;
+    return this.guard.unfinishedCount;
   }
 
   /** Applies the rules' limits on callers. */
@@ -114,53 +115,63 @@
         NetServer.prototype.close.call(this.server, () => resolve());
       });
     });
-    for (const connection of [...this.connections.values()]) connection.finish();
+    for (const connection of this.guard.connections) connection.finish();
   }
 
   /** Makes all unanswered requests answer now. */
   giveUp(): void {
     this.burst.release();
-    for (const connection of [...this.connections.values()]) connection.giveUp();
+    for (const connection of this.guard.connections) connection.giveUp();
   }
 
   /** Closes everything and notifies the requests that are cut off. Resolves when the address is free. */
   async close(): Promise<void> {
     this.finish();
-    this.destroyAll();
+    this.guard.destroyAll();
     await new Promise<void>((resolve) => {
       this.burst.runAfterAccepts(resolve);
     });
-    this.destroyAll();
+    this.guard.destroyAll();
+    this.guard.close();
     await this.closed;
   }
 
-  private destroyAll(): void {
-    for (const connection of [...this.connections.values()]) connection.destroy();
-  }
-
   private onConnection(socket: Socket): void {
     this.burst.noteConnection();
-    const connection = new CallerConnection(socket, this.clock, () => {
-      this.connections.delete(socket);
-    });
-    this.connections.set(socket, connection);
-    if (this.closed !== undefined) connection.finish();
+    const connection = this.guard.open(socket);
+    if (this.closed !== undefined) connection?.finish();
   }
 
   private onRequest(request: IncomingMessage, response: ServerResponse): void {
-    const connection = this.connections.get(request.socket);
+    const connection = this.guard.of(request.socket);
+    const accepted = connection && this.guard.accept(connection, request, response);
+    if (connection === undefined || accepted === undefined) {
+      this.onIgnored(connection, request, response);
+      return;
+    }
     const exchange = new CallerExchange(request, response, this.clock.now());
-    if (connection?.acceptsRequests !== true) {
-      request.resume();
-      this.handler.onRequestDropped(exchange);
+    if (accepted === 'refused') {
+      exchange.answer(this.handler.onTooManyRequests(), ['Connection', 'close']);
       return;
     }
-    const slot = connection.accept(response);
+    const slot = accepted;
     this.burst.run(() => {
       this.handle(connection, slot, exchange);
     });
   }
 
+  /** Reports the first request that is ignored on a connection; a client may send thousands. */
+  private onIgnored(
+    connection: CallerConnection | undefined,
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): void {
+    request.resume();
+    if (connection !== undefined && connection.hasReportedIgnored) return;
+    if (connection !== undefined) connection.hasReportedIgnored = true;
+    this.handler.onRequestDropped(new CallerExchange(request, response, this.clock.now()));
+  }
+
   private handle(
     connection: CallerConnection,
     slot: ConnectionSlot,
@@ -182,10 +193,10 @@
     answer: CallerAnswer,
   ): void {
     if (slot.answered) return;
-    slot.answered = true;
     const closes = this.shouldClose(connection, slot, exchange.request);
     if (closes) connection.finish();
     const connectionFields = closes ? ['Connection', 'close'] : this.keepAliveFields;
+    this.guard.noteAnswer(connection, slot, answer.body.length);
     const failure = exchange.answer(answer, connectionFields);
     if (failure === undefined) return;
     const replacement = this.handler.onUnwritableAnswer(exchange, failure);
@@ -208,7 +219,7 @@
 
   /** The input is not HTTP, or a request head is late. Requests accepted before it are still answered. */
   private onInputError(socket: Socket): void {
-    const connection = this.connections.get(socket);
+    const connection = this.guard.of(socket);
     if (connection === undefined || connection.unfinishedCount === 0) socket.destroy();
     else connection.finish();
   }
--- a/src/sidecar/entry/entry-service.ts
+++ b/src/sidecar/entry/entry-service.ts
@@ -25,7 +25,7 @@
 import type { CallerAnswer, CallerExchange } from './caller-exchange.js';
 import type { ExchangeHandler } from './entry-listener.js';
 import { createDrainingFailure, type PlannedStop } from './planned-stop.js';
-import { noRoute, notReady, overLimit, uncounted } from './entry-failures.js';
+import { noRoute, notReady, overLimit, tooManyRequests, uncounted } from './entry-failures.js';
 import { createProblemAnswer } from './problem-answer.js';
 import type { SharedAdmission } from '../admission/shared-admission.js';
 import type { TargetGateway } from '../target/target-gateway.js';
@@ -83,6 +83,12 @@
     log.emit(Event.RequestAfterClose, { id: exchange.field(fields.attemptId) });
   }
 
+  onTooManyRequests(): CallerAnswer {
+    const failure = tooManyRequests();
+    this.options.onRequestEnd(NO_KIND, failure.code, 0);
+    return createProblemAnswer(failure);
+  }
+
   onUnwritableAnswer(exchange: CallerExchange, failure: Failure): CallerAnswer {
     const { log, fields } = this.options;
     const { code, detail } = failure;
--- a/src/sidecar/plugins/entry-plugin.ts
+++ b/src/sidecar/plugins/entry-plugin.ts
@@ -6,6 +6,8 @@
 import { registerPlugin } from '../../kernel/plugin.js';
 import { Token } from '../../kernel/token.js';
 import { splitAddress } from '../../core/host-and-port.js';
+import { ConnectionGuard } from '../../http/connection-guard.js';
+import { callerLimits } from '../client-limits.js';
 import { ObservedCosts } from '../admission/observed-costs.js';
 import { BodyIntake } from '../entry/body-intake.js';
 import { CallersDrain } from '../entry/callers-drain.js';
@@ -116,7 +118,11 @@
       metrics.unanswered.inc({ ended_by: endedBy });
     },
   });
-  return new EntryListener(service, clock);
+  const limits = callerLimits(settings.current);
+  const guard = new ConnectionGuard(limits, clock, (limit) => {
+    metrics.limitHits.inc({ port: 'entry', limit });
+  });
+  return new EntryListener(service, guard, clock);
 }
 
 /** Planned stop: ends new work for the target after a while and runs a {@link CallersDrain}. */
--- a/src/sidecar/settings.ts
+++ b/src/sidecar/settings.ts
@@ -34,6 +34,14 @@
   quotaSlack: 0,
 };
 
+/** Defaults of limits that the settings omit. */
+const DEFAULT_LIMITS = {
+  fileDescriptors: 4_096,
+  requestsAhead: 64,
+  openRequests: 8_192,
+  answerReadTimeout: '30s',
+};
+
 /** A member that gets a default when it is absent or null. */
 function orDefault<T extends z.ZodType>(schema: T, value: z.input<T>): z.ZodType<z.output<T>> {
   return z.preprocess((given) => given ?? value, schema);
@@ -66,6 +74,14 @@
   limits: z.object({
     /** Memory limit of the process, in MB. */
     memoryMb: z.number().min(32).default(256),
+    /** Descriptors that the process may have open; shares of them bound the connections of each port. */
+    fileDescriptors: orDefault(z.int().min(100), DEFAULT_LIMITS.fileDescriptors),
+    /** Requests that a client may send on one connection before the first of them is answered. */
+    requestsAhead: orDefault(z.int().min(1), DEFAULT_LIMITS.requestsAhead),
+    /** Unanswered requests of all clients of a port; requests sent ahead may be a quarter of them. */
+    openRequests: orDefault(z.int().min(16), DEFAULT_LIMITS.openRequests),
+    /** Time within which a client must read an answer. */
+    answerReadTimeout: orDefault(duration, DEFAULT_LIMITS.answerReadTimeout),
   }),
   bounds: z.object({
     /** Time from SIGTERM to SIGKILL. */
--- a/test/sidecar-client-limits.test.ts
+++ b/test/sidecar-client-limits.test.ts
@@ -92,3 +92,72 @@
   await waitUntil(() => connection.countAnswers(413) === 1);
   connection.socket.destroy();
 });
+
+/** Default number of requests that may be sent ahead on one connection. */
+const REQUESTS_AHEAD = 64;
+
+function get(attemptId: string, path = '/read/x'): string {
+  return `GET ${path} HTTP/1.1\r\nHost: ${HOST}\r\nX-Attempt-Id: ${attemptId}\r\n\r\n`;
+}
+
+function getMany(count: number, path?: string): string {
+  return Array.from({ length: count }, (_, index) => get(`ahead-${index}`, path)).join('');
+}
+
+test('as many requests as may be sent ahead are all served in their order', async () => {
+  const connection = new RawConnection(machine.entry);
+  connection.socket.write(getMany(REQUESTS_AHEAD));
+  await waitUntil(() => connection.countAnswers(200) === REQUESTS_AHEAD);
+  const ids = [...connection.received.matchAll(/x-attempt-id: ahead-(\d+)/gi)].map(([, id]) => id);
+  assert.deepEqual(
+    ids,
+    Array.from({ length: REQUESTS_AHEAD }, (_, index) => String(index)),
+  );
+  connection.socket.write(get('after'));
+  await waitUntil(() => connection.countAnswers(200) === REQUESTS_AHEAD + 1);
+  connection.socket.destroy();
+});
+
+test('requests sent ahead beyond the limit are not run; those before are answered', async () => {
+  const connection = new RawConnection(machine.entry);
+  connection.socket.write(getMany(REQUESTS_AHEAD + 10));
+  await waitUntil(() => connection.closed);
+  assert.equal(connection.countAnswers(200), REQUESTS_AHEAD);
+  assert.equal(machine.target.received.length, REQUESTS_AHEAD);
+  assert.match(
+    await metric('sillshore_client_limit_hits_total{port="entry",limit="requests-ahead"}'),
+    / [1-9]/,
+  );
+});
+
+test('answers to requests sent ahead that are read slowly arrive whole', async () => {
+  const body = 'x'.repeat(1_000_000);
+  machine.target.behaviour = ({ attemptId, path }, response) => {
+    if (path !== '/read/large') return false;
+    response.writeHead(200, { 'X-Attempt-Id': attemptId, 'X-Server-Stamp': 's' }).end(body);
+    return true;
+  };
+  const connection = new RawConnection(machine.entry);
+  connection.socket.pause();
+  connection.socket.write(getMany(8, '/read/large'));
+  await waitUntil(() => machine.target.received.length === 8);
+  for (let step = 0; step < 10; step += 1) {
+    connection.socket.resume();
+    await sleep(5);
+    connection.socket.pause();
+    await sleep(50);
+  }
+  connection.socket.resume();
+  await waitUntil(() => connection.received.length > 8 * body.length);
+  assert.equal(connection.countAnswers(200), 8);
+  connection.socket.destroy();
+});
+
+test('a thousand connections that each send one request at once are served', async () => {
+  const connections = Array.from({ length: 1_000 }, () => new RawConnection(machine.entry));
+  connections.forEach(({ socket }, index) => socket.write(get(`burst-${index}`)));
+  await waitUntil(() => connections.every(({ received }) => received !== ''));
+  assert.ok(connections.every(({ received }) => /^HTTP\/1.1 (200|503)/.test(received)));
+  assert.ok(connections.every(({ closed }) => !closed));
+  for (const { socket } of connections) socket.destroy();
+});
