Connections of callers take a share of the descriptors

What callers saw: no connection, while clients held many with half a head. Cause: nothing bounded the connections; links, targets and the store share the descriptors with them. Change: limits.fileDescriptors, from the platform's settings; half of them are for callers. A new connection beyond it takes the place of the oldest without a request in progress, first of one that never sent a whole head. Why it works: a crowd replaces its own idle connections, and a connection with a request in progress is never given up for another.

--- a/src/http/connection-guard.ts
+++ b/src/http/connection-guard.ts
@@ -6,6 +6,7 @@
  */
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
+import { chooseIdleConnection } from '../core/holding/connection-choice.js';
 import {
   RequestAllowance,
   weighRequest,
@@ -79,8 +80,18 @@
     return this.bySocket.get(socket as Socket);
   }
 
-  /** Adds a connection. */
+  /** Adds a connection, in place of an idle one when there are too many; undefined: it was closed. */
   open(socket: Socket): CallerConnection | undefined {
+    if (this.bySocket.size >= this.limits.connections) {
+      this.onLimit('connections');
+      const idle = chooseIdleConnection(this.bySocket.values());
+      if (idle === undefined) {
+        socket.destroy();
+        return undefined;
+      }
+      this.bySocket.delete(idle.socket);
+      idle.destroy();
+    }
     const connection = new CallerConnection(socket, this.clock, {
       onClosed: () => this.bySocket.delete(socket),
       onSlotEnded: (slot) => {
--- a/test/deploy-template.test.ts
+++ b/test/deploy-template.test.ts
@@ -12,7 +12,7 @@
   ipAddress: '10.1.0.8',
   applicationAddress: '10.1.0.8:8301',
   service: 'guide',
-  limits: { memoryMb: 350 },
+  limits: { memoryMb: 350, fileDescriptors: 4_100 },
   internalPortRange: [7620, 7635],
   listenAddresses: {
     outbound: '10.1.0.8:8304',
@@ -52,10 +52,11 @@
 
 test('the filled template is valid and has the values of the fields', () => {
   const settings = validateSidecarSettings(fill(template, FIELDS));
-  const { node, listen, target, store, bounds } = settings.unwrapOrElse((failure) =>
+  const { node, listen, target, store, bounds, limits } = settings.unwrapOrElse((failure) =>
     assert.fail(JSON.stringify(failure)),
   );
   assert.deepEqual(node, { id: 'node-1', zone: 'zone-a', region: 'region-a' });
+  assert.equal(limits.fileDescriptors, 4_100);
   assert.equal(listen.metrics, '10.1.0.8:7635');
   assert.deepEqual(listen.ports, [7620, 7635]);
   assert.deepEqual(target, { service: 'guide', address: '10.1.0.8:8301' });
