Answers that callers do not read are bounded in bytes and time

What callers saw: a process passed its memory while clients asked for large answers and read none. Cause: an answer stayed in memory for as long as its connection did, and nothing counted it. An answer must be read within limits.answerReadTimeout, counted from when the one before it was written. Why it works: the bound is on what all connections hold, and the client that holds most pays.

--- a/src/http/connection-guard.ts
+++ b/src/http/connection-guard.ts
@@ -6,7 +6,7 @@
  */
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
-import { chooseIdleConnection } from '../core/holding/connection-choice.js';
+import { chooseIdleConnection, chooseLargestBacklog } from '../core/holding/connection-choice.js';
 import {
   RequestAllowance,
   weighRequest,
@@ -16,6 +16,9 @@
 import { CallerConnection, type ConnectionSlot } from './caller-connection.js';
 import { ReadGate } from './read-gate.js';
 
+/** Interval of the checks for answers that are not read, in milliseconds. */
+const CHECK_INTERVAL_MS = 1_000;
+
 /** Bounds on what clients may hold. */
 export interface ClientLimits {
   /** Open connections. */
@@ -131,6 +134,13 @@
     connection.noteAnswer(slot, bytes, this.clock.now());
     this.unreadBytes += bytes;
     this.writing.add(connection);
+    this.scheduleCheck();
+    while (this.unreadBytes > this.limits.unreadAnswerBytes && this.writing.size > 1) {
+      const largest = chooseLargestBacklog(this.writing);
+      if (largest === undefined) return;
+      this.onLimit('answer-bytes');
+      largest.destroy();
+    }
   }
 
   /** Stops the checks. */
@@ -156,4 +166,21 @@
     this.unreadBytes -= slot.unreadBytes;
     if (connection.answerSince === undefined) this.writing.delete(connection);
   }
+
+  private scheduleCheck(): void {
+    this.cancelCheck ??= this.clock.schedule(CHECK_INTERVAL_MS, () => {
+      this.cancelCheck = undefined;
+      this.closeUnread();
+      if (this.writing.size > 0) this.scheduleCheck();
+    });
+  }
+
+  private closeUnread(): void {
+    const since = this.clock.now() - this.limits.answerReadTimeoutMs;
+    for (const connection of [...this.writing]) {
+      if ((connection.answerSince ?? Infinity) > since) continue;
+      this.onLimit('answer-time');
+      connection.destroy();
+    }
+  }
 }
