The ports for readiness, metrics and registration have the same bounds

What callers saw: a process ended, or was taken for not ready, while clients sent requests ahead at the path that says ready. Cause: HttpListener bounded neither requests nor connections nor the time of a request, and kept every response whose connection had closed while it waited behind another one. Requests without a Host field were refused by node:http itself, past any count. Why it works: the same bounds as for callers, with a share of the descriptors for each port, so that a crowd at one leaves the others theirs.

--- a/src/sidecar/directory/registration-server.ts
+++ b/src/sidecar/directory/registration-server.ts
@@ -1,5 +1,7 @@
 /** HTTP server with which the local target registers. */
 import type { IncomingMessage, ServerResponse } from 'node:http';
+import { BodyBuffer } from '../../core/body-buffer.js';
+import type { ConnectionGuard } from '../../http/connection-guard.js';
 import { HttpListener } from '../http-listener.js';
 import type {
   PlatformAdapter,
@@ -23,11 +25,12 @@
 /** Creates the server without starting to listen. */
 export function createRegistrationServer(
   adapter: PlatformAdapter,
+  guard: ConnectionGuard,
   handle: RegistrationHandler,
 ): HttpListener {
   return new HttpListener((request, response) => {
     new RegistrationCall(adapter, handle, request, response).read();
-  });
+  }, guard);
 }
 
 /** One registration request, from its header to its response. */
@@ -41,18 +44,16 @@
 
   read(): void {
     const { request } = this;
-    const chunks: Buffer[] = [];
-    let length = 0;
+    const buffer = new BodyBuffer();
     request.on('data', (chunk: Buffer) => {
-      length += chunk.length;
-      if (length > MAX_BODY_BYTES) request.destroy();
-      else chunks.push(chunk);
+      if (buffer.length + chunk.length > MAX_BODY_BYTES) request.destroy();
+      else buffer.append(chunk);
     });
     request.on('error', () => {
       // The sender disconnected; it sends the report again.
     });
     request.on('end', () => {
-      void this.answer(Buffer.concat(chunks));
+      void this.answer(buffer.take());
     });
   }
 
--- a/src/sidecar/http-listener.test.ts
+++ b/src/sidecar/http-listener.test.ts
@@ -2,14 +2,26 @@
 import { test } from 'node:test';
 import { sendRequest, waitUntil } from '../../test/stand-ins/mesh.js';
 import { findFreePort } from '../trials/free-ports.js';
+import { systemClock } from '../kernel/clock.js';
+import { ConnectionGuard } from '../http/connection-guard.js';
 import { HttpListener } from './http-listener.js';
 
+function createGuard(): ConnectionGuard {
+  const limits = {
+    connections: 10,
+    requests: { perConnection: 8, total: 100 },
+    unreadAnswerBytes: Infinity,
+    answerReadTimeoutMs: 30_000,
+  };
+  return new ConnectionGuard(limits, systemClock);
+}
+
 test('a request in progress is answered before the listener closes', async () => {
   const port = await findFreePort();
   const calls: (() => void)[] = [];
   const listener = new HttpListener((_request, response) => {
     calls.push(() => response.writeHead(200).end('whole'));
-  });
+  }, createGuard());
   await listener.listen('127.0.0.1', port);
   const call = sendRequest(`127.0.0.1:${port}`, { path: '/' });
   await waitUntil(() => calls.length === 1);
@@ -24,7 +36,7 @@
   const port = await findFreePort();
   const listener = new HttpListener(() => {
     // Never answered.
-  });
+  }, createGuard());
   await listener.listen('127.0.0.1', port);
   const call = assert.rejects(sendRequest(`127.0.0.1:${port}`, { path: '/' }));
   await new Promise((resolve) => setTimeout(resolve, 50));
@@ -33,5 +45,5 @@
 });
 
 test('a listener that never listened can be closed', async () => {
-  await new HttpListener(() => {}).close();
+  await new HttpListener(() => {}, createGuard()).close();
 });
--- a/src/sidecar/http-listener.ts
+++ b/src/sidecar/http-listener.ts
@@ -1,18 +1,41 @@
-/** A low-traffic HTTP server with a graceful close. */
-import { createServer, type RequestListener, type Server, type ServerResponse } from 'node:http';
+/** A low-traffic HTTP server with bounds on what its clients may hold and a graceful close. */
+import {
+  createServer,
+  type IncomingMessage,
+  type RequestListener,
+  type Server,
+  type ServerResponse,
+} from 'node:http';
+import type { ConnectionGuard } from '../http/connection-guard.js';
 
 /** Time that requests in progress get to complete when the server closes. */
 const CLOSE_GRACE_MS = 300;
+/** Time for a whole request to arrive. */
+const REQUEST_TIMEOUT_MS = 5_000;
+const CONNECTION_CHECK_INTERVAL_MS = 1_000;
+const UNAVAILABLE = 503;
+/** Answers of these servers are small; their number is bounded. */
+const ANSWER_BYTES = 0;
 
 export class HttpListener {
   private readonly server: Server;
   private readonly running = new Set<ServerResponse>();
 
-  constructor(handle: RequestListener) {
-    this.server = createServer((request, response) => {
-      this.running.add(response);
-      response.on('close', () => this.running.delete(response));
-      handle(request, response);
+  constructor(
+    private readonly handle: RequestListener,
+    private readonly guard: ConnectionGuard,
+  ) {
+    this.server = createServer({
+      requestTimeout: REQUEST_TIMEOUT_MS,
+      headersTimeout: REQUEST_TIMEOUT_MS,
+      connectionsCheckingInterval: CONNECTION_CHECK_INTERVAL_MS,
+      requireHostHeader: false,
+    });
+    this.server.on('connection', (socket) => {
+      this.guard.open(socket);
+    });
+    this.server.on('request', (request, response) => {
+      this.onRequest(request, response);
     });
     this.server.on('clientError', (_error, socket) => socket.destroy());
   }
@@ -36,5 +59,29 @@
     }, CLOSE_GRACE_MS);
     await closed;
     clearTimeout(timer);
+    this.guard.close();
+  }
+
+  private onRequest(request: IncomingMessage, response: ServerResponse): void {
+    const connection = this.guard.of(request.socket);
+    const accepted = connection && this.guard.accept(connection, request, response);
+    if (connection === undefined || accepted === undefined) {
+      request.resume();
+      return;
+    }
+    if (accepted === 'refused') {
+      response.writeHead(UNAVAILABLE, { Connection: 'close' }).end();
+      return;
+    }
+    // The time to read the answer begins at once: these requests are answered without delay.
+    this.guard.noteAnswer(connection, accepted, ANSWER_BYTES);
+    this.running.add(response);
+    const end = (): void => {
+      this.running.delete(response);
+    };
+    response.once('finish', end);
+    // A response that waits behind another one is not told that its connection has closed.
+    accepted.request = { onConnectionEnd: end, giveUp: () => {} };
+    this.handle(request, response);
   }
 }
--- a/src/sidecar/plugins/observability-plugin.ts
+++ b/src/sidecar/plugins/observability-plugin.ts
@@ -3,6 +3,7 @@
 import { splitAddress } from '../../core/host-and-port.js';
 import { createMetricsServer } from '../metrics-server.js';
 import { createSidecarMetrics } from '../sidecar-metrics.js';
+import { createServicePortGuard } from './service-port-guard.js';
 import { SidecarOrder, SidecarToken } from './tokens.js';
 
 registerPlugin(
@@ -25,7 +26,12 @@
       );
       container
         .bind(SidecarToken.MetricsServer)
-        .toDynamicValue(({ get }) => createMetricsServer(get(SidecarToken.Metrics)));
+        .toDynamicValue((context) =>
+          createMetricsServer(
+            context.get(SidecarToken.Metrics),
+            createServicePortGuard(context, 'metrics'),
+          ),
+        );
     },
     start: async (container) => {
       const { metrics } = container.get(SidecarToken.Settings).listen;
--- a/src/sidecar/plugins/target-plugin.ts
+++ b/src/sidecar/plugins/target-plugin.ts
@@ -18,6 +18,7 @@
 import { seedOf } from '../seed.js';
 import { switchStatedLoad } from '../target/stated-load-switch.js';
 import { TargetGateway } from '../target/target-gateway.js';
+import { createServicePortGuard } from './service-port-guard.js';
 import { SidecarOrder, SidecarToken } from './tokens.js';
 
 const POLICY = 'adaptive';
@@ -47,10 +48,15 @@
       });
       container.bind(SidecarToken.Gateway).toDynamicValue(createGateway);
       container.bind(SidecarToken.TargetLifecycle).toDynamicValue(createTargetLifecycle);
-      container.bind(SidecarToken.RegistrationServer).toDynamicValue(({ get }) => {
+      container.bind(SidecarToken.RegistrationServer).toDynamicValue((context) => {
+        const { get } = context;
         const lifecycle = get(SidecarToken.TargetLifecycle);
         const adapter = get(SidecarToken.Adapter);
-        return createRegistrationServer(adapter, (message) => lifecycle.onReport(message));
+        return createRegistrationServer(
+          adapter,
+          createServicePortGuard(context, 'registration'),
+          (message) => lifecycle.onReport(message),
+        );
       });
     },
     start: async (container) => {
--- a/src/sidecar/readiness-server.ts
+++ b/src/sidecar/readiness-server.ts
@@ -1,4 +1,5 @@
 /** Answers the platform's check whether this node accepts requests. */
+import type { ConnectionGuard } from '../http/connection-guard.js';
 import { HttpListener } from './http-listener.js';
 
 const OK = 200;
@@ -10,9 +11,13 @@
  *
  * @param path path of the check
  */
-export function createReadinessServer(path: string, isReady: () => boolean): HttpListener {
+export function createReadinessServer(
+  path: string,
+  guard: ConnectionGuard,
+  isReady: () => boolean,
+): HttpListener {
   return new HttpListener((request, response) => {
     const status = request.url === path ? (isReady() ? OK : UNAVAILABLE) : NOT_FOUND;
     response.writeHead(status).end();
-  });
+  }, guard);
 }
