What links between nodes hold is counted and bounded

What callers saw: a process passed its memory, or answered nothing for half a minute, while somebody who reached the port for other nodes began frames and never ended them, or asked for replies and never read them. Cause: a frame's buffer was taken as soon as its length was read, up to 68 MiB a connection; replies were queued whatever the other end read. Change: the buffer of a frame grows with its bytes; the first message of a connection may have 64 KiB. Unfinished frames and unread messages, with what each message takes beside its bytes, may take 0.2 of the memory over all links; beyond it the one that holds most is closed, unless it is the only one. A node that asks for more while 1 MiB of replies is unread loses its link. Why it works: a length costs nothing, and what is held is bounded in total.

--- a/src/core/holding/connection-choice.ts
+++ b/src/core/holding/connection-choice.ts
@@ -6,8 +6,6 @@
   readonly hasServed: boolean;
   /** Requests accepted and not answered in full. */
   readonly unfinishedCount: number;
-  /** Bytes of answers that the client has not read. */
-  readonly unreadBytes: number;
 }
 
 /**
@@ -28,13 +26,18 @@
   return idle;
 }
 
-/** Connection with the most unread bytes; undefined: none has any. */
-export function chooseLargestBacklog<T extends { readonly unreadBytes: number }>(
-  connections: Iterable<T>,
+/** The one with the most bytes; undefined: none has any. */
+export function chooseLargest<T>(
+  candidates: Iterable<T>,
+  bytesOf: (candidate: T) => number,
 ): T | undefined {
   let largest: T | undefined;
-  for (const connection of connections) {
-    if (connection.unreadBytes > (largest?.unreadBytes ?? 0)) largest = connection;
+  let most = 0;
+  for (const candidate of candidates) {
+    const bytes = bytesOf(candidate);
+    if (bytes <= most) continue;
+    most = bytes;
+    largest = candidate;
   }
   return largest;
 }
--- a/src/http/connection-guard.ts
+++ b/src/http/connection-guard.ts
@@ -6,7 +6,7 @@
  */
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
-import { chooseIdleConnection, chooseLargestBacklog } from '../core/holding/connection-choice.js';
+import { chooseIdleConnection, chooseLargest } from '../core/holding/connection-choice.js';
 import {
   RequestAllowance,
   weighRequest,
@@ -136,7 +136,7 @@
     this.writing.add(connection);
     this.scheduleCheck();
     while (this.unreadBytes > this.limits.unreadAnswerBytes && this.writing.size > 1) {
-      const largest = chooseLargestBacklog(this.writing);
+      const largest = chooseLargest(this.writing, ({ unreadBytes }) => unreadBytes);
       if (largest === undefined) return;
       this.onLimit('answer-bytes');
       largest.destroy();
--- a/src/peer/frame-reader.test.ts
+++ b/src/peer/frame-reader.test.ts
@@ -56,3 +56,23 @@
   });
   assert.equal(count, 1);
 });
+
+/** Guards against memory taken by lengths whose bytes never come. */
+test('an unfinished frame takes memory as its bytes arrive, and is passed on whole', () => {
+  const length = 3_000_000;
+  const bytes = Buffer.alloc(length, 7);
+  bytes.writeInt32LE(length, 0);
+  const reader = new FrameReader(length);
+  const frames: Buffer[] = [];
+  for (let offset = 0; offset < length; offset += 1_000) {
+    const failure = reader.read(bytes.subarray(offset, offset + 1_000), (frame) => {
+      frames.push(frame);
+      return true;
+    });
+    assert.equal(failure, undefined);
+    if (offset === 0) assert.ok(reader.heldBytes <= 300_000, String(reader.heldBytes));
+  }
+  assert.equal(frames.length, 1);
+  assert.ok(frames[0]!.equals(bytes));
+  assert.equal(reader.heldBytes, 0);
+});
--- a/src/peer/frame-reader.ts
+++ b/src/peer/frame-reader.ts
@@ -8,18 +8,30 @@
 /** Smallest BSON document: the length field and the closing zero byte. */
 const MIN_FRAME_BYTES = 5;
 
+/** First size of the buffer of a frame that spans chunks, in bytes. */
+const FIRST_BUFFER_BYTES = 256 * 1024;
+const BUFFER_GROWTH = 4;
+
 /** Receives a whole frame; returns false to stop the reader (the link has been closed). */
 export type FrameListener = (frame: Buffer) => boolean;
 
 /**
  * Incremental frame splitter. A frame that lies within one chunk is passed on without a
- * copy; one that spans chunks is collected in a buffer of its exact size.
+ * copy; one that spans chunks is collected in a buffer that grows with the bytes that arrive, so that
+ * a length alone takes no memory.
  */
 export class FrameReader {
   private readonly lengthField = Buffer.alloc(LENGTH_BYTES);
   private lengthFilled = 0;
   private partial: Buffer | undefined;
   private partialFilled = 0;
+  /** Length of the frame that is being collected. */
+  private partialLength = 0;
+
+  /** Memory that an unfinished frame takes, in bytes. */
+  get heldBytes(): number {
+    return this.partial?.length ?? 0;
+  }
 
   /** @param maxFrameBytes largest accepted frame; may change between frames */
   constructor(public maxFrameBytes: number) {}
@@ -66,19 +78,30 @@
       const length = this.lengthField.readInt32LE(0);
       const failure = this.checkLength(length);
       if (failure !== undefined) return failure;
-      this.partial = Buffer.allocUnsafe(length);
+      this.partial = Buffer.allocUnsafe(Math.min(length, FIRST_BUFFER_BYTES));
       this.lengthField.copy(this.partial);
       this.partialFilled = LENGTH_BYTES;
+      this.partialLength = length;
       return end;
     }
-    const end = Math.min(chunk.length, offset + this.partial.length - this.partialFilled);
-    chunk.copy(this.partial, this.partialFilled, offset, end);
+    const end = Math.min(chunk.length, offset + this.partialLength - this.partialFilled);
+    const partial = this.growPartial(this.partial, this.partialFilled + end - offset);
+    chunk.copy(partial, this.partialFilled, offset, end);
     this.partialFilled += end - offset;
     return end;
   }
 
+  private growPartial(partial: Buffer, neededBytes: number): Buffer {
+    if (neededBytes <= partial.length) return partial;
+    const size = Math.max(neededBytes, partial.length * BUFFER_GROWTH);
+    const grown = Buffer.allocUnsafe(Math.min(this.partialLength, size));
+    partial.copy(grown, 0, 0, this.partialFilled);
+    this.partial = grown;
+    return grown;
+  }
+
   private takeCollected(): Buffer | undefined {
-    if (this.partial === undefined || this.partialFilled < this.partial.length) return undefined;
+    if (this.partial === undefined || this.partialFilled < this.partialLength) return undefined;
     const frame = this.partial;
     this.partial = undefined;
     this.partialFilled = 0;
--- a/src/sidecar/client-limits.ts
+++ b/src/sidecar/client-limits.ts
@@ -1,5 +1,6 @@
 /** Bounds on what the clients of each port may hold, from the settings. */
 import type { ClientLimits } from '../http/connection-guard.js';
+import type { LinkLimits } from './link/incoming-links.js';
 import type { SidecarSettings } from './settings.js';
 
 const BYTES_PER_MB = 1024 * 1024;
@@ -7,6 +8,10 @@
 const CALLER_DESCRIPTOR_SHARE = 0.5;
 /** Share of the descriptors that connections to each other HTTP port may take. */
 const SERVICE_PORT_DESCRIPTOR_SHARE = 0.05;
+/** Share of the descriptors that links from other nodes may take. */
+const LINK_DESCRIPTOR_SHARE = 0.25;
+/** Share of the memory limit that unfinished frames and unread messages of links may use. */
+const LINK_MEMORY_SHARE = 0.2;
 /** Share of the memory limit that answers may use which callers have not read. */
 const ANSWER_MEMORY_SHARE = 0.15;
 /** Unanswered requests of clients of another HTTP port, as a share of those of callers. */
@@ -34,3 +39,11 @@
     answerReadTimeoutMs: limits.answerReadTimeout,
   };
 }
+
+/** Bounds for the links that other nodes open. */
+export function linkLimits({ limits }: SidecarSettings): LinkLimits {
+  return {
+    connections: Math.floor(limits.fileDescriptors * LINK_DESCRIPTOR_SHARE),
+    heldBytes: limits.memoryMb * BYTES_PER_MB * LINK_MEMORY_SHARE,
+  };
+}
--- a/src/sidecar/directory/node-directory.test.ts
+++ b/src/sidecar/directory/node-directory.test.ts
@@ -28,6 +28,8 @@
   storeAvailable = true;
   peerStatus = STATUS;
   server = new LinkServer({
+    limits: { connections: 100, heldBytes: 64 * 1024 * 1024 },
+    onLimit: () => {},
     clock,
     target: { dispatch: () => assert.fail('no call') },
     status: () => peerStatus,
--- a/src/sidecar/link/link-server.test.ts
+++ b/src/sidecar/link/link-server.test.ts
@@ -42,6 +42,8 @@
 before(async () => {
   clock.advance(10_000);
   server = new LinkServer({
+    limits: { connections: 100, heldBytes: 64 * 1024 * 1024 },
+    onLimit: () => {},
     clock,
     target: {
       dispatch: (call, onEnd) => {
--- a/src/sidecar/link/link-server.ts
+++ b/src/sidecar/link/link-server.ts
@@ -15,6 +15,12 @@
   NodeStatus,
   RelayedLimit,
 } from './link-messages.js';
+import {
+  type BoundedLink,
+  IncomingLinks,
+  type LinkLimits,
+  type OnLinkLimit,
+} from './incoming-links.js';
 import { LinkSocket } from './link-socket.js';
 
 /** Interval of the checks for silent connections, in milliseconds. */
@@ -24,6 +30,8 @@
  * pings an idle connection several times in it, so the connection has gone silent or its node has failed.
  */
 const MAX_SILENCE_MS = 100_000;
+/** Write backlog above which a node that asks for more replies is taken not to read them. */
+const MAX_REPLY_BACKLOG_BYTES = 1024 * 1024;
 /** Calls with a longer transit time are refused. */
 const MAX_TRANSIT_MS = 400;
 
@@ -55,17 +63,21 @@
   onPeerStatus(status: NodeStatus, requestRules: () => void): void;
   /** Called with rules that were requested. */
   onRules(document: Uint8Array): void;
+  readonly limits: LinkLimits;
+  /** Called when connections reach a limit. */
+  readonly onLimit: OnLinkLimit;
 }
 
 /** Accepts links of other nodes and dispatches their calls to the local target. */
 export class LinkServer {
   private readonly server: Server;
-  private readonly connections = new Set<IncomingLink>();
+  private readonly connections: IncomingLinks<IncomingLink>;
   private cancelSilenceCheck: CancelTimer = () => {};
 
   constructor(private readonly options: LinkServerOptions) {
+    this.connections = new IncomingLinks(options.limits, options.onLimit);
     this.server = createServer((socket) => {
-      const link = new IncomingLink(options, () => this.connections.delete(link));
+      const link = new IncomingLink(options, this.connections);
       this.connections.add(link);
       link.attach(new LinkSocket(socket, link));
     });
@@ -113,7 +125,8 @@
 }
 
 /** One connection from another node. */
-class IncomingLink {
+class IncomingLink implements BoundedLink {
+  hasServed = false;
   private socket: LinkSocket | undefined;
   private readonly running = new Map<number, CancelAttempt>();
   private sentLeftIncarnation: string | undefined;
@@ -122,11 +135,23 @@
 
   constructor(
     private readonly options: LinkServerOptions,
-    private readonly onEnded: () => void,
+    private readonly links: IncomingLinks<IncomingLink>,
   ) {
     this.receivedAt = options.clock.now();
   }
 
+  get unfinishedCount(): number {
+    return this.running.size;
+  }
+
+  get heldBytes(): number {
+    return this.socket?.heldBytes ?? 0;
+  }
+
+  onHeldBytes(): void {
+    this.links.limitHeldBytes();
+  }
+
   attach(socket: LinkSocket): void {
     this.socket = socket;
     const { status, clock, quarantine } = this.options;
@@ -143,7 +168,22 @@
     this.socket?.end(detail);
   }
 
+  /** Sends what the other node asked for, unless it doesn't read. */
+  private reply(message: LinkMessage): void {
+    if ((this.socket?.backlogBytes ?? 0) <= MAX_REPLY_BACKLOG_BYTES) {
+      this.send(message);
+      return;
+    }
+    this.options.onLimit('replies');
+    this.socket?.close('replies are not read');
+  }
+
+  destroy(detail: string): void {
+    this.socket?.close(detail);
+  }
+
   onMessage(message: LinkMessage): void {
+    this.hasServed = true;
     this.receivedAt = this.options.clock.now();
     switch (message.type) {
       case 'call':
@@ -153,7 +193,7 @@
         this.cancel(message.id);
         break;
       case 'ping':
-        this.send({ type: 'pong' });
+        this.reply({ type: 'pong' });
         break;
       case 'rules-wanted':
         this.sendRules();
@@ -167,7 +207,7 @@
       case 'demand-report': {
         const { question, report } = message;
         this.options.admission?.reportDemand(report, (reply) => {
-          this.send({ type: 'admission-plan', question, reply });
+          this.reply({ type: 'admission-plan', question, reply });
         });
         break;
       }
@@ -179,7 +219,7 @@
         this.sendLeftTarget(message.status.node);
         // The other node's target is reached over a link that this node opens itself.
         this.options.onPeerStatus(message.status, () => {
-          this.send({ type: 'rules-wanted' });
+          this.reply({ type: 'rules-wanted' });
         });
         break;
       case 'rules':
@@ -205,7 +245,7 @@
   onClosed(): void {
     for (const cancel of this.running.values()) cancel();
     this.running.clear();
-    this.onEnded();
+    this.links.delete(this);
   }
 
   private onCall({ id, sentAt, call }: Extract<LinkMessage, { type: 'call' }>): void {
@@ -247,13 +287,13 @@
 
   private forwardQuotaQuery(question: number, wanted: QuotaQuery): void {
     this.options.quota.queryQuota(wanted, (reply) => {
-      this.send({ type: 'quota-reply', question, reply });
+      this.reply({ type: 'quota-reply', question, reply });
     });
   }
 
   private sendConfirmation(question: number): void {
     const confirmation = this.options.rulesConfirmation();
-    if (confirmation !== undefined) this.send({ type: 'confirmation', question, confirmation });
+    if (confirmation !== undefined) this.reply({ type: 'confirmation', question, confirmation });
   }
 
   private cancel(id: number): void {
@@ -263,6 +303,6 @@
 
   private sendRules(): void {
     const document = this.options.rulesDocument();
-    if (document !== undefined) this.send({ type: 'rules', document });
+    if (document !== undefined) this.reply({ type: 'rules', document });
   }
 }
--- a/src/sidecar/link/link-socket.ts
+++ b/src/sidecar/link/link-socket.ts
@@ -6,17 +6,27 @@
 
 /** Largest write backlog; above it calls are refused, since the other end does not read. */
 const MAX_BACKLOG_BYTES = 8 * 1024 * 1024;
+/** Largest first message: it only introduces the other end. */
+const MAX_FIRST_FRAME_BYTES = 64 * 1024;
+/** Memory that a message takes in the write backlog beside its bytes. */
+const MESSAGE_OVERHEAD_BYTES = 512;
+/** Held bytes from which the listener is told of more, so that it may bound those of all connections. */
+const NOTABLE_BYTES = 256 * 1024;
 
 /** Callbacks of a connection. */
 export interface LinkSocketListener {
   onMessage(message: LinkMessage): void;
   /** Called once when the connection closes, whatever the reason. */
   onClosed(detail: string): void;
+  /** Called when the connection holds much, after it has come to hold more. */
+  onHeldBytes?(): void;
 }
 
 /** Sends and receives messages over one socket. */
 export class LinkSocket {
-  private readonly reader = new FrameReader(MAX_FRAME_BYTES);
+  private readonly reader = new FrameReader(MAX_FIRST_FRAME_BYTES);
+  /** Messages written since the backlog was last empty. */
+  private unsentMessages = 0;
   private corked = false;
   private ended = false;
 
@@ -28,6 +38,9 @@
     socket.on('data', (chunk: Buffer) => {
       this.read(chunk);
     });
+    socket.on('drain', () => {
+      this.unsentMessages = 0;
+    });
     socket.on('error', (error) => {
       this.close(error.message);
     });
@@ -41,6 +54,17 @@
     return !this.ended && this.socket.writableLength < MAX_BACKLOG_BYTES;
   }
 
+  /** Memory that the unfinished frame and the write backlog take, in bytes. */
+  get heldBytes(): number {
+    return this.reader.heldBytes + this.backlogBytes;
+  }
+
+  /** Memory that the write backlog takes, in bytes. */
+  get backlogBytes(): number {
+    const { writableLength } = this.socket;
+    return writableLength === 0 ? 0 : writableLength + this.unsentMessages * MESSAGE_OVERHEAD_BYTES;
+  }
+
   /** Writes a message, batched with all others of the same event loop iteration. */
   send(message: LinkMessage): void {
     if (this.ended) return;
@@ -52,7 +76,10 @@
         this.socket.uncork();
       });
     }
+    if (this.socket.writableLength === 0) this.unsentMessages = 0;
+    this.unsentMessages += 1;
     this.socket.write(encodeMessage(message));
+    this.noteHeldBytes();
   }
 
   /** Closes the connection after all pending data is written. */
@@ -73,11 +100,18 @@
   private read(chunk: Buffer): void {
     const failure = this.reader.read(chunk, (frame) => this.readFrame(frame));
     if (failure !== undefined) this.close(failure.detail);
+    else this.noteHeldBytes();
+  }
+
+  private noteHeldBytes(): void {
+    if (this.listener.onHeldBytes === undefined || this.ended) return;
+    if (this.heldBytes >= NOTABLE_BYTES) this.listener.onHeldBytes();
   }
 
   private readFrame(frame: Buffer): boolean {
     if (this.ended) return false;
     const message = decodeMessage(frame);
+    this.reader.maxFrameBytes = MAX_FRAME_BYTES;
     if (message === undefined) this.close('malformed message');
     else this.listener.onMessage(message);
     return !this.ended;
--- a/src/sidecar/plugins/link-plugin.ts
+++ b/src/sidecar/plugins/link-plugin.ts
@@ -1,6 +1,7 @@
 /** Plug-in for the links: their server, and the status of this node that is sent over them. */
 import { registerPlugin } from '../../kernel/plugin.js';
 import { Token } from '../../kernel/token.js';
+import { linkLimits } from '../client-limits.js';
 import { LinkServer } from '../link/link-server.js';
 import { incarnationText } from '../directory/target-registration.js';
 import { SidecarOrder, SidecarToken } from './tokens.js';
@@ -30,6 +31,10 @@
       container.bind(SidecarToken.LinkServer).toDynamicValue(
         ({ get }) =>
           new LinkServer({
+            limits: linkLimits(get(SidecarToken.Settings)),
+            onLimit: (limit) => {
+              get(SidecarToken.Metrics).limitHits.inc({ port: 'links', limit });
+            },
             clock: get(Token.Clock),
             target: get(SidecarToken.Gateway),
             status: get(SidecarToken.Status),
