Links from other nodes take a share of the descriptors

What callers saw: no connection, while somebody held many connections to the port for other nodes. Cause: nothing bounded them before the silence check of 100 s. Change: a quarter of limits.fileDescriptors; a new connection beyond it takes the place of the oldest on which no node has introduced itself. Why it works: links of real nodes introduce themselves at once and are kept.

--- a/src/sidecar/link/link-server.ts
+++ b/src/sidecar/link/link-server.ts
@@ -77,6 +77,10 @@
   constructor(private readonly options: LinkServerOptions) {
     this.connections = new IncomingLinks(options.limits, options.onLimit);
     this.server = createServer((socket) => {
+      if (!this.connections.makeRoom()) {
+        socket.destroy();
+        return;
+      }
       const link = new IncomingLink(options, this.connections);
       this.connections.add(link);
       link.attach(new LinkSocket(socket, link));
