A body is read at once, also while connections are being accepted

What callers saw: a process ended with its heap spent while clients opened connections and sent bodies in small chunks at the same moment. Cause: handling a request waits while new connections are accepted, up to 100 ms, and until then node:http keeps each chunk of its body as an object. Change: a request with a body is handled at once up to the end of its body; what follows waits as before. Why it works: chunks go into blocks as soon as they are parsed, and the order of work for new connections is unchanged.

--- a/src/sidecar/entry/entry-listener.ts
+++ b/src/sidecar/entry/entry-listener.ts
@@ -23,8 +23,16 @@
 
 /** Handles the requests that the listener accepts. */
 export interface ExchangeHandler {
-  /** Handles one request, which is answered at most once. */
-  handle(exchange: CallerExchange, answer: (answer: CallerAnswer) => void): AcceptedRequest;
+  /**
+   * Handles one request, which is answered at most once.
+   *
+   * @param defer runs the work for a request whose body is whole, after a burst of new connections
+   */
+  handle(
+    exchange: CallerExchange,
+    answer: (answer: CallerAnswer) => void,
+    defer: (work: () => void) => void,
+  ): AcceptedRequest;
   /** A request is dropped because its connection ends without an answer to it; it is not run. */
   onRequestDropped(exchange: CallerExchange): void;
   /** A request is refused unread, since callers hold too many; it is not run. */
@@ -155,9 +163,12 @@
       return;
     }
     const slot = accepted;
-    this.burst.run(() => {
+    const handle = (): void => {
       this.handle(connection, slot, exchange);
-    });
+    };
+    // A body is read at once: while nobody reads it, each of its chunks is kept as an object.
+    if (exchange.hasBody) handle();
+    else this.burst.run(handle);
   }
 
   /** Reports the first request that is ignored on a connection; a client may send thousands. */
@@ -181,9 +192,15 @@
       this.handler.onRequestDropped(exchange);
       return;
     }
-    slot.request = this.handler.handle(exchange, (answer) => {
-      this.answer(connection, slot, exchange, answer);
-    });
+    slot.request = this.handler.handle(
+      exchange,
+      (answer) => {
+        this.answer(connection, slot, exchange, answer);
+      },
+      (work) => {
+        this.burst.run(work);
+      },
+    );
   }
 
   private answer(
--- a/src/sidecar/entry/entry-service.ts
+++ b/src/sidecar/entry/entry-service.ts
@@ -61,6 +61,7 @@
 }
 
 type Answer = (answer: CallerAnswer) => void;
+type Defer = (work: () => void) => void;
 
 const MS_PER_SECOND = 1_000;
 const NO_KIND = '';
@@ -72,8 +73,8 @@
 export class EntryService implements ExchangeHandler {
   constructor(private readonly options: EntryServiceOptions) {}
 
-  handle(exchange: CallerExchange, answer: Answer): AcceptedRequest {
-    const request = new EntryRequest(this.options, exchange, answer);
+  handle(exchange: CallerExchange, answer: Answer, defer: Defer): AcceptedRequest {
+    const request = new EntryRequest(this.options, exchange, answer, defer);
     request.start();
     return request;
   }
@@ -117,6 +118,7 @@
     private readonly options: EntryServiceOptions,
     private readonly exchange: CallerExchange,
     private readonly answer: Answer,
+    private readonly defer: Defer,
   ) {
     this.receivedAt = exchange.receivedAt;
     this.reservation = options.bodies.reserve();
@@ -207,9 +209,13 @@
     }
     const limits = { maxBytes, reservation, dueAt: this.receivedAt + this.timeoutOf(route) };
     const reader = new BodyReader(exchange, this.options.bodies, limits, (body) => {
-      if (this.ended) return;
-      if (body instanceof Uint8Array) this.onBody(table, route, body, authorized);
-      else this.refuse(body);
+      if (!(body instanceof Uint8Array)) {
+        this.refuse(body);
+        return;
+      }
+      this.defer(() => {
+        if (!this.ended) this.onBody(table, route, body, authorized);
+      });
     });
     this.cancelRead = () => {
       reader.cancel();
--- a/src/sidecar/metrics-server.ts
+++ b/src/sidecar/metrics-server.ts
@@ -1,5 +1,6 @@
 /** Serves the metrics as text, at `/metrics`. */
 import type { ConnectionGuard } from '../http/connection-guard.js';
+import { MetricsText } from '../observability/metrics-text.js';
 import { HttpListener } from './http-listener.js';
 import type { SidecarMetrics } from './sidecar-metrics.js';
 
@@ -12,21 +13,14 @@
   { registry }: SidecarMetrics,
   guard: ConnectionGuard,
 ): HttpListener {
-  /** Requests that come while the text is being made get the same one. */
-  let pending: Promise<string> | undefined;
-  const readMetrics = (): Promise<string> => {
-    pending ??= registry.metrics().finally(() => {
-      pending = undefined;
-    });
-    return pending;
-  };
+  const metrics = new MetricsText(registry);
   return new HttpListener((request, response) => {
     if (request.url !== PATH) {
       response.writeHead(NOT_FOUND).end();
       return;
     }
-    void readMetrics().then((text) => {
-      response.writeHead(OK, { 'Content-Type': registry.contentType }).end(text);
+    void metrics.read().then((text) => {
+      response.writeHead(OK, { 'Content-Type': metrics.contentType }).end(text);
     });
   }, guard);
 }
--- a/test/misbehaving-callers.isolated.test.ts
+++ b/test/misbehaving-callers.isolated.test.ts
@@ -36,6 +36,7 @@
       limits: {
         ...settings.limits,
         maxBufferedBytes: MAX_BUFFERED_BYTES,
+        fileDescriptors: DESCRIPTORS,
       },
     }),
   });
--- a/test/misbehaving-clients.isolated.test.ts
+++ b/test/misbehaving-clients.isolated.test.ts
@@ -66,8 +66,9 @@
   address: string,
   clients: number,
   bytes: Buffer,
+  sendsOnConnect = false,
 ): Promise<void> {
-  const crowd = await Crowd.send({ address, clients, bytes });
+  const crowd = await Crowd.send({ address, clients, bytes, sendsOnConnect });
   try {
     assert.ok(machine.isRunning, `the process ended: ${machine.log.slice(-1_000)}`);
     const descriptors = openDescriptors(machine.process.id);
@@ -88,6 +89,14 @@
   await withstand(context, machine.entry, 20, chunkedBody(ROUTED_POST, 1, 200_000));
 });
 
+test('small chunks that arrive while connections are accepted do not exhaust the heap', async (context) => {
+  await withstand(context, machine.entry, 100, chunkedBody(ROUTED_POST, 1, 100_000), true);
+});
+
+test('requests sent ahead by connections that open together do not exhaust the heap', async (context) => {
+  await withstand(context, machine.entry, 200, sentAhead(NO_FIELDS, 10_000), true);
+});
+
 test('unfinished bodies in chunks of 64 KiB do not take all buffers', async (context) => {
   await withstand(context, machine.entry, 80, chunkedBody(ROUTED_POST, 65_536, 15));
 });
--- a/test/support/crowd.ts
+++ b/test/support/crowd.ts
@@ -12,17 +12,20 @@
   readonly clients: number;
   /** Sent at once by every client when all are connected. */
   readonly bytes: Buffer;
+  /** Whether each client sends as soon as it is connected instead. */
+  readonly sendsOnConnect?: boolean;
 }
 
 /** Open connections whose answers are not read. */
 export class Crowd {
   private readonly sockets: Socket[] = [];
 
-  /** Connects all clients, then sends; resolves when the server reads no more from any of them. */
-  static async send({ address, clients, bytes }: CrowdPlan): Promise<Crowd> {
+  /** Connects all clients and sends; resolves when the server reads no more from any of them. */
+  static async send({ address, clients, bytes, sendsOnConnect }: CrowdPlan): Promise<Crowd> {
     const crowd = new Crowd();
-    await Promise.all(Array.from({ length: clients }, () => crowd.open(address)));
-    for (const socket of crowd.sockets) socket.write(bytes);
+    const first = sendsOnConnect === true ? bytes : undefined;
+    await Promise.all(Array.from({ length: clients }, () => crowd.open(address, first)));
+    if (first === undefined) for (const socket of crowd.sockets) socket.write(bytes);
     await crowd.settle();
     return crowd;
   }
@@ -32,11 +35,12 @@
     for (const socket of this.sockets) socket.destroy();
   }
 
-  private open(address: string): Promise<void> {
+  private open(address: string, first: Buffer | undefined): Promise<void> {
     const [host = '', port = ''] = address.split(':');
     const socket = connect(Number(port), host);
     this.sockets.push(socket);
     socket.pause();
+    if (first !== undefined) socket.write(first);
     return new Promise((resolve) => {
       socket.once('connect', resolve);
       socket.on('error', () => {
--- a/test/support/tcp-peer-nodes.ts
+++ b/test/support/tcp-peer-nodes.ts
@@ -57,6 +57,7 @@
     node,
     address: '127.0.0.1:0',
     sharedKey: overrides.sharedKey ?? KEY,
+    maxUnauthenticated: 512,
     limits: {
       maxFrameBytes: MAX_FRAME_BYTES,
       maxInFlight: overrides.maxInFlight ?? 10,
