Fleet nodes bound what clients of their ports hold, with the same modules

What callers saw: a node of a fleet ended or answered nothing while clients sent bodies in small chunks or many requests ahead, at the entry or at the admin port, or held connections to any of its ports. Cause: the same as for sidecars: chunks kept as objects, no bound on requests sent ahead, on connections, or on scrapes in progress. Only the time of a body and of an answer was bounded. Change: src/entry and src/admin use BodyBuffer and ConnectionGuard; the guard has the time of an answer that src/entry had of its own. Peers that are not authenticated take an eighth of the descriptors, 512 at the default as before. Why it works: one module bounds what clients hold for every HTTP listener.

--- a/src/admin/admin-server.ts
+++ b/src/admin/admin-server.ts
@@ -1,13 +1,22 @@
-import { createServer as createHttpServer, type Server, type ServerOptions } from 'node:http';
+import {
+  createServer as createHttpServer,
+  type IncomingMessage,
+  type Server,
+  type ServerOptions,
+  type ServerResponse,
+} from 'node:http';
 import { createServer as createHttpsServer } from 'node:https';
 import type { AddressInfo, Socket } from 'node:net';
 import express, { type Express, type Request } from 'express';
 import type { ErrorRequestHandler, RequestHandler } from 'express';
+import { operatorLimits } from '../config/client-limits.js';
 import { splitAddress } from '../core/host-and-port.js';
 import { createFailure } from '../core/failure.js';
 import { ResultCode } from '../core/result-code.js';
 import { AdminService } from '../gen/sillshore/admin/v1/admin_pb.js';
+import { ConnectionGuard } from '../http/connection-guard.js';
 import { Event } from '../kernel/event.js';
+import { MetricsText } from '../observability/metrics-text.js';
 import type { AdminNode } from './admin-node.js';
 import { createAdminService } from './admin-service.js';
 import { OperatorTokens } from './authentication.js';
@@ -36,6 +45,10 @@
   checkMs: 1_000,
 };
 
+const UNAVAILABLE = 503;
+/** Answers are small; their number is bounded. */
+const ANSWER_BYTES = 0;
+
 /** Time that running calls have to finish when the server stops. */
 const STOP_GRACE_MS = 2_000;
 
@@ -58,6 +71,7 @@
   private readonly tokens: OperatorTokens;
   /** Open connections, those in their TLS handshake included. */
   private readonly sockets = new Set<Socket>();
+  private readonly guard: ConnectionGuard;
 
   constructor(
     private readonly node: AdminNode,
@@ -71,12 +85,26 @@
       headersTimeout: limits.headersMs,
       connectionsCheckingInterval: limits.checkMs,
     };
-    this.server = this.createServer(options, this.createApp(drains));
+    const clientLimits = operatorLimits(node.settings);
+    this.guard = new ConnectionGuard(clientLimits, node.clock, (limit) => {
+      node.metrics.limitHits.inc({ port: 'admin', limit });
+    });
+    this.server = this.createServer(options);
+    // Connections in their TLS handshake, which the guard does not know yet, end after a time limit.
+    if (node.settings.admin.tls !== undefined)
+      this.server.maxConnections = clientLimits.connections;
     this.server.on('connection', (socket) => {
       this.sockets.add(socket);
       socket.once('close', () => this.sockets.delete(socket));
     });
+    const opened = node.settings.admin.tls === undefined ? 'connection' : 'secureConnection';
+    this.server.on(opened, (socket: Socket) => {
+      this.guard.open(socket);
+    });
+    const app = this.createApp(drains);
     this.server.on('request', (request, response) => {
+      if (!this.accept(request, response)) return;
+      app(request, response);
       response.once('finish', () => {
         // Otherwise a connection that was busy when the server closed would stay open when idle.
         if (this.shutdown.signal.aborted) request.socket.end();
@@ -116,23 +144,44 @@
       });
     });
     cancel();
+    this.guard.close();
+  }
+
+  /** Whether a request is to be served; bounds those that are sent ahead. */
+  private accept(request: IncomingMessage, response: ServerResponse): boolean {
+    const connection = this.guard.of(request.socket);
+    const slot = connection && this.guard.accept(connection, request, response);
+    if (connection === undefined || slot === undefined) {
+      request.resume();
+      return false;
+    }
+    if (slot === 'refused') {
+      response.writeHead(UNAVAILABLE, { Connection: 'close' }).end();
+      return false;
+    }
+    // Streams stay open for long; the time to read an answer begins when it is complete.
+    response.once('prefinish', () => {
+      this.guard.noteAnswer(connection, slot, ANSWER_BYTES);
+    });
+    return true;
   }
 
-  private createServer(options: ServerOptions, app: Express): Server {
+  private createServer(options: ServerOptions): Server {
     const { tls } = this.node.settings.admin;
-    if (tls === undefined) return createHttpServer(options, app);
+    if (tls === undefined) return createHttpServer(options);
     const { certificate: cert, key } = tls;
     const handshakeTimeout = options.headersTimeout;
     const tlsOptions = { cert, key, minVersion: 'TLSv1.3', handshakeTimeout } as const;
-    return createHttpsServer({ ...options, ...tlsOptions }, app);
+    return createHttpsServer({ ...options, ...tlsOptions });
   }
 
   private createApp(drains: DrainCommands): Express {
     const { node } = this;
     const app = express();
     app.disable('x-powered-by');
+    const metrics = new MetricsText(node.metrics.registry);
     app.get('/metrics', async (_request, response) => {
-      response.type(node.metrics.registry.contentType).send(await node.metrics.registry.metrics());
+      response.type(metrics.contentType).send(await metrics.read());
     });
     app.get('/healthz', (_request, response) => {
       response.json({ state: 'running' });
--- a/src/config/settings.ts
+++ b/src/config/settings.ts
@@ -63,6 +63,14 @@
       maxBufferedBytes: z.int().min(1_024).max(4_294_967_296).default(67_108_864),
       /** Time within which a caller must send the whole request, in milliseconds. */
       requestReadTimeoutMs: z.int().min(10).max(600_000).default(10_000),
+      /** Descriptors that the process may have open; shares of them bound the connections of each port. */
+      fileDescriptors: z.int().min(100).max(10_000_000).default(4_096),
+      /** Requests that a caller may send on one connection before the first of them is answered. */
+      requestsAhead: z.int().min(1).max(100_000).default(64),
+      /** Unanswered requests of all callers; requests sent ahead may be a quarter of them. */
+      openRequests: z.int().min(16).max(10_000_000).default(8_192),
+      /** Time within which a caller must read an answer, in milliseconds. */
+      answerReadTimeoutMs: z.int().min(10).max(600_000).default(30_000),
     })
     .prefault({}),
   claims: z
--- a/src/entry/entry-plugin.ts
+++ b/src/entry/entry-plugin.ts
@@ -1,6 +1,7 @@
 /** Plug-in of the callers' interface: the listener, its task and the call router. */
 import { randomInt } from 'node:crypto';
 import type { Container } from 'inversify';
+import { callerLimits } from '../config/client-limits.js';
 import { splitAddress } from '../core/host-and-port.js';
 import { createFailure, type Failure } from '../core/failure.js';
 import type { HttpAnswer } from '../core/http-message.js';
@@ -49,7 +50,8 @@
   }
 
   async start(): Promise<void> {
-    const { listen, limits } = this.container.get(Token.Settings);
+    const settings = this.container.get(Token.Settings);
+    const { listen, limits } = settings;
     const refresh = (): void => {
       this.refreshCall.request();
     };
@@ -61,6 +63,10 @@
       ...splitAddress(listen.entry),
       framework: 'node-http',
       headersTimeoutMs: limits.requestReadTimeoutMs,
+      limits: callerLimits(settings),
+      onLimit: (limit) => {
+        this.container.get(Token.Metrics).limitHits.inc({ port: 'entry', limit });
+      },
       clock: this.container.get(Token.Clock),
       onExchange: (exchange) => {
         this.accept(exchange);
--- a/src/entry/entry-server.test.ts
+++ b/src/entry/entry-server.test.ts
@@ -20,6 +20,13 @@
     port: 0,
     framework: 'node-http',
     headersTimeoutMs: 5_000,
+    limits: {
+      connections: 100,
+      requests: { perConnection: 64, total: 1_000 },
+      unreadAnswerBytes: 2 * LARGE_BYTES,
+      answerReadTimeoutMs: 30_000,
+    },
+    onLimit: () => {},
     clock: systemClock,
     onExchange: (exchange) => exchanges.push(exchange),
     onBadInput: () => ({ status: 400, headers: [], body: Buffer.from('bad') }),
--- a/src/entry/entry-server.ts
+++ b/src/entry/entry-server.ts
@@ -8,7 +8,11 @@
 import type { HttpAnswer } from '../core/http-message.js';
 import type { Clock } from '../kernel/clock.js';
 import { AcceptBurst } from '../http/accept-burst.js';
-import { CallerConnection } from '../http/caller-connection.js';
+import {
+  ConnectionGuard,
+  type ClientLimits,
+  type OnClientLimit,
+} from '../http/connection-guard.js';
 import { HttpExchange } from './http-exchange.js';
 
 /**
@@ -18,6 +22,7 @@
 export const KEEP_ALIVE_TIMEOUT_MS = 5_900;
 const CONNECTION_CHECK_INTERVAL_MS = 250;
 const MAX_HEADER_BYTES = 16_384;
+const TOO_MANY_RETRY_MS = 500;
 
 /** HTTP libraries that can serve the listener; docs/design/data-path.md compares them. */
 export type EntryFramework = 'node-http' | 'express';
@@ -28,6 +33,9 @@
   readonly framework: EntryFramework;
   /** Time limit for receiving the head of a request. */
   readonly headersTimeoutMs: number;
+  readonly limits: ClientLimits;
+  /** Called when a caller reaches one of the limits. */
+  readonly onLimit: OnClientLimit;
   readonly clock: Clock;
   readonly onExchange: (exchange: HttpExchange) => void;
   /** Returns the answer to input that is not a valid request. */
@@ -49,7 +57,7 @@
 
 /** Starts to listen. Rejects when the address cannot be bound. */
 export async function startEntryServer(options: EntryServerOptions): Promise<EntryServer> {
-  const connections = new Connections(options.clock);
+  const connections = new Connections(options);
   const burst = new AcceptBurst(options.clock);
   const server = createServer({
     headersTimeout: options.headersTimeoutMs,
@@ -108,10 +116,16 @@
       request.resume();
       return;
     }
-    burst.run(() => {
-      const isGone = exchange.signal.aborted;
-      if (!isGone) options.onExchange(exchange);
-    });
+    if (exchange === 'refused') {
+      refuse(options, response);
+      return;
+    }
+    const handle = (): void => {
+      if (!exchange.signal.aborted) options.onExchange(exchange);
+    };
+    // A body is read at once: while nobody reads it, each of its chunks is kept as an object.
+    if (exchange.declaredLength() === 0) burst.run(handle);
+    else handle();
   };
   const listener = createListener(options.framework, (request, response) => {
     accept(request, response, false);
@@ -133,46 +147,46 @@
 
 /** Open connections and the newest exchange on each; pipelining allows several exchanges. */
 class Connections {
-  private readonly bySocket = new Map<Duplex, CallerConnection>();
+  private readonly guard: ConnectionGuard;
   private readonly newestExchange = new WeakMap<Duplex, HttpExchange>();
+  private readonly clock: Clock;
 
-  constructor(private readonly clock: Clock) {}
+  constructor({ limits, clock, onLimit }: EntryServerOptions) {
+    this.clock = clock;
+    this.guard = new ConnectionGuard(limits, clock, onLimit);
+  }
 
   get size(): number {
-    return this.bySocket.size;
+    return this.guard.size;
   }
 
   /** Exchanges whose answers are not fully written. */
   get unfinishedExchanges(): number {
-    let count = 0;
-    for (const { unfinishedCount } of this.bySocket.values()) count += unfinishedCount;
-    return count;
+    return this.guard.unfinishedCount;
   }
 
   open(socket: Socket): void {
-    const connection = new CallerConnection(socket, this.clock, {
-      onClosed: () => this.bySocket.delete(socket),
-      onSlotEnded: () => {},
-    });
-    this.bySocket.set(socket, connection);
+    this.guard.open(socket);
   }
 
-  /** Accepts a request unless its connection is closing. */
+  /** Accepts a request unless its connection is closing; `refused`: callers hold too many. */
   accept(
     request: IncomingMessage,
     response: ServerResponse,
     expectsContinue: boolean,
-  ): HttpExchange | undefined {
-    const connection = this.bySocket.get(request.socket);
-    if (connection?.acceptsRequests !== true) return undefined;
-    const slot = connection.accept(response);
-    const decideClose = (wantsClose: boolean): boolean => {
-      slot.answered = true;
+  ): HttpExchange | 'refused' | undefined {
+    const { guard } = this;
+    const connection = guard.of(request.socket);
+    if (connection === undefined) return undefined;
+    const slot = guard.accept(connection, request, response);
+    if (slot === undefined || slot === 'refused') return slot;
+    const beginAnswer = (bytes: number, wantsClose: boolean): boolean => {
+      guard.noteAnswer(connection, slot, bytes);
       const closes = (wantsClose || !connection.acceptsRequests) && connection.isNewest(slot);
       if (closes) connection.finish();
       return closes;
     };
-    const exchange = new HttpExchange(request, response, this.clock, expectsContinue, decideClose);
+    const exchange = new HttpExchange(request, response, this.clock, expectsContinue, beginAnswer);
     slot.request = {
       onConnectionEnd: () => exchange.abandon(),
       giveUp: () => {
@@ -185,7 +199,7 @@
 
   /** Accepts no further requests on a connection; it closes after the answers to accepted ones. */
   finish(socket: Duplex): void {
-    this.bySocket.get(socket)?.finish();
+    this.guard.of(socket)?.finish();
   }
 
   /**
@@ -194,7 +208,7 @@
    * the connection closes after the answers to the requests that were read on it.
    */
   prepareErrorAnswer(socket: Duplex): boolean {
-    const connection = this.bySocket.get(socket);
+    const connection = this.guard.of(socket);
     if (connection === undefined || connection.unfinishedCount === 0) return true;
     const newest = this.newestExchange.get(socket);
     if (connection.unfinishedCount > 1 || newest?.awaitsRequest !== true) {
@@ -206,7 +220,8 @@
   }
 
   destroyAll(): void {
-    for (const connection of [...this.bySocket.values()]) connection.destroy();
+    this.guard.destroyAll();
+    this.guard.close();
   }
 }
 
@@ -251,6 +266,18 @@
   return createFailure(ResultCode.MalformedRequest, error.code ?? 'not HTTP');
 }
 
+/** Refuses a request unread, since callers hold too many; it is not run. */
+function refuse(options: EntryServerOptions, response: ServerResponse): void {
+  const detail = 'too many requests are unanswered';
+  const failure = createFailure(ResultCode.BufferExhausted, detail, {
+    retryAfterMs: TOO_MANY_RETRY_MS,
+  });
+  const { status, headers, body } = options.onBadInput(failure);
+  const fields = headers.flatMap(([name, value]) => [name, value]);
+  fields.push('Content-Length', String(body.length), 'Connection', 'close');
+  response.writeHead(status, fields).end(body);
+}
+
 /** Answers on the raw connection and closes it. */
 function rejectInput(options: EntryServerOptions, socket: Duplex, failure: Failure): void {
   const answer = options.onBadInput(failure);
--- a/src/entry/http-exchange.ts
+++ b/src/entry/http-exchange.ts
@@ -2,6 +2,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { Result } from 'true-myth';
 import { hasBody } from '../core/answer-body.js';
+import { BodyBuffer } from '../core/body-buffer.js';
 import type { BufferReservation } from '../core/byte-budget.js';
 import { createFailure, type Failure } from '../core/failure.js';
 import type { HeaderFields, HttpAnswer } from '../core/http-message.js';
@@ -12,8 +13,6 @@
 const LINGER_TIMEOUT_MS = 1_000;
 /** Bytes of a refused request that are read and dropped, before its connection is closed. */
 const MAX_LINGER_BYTES = 1_048_576;
-/** Time limit for a caller to receive the whole answer. */
-const ANSWER_WRITE_TIMEOUT_MS = 30_000;
 
 /** Limits for reading one body. */
 export interface BodyLimits {
@@ -37,8 +36,8 @@
     private readonly response: ServerResponse,
     private readonly clock: Clock,
     private readonly expectsContinue: boolean,
-    /** Called when the answer is sent; returns whether the connection closes after it. */
-    private readonly decideClose: (wantsClose: boolean) => boolean,
+    /** Called when an answer of so many bytes is sent; returns whether the connection closes after it. */
+    private readonly beginAnswer: (bytes: number, wantsClose: boolean) => boolean,
   ) {
     this.receivedAt = clock.now();
     this.method = request.method ?? '';
@@ -106,7 +105,8 @@
     if (this.abandoned || response.destroyed || response.headersSent) return undefined;
     const headers = answer.headers.flatMap(([name, value]) => [name, value]);
     if (this.needsLength(answer)) headers.push('Content-Length', String(answer.body.length));
-    if (this.decideClose(closeConnection)) headers.push('Connection', 'close');
+    const closes = this.beginAnswer(answer.body.length, closeConnection);
+    if (closes) headers.push('Connection', 'close');
     try {
       response.writeHead(answer.status, headers);
     } catch (error) {
@@ -114,7 +114,6 @@
       return createFailure(ResultCode.AnswerIncomplete, detail);
     }
     response.end(this.method === 'HEAD' ? undefined : answer.body);
-    this.limitWriteTime();
     if (!request.complete) this.linger();
     return undefined;
   }
@@ -125,13 +124,6 @@
     return !headers.some(([name]) => name.toLowerCase() === 'content-length');
   }
 
-  private limitWriteTime(): void {
-    const cancel = this.clock.schedule(ANSWER_WRITE_TIMEOUT_MS, () => {
-      this.response.destroy();
-    });
-    this.response.once('close', cancel);
-  }
-
   /**
    * Reads and drops the rest of a request that was answered early: closing a connection with
    * unread bytes would reset it, and the caller could lose the answer.
@@ -155,8 +147,7 @@
 
 /** Collects one body. */
 class BodyReader {
-  private readonly chunks: Buffer[] = [];
-  private length = 0;
+  private readonly buffer = new BodyBuffer();
   private ended = false;
   private cancelTimer: () => void = () => {};
 
@@ -176,7 +167,7 @@
       this.onData(chunk);
     });
     this.request.on('end', () => {
-      this.finish(Result.ok(this.join()));
+      this.finish(Result.ok(this.buffer.take()));
     });
     this.request.on('close', () => {
       this.fail(
@@ -190,23 +181,16 @@
 
   private onData(chunk: Buffer): void {
     if (this.ended) return;
-    this.length += chunk.length;
-    if (this.length > this.limits.maxBytes) {
+    this.buffer.append(chunk);
+    if (this.buffer.length > this.limits.maxBytes) {
       this.fail(tooLarge(this.limits.maxBytes));
       return;
     }
-    if (!this.limits.reservation.cover(this.length)) {
+    if (!this.limits.reservation.cover(this.buffer.heldBytes)) {
       const options = { retryAfterMs: 100 };
       const detail = 'no buffer left for the request';
       this.fail(createFailure(ResultCode.BufferExhausted, detail, options));
-      return;
     }
-    this.chunks.push(chunk);
-  }
-
-  private join(): Uint8Array {
-    const [only] = this.chunks;
-    return this.chunks.length === 1 && only !== undefined ? only : Buffer.concat(this.chunks);
   }
 
   private fail(failure: Failure): void {
@@ -217,7 +201,7 @@
     if (this.ended) return;
     this.ended = true;
     this.cancelTimer();
-    this.chunks.length = 0;
+    this.buffer.clear();
     this.resolve(result);
   }
 }
--- a/src/kernel/metrics.ts
+++ b/src/kernel/metrics.ts
@@ -17,6 +17,8 @@
   readonly registry: Registry;
   /** Requests at the callers' entry, by service, kind and result code. */
   readonly requests: Counter<'service' | 'kind' | 'code'>;
+  /** Times that a limit on what clients may hold was reached, by port and limit. */
+  readonly limitHits: Counter<'port' | 'limit'>;
   /** Caller-side latency in seconds, by service and kind. */
   readonly latency: Histogram<'service' | 'kind'>;
   /** Attempts sent to targets, by service and outcome. */
@@ -51,6 +53,12 @@
       labelNames: ['service', 'kind', 'code'],
       registers,
     }),
+    limitHits: new Counter({
+      name: 'sillshore_client_limit_hits_total',
+      help: 'Times that a limit on what clients may hold was reached, by port and limit',
+      labelNames: ['port', 'limit'],
+      registers,
+    }),
     latency: new Histogram({
       name: 'sillshore_request_seconds',
       help: 'Caller-side latency in seconds',
--- a/src/membership/membership-task.test.ts
+++ b/src/membership/membership-task.test.ts
@@ -38,6 +38,7 @@
     address: '127.0.0.1:0',
     sharedKey,
     previousSharedKeys,
+    maxUnauthenticated: 512,
     limits: {
       maxFrameBytes: 1_000_000,
       maxInFlight: 100,
--- a/src/peer/key-rotation.test.ts
+++ b/src/peer/key-rotation.test.ts
@@ -30,6 +30,7 @@
     ...keys,
     node,
     address: '127.0.0.1:0',
+    maxUnauthenticated: 512,
     limits: {
       maxFrameBytes: 20_000,
       maxInFlight: 10,
--- a/src/peer/peer-network.test.ts
+++ b/src/peer/peer-network.test.ts
@@ -26,6 +26,7 @@
       node,
       address: '127.0.0.1:0',
       sharedKey: 'a key of the contract test',
+      maxUnauthenticated: 512,
       limits: {
         maxFrameBytes: 65_536,
         maxInFlight: 100,
--- a/src/peer/peer-plugin.ts
+++ b/src/peer/peer-plugin.ts
@@ -1,4 +1,5 @@
 /** Peer plug-in: binds `Token.PeerNetwork`, the links to the other nodes. */
+import { unauthenticatedPeerLimit } from '../config/client-limits.js';
 import { combineHashes, hash32 } from '../core/hash.js';
 import { createRandom } from '../core/random.js';
 import { registerPlugin, StartOrder } from '../kernel/plugin.js';
@@ -26,6 +27,7 @@
           maxMailboxLength,
           maxWriteBacklogBytes: Math.max(maxBufferedBytes, maxFrameBytes),
         },
+        maxUnauthenticated: unauthenticatedPeerLimit(settings),
         clock,
         log: context.get(Token.EventLog),
         traffic: context.get(Token.TrafficMeter),
--- a/src/peer/tcp-peer-network.ts
+++ b/src/peer/tcp-peer-network.ts
@@ -29,8 +29,6 @@
 const SWEEP_INTERVAL_MS = 15_000;
 const MIN_BACKOFF_MS = 50;
 const MAX_BACKOFF_MS = 2_000;
-/** Connections that may be in their handshake at once; more are closed unread. */
-const MAX_UNAUTHENTICATED_CONNECTIONS = 512;
 
 /** Longest wait for calls in progress at a planned stop, in milliseconds. */
 const RETIRE_TIMEOUT_MS = 2_000;
@@ -39,6 +37,8 @@
 export interface TcpPeerNetworkOptions extends LinkOptions {
   /** `host:port` to listen on; port 0 takes a free one. */
   readonly address: string;
+  /** Connections that may be in their handshake at once; more are closed unread. */
+  readonly maxUnauthenticated: number;
   /** For the jitter of reconnects. */
   readonly random: Random;
 }
@@ -230,7 +230,7 @@
   private accept(socket: Socket): void {
     const unauthenticated = [...this.incoming].filter((link) => !link.isOpen).length;
     const pending = this.tlsAcceptor?.pending ?? 0;
-    if (this.closed || unauthenticated + pending >= MAX_UNAUTHENTICATED_CONNECTIONS) {
+    if (this.closed || unauthenticated + pending >= this.options.maxUnauthenticated) {
       socket.destroy();
       return;
     }
--- a/src/peer/tls-peer-network.test.ts
+++ b/src/peer/tls-peer-network.test.ts
@@ -41,6 +41,7 @@
     address: '127.0.0.1:0',
     sharedKey,
     tls,
+    maxUnauthenticated: 512,
     limits: {
       maxFrameBytes: 2_000_000,
       maxInFlight: 10,
