--- a/src/sidecar/entry/entry-listener.test.ts
+++ b/src/sidecar/entry/entry-listener.test.ts
@@ -174,7 +174,12 @@
 });
 
 test('an idle connection is closed after its timeout and accepts no more requests', async () => {
-  listener.setLimits({ headerTimeoutMs: 1_000, idleTimeoutMs: -1_400, maxBodyBytes: 0 });
+  listener.setLimits({
+    headerTimeoutMs: 1_000,
+    idleTimeoutMs: -1_400,
+    maxBodyBytes: 0,
+    maxHeaderBytes: 16_384,
+  });
   const caller = connectCaller();
   caller.write('/1');
   await waitForRequests(1);
--- a/src/sidecar/entry/entry-listener.ts
+++ b/src/sidecar/entry/entry-listener.ts
@@ -14,7 +14,13 @@
 import type { ConnectionGuard } from '../../http/connection-guard.js';
 import { CallerExchange, type CallerAnswer } from './caller-exchange.js';
 
+/** Largest header section before rules are in force, in bytes. */
 const MAX_HEADER_BYTES = 64 * 1024;
+/** The parser counts some bytes of the request line and separators too, in bytes. */
+const HEADER_SLACK_BYTES = 1_024;
+const HEADER_OVERFLOW = 'HPE_HEADER_OVERFLOW';
+const HEADER_TOO_LARGE_ANSWER =
+  'HTTP/1.1 431 Request Header Fields Too Large\r\nContent-Length: 0\r\nConnection: close\r\n\r\n';
 /** Longest delay until a late request head is noticed. A shorter interval would wake the process more often. */
 const CONNECTION_CHECK_INTERVAL_MS = 1_000;
 const MS_PER_SECOND = 1_000;
@@ -74,8 +80,8 @@
     this.server.on('timeout', (socket) => {
       this.guard.of(socket)?.finish();
     });
-    this.server.on('clientError', (_error, socket) => {
-      this.onInputError(socket as Socket);
+    this.server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
+      this.onInputError(error, socket as Socket);
     });
   }
 
@@ -90,7 +96,10 @@
   }
 
   /** Applies the rules' limits on callers. */
-  setLimits({ headerTimeoutMs, idleTimeoutMs }: CallerLimits): void {
+  setLimits({ headerTimeoutMs, idleTimeoutMs, maxHeaderBytes }: CallerLimits): void {
+    // Read by the server for each new connection; the types know only the option of the constructor.
+    const server = this.server as Server & { maxHeaderSize: number };
+    server.maxHeaderSize = maxHeaderBytes + HEADER_SLACK_BYTES;
     this.server.headersTimeout = headerTimeoutMs + IDLE_GRACE_MS;
     this.server.keepAliveTimeout = idleTimeoutMs + IDLE_GRACE_MS;
     const seconds = Math.max(1, Math.floor(idleTimeoutMs / MS_PER_SECOND));
@@ -235,9 +244,18 @@
   }
 
   /** The input is not HTTP, or a request head is late. Requests accepted before it are still answered. */
-  private onInputError(socket: Socket): void {
+  private onInputError({ code }: NodeJS.ErrnoException, socket: Socket): void {
     const connection = this.guard.of(socket);
-    if (connection === undefined || connection.unfinishedCount === 0) socket.destroy();
-    else connection.finish();
+    if (connection === undefined) {
+      socket.destroy();
+    } else if (connection.unfinishedCount > 0) {
+      connection.finish();
+    } else if (code === HEADER_OVERFLOW) {
+      // Repeated for each block that still arrives; closing at once could lose the answer.
+      if (connection.acceptsRequests) socket.write(HEADER_TOO_LARGE_ANSWER);
+      connection.finish();
+    } else {
+      socket.destroy();
+    }
   }
 }
--- a/src/sidecar/rules/route-table.test.ts
+++ b/src/sidecar/rules/route-table.test.ts
@@ -34,7 +34,7 @@
       ['s', service],
       ['t', service],
     ]),
-    limits: { maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
+    limits: { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
   };
 }
 
--- a/src/sidecar/rules/routing-rules.ts
+++ b/src/sidecar/rules/routing-rules.ts
@@ -55,6 +55,8 @@
 
 /** Limits on requests and connections of callers. */
 export interface CallerLimits {
+  /** Largest header section of a request. */
+  readonly maxHeaderBytes: number;
   readonly maxBodyBytes: number;
   /** Time within which the header of a request must be received, in milliseconds. */
   readonly headerTimeoutMs: number;
--- a/src/sidecar/tenants/request-authorizer.test.ts
+++ b/src/sidecar/tenants/request-authorizer.test.ts
@@ -27,7 +27,7 @@
       { ...route, name: 'p', pathPrefix: '/public/', isPublic: true },
     ],
     services: new Map([['s', { healthPath: '/', maxConnections: 1 }]]),
-    limits: { maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
+    limits: { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
     ...(tenants === undefined ? {} : { tenants }),
   };
 }
--- a/test/sidecar-client-limits.test.ts
+++ b/test/sidecar-client-limits.test.ts
@@ -161,3 +161,21 @@
   assert.ok(connections.every(({ closed }) => !closed));
   for (const { socket } of connections) socket.destroy();
 });
+
+/** Header section of a request whose fields take this many bytes. */
+function headOf(bytes: number): string {
+  const start = get('head').slice(0, -2);
+  const name = 'X-Filler: ';
+  return `${start}${name}${'x'.repeat(bytes - start.length - name.length - 4)}\r\n\r\n`;
+}
+
+test('a header section at the limit of the rules is served; one far beyond gets 431', async () => {
+  const inside = new RawConnection(machine.entry);
+  inside.socket.write(headOf(16_384));
+  await waitUntil(() => inside.countAnswers(200) === 1);
+  inside.socket.destroy();
+  const beyond = new RawConnection(machine.entry);
+  beyond.socket.write(headOf(40_000));
+  await waitUntil(() => beyond.countAnswers(431) === 1);
+  await waitUntil(() => beyond.closed);
+});
