Log the limits that clients reach, once a second for each port and limit

Why: a crowd reaches a limit thousands of times a second; a line for each would be a load of its own, and none would leave the operator with the metric alone.

--- a/src/admin/admin-server.ts
+++ b/src/admin/admin-server.ts
@@ -14,6 +14,7 @@
 import { createFailure } from '../core/failure.js';
 import { ResultCode } from '../core/result-code.js';
 import { AdminService } from '../gen/sillshore/admin/v1/admin_pb.js';
+import { ClientLimitReports } from '../http/client-limit-reports.js';
 import { ConnectionGuard } from '../http/connection-guard.js';
 import { Event } from '../kernel/event.js';
 import { MetricsText } from '../observability/metrics-text.js';
@@ -86,8 +87,14 @@
       connectionsCheckingInterval: limits.checkMs,
     };
     const clientLimits = operatorLimits(node.settings);
+    const reports = new ClientLimitReports({
+      port: 'admin',
+      hits: node.metrics.limitHits,
+      clock: node.clock,
+      log: node.log,
+    });
     this.guard = new ConnectionGuard(clientLimits, node.clock, (limit) => {
-      node.metrics.limitHits.inc({ port: 'admin', limit });
+      reports.note(limit);
     });
     this.server = this.createServer(options);
     // Connections in their TLS handshake, which the guard does not know yet, end after a time limit.
--- a/src/entry/entry-plugin.ts
+++ b/src/entry/entry-plugin.ts
@@ -6,6 +6,7 @@
 import { createFailure, type Failure } from '../core/failure.js';
 import type { HttpAnswer } from '../core/http-message.js';
 import { ResultCode } from '../core/result-code.js';
+import { ClientLimitReports } from '../http/client-limit-reports.js';
 import { Event } from '../kernel/event.js';
 import { StartOrder, registerPlugin } from '../kernel/plugin.js';
 import { Token } from '../kernel/token.js';
@@ -59,13 +60,19 @@
       this.container.get(Token.Membership).subscribe(refresh),
       this.container.get(Token.ConfigStore).subscribe(refresh),
     ];
+    const reports = new ClientLimitReports({
+      port: 'entry',
+      hits: this.container.get(Token.Metrics).limitHits,
+      clock: this.container.get(Token.Clock),
+      log: this.container.get(Token.EventLog),
+    });
     this.server = await startEntryServer({
       ...splitAddress(listen.entry),
       framework: 'node-http',
       headersTimeoutMs: limits.requestReadTimeoutMs,
       limits: callerLimits(settings),
       onLimit: (limit) => {
-        this.container.get(Token.Metrics).limitHits.inc({ port: 'entry', limit });
+        reports.note(limit);
       },
       clock: this.container.get(Token.Clock),
       onExchange: (exchange) => {
--- a/src/sidecar/plugins/entry-plugin.ts
+++ b/src/sidecar/plugins/entry-plugin.ts
@@ -6,6 +6,7 @@
 import { registerPlugin } from '../../kernel/plugin.js';
 import { Token } from '../../kernel/token.js';
 import { splitAddress } from '../../core/host-and-port.js';
+import { ClientLimitReports } from '../../http/client-limit-reports.js';
 import { ConnectionGuard } from '../../http/connection-guard.js';
 import { callerLimits } from '../client-limits.js';
 import { ObservedCosts } from '../admission/observed-costs.js';
@@ -89,6 +90,12 @@
   const parentOf = (attemptId: string): string | undefined => adapter.parentOf(attemptId);
   const [gateway, clock] = [get(SidecarToken.Gateway), get(Token.Clock)];
   const costs = get(SidecarToken.RequestCosts);
+  const reports = new ClientLimitReports({
+    port: 'entry',
+    hits: metrics.limitHits,
+    clock,
+    log: get(Token.EventLog),
+  });
   const service = new EntryService({
     fields: adapter.fields,
     forwardedFields: get(SidecarToken.ForwardedFields),
@@ -105,7 +112,7 @@
     admission: get(SidecarToken.SharedAdmission),
     observedCosts: new ObservedCosts({ costs, gateway, clock, parentOf }),
     bodies: new BodyIntake(get(SidecarToken.Buffers), clock, (end) => {
-      metrics.limitHits.inc({ port: 'entry', limit: BODY_LIMIT_NAMES[end] });
+      reports.note(BODY_LIMIT_NAMES[end]);
     }),
     clock,
     log: get(Token.EventLog),
@@ -120,7 +127,7 @@
   });
   const limits = callerLimits(settings.current);
   const guard = new ConnectionGuard(limits, clock, (limit) => {
-    metrics.limitHits.inc({ port: 'entry', limit });
+    reports.note(limit);
   });
   return new EntryListener(service, guard, clock);
 }
--- a/src/sidecar/plugins/link-plugin.ts
+++ b/src/sidecar/plugins/link-plugin.ts
@@ -1,6 +1,7 @@
 /** Plug-in for the links: their server, and the status of this node that is sent over them. */
 import { registerPlugin } from '../../kernel/plugin.js';
 import { Token } from '../../kernel/token.js';
+import { ClientLimitReports } from '../../http/client-limit-reports.js';
 import { linkLimits } from '../client-limits.js';
 import { LinkServer } from '../link/link-server.js';
 import { incarnationText } from '../directory/target-registration.js';
@@ -28,36 +29,41 @@
           };
         };
       });
-      container.bind(SidecarToken.LinkServer).toDynamicValue(
-        ({ get }) =>
-          new LinkServer({
-            limits: linkLimits(get(SidecarToken.Settings)),
-            onLimit: (limit) => {
-              get(SidecarToken.Metrics).limitHits.inc({ port: 'links', limit });
-            },
-            clock: get(Token.Clock),
-            target: get(SidecarToken.Gateway),
-            status: get(SidecarToken.Status),
-            rulesDocument: () => get(SidecarToken.Rules).document,
-            quarantine: get(SidecarToken.Quarantine),
-            quota: get(SidecarToken.QuotaCounting),
-            admission: get(SidecarToken.AdmissionCoordinators),
-            rulesConfirmation: () => get(SidecarToken.RulesFreshness).confirmation,
-            leftTargetOf: (node) => get(SidecarToken.Directory).leftTargetOf(node),
-            onLocalTargetLeft: (incarnation) => {
-              get(SidecarToken.TargetLifecycle).onTargetLeft(incarnation);
-            },
-            onRelayedLimit: (limit) => {
-              get(SidecarToken.Gateway).onRelayedLimit(limit);
-            },
-            onPeerStatus: ({ rulesVersion }, requestRules) => {
-              get(SidecarToken.PeerRulesFetch).onPeerVersion(rulesVersion, requestRules);
-            },
-            onRules: (document) => {
-              get(SidecarToken.Rules).offer(Buffer.from(document), 'peer');
-            },
-          }),
-      );
+      container.bind(SidecarToken.LinkServer).toDynamicValue(({ get }) => {
+        const reports = new ClientLimitReports({
+          port: 'links',
+          hits: get(SidecarToken.Metrics).limitHits,
+          clock: get(Token.Clock),
+          log: get(Token.EventLog),
+        });
+        return new LinkServer({
+          limits: linkLimits(get(SidecarToken.Settings)),
+          onLimit: (limit) => {
+            reports.note(limit);
+          },
+          clock: get(Token.Clock),
+          target: get(SidecarToken.Gateway),
+          status: get(SidecarToken.Status),
+          rulesDocument: () => get(SidecarToken.Rules).document,
+          quarantine: get(SidecarToken.Quarantine),
+          quota: get(SidecarToken.QuotaCounting),
+          admission: get(SidecarToken.AdmissionCoordinators),
+          rulesConfirmation: () => get(SidecarToken.RulesFreshness).confirmation,
+          leftTargetOf: (node) => get(SidecarToken.Directory).leftTargetOf(node),
+          onLocalTargetLeft: (incarnation) => {
+            get(SidecarToken.TargetLifecycle).onTargetLeft(incarnation);
+          },
+          onRelayedLimit: (limit) => {
+            get(SidecarToken.Gateway).onRelayedLimit(limit);
+          },
+          onPeerStatus: ({ rulesVersion }, requestRules) => {
+            get(SidecarToken.PeerRulesFetch).onPeerVersion(rulesVersion, requestRules);
+          },
+          onRules: (document) => {
+            get(SidecarToken.Rules).offer(Buffer.from(document), 'peer');
+          },
+        });
+      });
     },
     start: async (container) => {
       const { host, ports } = container.get(SidecarToken.Settings).listen;
--- a/src/sidecar/plugins/service-port-guard.ts
+++ b/src/sidecar/plugins/service-port-guard.ts
@@ -1,5 +1,6 @@
 /** Bounds for the clients of an HTTP port that is not the callers'. */
 import type { ResolutionContext } from 'inversify';
+import { ClientLimitReports } from '../../http/client-limit-reports.js';
 import { ConnectionGuard } from '../../http/connection-guard.js';
 import { Token } from '../../kernel/token.js';
 import { servicePortLimits } from '../client-limits.js';
@@ -11,7 +12,10 @@
   port: 'readiness' | 'registration' | 'metrics',
 ): ConnectionGuard {
   const limits = servicePortLimits(get(SidecarToken.Settings));
-  return new ConnectionGuard(limits, get(Token.Clock), (limit) => {
-    get(SidecarToken.Metrics).limitHits.inc({ port, limit });
+  const clock = get(Token.Clock);
+  const hits = get(SidecarToken.Metrics).limitHits;
+  const reports = new ClientLimitReports({ port, hits, clock, log: get(Token.EventLog) });
+  return new ConnectionGuard(limits, clock, (limit) => {
+    reports.note(limit);
   });
 }
