--- a/test/soak/checks.ts
+++ b/test/soak/checks.ts
@@ -293,7 +293,7 @@
 }
 
 /** Faults that last; the time for a change begins again when they have settled. */
-const LASTING = ['stop', 'kill', 'pause', 'callers', 'target', 'store'] as const;
+const LASTING = ['stop', 'kill', 'pause', 'callers', 'target', 'store', 'crowd'] as const;
 
 function checkRules(ledger: Ledger, { applyMs, settlingMs }: Bounds): Violation[] {
   const byAttempt = new Map(ledger.requests.map((request) => [request.attemptId, request]));
--- a/test/soak/ledger.ts
+++ b/test/soak/ledger.ts
@@ -51,7 +51,8 @@
 /** A span in which a machine was disrupted. */
 export interface Disruption {
   readonly machine: string;
-  readonly kind: 'stop' | 'kill' | 'pause' | 'callers' | 'target' | 'store' | 'connections';
+  readonly kind:
+    'stop' | 'kill' | 'pause' | 'callers' | 'target' | 'store' | 'connections' | 'crowd';
   readonly from: number;
   /** Infinity while it lasts. */
   to: number;
--- a/test/soak/schedule.ts
+++ b/test/soak/schedule.ts
@@ -37,14 +37,18 @@
 /** Kinds of faults of the store that matter to limits of tenants, in runs with limits only. */
 export const LIMIT_KINDS = ['store-writes-late'] as const;
 
-/** Kind of an action, a drill, a statement, a silence, a spoiled answer or a fault around limits. */
+/** Kinds of crowds of clients beyond the limits, in runs with crowds only. */
+export const CROWD_KINDS = ['clients-crowd'] as const;
+
+/** Kind of an action, a drill, a statement, a silence, a spoiled answer, a fault around limits or a crowd. */
 export type ActionKind =
   | (typeof ACTION_KINDS)[number]
   | (typeof DRILL_KINDS)[number]
   | (typeof STATEMENT_KINDS)[number]
   | (typeof SILENCE_KINDS)[number]
   | (typeof SPOIL_KINDS)[number]
-  | (typeof LIMIT_KINDS)[number];
+  | (typeof LIMIT_KINDS)[number]
+  | (typeof CROWD_KINDS)[number];
 
 /** What a schedule includes beside the kinds of all runs. */
 export interface ScheduleExtras {
@@ -57,6 +61,8 @@
   readonly spoils?: boolean;
   /** Tenants with limits, and a store that does writes late. */
   readonly limits?: boolean;
+  /** Crowds of clients beyond the limits. */
+  readonly crowds?: boolean;
 }
 
 /** One action; times in milliseconds. */
@@ -94,6 +100,11 @@
   { length: 8 },
   () => LIMIT_KINDS,
 ).flat();
+/** Crowds are a quarter of all actions. */
+const WEIGHTED_CROWD_KINDS: readonly ActionKind[] = Array.from(
+  { length: 8 },
+  () => CROWD_KINDS,
+).flat();
 /**
  * Kinds of runs with silences: other faults are left out, and actions are further apart, since the bounds of a
  * machine hold only some seconds after its last fault.
@@ -129,6 +140,7 @@
     ...(statements ? WEIGHTED_STATEMENT_KINDS : []),
     ...(extras.spoils === true ? WEIGHTED_SPOIL_KINDS : []),
     ...(extras.limits === true ? WEIGHTED_LIMIT_KINDS : []),
+    ...(extras.crowds === true ? WEIGHTED_CROWD_KINDS : []),
   ];
   const random = createRandom(hash32(`soak ${seed}`));
   const actions: Action[] = [];
--- a/test/soak/soak-faults.ts
+++ b/test/soak/soak-faults.ts
@@ -6,6 +6,7 @@
 import type { Bounds } from './checks.js';
 import type { Disruption, Ledger } from './ledger.js';
 import type { Action } from './schedule.js';
+import { sendCrowd } from './soak-crowds.js';
 import type { SpoiledAnswers } from './spoiled-answers.js';
 import type { TenantOptions } from '../../platform/stand-ins/rules-document.js';
 
@@ -161,6 +162,8 @@
         return await this.silenceConnections([machine], action);
       case 'all-connections-silent':
         return await this.silenceConnections(this.mesh.machines, action);
+      case 'clients-crowd':
+        return await this.crowd(machine, times, forMs);
       case 'callers-cut':
         return await this.disruptLink(machine, 'callers', links!.callers, { cut: true }, forMs);
       case 'callers-delayed':
@@ -186,6 +189,15 @@
     }
   }
 
+  /** A crowd excuses no end of a process and no lost answer. */
+  private async crowd(machine: ProcessMachine, kind: number, forMs: number): Promise<void> {
+    const disruption = this.recordDisruption(machine, 'crowd');
+    const crowd = await sendCrowd(machine, kind);
+    await sleep(forMs);
+    crowd.leave();
+    disruption.to = performance.now();
+  }
+
   /** Answers that a target spoils excuse nobody. */
   private async spoil(machines: Set<string>, { id }: ProcessMachine, forMs: number): Promise<void> {
     machines.add(id);
--- a/test/soak/soak-run.ts
+++ b/test/soak/soak-run.ts
@@ -78,6 +78,8 @@
     this.mesh = new ProcessMesh({
       relayed: true,
       gracePeriodMs: SOAK_BOUNDS.gracePeriodMs,
+      // The heap that the nodes have on the machines.
+      ...(options.crowds === true ? { runtimeFlags: ['--max-old-space-size=120'] } : {}),
       ...(limits ? { bounds: QUOTA_SETTINGS, apiKey: UNLIMITED_KEY } : {}),
     });
     this.spoiled = new SpoiledAnswers(options.seed);
