An answer that is ready after its connection has ended is not counted

What callers saw: nothing yet; found by reading. At the admin port a response can end after its connection; its bytes and its connection stayed in the account of unread answers for good, and in time others were closed for them. Cause: the account was taken without a look at whether the request was still awaited. Evidence: "an answer that is ready after its connection has ended is not counted as unread" fails without the check.

--- a/src/http/connection-guard.test.ts
+++ b/src/http/connection-guard.test.ts
@@ -148,3 +148,17 @@
   assert.ok(hits.every((limit) => limit === 'requests-ahead'));
   await waitUntil(() => guard.unfinishedCount === 0);
 });
+
+test('an answer that is ready after its connection has ended is not counted as unread', async () => {
+  const client = open(1);
+  await waitUntil(() => waiting.length === 1);
+  client.destroy();
+  await waitUntil(() => guard.size === 0);
+  await answerAll(1, 2 * LARGE_BYTES);
+  clock.advance(2 * ANSWER_READ_TIMEOUT_MS);
+  open(1);
+  await answerAll(1, LARGE_BYTES);
+  open(1);
+  await answerAll(1, LARGE_BYTES / 4);
+  assert.deepEqual(hits, []);
+});
--- a/src/http/connection-guard.ts
+++ b/src/http/connection-guard.ts
@@ -129,8 +129,9 @@
     return undefined;
   }
 
-  /** The answer to a request is handed over to be written. */
+  /** The answer to a request is handed over to be written; without effect if its connection has ended. */
   noteAnswer(connection: CallerConnection, slot: ConnectionSlot, bytes: number): void {
+    if (!connection.awaitsAnswer(slot)) return;
     connection.noteAnswer(slot, bytes, this.clock.now());
     this.unreadBytes += bytes;
     this.writing.add(connection);
