A link is not closed for a ping while a large answer is unread

What callers saw: 502 in place of an answer of 24 MB that was on its way. Cause: the bound on unread replies of a link took the whole write backlog, the answers to calls included; the ping of a waiting node found it above 1 MiB. Change: only what a node may ask for without end counts as a reply: pongs, rules, confirmations, shares. Answers count in the total of all links as before.

--- a/src/sidecar/link/link-server.ts
+++ b/src/sidecar/link/link-server.ts
@@ -30,8 +30,6 @@
  * pings an idle connection several times in it, so the connection has gone silent or its node has failed.
  */
 const MAX_SILENCE_MS = 100_000;
-/** Write backlog above which a node that asks for more replies is taken not to read them. */
-const MAX_REPLY_BACKLOG_BYTES = 1024 * 1024;
 /** Calls with a longer transit time are refused. */
 const MAX_TRANSIT_MS = 400;
 
@@ -174,10 +172,7 @@
 
   /** Sends what the other node asked for, unless it doesn't read. */
   private reply(message: LinkMessage): void {
-    if ((this.socket?.backlogBytes ?? 0) <= MAX_REPLY_BACKLOG_BYTES) {
-      this.send(message);
-      return;
-    }
+    if (this.socket?.sendReply(message) !== false) return;
     this.options.onLimit('replies');
     this.socket?.close('replies are not read');
   }
--- a/src/sidecar/link/link-socket.ts
+++ b/src/sidecar/link/link-socket.ts
@@ -10,6 +10,8 @@
 const MAX_FIRST_FRAME_BYTES = 64 * 1024;
 /** Memory that a message takes in the write backlog beside its bytes. */
 const MESSAGE_OVERHEAD_BYTES = 512;
+/** Replies that may wait for the other end to read, in bytes with their overhead. */
+const MAX_UNREAD_REPLY_BYTES = 1024 * 1024;
 /** Held bytes from which the listener is told of more, so that it may bound those of all connections. */
 const NOTABLE_BYTES = 256 * 1024;
 
@@ -27,6 +29,8 @@
   private readonly reader = new FrameReader(MAX_FIRST_FRAME_BYTES);
   /** Messages written since the backlog was last empty. */
   private unsentMessages = 0;
+  /** Bytes of replies, with their overhead, written since then. */
+  private unsentReplyBytes = 0;
   private corked = false;
   private ended = false;
 
@@ -39,7 +43,7 @@
       this.read(chunk);
     });
     socket.on('drain', () => {
-      this.unsentMessages = 0;
+      this.noteBacklogEmpty();
     });
     socket.on('error', (error) => {
       this.close(error.message);
@@ -59,27 +63,30 @@
     return this.reader.heldBytes + this.backlogBytes;
   }
 
-  /** Memory that the write backlog takes, in bytes. */
-  get backlogBytes(): number {
+  private get backlogBytes(): number {
     const { writableLength } = this.socket;
     return writableLength === 0 ? 0 : writableLength + this.unsentMessages * MESSAGE_OVERHEAD_BYTES;
   }
 
   /** Writes a message, batched with all others of the same event loop iteration. */
   send(message: LinkMessage): void {
-    if (this.ended) return;
-    if (!this.corked) {
-      this.corked = true;
-      this.socket.cork();
-      setImmediate(() => {
-        this.corked = false;
-        this.socket.uncork();
-      });
-    }
-    if (this.socket.writableLength === 0) this.unsentMessages = 0;
-    this.unsentMessages += 1;
-    this.socket.write(encodeMessage(message));
-    this.noteHeldBytes();
+    if (!this.ended) this.write(encodeMessage(message));
+  }
+
+  /**
+   * Writes what the other end asked for, and may ask for without end.
+   *
+   * @returns false when it has not read many earlier replies; nothing is written then. Answers to
+   *   calls, which may be large, do not count.
+   */
+  sendReply(message: LinkMessage): boolean {
+    if (this.ended) return true;
+    const bytes = encodeMessage(message);
+    if (this.socket.writableLength === 0) this.noteBacklogEmpty();
+    this.unsentReplyBytes += bytes.length + MESSAGE_OVERHEAD_BYTES;
+    if (this.unsentReplyBytes > MAX_UNREAD_REPLY_BYTES) return false;
+    this.write(bytes);
+    return true;
   }
 
   /** Closes the connection after all pending data is written. */
@@ -103,6 +110,26 @@
     else this.noteHeldBytes();
   }
 
+  private write(bytes: Uint8Array): void {
+    if (!this.corked) {
+      this.corked = true;
+      this.socket.cork();
+      setImmediate(() => {
+        this.corked = false;
+        this.socket.uncork();
+      });
+    }
+    if (this.socket.writableLength === 0) this.noteBacklogEmpty();
+    this.unsentMessages += 1;
+    this.socket.write(bytes);
+    this.noteHeldBytes();
+  }
+
+  private noteBacklogEmpty(): void {
+    this.unsentMessages = 0;
+    this.unsentReplyBytes = 0;
+  }
+
   private noteHeldBytes(): void {
     if (this.listener.onHeldBytes === undefined || this.ended) return;
     if (this.heldBytes >= NOTABLE_BYTES) this.listener.onHeldBytes();
