Limits of clients: one reporter, one search for the largest, one place for shares

Change: guards and links take a reporter that is closed with them, so that what was counted in the last second is logged at a stop; before, its close was called by nothing. The admin port and the small ports share the acceptance of a request, the choice of the largest holder stands once, and the share of memory for bodies stands beside the others. Behaviour is otherwise the same. Measured: the tests of the folders touched pass.

--- a/src/admin/admin-server.ts
+++ b/src/admin/admin-server.ts
@@ -46,7 +46,6 @@
   checkMs: 1_000,
 };
 
-const UNAVAILABLE = 503;
 /** Answers are small; their number is bounded. */
 const ANSWER_BYTES = 0;
 
@@ -93,9 +92,7 @@
       clock: node.clock,
       log: node.log,
     });
-    this.guard = new ConnectionGuard(clientLimits, node.clock, (limit) => {
-      reports.note(limit);
-    });
+    this.guard = new ConnectionGuard(clientLimits, node.clock, reports);
     this.server = this.createServer(options);
     // Connections in their TLS handshake, which the guard does not know yet, end after a time limit.
     if (node.settings.admin.tls !== undefined)
@@ -156,16 +153,9 @@
 
   /** Whether a request is to be served; bounds those that are sent ahead. */
   private accept(request: IncomingMessage, response: ServerResponse): boolean {
-    const connection = this.guard.of(request.socket);
-    const slot = connection && this.guard.accept(connection, request, response);
-    if (connection === undefined || slot === undefined) {
-      request.resume();
-      return false;
-    }
-    if (slot === 'refused') {
-      response.writeHead(UNAVAILABLE, { Connection: 'close' }).end();
-      return false;
-    }
+    const accepted = this.guard.acceptOrRefuse(request, response);
+    if (accepted === undefined) return false;
+    const { connection, slot } = accepted;
     // Streams stay open for long; the time to read an answer begins when it is complete.
     response.once('prefinish', () => {
       this.guard.noteAnswer(connection, slot, ANSWER_BYTES);
--- a/src/core/holding/unfinished-bodies.ts
+++ b/src/core/holding/unfinished-bodies.ts
@@ -4,6 +4,7 @@
  * never end them don't keep ordinary requests out.
  */
 import type { BufferReservation, ByteBudget } from '../byte-budget.js';
+import { chooseLargest } from './connection-choice.js';
 
 /** Why a body is no longer read. */
 export type BodyEnd = 'yielded' | 'late';
@@ -86,10 +87,7 @@
   }
 
   private findLargerThan(bytes: number): UnfinishedBody | undefined {
-    let largest: UnfinishedBody | undefined;
-    for (const body of this.bodies) {
-      if (body.heldBytes > (largest?.heldBytes ?? bytes)) largest = body;
-    }
-    return largest;
+    const largest = chooseLargest(this.bodies, ({ heldBytes }) => heldBytes);
+    return largest !== undefined && largest.heldBytes > bytes ? largest : undefined;
   }
 }
--- a/src/entry/entry-plugin.ts
+++ b/src/entry/entry-plugin.ts
@@ -71,9 +71,7 @@
       framework: 'node-http',
       headersTimeoutMs: limits.requestReadTimeoutMs,
       limits: callerLimits(settings),
-      onLimit: (limit) => {
-        reports.note(limit);
-      },
+      reports,
       clock: this.container.get(Token.Clock),
       onExchange: (exchange) => {
         this.accept(exchange);
--- a/src/entry/entry-server.test.ts
+++ b/src/entry/entry-server.test.ts
@@ -6,6 +6,7 @@
 import { systemClock } from '../kernel/clock.js';
 import { startEntryServer, type EntryServer } from './entry-server.js';
 import type { HttpExchange } from './http-exchange.js';
+import { silentReports } from '../../test/support/silent-reports.js';
 
 /** More than the socket buffers of both ends hold. */
 const LARGE_BYTES = 16 * 1024 * 1024;
@@ -26,7 +27,7 @@
       unreadAnswerBytes: 2 * LARGE_BYTES,
       answerReadTimeoutMs: 30_000,
     },
-    onLimit: () => {},
+    reports: silentReports,
     clock: systemClock,
     onExchange: (exchange) => exchanges.push(exchange),
     onBadInput: () => ({ status: 400, headers: [], body: Buffer.from('bad') }),
--- a/src/entry/entry-server.ts
+++ b/src/entry/entry-server.ts
@@ -10,8 +10,9 @@
 import { AcceptBurst } from '../http/accept-burst.js';
 import {
   ConnectionGuard,
+  type ClientLimit,
   type ClientLimits,
-  type OnClientLimit,
+  type LimitReporter,
 } from '../http/connection-guard.js';
 import { HttpExchange } from './http-exchange.js';
 
@@ -34,8 +35,8 @@
   /** Time limit for receiving the head of a request. */
   readonly headersTimeoutMs: number;
   readonly limits: ClientLimits;
-  /** Called when a caller reaches one of the limits. */
-  readonly onLimit: OnClientLimit;
+  /** Told when a caller reaches one of the limits; closed with the server. */
+  readonly reports: LimitReporter<ClientLimit>;
   readonly clock: Clock;
   readonly onExchange: (exchange: HttpExchange) => void;
   /** Returns the answer to input that is not a valid request. */
@@ -151,9 +152,9 @@
   private readonly newestExchange = new WeakMap<Duplex, HttpExchange>();
   private readonly clock: Clock;
 
-  constructor({ limits, clock, onLimit }: EntryServerOptions) {
+  constructor({ limits, clock, reports }: EntryServerOptions) {
     this.clock = clock;
-    this.guard = new ConnectionGuard(limits, clock, onLimit);
+    this.guard = new ConnectionGuard(limits, clock, reports);
   }
 
   get size(): number {
--- a/src/http/connection-guard.test.ts
+++ b/src/http/connection-guard.test.ts
@@ -32,7 +32,10 @@
   clients = [];
   waiting = [];
   clock = new ManualClock();
-  guard = new ConnectionGuard(LIMITS, clock, (limit) => hits.push(limit));
+  guard = new ConnectionGuard(LIMITS, clock, {
+    note: (limit) => hits.push(limit),
+    close: () => {},
+  });
   server = createServer((request, response) => {
     const connection = guard.of(request.socket)!;
     const accepted = guard.accept(connection, request, response);
--- a/src/http/connection-guard.ts
+++ b/src/http/connection-guard.ts
@@ -18,6 +18,7 @@
 
 /** Interval of the checks for answers that are not read, in milliseconds. */
 const CHECK_INTERVAL_MS = 1_000;
+const UNAVAILABLE = 503;
 
 /** Bounds on what clients may hold. */
 export interface ClientLimits {
@@ -35,8 +36,12 @@
 export type ClientLimit =
   'connections' | 'requests-ahead' | 'requests' | 'answer-bytes' | 'answer-time';
 
-/** Called whenever a client reaches a bound. */
-export type OnClientLimit = (limit: ClientLimit) => void;
+/** Told whenever a client reaches a bound. */
+export interface LimitReporter<Limit extends string> {
+  note(limit: Limit): void;
+  /** Nothing more will be noted. */
+  close(): void;
+}
 
 /**
  * Outcome of a request: its slot; `refused`: it is to be refused, since the whole listener holds too
@@ -44,6 +49,12 @@
  */
 export type Acceptance = ConnectionSlot | 'refused' | undefined;
 
+/** An accepted request and its connection. */
+export interface AcceptedSlot {
+  readonly connection: CallerConnection;
+  readonly slot: ConnectionSlot;
+}
+
 /** The open connections of one listener. */
 export class ConnectionGuard {
   private readonly bySocket = new Map<Socket, CallerConnection>();
@@ -57,7 +68,7 @@
   constructor(
     private readonly limits: ClientLimits,
     private readonly clock: Clock,
-    private readonly onLimit: OnClientLimit = () => {},
+    private readonly reports: LimitReporter<ClientLimit>,
   ) {
     this.allowance = new RequestAllowance(limits.requests);
     this.gate = new ReadGate(() => this.bySocket.keys());
@@ -86,7 +97,7 @@
   /** Adds a connection, in place of an idle one when there are too many; undefined: it was closed. */
   open(socket: Socket): CallerConnection | undefined {
     if (this.bySocket.size >= this.limits.connections) {
-      this.onLimit('connections');
+      this.reports.note('connections');
       const idle = chooseIdleConnection(this.bySocket.values());
       if (idle === undefined) {
         socket.destroy();
@@ -120,15 +131,34 @@
     const decision = this.allowance.tryTake(units, connection.heldUnits);
     if (decision === 'accepted') return connection.accept(response, units);
     if (connection.unfinishedCount === 0) {
-      this.onLimit('requests');
+      this.reports.note('requests');
       return 'refused';
     }
-    this.onLimit('requests-ahead');
+    this.reports.note('requests-ahead');
     connection.finish();
     this.ignore(connection, units);
     return undefined;
   }
 
+  /**
+   * Accepts a request, or refuses it with an empty 503.
+   *
+   * @returns undefined: the request is not to be handled
+   */
+  acceptOrRefuse(request: IncomingMessage, response: ServerResponse): AcceptedSlot | undefined {
+    const connection = this.of(request.socket);
+    const accepted = connection && this.accept(connection, request, response);
+    if (connection === undefined || accepted === undefined) {
+      request.resume();
+      return undefined;
+    }
+    if (accepted === 'refused') {
+      response.writeHead(UNAVAILABLE, { Connection: 'close' }).end();
+      return undefined;
+    }
+    return { connection, slot: accepted };
+  }
+
   /** The answer to a request is handed over to be written; without effect if its connection has ended. */
   noteAnswer(connection: CallerConnection, slot: ConnectionSlot, bytes: number): void {
     if (!connection.awaitsAnswer(slot)) return;
@@ -139,14 +169,15 @@
     while (this.unreadBytes > this.limits.unreadAnswerBytes && this.writing.size > 1) {
       const largest = chooseLargest(this.writing, ({ unreadBytes }) => unreadBytes);
       if (largest === undefined) return;
-      this.onLimit('answer-bytes');
+      this.reports.note('answer-bytes');
       largest.destroy();
     }
   }
 
-  /** Stops the checks. */
+  /** Stops the checks and the reports. */
   close(): void {
     this.cancelCheck?.();
+    this.reports.close();
   }
 
   destroyAll(): void {
@@ -180,7 +211,7 @@
     const since = this.clock.now() - this.limits.answerReadTimeoutMs;
     for (const connection of [...this.writing]) {
       if ((connection.answerSince ?? Infinity) > since) continue;
-      this.onLimit('answer-time');
+      this.reports.note('answer-time');
       connection.destroy();
     }
   }
--- a/src/sidecar/client-limits.ts
+++ b/src/sidecar/client-limits.ts
@@ -17,6 +17,14 @@
 /** Unanswered requests of clients of another HTTP port, as a share of those of callers. */
 const SERVICE_PORT_REQUEST_SHARE = 1 / 32;
 
+/** Share of the memory limit that bodies of callers' requests may use. */
+const BODY_MEMORY_SHARE = 0.3;
+
+/** Bytes of bodies of callers' requests that may be buffered at once. */
+export function bodyBufferBytes({ limits }: SidecarSettings): number {
+  return limits.memoryMb * BYTES_PER_MB * BODY_MEMORY_SHARE;
+}
+
 /** Bounds for callers. */
 export function callerLimits({ limits }: SidecarSettings): ClientLimits {
   return {
--- a/src/sidecar/directory/node-directory.test.ts
+++ b/src/sidecar/directory/node-directory.test.ts
@@ -8,6 +8,7 @@
 import { LinkServer } from '../link/link-server.js';
 import { expiredRecordGraceMs, NodeDirectory } from './node-directory.js';
 import { encodeNodeRecord, keyOfNode, type NodeRecord } from './node-record.js';
+import { silentReports } from '../../../test/support/silent-reports.js';
 
 const STATUS: NodeStatus = { node: 'peer', service: 's', target: 'ready', rulesVersion: 1 };
 
@@ -29,7 +30,7 @@
   peerStatus = STATUS;
   server = new LinkServer({
     limits: { connections: 100, heldBytes: 64 * 1024 * 1024 },
-    onLimit: () => {},
+    reports: silentReports,
     clock,
     target: { dispatch: () => assert.fail('no call') },
     status: () => peerStatus,
--- a/src/sidecar/entry/entry-listener.test.ts
+++ b/src/sidecar/entry/entry-listener.test.ts
@@ -9,6 +9,7 @@
 import { ConnectionGuard, type ClientLimits } from '../../http/connection-guard.js';
 import type { CallerAnswer, CallerExchange } from './caller-exchange.js';
 import { EntryListener } from './entry-listener.js';
+import { silentReports } from '../../../test/support/silent-reports.js';
 
 /** More than the socket buffers of both ends hold. */
 const LARGE_BYTES = 16 * 1024 * 1024;
@@ -80,7 +81,7 @@
       onTooManyRequests: () => assert.fail(),
       onUnwritableAnswer: () => unwritableReplacement,
     },
-    new ConnectionGuard(LIMITS, systemClock),
+    new ConnectionGuard(LIMITS, systemClock, silentReports),
     systemClock,
   );
   await listener.listen('127.0.0.1', port);
@@ -234,7 +235,7 @@
       onTooManyRequests: () => assert.fail(),
       onUnwritableAnswer: () => assert.fail(),
     },
-    new ConnectionGuard(LIMITS, systemClock),
+    new ConnectionGuard(LIMITS, systemClock, silentReports),
     systemClock,
   );
   await next.listen('127.0.0.1', port);
--- a/src/sidecar/http-listener.test.ts
+++ b/src/sidecar/http-listener.test.ts
@@ -5,6 +5,7 @@
 import { systemClock } from '../kernel/clock.js';
 import { ConnectionGuard } from '../http/connection-guard.js';
 import { HttpListener } from './http-listener.js';
+import { silentReports } from '../../test/support/silent-reports.js';
 
 function createGuard(): ConnectionGuard {
   const limits = {
@@ -13,7 +14,7 @@
     unreadAnswerBytes: Infinity,
     answerReadTimeoutMs: 30_000,
   };
-  return new ConnectionGuard(limits, systemClock);
+  return new ConnectionGuard(limits, systemClock, silentReports);
 }
 
 test('a request in progress is answered before the listener closes', async () => {
--- a/src/sidecar/http-listener.ts
+++ b/src/sidecar/http-listener.ts
@@ -13,7 +13,6 @@
 /** Time for a whole request to arrive. */
 const REQUEST_TIMEOUT_MS = 5_000;
 const CONNECTION_CHECK_INTERVAL_MS = 1_000;
-const UNAVAILABLE = 503;
 /** Answers of these servers are small; their number is bounded. */
 const ANSWER_BYTES = 0;
 
@@ -63,25 +62,18 @@
   }
 
   private onRequest(request: IncomingMessage, response: ServerResponse): void {
-    const connection = this.guard.of(request.socket);
-    const accepted = connection && this.guard.accept(connection, request, response);
-    if (connection === undefined || accepted === undefined) {
-      request.resume();
-      return;
-    }
-    if (accepted === 'refused') {
-      response.writeHead(UNAVAILABLE, { Connection: 'close' }).end();
-      return;
-    }
+    const accepted = this.guard.acceptOrRefuse(request, response);
+    if (accepted === undefined) return;
+    const { connection, slot } = accepted;
     // The time to read the answer begins at once: these requests are answered without delay.
-    this.guard.noteAnswer(connection, accepted, ANSWER_BYTES);
+    this.guard.noteAnswer(connection, slot, ANSWER_BYTES);
     this.running.add(response);
     const end = (): void => {
       this.running.delete(response);
     };
     response.once('finish', end);
     // A response that waits behind another one is not told that its connection has closed.
-    accepted.request = { onConnectionEnd: end, giveUp: () => {} };
+    slot.request = { onConnectionEnd: end, giveUp: () => {} };
     this.handle(request, response);
   }
 }
--- a/src/sidecar/link/incoming-links.test.ts
+++ b/src/sidecar/link/incoming-links.test.ts
@@ -18,7 +18,10 @@
   const closed: string[] = [];
   const hits: string[] = [];
   const limits = { connections: 2, heldBytes: 100 };
-  const links = new IncomingLinks<TestLink>(limits, (limit) => hits.push(limit));
+  const links = new IncomingLinks<TestLink>(limits, {
+    note: (limit) => hits.push(limit),
+    close: () => {},
+  });
   const add = (name: string, state: Partial<BoundedLink> = {}): void => {
     const destroy = (): void => {
       closed.push(name);
--- a/src/sidecar/link/incoming-links.ts
+++ b/src/sidecar/link/incoming-links.ts
@@ -1,5 +1,6 @@
 /** The open connections of other nodes, and bounds on what they hold together. */
 import { chooseIdleConnection, chooseLargest } from '../../core/holding/connection-choice.js';
+import type { LimitReporter } from '../../http/connection-guard.js';
 
 /** Bounds on the connections of other nodes. */
 export interface LinkLimits {
@@ -11,9 +12,6 @@
 /** Name of a bound that was reached. */
 export type LinkLimit = 'connections' | 'link-bytes' | 'replies';
 
-/** Called whenever a bound is reached. */
-export type OnLinkLimit = (limit: LinkLimit) => void;
-
 /** One connection of another node. */
 export interface BoundedLink {
   /** Whether a message was ever received on it. */
@@ -32,7 +30,7 @@
 
   constructor(
     private readonly limits: LinkLimits,
-    private readonly onLimit: OnLinkLimit,
+    private readonly reports: LimitReporter<LinkLimit>,
   ) {}
 
   [Symbol.iterator](): Iterator<T> {
@@ -46,7 +44,7 @@
    */
   makeRoom(): boolean {
     if (this.links.size < this.limits.connections) return true;
-    this.onLimit('connections');
+    this.reports.note('connections');
     const silent = chooseIdleConnection(this.listSilent());
     if (silent === undefined) return false;
     silent.destroy('replaced by a new connection');
@@ -69,7 +67,7 @@
       const total = holders.reduce((sum, { heldBytes }) => sum + heldBytes, 0);
       if (holders.length < 2 || total <= this.limits.heldBytes) return;
       const largest = chooseLargest(holders, ({ heldBytes }) => heldBytes)!;
-      this.onLimit('link-bytes');
+      this.reports.note('link-bytes');
       largest.destroy('too much is held for all links');
       this.links.delete(largest);
     }
--- a/src/sidecar/link/link-server.test.ts
+++ b/src/sidecar/link/link-server.test.ts
@@ -7,6 +7,7 @@
 import type { AttemptCall, AttemptEnd, LinkMessage, RelayedLimit } from './link-messages.js';
 import { decodeMessage, encodeMessage } from './link-codec.js';
 import { LinkServer } from './link-server.js';
+import { silentReports } from '../../../test/support/silent-reports.js';
 
 const CALL: AttemptCall = {
   attemptId: 'a',
@@ -43,7 +44,7 @@
   clock.advance(10_000);
   server = new LinkServer({
     limits: { connections: 100, heldBytes: 64 * 1024 * 1024 },
-    onLimit: () => {},
+    reports: silentReports,
     clock,
     target: {
       dispatch: (call, onEnd) => {
--- a/src/sidecar/link/link-server.ts
+++ b/src/sidecar/link/link-server.ts
@@ -1,5 +1,6 @@
 /** The accepting end of links: serves other nodes' calls for the local target. */
 import { createServer, type AddressInfo, type Server } from 'node:net';
+import type { LimitReporter } from '../../http/connection-guard.js';
 import type { CancelTimer, Clock } from '../../kernel/clock.js';
 import { ResultCode } from '../../core/result-code.js';
 import { ageAuthorization } from './age-authorization.js';
@@ -18,8 +19,8 @@
 import {
   type BoundedLink,
   IncomingLinks,
+  type LinkLimit,
   type LinkLimits,
-  type OnLinkLimit,
 } from './incoming-links.js';
 import { LinkSocket } from './link-socket.js';
 
@@ -62,8 +63,8 @@
   /** Called with rules that were requested. */
   onRules(document: Uint8Array): void;
   readonly limits: LinkLimits;
-  /** Called when connections reach a limit. */
-  readonly onLimit: OnLinkLimit;
+  /** Told when connections reach a limit; closed with the server. */
+  readonly reports: LimitReporter<LinkLimit>;
 }
 
 /** Accepts links of other nodes and dispatches their calls to the local target. */
@@ -73,7 +74,7 @@
   private cancelSilenceCheck: CancelTimer = () => {};
 
   constructor(private readonly options: LinkServerOptions) {
-    this.connections = new IncomingLinks(options.limits, options.onLimit);
+    this.connections = new IncomingLinks(options.limits, options.reports);
     this.server = createServer((socket) => {
       if (!this.connections.makeRoom()) {
         socket.destroy();
@@ -113,6 +114,7 @@
     this.cancelSilenceCheck();
     this.server.close();
     for (const link of this.connections) link.close('stopped');
+    this.options.reports.close();
   }
 
   private scheduleSilenceCheck(): void {
@@ -173,7 +175,7 @@
   /** Sends what the other node asked for, unless it doesn't read. */
   private reply(message: LinkMessage): void {
     if (this.socket?.sendReply(message) !== false) return;
-    this.options.onLimit('replies');
+    this.options.reports.note('replies');
     this.socket?.close('replies are not read');
   }
 
--- a/src/sidecar/plugins/entry-plugin.ts
+++ b/src/sidecar/plugins/entry-plugin.ts
@@ -8,7 +8,7 @@
 import { splitAddress } from '../../core/host-and-port.js';
 import { ClientLimitReports } from '../../http/client-limit-reports.js';
 import { ConnectionGuard } from '../../http/connection-guard.js';
-import { callerLimits } from '../client-limits.js';
+import { bodyBufferBytes, callerLimits } from '../client-limits.js';
 import { ObservedCosts } from '../admission/observed-costs.js';
 import { BodyIntake } from '../entry/body-intake.js';
 import { CallersDrain } from '../entry/callers-drain.js';
@@ -21,9 +21,6 @@
 
 const POLICY = 'adaptive';
 const BODY_LIMIT_NAMES = { yielded: 'body-bytes', late: 'body-time' } as const;
-const BYTES_PER_MB = 1024 * 1024;
-/** Share of the memory limit that bodies of callers' requests may use. */
-const BODY_MEMORY_SHARE = 0.3;
 /** Share of the allowed retry ratio that is used; the rest covers windows with other boundaries. */
 const RETRY_RATIO_SHARE = 0.75;
 /**
@@ -42,10 +39,9 @@
     name: 'entry',
     order: SidecarOrder.Entry,
     bind: (container) => {
-      container.bind(SidecarToken.Buffers).toDynamicValue(({ get }) => {
-        const { memoryMb } = get(SidecarToken.Settings).limits;
-        return new ByteBudget(memoryMb * BYTES_PER_MB * BODY_MEMORY_SHARE);
-      });
+      container
+        .bind(SidecarToken.Buffers)
+        .toDynamicValue(({ get }) => new ByteBudget(bodyBufferBytes(get(SidecarToken.Settings))));
       container.bind(SidecarToken.Routers).toDynamicValue(createRouters);
       container.bind(SidecarToken.RequestCosts).toConstantValue(new RequestCosts());
       container.bind(SidecarToken.PlannedStop).toConstantValue(new PlannedStop());
@@ -126,9 +122,7 @@
     },
   });
   const limits = callerLimits(settings.current);
-  const guard = new ConnectionGuard(limits, clock, (limit) => {
-    reports.note(limit);
-  });
+  const guard = new ConnectionGuard(limits, clock, reports);
   return new EntryListener(service, guard, clock);
 }
 
--- a/src/sidecar/plugins/link-plugin.ts
+++ b/src/sidecar/plugins/link-plugin.ts
@@ -38,9 +38,7 @@
         });
         return new LinkServer({
           limits: linkLimits(get(SidecarToken.Settings)),
-          onLimit: (limit) => {
-            reports.note(limit);
-          },
+          reports,
           clock: get(Token.Clock),
           target: get(SidecarToken.Gateway),
           status: get(SidecarToken.Status),
--- a/src/sidecar/plugins/service-port-guard.ts
+++ b/src/sidecar/plugins/service-port-guard.ts
@@ -15,7 +15,5 @@
   const clock = get(Token.Clock);
   const hits = get(SidecarToken.Metrics).limitHits;
   const reports = new ClientLimitReports({ port, hits, clock, log: get(Token.EventLog) });
-  return new ConnectionGuard(limits, clock, (limit) => {
-    reports.note(limit);
-  });
+  return new ConnectionGuard(limits, clock, reports);
 }
