A crowd of bodies in small chunks doesn't keep the requests of others unread

What callers saw: requests waited for seconds at a node to which some clients sent bodies in chunks of one byte, and targets were then given more time than the callers had left. Cause: a block of such chunks is thousands of callbacks, and the blocks of all sockets that are readable are parsed in one turn of the event loop. The gate counted requests sent ahead only. Change: a small chunk counts as a fifth of a request in the work of a turn. After a turn with too much work, connections that caused little are read first and the others not for eight turns; closed ones are let go at once. Why it works: a turn does a bounded amount of work for those who cause much, and everybody else is read between two such turns.

--- a/src/entry/entry-server.ts
+++ b/src/entry/entry-server.ts
@@ -181,13 +181,17 @@
     if (connection === undefined) return undefined;
     const slot = guard.accept(connection, request, response);
     if (slot === undefined || slot === 'refused') return slot;
+    const noteChunk = (bytes: number): void => {
+      guard.noteChunk(connection, bytes);
+    };
     const beginAnswer = (bytes: number, wantsClose: boolean): boolean => {
       guard.noteAnswer(connection, slot, bytes);
       const closes = (wantsClose || !connection.acceptsRequests) && connection.isNewest(slot);
       if (closes) connection.finish();
       return closes;
     };
-    const exchange = new HttpExchange(request, response, this.clock, expectsContinue, beginAnswer);
+    const listener = { beginAnswer, noteChunk };
+    const exchange = new HttpExchange(request, response, this.clock, expectsContinue, listener);
     slot.request = {
       onConnectionEnd: () => exchange.abandon(),
       giveUp: () => {
--- a/src/entry/http-exchange.ts
+++ b/src/entry/http-exchange.ts
@@ -21,6 +21,14 @@
   readonly reservation: BufferReservation;
 }
 
+/** Callbacks of an exchange to its connection. */
+export interface ExchangeListener {
+  /** An answer of so many bytes is sent; returns whether the connection closes after it. */
+  beginAnswer(bytes: number, wantsClose: boolean): boolean;
+  /** A chunk of the body of so many bytes was read. */
+  noteChunk(bytes: number): void;
+}
+
 export class HttpExchange {
   readonly method: string;
   /** Path with query. */
@@ -36,8 +44,7 @@
     private readonly response: ServerResponse,
     private readonly clock: Clock,
     private readonly expectsContinue: boolean,
-    /** Called when an answer of so many bytes is sent; returns whether the connection closes after it. */
-    private readonly beginAnswer: (bytes: number, wantsClose: boolean) => boolean,
+    private readonly listener: ExchangeListener,
   ) {
     this.receivedAt = clock.now();
     this.method = request.method ?? '';
@@ -90,6 +97,9 @@
       return Promise.resolve(Result.err(tooLarge(limits.maxBytes)));
     }
     if (this.expectsContinue) this.response.writeContinue();
+    this.request.on('data', (chunk: Buffer) => {
+      this.listener.noteChunk(chunk.length);
+    });
     return new Promise((resolve) => {
       new BodyReader(this.request, limits, this.clock, resolve).start();
     });
@@ -105,7 +115,7 @@
     if (this.abandoned || response.destroyed || response.headersSent) return undefined;
     const headers = answer.headers.flatMap(([name, value]) => [name, value]);
     if (this.needsLength(answer)) headers.push('Content-Length', String(answer.body.length));
-    const closes = this.beginAnswer(answer.body.length, closeConnection);
+    const closes = this.listener.beginAnswer(answer.body.length, closeConnection);
     if (closes) headers.push('Connection', 'close');
     try {
       response.writeHead(answer.status, headers);
--- a/src/http/caller-connection.ts
+++ b/src/http/caller-connection.ts
@@ -11,6 +11,7 @@
 import type { ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
 import type { CancelTimer, Clock } from '../kernel/clock.js';
+import type { GatedConnection } from './read-gate.js';
 
 /** Longest wait for the caller to end a connection that this side has ended, in milliseconds. */
 export const CALLER_END_TIMEOUT_MS = 2_000;
@@ -50,7 +51,7 @@
 type Phase = 'open' | 'answering' | 'closing';
 
 /** Tracks the phase and the unanswered requests of one connection. */
-export class CallerConnection {
+export class CallerConnection implements GatedConnection {
   private phase: Phase = 'open';
   private endedBy: ConnectionSide = 'caller';
   private readonly slots = new Set<ConnectionSlot>();
@@ -59,6 +60,8 @@
   private unread = 0;
   private unreadAnswers = 0;
   private unreadSince: number | undefined;
+  /** See {@link GatedConnection}. */
+  readWork = 0;
   /** Units of the requests that were read after the last one that was accepted. */
   ignoredUnits = 0;
   /** Whether such a request was reported; a client may send thousands. */
--- a/src/http/connection-guard.ts
+++ b/src/http/connection-guard.ts
@@ -19,6 +19,10 @@
 /** Interval of the checks for answers that are not read, in milliseconds. */
 const CHECK_INTERVAL_MS = 1_000;
 const UNAVAILABLE = 503;
+/** Chunks of a body below this size count as work of their own, in bytes. */
+const SMALL_CHUNK_BYTES = 1_024;
+/** Work for a small chunk; a request sent ahead is 1. */
+const SMALL_CHUNK_WORK = 0.2;
 
 /** Bounds on what clients may hold. */
 export interface ClientLimits {
@@ -71,7 +75,7 @@
     private readonly reports: LimitReporter<ClientLimit>,
   ) {
     this.allowance = new RequestAllowance(limits.requests);
-    this.gate = new ReadGate(() => this.bySocket.keys());
+    this.gate = new ReadGate(() => this.bySocket.values());
   }
 
   /** Open connections, oldest first. */
@@ -123,7 +127,9 @@
     response: ServerResponse,
   ): Acceptance {
     const units = weighRequest(request.rawHeaders.length);
-    if (connection.unfinishedCount > 0 || connection.ignoredUnits > 0) this.gate.noteAhead(units);
+    if (connection.unfinishedCount > 0 || connection.ignoredUnits > 0) {
+      this.gate.note(connection, units);
+    }
     if (!connection.acceptsRequests) {
       this.ignore(connection, units);
       return undefined;
@@ -159,6 +165,11 @@
     return { connection, slot: accepted };
   }
 
+  /** A chunk of a request's body was read. */
+  noteChunk(connection: CallerConnection, bytes: number): void {
+    if (bytes < SMALL_CHUNK_BYTES) this.gate.note(connection, SMALL_CHUNK_WORK);
+  }
+
   /** The answer to a request is handed over to be written; without effect if its connection has ended. */
   noteAnswer(connection: CallerConnection, slot: ConnectionSlot, bytes: number): void {
     if (!connection.awaitsAnswer(slot)) return;
--- a/src/http/read-gate.ts
+++ b/src/http/read-gate.ts
@@ -1,43 +1,82 @@
 /**
- * Bounds the requests sent ahead that are parsed in one turn of the event loop. The parser reads a
- * whole block at a time, which holds thousands of short requests, and closing a connection frees
- * nothing before the turn ends. Without a bound, a crowd that sends at the same moment exhausts the
- * heap within one turn.
+ * Bounds the work for what clients send that one turn of the event loop does. The parser reads a whole
+ * block at a time, which holds thousands of short requests or small chunks, and all sockets that
+ * are readable are read in the same turn. Without a bound, a crowd that sends at the same moment
+ * exhausts the heap within one turn, or keeps the requests of others unread for seconds.
  */
 import type { Socket } from 'node:net';
 import type { EndOfTurn } from './accept-burst.js';
 
-/** Units of requests sent ahead in one turn after which no more sockets are read in it. */
-export const MAX_AHEAD_PER_TURN = 1_000;
+/** Work in one turn after which no more sockets are read in it; a request sent ahead is 1. */
+export const MAX_WORK_PER_TURN = 1_000;
 
-/** Pauses the sockets of a listener for the rest of a turn. */
+/** Turns after such a turn in which only connections that caused little work are read. */
+export const LIGHT_TURNS = 8;
+
+/** A connection whose socket can be paused. */
+export interface GatedConnection {
+  readonly socket: Socket;
+  /** Work that it has caused so far. */
+  readWork: number;
+}
+
+/** Pauses the sockets of a listener for the rest of a turn, and those with much work for longer. */
 export class ReadGate {
-  private aheadInTurn = 0;
-  private readonly paused: Socket[] = [];
+  private workInTurn = 0;
+  private isScheduled = false;
+  private readonly paused = new Set<GatedConnection>();
+  private lightTurnsLeft = 0;
 
   constructor(
-    private readonly sockets: () => Iterable<Socket>,
+    private readonly connections: () => Iterable<GatedConnection>,
     private readonly endOfTurn: EndOfTurn = setImmediate,
   ) {}
 
-  /** Notes a request that was sent while another one of its connection was unanswered. */
-  noteAhead(units: number): void {
-    if (this.aheadInTurn === 0) this.endOfTurn(() => this.onEndOfTurn());
-    const before = this.aheadInTurn;
-    this.aheadInTurn += units;
-    if (before < MAX_AHEAD_PER_TURN && this.aheadInTurn >= MAX_AHEAD_PER_TURN) this.pauseAll();
+  /** Notes work that a connection has caused. */
+  note(connection: GatedConnection, work: number): void {
+    connection.readWork += work;
+    this.schedule();
+    const before = this.workInTurn;
+    this.workInTurn += work;
+    if (before < MAX_WORK_PER_TURN && this.workInTurn >= MAX_WORK_PER_TURN) this.pauseAll();
+  }
+
+  private schedule(): void {
+    if (this.isScheduled) return;
+    this.isScheduled = true;
+    this.endOfTurn(() => {
+      this.onEndOfTurn();
+    });
   }
 
   private pauseAll(): void {
-    for (const socket of this.sockets()) {
-      if (socket.isPaused()) continue;
-      socket.pause();
-      this.paused.push(socket);
+    if (this.lightTurnsLeft === 0) this.lightTurnsLeft = LIGHT_TURNS;
+    for (const connection of this.connections()) {
+      if (connection.socket.isPaused()) continue;
+      connection.socket.pause();
+      this.paused.add(connection);
     }
   }
 
   private onEndOfTurn(): void {
-    this.aheadInTurn = 0;
-    for (const socket of this.paused.splice(0)) socket.resume();
+    this.isScheduled = false;
+    this.workInTurn = 0;
+    if (this.paused.size === 0) return;
+    if (this.lightTurnsLeft === 0) this.resume(() => true);
+    else this.resume(({ readWork }) => readWork < MAX_WORK_PER_TURN);
+    this.lightTurnsLeft = Math.max(0, this.lightTurnsLeft - 1);
+    if (this.paused.size > 0) this.schedule();
+  }
+
+  /** Resumes connections; those with the least work are read first. Closed ones are let go. */
+  private resume(selects: (connection: GatedConnection) => boolean): void {
+    const selected = [...this.paused].filter(
+      (connection) => connection.socket.destroyed || selects(connection),
+    );
+    selected.sort((one, other) => one.readWork - other.readWork);
+    for (const connection of selected) {
+      this.paused.delete(connection);
+      connection.socket.resume();
+    }
   }
 }
--- a/src/sidecar/entry/entry-listener.ts
+++ b/src/sidecar/entry/entry-listener.ts
@@ -176,8 +176,14 @@
       this.handle(connection, slot, exchange);
     };
     // A body is read at once: while nobody reads it, each of its chunks is kept as an object.
-    if (exchange.hasBody) handle();
-    else this.burst.run(handle);
+    if (!exchange.hasBody) {
+      this.burst.run(handle);
+      return;
+    }
+    request.on('data', (chunk: Buffer) => {
+      this.guard.noteChunk(connection, chunk.length);
+    });
+    handle();
   }
 
   /** Reports the first request that is ignored on a connection; a client may send thousands. */
