Requests with an unknown expectation pass the bounds on clients

What callers saw: no ordinary request was answered within 30 s while 140 clients sent 30,000 requests each with an Expect field that HTTP doesn't define and read no answer: at a sidecar's entry, at its readiness port, and at the admin port of a fleet node.

Cause: node:http answers such a request with 417 by itself, without the 'request' event. The answer is in no account: such requests are neither bounded on a connection nor counted as work of a turn of the loop.

Change: onEachRequest passes these requests to the same listener as all others. At the entry of a sidecar they are served without the field, as RFC 9110, section 10.1.1, allows and as the entry of a fleet node does; before, callers got 417.

--- a/src/admin/admin-server.ts
+++ b/src/admin/admin-server.ts
@@ -16,6 +16,7 @@
 import { AdminService } from '../gen/sillshore/admin/v1/admin_pb.js';
 import { ClientLimitReports } from '../http/client-limit-reports.js';
 import { ConnectionGuard } from '../http/connection-guard.js';
+import { onEachRequest } from '../http/on-each-request.js';
 import { Event } from '../kernel/event.js';
 import { MetricsText } from '../observability/metrics-text.js';
 import type { AdminNode } from './admin-node.js';
@@ -106,7 +107,7 @@
       this.guard.open(socket);
     });
     const app = this.createApp(drains);
-    this.server.on('request', (request, response) => {
+    onEachRequest(this.server, (request, response) => {
       if (!this.accept(request, response)) return;
       app(request, response);
       response.once('finish', () => {
--- a/src/sidecar/entry/entry-listener.ts
+++ b/src/sidecar/entry/entry-listener.ts
@@ -12,6 +12,7 @@
   ConnectionSlot,
 } from '../../http/caller-connection.js';
 import type { ConnectionGuard } from '../../http/connection-guard.js';
+import { onEachRequest } from '../../http/on-each-request.js';
 import { CallerExchange, type CallerAnswer } from './caller-exchange.js';
 
 /** Largest header section before rules are in force, in bytes. */
@@ -73,7 +74,7 @@
     this.server.on('connection', (socket) => {
       this.onConnection(socket);
     });
-    this.server.on('request', (request, response) => {
+    onEachRequest(this.server, (request, response) => {
       this.onRequest(request, response);
     });
     // The connection was idle for too long. Requests that cross its end are not accepted.
--- a/src/sidecar/http-listener.ts
+++ b/src/sidecar/http-listener.ts
@@ -7,6 +7,7 @@
   type ServerResponse,
 } from 'node:http';
 import type { ConnectionGuard } from '../http/connection-guard.js';
+import { onEachRequest } from '../http/on-each-request.js';
 
 /** Time that requests in progress get to complete when the server closes. */
 const CLOSE_GRACE_MS = 300;
@@ -33,7 +34,7 @@
     this.server.on('connection', (socket) => {
       this.guard.open(socket);
     });
-    this.server.on('request', (request, response) => {
+    onEachRequest(this.server, (request, response) => {
       this.onRequest(request, response);
     });
     this.server.on('clientError', (_error, socket) => socket.destroy());
--- a/test/misbehaving-callers.isolated.test.ts
+++ b/test/misbehaving-callers.isolated.test.ts
@@ -20,6 +20,7 @@
 const HEAD_END = '\r\n';
 const UNFINISHED_POST = `POST /promises HTTP/1.1\r\nHost: promise-ledger.recife.example\r\n`;
 const NO_FIELDS = `GET / HTTP/1.1\r\n${HEAD_END}`;
+const UNKNOWN_EXPECTATION = `GET / HTTP/1.1\r\nHost: a\r\nExpect: a\r\n${HEAD_END}`;
 const ROUTED = `GET /probe HTTP/1.1\r\nHost: ${GUIDE}\r\n${HEAD_END}`;
 const METRICS = `GET /metrics HTTP/1.1\r\nHost: a\r\n${HEAD_END}`;
 const READINESS = `GET /readyz HTTP/1.1\r\nHost: a\r\n${HEAD_END}`;
@@ -86,6 +87,10 @@
   await withstand(context, entryAddress(), 60, sentAhead(NO_FIELDS, 20_000));
 });
 
+test('requests with an unknown expectation sent ahead do not exhaust the heap of a fleet node', async (context) => {
+  await withstand(context, entryAddress(), 140, sentAhead(UNKNOWN_EXPECTATION, 30_000));
+});
+
 test('routed requests sent ahead do not exhaust the heap of a fleet node', async (context) => {
   await withstand(context, entryAddress(), 60, sentAhead(ROUTED, 10_000));
 });
@@ -102,6 +107,11 @@
   await withstand(context, node.plan.settings.listen.admin, 60, sentAhead(READINESS, 10_000));
 });
 
+test('admin requests with an unknown expectation sent ahead do not exhaust the heap of a fleet node', async (context) => {
+  const { admin } = node.plan.settings.listen;
+  await withstand(context, admin, 140, sentAhead(UNKNOWN_EXPECTATION, 30_000));
+});
+
 test('idle admin connections do not take all descriptors of a fleet node', async (context) => {
   await withstand(context, node.plan.settings.listen.admin, 500, Buffer.from('GET /readyz'));
 });
--- a/test/misbehaving-clients.isolated.test.ts
+++ b/test/misbehaving-clients.isolated.test.ts
@@ -24,6 +24,7 @@
 const HEAD_END = '\r\n';
 const ROUTED_POST = `POST /read/crowd HTTP/1.1\r\nHost: ${HOST}\r\nX-Attempt-Id: crowd\r\n`;
 const NO_FIELDS = `GET / HTTP/1.1\r\n${HEAD_END}`;
+const UNKNOWN_EXPECTATION = `GET / HTTP/1.1\r\nExpect: a\r\n${HEAD_END}`;
 const ROUTED = `GET /read/crowd HTTP/1.1\r\nHost: ${HOST}\r\nX-Attempt-Id: crowd\r\n${HEAD_END}`;
 const ROUTED_WITHOUT_ID = `GET /read/crowd HTTP/1.1\r\nHost: ${HOST}\r\n${HEAD_END}`;
 const MANY_FIELDS = `GET / HTTP/1.1\r\n${'a: b\r\n'.repeat(900)}${HEAD_END}`;
@@ -109,6 +110,10 @@
   await withstand(context, machine.entry, 60, sentAhead(NO_FIELDS, 20_000));
 });
 
+test('requests with an unknown expectation that are sent ahead do not exhaust the heap', async (context) => {
+  await withstand(context, machine.entry, 140, sentAhead(UNKNOWN_EXPECTATION, 30_000));
+});
+
 test('requests with many fields that are sent ahead do not exhaust the heap', async (context) => {
   await withstand(context, machine.entry, 60, sentAhead(MANY_FIELDS, 400));
 });
@@ -137,6 +142,10 @@
   await withstand(context, machine.readiness, 150, sentAhead(READINESS_WITHOUT_FIELDS, 20_000));
 });
 
+test('readiness requests with an unknown expectation that are sent ahead do not exhaust the heap', async (context) => {
+  await withstand(context, machine.readiness, 140, sentAhead(UNKNOWN_EXPECTATION, 30_000));
+});
+
 test('idle connections to the readiness port do not take all descriptors', async (context) => {
   await withstand(context, machine.readiness, 500, Buffer.from('GET /v1'));
 });
--- a/test/sidecar-client-limits.test.ts
+++ b/test/sidecar-client-limits.test.ts
@@ -100,8 +100,8 @@
 /** Default number of requests that may be sent ahead on one connection. */
 const REQUESTS_AHEAD = 64;
 
-function get(attemptId: string, path = '/read/x'): string {
-  return `GET ${path} HTTP/1.1\r\nHost: ${HOST}\r\nX-Attempt-Id: ${attemptId}\r\n\r\n`;
+function get(attemptId: string, path = '/read/x', fields = ''): string {
+  return `GET ${path} HTTP/1.1\r\nHost: ${HOST}\r\nX-Attempt-Id: ${attemptId}\r\n${fields}\r\n`;
 }
 
 function getMany(count: number, path?: string): string {
@@ -122,6 +122,14 @@
   connection.socket.destroy();
 });
 
+test('a request with an unknown expectation is served', async () => {
+  const connection = new RawConnection(machine.entry);
+  connection.socket.write(get('expecting', '/read/x', 'Expect: a\r\n'));
+  await waitUntil(() => connection.countAnswers(200) === 1);
+  assert.ok(!machine.target.received.some(({ headers }) => 'expect' in headers));
+  connection.socket.destroy();
+});
+
 test('requests sent ahead beyond the limit are not run; those before are answered', async () => {
   const connection = new RawConnection(machine.entry);
   connection.socket.write(getMany(REQUESTS_AHEAD + 10));
