Admin requests without a Host field pass the bounds on clients

What callers saw: a fleet node ended (heap spent, 60 MB of old space) while 140 clients sent 30,000 requests without any field each to its admin port and read no answer.

Cause: node:http answers a request without Host with 400 by itself, without the 'request' event, so that neither the bound on requests sent ahead nor the bound on the work of a turn counts it. The listeners of sidecars and of the entry had this check of node:http turned off; the admin port had not.

Evidence, on: 'admin requests without fields sent ahead do not exhaust the heap of a fleet node' fails, the process ended with V8's out of memory.

Change: the check is turned off there too, and the application rejects such a request with 400 and result code 1003, as it does with other malformed requests (RFC 9112, section 3.2). The answer had no result code before.

Measured: the test passes with a peak of 148 MB (bound 220); 'malformed bytes get a response with a result code: no Host field' and the other 182 tests of src/admin pass.

--- a/src/admin/admin-port.test.ts
+++ b/src/admin/admin-port.test.ts
@@ -146,6 +146,7 @@
   ['a BSON frame', Uint8Array.from([0, 0, 0, 8, 5, 0, 0, 0, 0])],
   ['a header line without colon', Buffer.from('GET / HTTP/1.1\r\nbroken\r\n\r\n')],
   ['an endless header', Buffer.from(`GET / HTTP/1.1\r\nx: ${'a'.repeat(100_000)}`)],
+  ['no Host field', Buffer.from('GET / HTTP/1.1\r\n\r\n')],
   [
     'two lengths',
     Buffer.from('POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n'),
--- a/src/admin/admin-server.ts
+++ b/src/admin/admin-server.ts
@@ -60,6 +60,16 @@
   return request.path.startsWith(`${SERVICE_PATH}/`);
 }
 
+/** Rejects HTTP/1.1 requests without a `Host` field (RFC 9112, section 3.2). */
+const requireHost: RequestHandler = (request, response, next) => {
+  if (request.headers.host !== undefined || request.httpVersion !== '1.1') {
+    next();
+    return;
+  }
+  response.set('connection', 'close');
+  sendProblem(response, createFailure(ResultCode.MalformedRequest, 'the Host field is missing'));
+};
+
 /** Whether a connection failed in its TLS handshake. */
 function isTlsFailure({ code = '' }: NodeJS.ErrnoException): boolean {
   return code.startsWith('ERR_SSL_') || code.startsWith('ERR_TLS_') || code === 'EPROTO';
@@ -85,6 +95,8 @@
       requestTimeout: limits.requestMs,
       headersTimeout: limits.headersMs,
       connectionsCheckingInterval: limits.checkMs,
+      // Answered by `requireHost`, within the bounds on what clients may hold.
+      requireHostHeader: false,
     };
     const clientLimits = operatorLimits(node.settings);
     const reports = new ClientLimitReports({
@@ -177,6 +189,7 @@
     const { node } = this;
     const app = express();
     app.disable('x-powered-by');
+    app.use(requireHost);
     const metrics = new MetricsText(node.metrics.registry);
     app.get('/metrics', async (_request, response) => {
       response.type(metrics.contentType).send(await metrics.read());
--- a/test/misbehaving-callers.isolated.test.ts
+++ b/test/misbehaving-callers.isolated.test.ts
@@ -107,6 +107,10 @@
   await withstand(context, node.plan.settings.listen.admin, 60, sentAhead(READINESS, 10_000));
 });
 
+test('admin requests without fields sent ahead do not exhaust the heap of a fleet node', async (context) => {
+  await withstand(context, node.plan.settings.listen.admin, 140, sentAhead(NO_FIELDS, 30_000));
+});
+
 test('admin requests with an unknown expectation sent ahead do not exhaust the heap of a fleet node', async (context) => {
   const { admin } = node.plan.settings.listen;
   await withstand(context, admin, 140, sentAhead(UNKNOWN_EXPECTATION, 30_000));
