Requests of other nodes take their buffers from the same budget as callers' bodies

What callers saw: a node whose target is slow went over its memory while other nodes, or anyone who reaches its port for nodes, sent requests with large bodies.

Cause: a body is counted at the node that received it from the caller. The node that holds it for the target counted nothing; its queue bounds the number of requests, not their bytes.

Change: the frame of such a request, but for 2 KiB, is reserved in the budget of bodies until the request ends, is cancelled or its link closes. When it is spent, larger bodies of callers that are not whole yield; else the request is refused as not run (2010), and its node may try another target. Metric and event: limit 'call-bytes' of port 'links'.

--- a/src/core/holding/unfinished-bodies.test.ts
+++ b/src/core/holding/unfinished-bodies.test.ts
@@ -37,6 +37,17 @@
   assert.equal(budget.used, 50);
 });
 
+test('a larger unfinished body yields to one that is whole', () => {
+  const { bodies, open, ends, budget } = createHarness();
+  assert.ok(open('large').cover(70));
+  assert.ok(open('small').cover(30));
+  assert.equal(bodies.tryReserve(80), undefined);
+  const whole = bodies.tryReserve(50);
+  assert.deepEqual(ends, [['large', 'yielded']]);
+  whole?.release();
+  assert.equal(budget.used, 30);
+});
+
 test('a body that is the largest itself gets no more', () => {
   const { open, ends } = createHarness();
   assert.ok(open('other').cover(60));
--- a/src/core/holding/unfinished-bodies.ts
+++ b/src/core/holding/unfinished-bodies.ts
@@ -49,6 +49,12 @@
     return this.budget.reserve(0);
   }
 
+  /** Reserves bytes of a body that is whole; returns undefined when no larger body can yield. */
+  tryReserve(bytes: number): BufferReservation | undefined {
+    const reservation = this.reserve();
+    return this.coverBytes(reservation, bytes) ? reservation : undefined;
+  }
+
   /** Begins a body; see {@link UnfinishedBody}. */
   open(
     reservation: BufferReservation,
@@ -67,11 +73,7 @@
 
   /** Used by {@link UnfinishedBody}. */
   cover(body: UnfinishedBody, totalBytes: number): boolean {
-    while (!body.reservation.cover(totalBytes)) {
-      const largest = this.findLargerThan(totalBytes);
-      if (largest === undefined) return false;
-      this.end(largest, 'yielded');
-    }
+    if (!this.coverBytes(body.reservation, totalBytes)) return false;
     body.heldBytes = totalBytes;
     return true;
   }
@@ -81,6 +83,15 @@
     this.bodies.delete(body);
   }
 
+  private coverBytes(reservation: BufferReservation, totalBytes: number): boolean {
+    while (!reservation.cover(totalBytes)) {
+      const largest = this.findLargerThan(totalBytes);
+      if (largest === undefined) return false;
+      this.end(largest, 'yielded');
+    }
+    return true;
+  }
+
   private end(body: UnfinishedBody, end: BodyEnd): void {
     this.bodies.delete(body);
     body.onEnd(end);
--- a/src/sidecar/directory/node-directory.test.ts
+++ b/src/sidecar/directory/node-directory.test.ts
@@ -2,6 +2,8 @@
 import assert from 'node:assert/strict';
 import { afterEach, beforeEach, test } from 'node:test';
 import { waitUntil } from '../../../test/stand-ins/mesh.js';
+import { ByteBudget } from '../../core/byte-budget.js';
+import { UnfinishedBodies } from '../../core/holding/unfinished-bodies.js';
 import { ManualClock } from '../../kernel/clock.js';
 import { silentEventLog } from '../../kernel/event.js';
 import type { NodeStatus } from '../link/link-messages.js';
@@ -31,6 +33,7 @@
   server = new LinkServer({
     limits: { connections: 100, heldBytes: 64 * 1024 * 1024 },
     reports: silentReports,
+    bodies: new UnfinishedBodies(new ByteBudget(0)),
     clock,
     target: { dispatch: () => assert.fail('no call') },
     status: () => peerStatus,
--- a/src/sidecar/entry/body-intake.ts
+++ b/src/sidecar/entry/body-intake.ts
@@ -1,9 +1,9 @@
 /** Bodies of callers' requests that are being read, and the timer that ends overdue ones. */
-import type { BufferReservation, ByteBudget } from '../../core/byte-budget.js';
-import {
+import type { BufferReservation } from '../../core/byte-budget.js';
+import type {
+  BodyEnd,
   UnfinishedBodies,
-  type BodyEnd,
-  type UnfinishedBody,
+  UnfinishedBody,
 } from '../../core/holding/unfinished-bodies.js';
 import type { Clock } from '../../kernel/clock.js';
 
@@ -20,17 +20,14 @@
 
 /** Reads bodies within a shared budget of bytes; bodies that are late end. */
 export class BodyIntake {
-  private readonly bodies: UnfinishedBodies;
   private checking = false;
 
   constructor(
-    budget: ByteBudget,
+    private readonly bodies: UnfinishedBodies,
     private readonly clock: Clock,
     /** Called for each body that ends before it is whole. */
     private readonly onEnded: (end: BodyEnd) => void,
-  ) {
-    this.bodies = new UnfinishedBodies(budget);
-  }
+  ) {}
 
   /** A reservation for a request's bytes; empty at first. */
   reserve(): BufferReservation {
--- a/src/sidecar/link/incoming-links.ts
+++ b/src/sidecar/link/incoming-links.ts
@@ -10,7 +10,7 @@
 }
 
 /** Name of a bound that was reached. */
-export type LinkLimit = 'connections' | 'link-bytes' | 'replies';
+export type LinkLimit = 'connections' | 'link-bytes' | 'replies' | 'call-bytes';
 
 /** One connection of another node. */
 export interface BoundedLink {
--- a/src/sidecar/link/link-server.test.ts
+++ b/src/sidecar/link/link-server.test.ts
@@ -2,6 +2,8 @@
 import assert from 'node:assert/strict';
 import { connect, type Socket } from 'node:net';
 import { after, before, test } from 'node:test';
+import { ByteBudget } from '../../core/byte-budget.js';
+import { UnfinishedBodies } from '../../core/holding/unfinished-bodies.js';
 import { FrameReader } from '../../peer/frame-reader.js';
 import { ManualClock } from '../../kernel/clock.js';
 import type { AttemptCall, AttemptEnd, LinkMessage, RelayedLimit } from './link-messages.js';
@@ -35,6 +37,7 @@
 let cancelled = 0;
 let answer: ((end: AttemptEnd) => void) | undefined;
 let server: LinkServer;
+const buffers = new ByteBudget(100_000);
 let socket: Socket;
 const received: LinkMessage[] = [];
 const rules: string[] = [];
@@ -45,6 +48,7 @@
   server = new LinkServer({
     limits: { connections: 100, heldBytes: 64 * 1024 * 1024 },
     reports: silentReports,
+    bodies: new UnfinishedBodies(buffers),
     clock,
     target: {
       dispatch: (call, onEnd) => {
@@ -131,15 +135,31 @@
   assert.equal(dispatched.length, before);
 });
 
+test('requests are refused as not run while those that wait take all buffers', async () => {
+  const before = dispatched.length;
+  const send = (id: number, body: Buffer): boolean =>
+    socket.write(encodeMessage({ type: 'call', id, sentAt: clock.now(), call: { ...CALL, body } }));
+  send(20, Buffer.alloc(90_000));
+  while (dispatched.length === before) await new Promise((resolve) => setTimeout(resolve, 1));
+  send(21, Buffer.alloc(20_000));
+  const { id, end } = await next('end');
+  assert.deepEqual([id, end.type === 'failure' && end.execution], [21, 'not-run']);
+  assert.equal(dispatched.length, before + 1);
+  answer?.({ type: 'answer', status: 200, fields: [], body: Buffer.alloc(0) });
+  assert.equal((await next('end')).id, 20);
+  assert.equal(buffers.used, 0);
+});
+
 test('a ping is answered, rules are sent, a call is cancelled', async () => {
   socket.write(encodeMessage({ type: 'ping' }));
   await next('pong');
   socket.write(encodeMessage({ type: 'rules-wanted' }));
   assert.equal(Buffer.from((await next('rules')).document).toString(), '{}');
-  socket.write(encodeMessage({ type: 'call', id: 3, sentAt: clock.now(), call: CALL }));
+  const call = { ...CALL, body: Buffer.alloc(50_000) };
+  socket.write(encodeMessage({ type: 'call', id: 3, sentAt: clock.now(), call }));
   socket.write(encodeMessage({ type: 'cancel', id: 3 }));
   while (cancelled === 0) await new Promise((resolve) => setTimeout(resolve, 1));
-  assert.equal(cancelled, 1);
+  assert.deepEqual([cancelled, buffers.used], [1, 0]);
 });
 
 test('newer rules are requested from the node that has them', async () => {
@@ -191,9 +211,10 @@
 
 test('the end of a connection cancels its running calls', async () => {
   const before = dispatched.length;
-  socket.write(encodeMessage({ type: 'call', id: 4, sentAt: clock.now(), call: CALL }));
+  const call = { ...CALL, body: Buffer.alloc(50_000) };
+  socket.write(encodeMessage({ type: 'call', id: 4, sentAt: clock.now(), call }));
   while (dispatched.length === before) await new Promise((resolve) => setTimeout(resolve, 1));
   socket.destroy();
   while (cancelled < 2) await new Promise((resolve) => setTimeout(resolve, 1));
-  assert.equal(cancelled, 2);
+  assert.deepEqual([cancelled, buffers.used], [2, 0]);
 });
--- a/src/sidecar/link/link-server.ts
+++ b/src/sidecar/link/link-server.ts
@@ -1,5 +1,7 @@
 /** The accepting end of links: serves other nodes' calls for the local target. */
 import { createServer, type AddressInfo, type Server } from 'node:net';
+import type { BufferReservation } from '../../core/byte-budget.js';
+import type { UnfinishedBodies } from '../../core/holding/unfinished-bodies.js';
 import type { LimitReporter } from '../../http/connection-guard.js';
 import type { CancelTimer, Clock } from '../../kernel/clock.js';
 import { ResultCode } from '../../core/result-code.js';
@@ -24,6 +26,9 @@
 } from './incoming-links.js';
 import { LinkSocket } from './link-socket.js';
 
+/** Bytes of a call that are not counted; the queue of the target bounds the number of calls. */
+const UNCOUNTED_CALL_BYTES = 2 * 1024;
+const BUFFER_RETRY_AFTER_MS = 100;
 /** Interval of the checks for silent connections, in milliseconds. */
 const SILENCE_CHECK_INTERVAL_MS = 30_000;
 /**
@@ -62,6 +67,8 @@
   onPeerStatus(status: NodeStatus, requestRules: () => void): void;
   /** Called with rules that were requested. */
   onRules(document: Uint8Array): void;
+  /** Buffers that calls share with the bodies of callers' requests. */
+  readonly bodies: UnfinishedBodies;
   readonly limits: LinkLimits;
   /** Told when connections reach a limit; closed with the server. */
   readonly reports: LimitReporter<LinkLimit>;
@@ -128,11 +135,17 @@
   }
 }
 
+/** A call that waits for the target or runs there. */
+interface RunningCall {
+  readonly cancel: CancelAttempt;
+  readonly buffer: BufferReservation;
+}
+
 /** One connection from another node. */
 class IncomingLink implements BoundedLink {
   hasServed = false;
   private socket: LinkSocket | undefined;
-  private readonly running = new Map<number, CancelAttempt>();
+  private readonly running = new Map<number, RunningCall>();
   private sentLeftIncarnation: string | undefined;
   /** Time of the last message; of the connection before the first one. */
   receivedAt: number;
@@ -183,12 +196,12 @@
     this.socket?.close(detail);
   }
 
-  onMessage(message: LinkMessage): void {
+  onMessage(message: LinkMessage, bytes: number): void {
     this.hasServed = true;
     this.receivedAt = this.options.clock.now();
     switch (message.type) {
       case 'call':
-        this.onCall(message);
+        this.onCall(message, bytes);
         break;
       case 'cancel':
         this.cancel(message.id);
@@ -244,12 +257,18 @@
   }
 
   onClosed(): void {
-    for (const cancel of this.running.values()) cancel();
+    for (const { cancel, buffer } of this.running.values()) {
+      cancel();
+      buffer.release();
+    }
     this.running.clear();
     this.links.delete(this);
   }
 
-  private onCall({ id, sentAt, call }: Extract<LinkMessage, { type: 'call' }>): void {
+  private onCall(
+    { id, sentAt, call }: Extract<LinkMessage, { type: 'call' }>,
+    bytes: number,
+  ): void {
     const transitMs = this.options.clock.now() - sentAt;
     if (transitMs > MAX_TRANSIT_MS) {
       const detail = `the call took ${Math.round(transitMs)} ms in transit`;
@@ -257,6 +276,12 @@
       this.sendEnd(id, end, call);
       return;
     }
+    const buffer = this.options.bodies.tryReserve(Math.max(0, bytes - UNCOUNTED_CALL_BYTES));
+    if (buffer === undefined) {
+      this.options.reports.note('call-bytes');
+      this.sendEnd(id, noBuffer(), call);
+      return;
+    }
     let ended = false;
     const elapsedMs = Math.max(0, transitMs);
     const timeLeftMs = call.timeLeftMs - elapsedMs;
@@ -265,10 +290,11 @@
     const aged = { ...call, ...authorization, timeLeftMs, dueInMs };
     const cancel = this.options.target.dispatch(aged, (end) => {
       ended = true;
+      buffer.release();
       this.running.delete(id);
       this.sendEnd(id, end, call);
     });
-    if (!ended) this.running.set(id, cancel);
+    if (!ended) this.running.set(id, { cancel, buffer });
   }
 
   /** Sends the incarnation once per connection, since a restarted node may not know it. */
@@ -298,7 +324,10 @@
   }
 
   private cancel(id: number): void {
-    this.running.get(id)?.();
+    const call = this.running.get(id);
+    if (call === undefined) return;
+    call.cancel();
+    call.buffer.release();
     this.running.delete(id);
   }
 
@@ -307,3 +336,9 @@
     if (document !== undefined) this.reply({ type: 'rules', document });
   }
 }
+
+function noBuffer(): AttemptEnd {
+  const detail = 'no buffer left for the request at its target';
+  const code = ResultCode.BufferExhausted;
+  return createNotOfferedFailure('overloaded', code, detail, BUFFER_RETRY_AFTER_MS);
+}
--- a/src/sidecar/link/link-socket.ts
+++ b/src/sidecar/link/link-socket.ts
@@ -17,7 +17,8 @@
 
 /** Callbacks of a connection. */
 export interface LinkSocketListener {
-  onMessage(message: LinkMessage): void;
+  /** @param bytes size of the message */
+  onMessage(message: LinkMessage, bytes: number): void;
   /** Called once when the connection closes, whatever the reason. */
   onClosed(detail: string): void;
   /** Called when the connection holds much, after it has come to hold more. */
@@ -140,7 +141,7 @@
     const message = decodeMessage(frame);
     this.reader.maxFrameBytes = MAX_FRAME_BYTES;
     if (message === undefined) this.close('malformed message');
-    else this.listener.onMessage(message);
+    else this.listener.onMessage(message, frame.length);
     return !this.ended;
   }
 }
--- a/src/sidecar/plugins/entry-plugin.ts
+++ b/src/sidecar/plugins/entry-plugin.ts
@@ -2,6 +2,7 @@
 import type { Container, ResolutionContext } from 'inversify';
 import { RequestCosts } from '../../core/admission/request-costs.js';
 import { ByteBudget } from '../../core/byte-budget.js';
+import { UnfinishedBodies } from '../../core/holding/unfinished-bodies.js';
 import { findOverloadPolicy } from '../../core/overload-policy-registry.js';
 import { registerPlugin } from '../../kernel/plugin.js';
 import { Token } from '../../kernel/token.js';
@@ -39,9 +40,10 @@
     name: 'entry',
     order: SidecarOrder.Entry,
     bind: (container) => {
-      container
-        .bind(SidecarToken.Buffers)
-        .toDynamicValue(({ get }) => new ByteBudget(bodyBufferBytes(get(SidecarToken.Settings))));
+      container.bind(SidecarToken.Bodies).toDynamicValue(({ get }) => {
+        const budget = new ByteBudget(bodyBufferBytes(get(SidecarToken.Settings)));
+        return new UnfinishedBodies(budget);
+      });
       container.bind(SidecarToken.Routers).toDynamicValue(createRouters);
       container.bind(SidecarToken.RequestCosts).toConstantValue(new RequestCosts());
       container.bind(SidecarToken.PlannedStop).toConstantValue(new PlannedStop());
@@ -107,7 +109,7 @@
     quotas: get(SidecarToken.TenantQuotas),
     admission: get(SidecarToken.SharedAdmission),
     observedCosts: new ObservedCosts({ costs, gateway, clock, parentOf }),
-    bodies: new BodyIntake(get(SidecarToken.Buffers), clock, (end) => {
+    bodies: new BodyIntake(get(SidecarToken.Bodies), clock, (end) => {
       reports.note(BODY_LIMIT_NAMES[end]);
     }),
     clock,
--- a/src/sidecar/plugins/link-plugin.ts
+++ b/src/sidecar/plugins/link-plugin.ts
@@ -41,6 +41,7 @@
           reports,
           clock: get(Token.Clock),
           target: get(SidecarToken.Gateway),
+          bodies: get(SidecarToken.Bodies),
           status: get(SidecarToken.Status),
           rulesDocument: () => get(SidecarToken.Rules).document,
           quarantine: get(SidecarToken.Quarantine),
--- a/src/sidecar/plugins/tokens.ts
+++ b/src/sidecar/plugins/tokens.ts
@@ -1,6 +1,6 @@
 /** Typed identifiers under which the sidecar's plug-ins find each other's services. */
 import type { GateMeter } from '../../core/admission/gate-meter.js';
-import type { ByteBudget } from '../../core/byte-budget.js';
+import type { UnfinishedBodies } from '../../core/holding/unfinished-bodies.js';
 import { createToken } from '../../kernel/token.js';
 import type { MetadataStore } from '../../store/metadata-store.js';
 import type { StoreBackoff } from '../../store/store-backoff.js';
@@ -82,7 +82,7 @@
   Routers: createToken<ServiceRouters>('sidecar.Routers'),
   PlannedStop: createToken<PlannedStop>('sidecar.PlannedStop'),
   Listener: createToken<EntryListener>('sidecar.Listener'),
-  Buffers: createToken<ByteBudget>('sidecar.Buffers'),
+  Bodies: createToken<UnfinishedBodies>('sidecar.Bodies'),
 } as const;
 
 /** Positions of the sidecar's plug-ins in the start sequence. */
--- a/test/misbehaving-clients.isolated.test.ts
+++ b/test/misbehaving-clients.isolated.test.ts
@@ -7,6 +7,7 @@
 import { afterEach, beforeEach, test, type TestContext } from 'node:test';
 import { HOST } from '../platform/stand-ins/rules-document.js';
 import { encodeMessage, MAX_FRAME_BYTES } from '../src/sidecar/link/link-codec.js';
+import type { LinkMessage } from '../src/sidecar/link/link-messages.js';
 import { sendRequest, waitUntil } from './stand-ins/mesh.js';
 import { chunkedBody, Crowd, declaredBody, sentAhead } from './support/crowd.js';
 import { openDescriptors, peakMemoryBytes } from './support/process-footprint.js';
@@ -35,6 +36,32 @@
 const HEARTBEAT_HEAD = 'POST /v1/instances/i-9/heartbeat HTTP/1.1\r\nHost: a\r\n';
 const HEARTBEAT = `${HEARTBEAT_HEAD}Content-Length: 2\r\n\r\n{}`;
 
+/** Message of a node that introduces itself, and one with a request that its target holds until it times out. */
+const INTRODUCTION = encodeMessage({ type: 'rules-wanted' });
+const HELD_CALL: Extract<LinkMessage, { type: 'call' }> = {
+  type: 'call',
+  id: 1,
+  sentAt: Number.MAX_SAFE_INTEGER,
+  call: {
+    attemptId: 'crowd',
+    requestId: 'crowd',
+    service: 'ledger',
+    kind: '/read/',
+    rank: 0,
+    idempotent: true,
+    depth: 0,
+    repeated: false,
+    committed: false,
+    timeLeftMs: 3_000,
+    dueInMs: 3_000,
+    callerService: 'crowd',
+    method: 'POST',
+    path: '/read/held',
+    fields: [],
+    body: Buffer.from(LARGE_BODY),
+  },
+};
+
 let mesh: ProcessMesh;
 let machine: ProcessMachine;
 
@@ -45,6 +72,7 @@
   machine = await mesh.add({ service: 'ledger', zone: 'z', slots: 8, workMs: 1 });
   machine.target.keepReceived = false;
   machine.target.behaviour = ({ attemptId, path }, response) => {
+    if (path === '/read/held') return true;
     if (path !== '/read/large') return false;
     response.writeHead(200, { 'X-Attempt-Id': attemptId, 'X-Server-Stamp': 's' }).end(LARGE_ANSWER);
     return true;
@@ -168,6 +196,14 @@
   await withstand(context, machine.peerAddress, 100, frame);
 });
 
+test('requests of nodes with large bodies that wait for the target do not exhaust the memory', async (context) => {
+  const calls = Array.from({ length: 10 }, (_, id) => {
+    const { call } = HELD_CALL;
+    return encodeMessage({ ...HELD_CALL, id, call: { ...call, attemptId: `crowd-${id}` } });
+  });
+  await withstand(context, machine.peerAddress, 60, Buffer.concat([INTRODUCTION, ...calls]));
+});
+
 test('replies that a peer does not read do not exhaust the memory', async (context) => {
   const wanted = Buffer.concat(Array<Buffer>(20_000).fill(encodeMessage({ type: 'rules-wanted' })));
   await withstand(context, machine.peerAddress, 60, wanted);
