Bodies that nobody needs count as work at every HTTP port

What callers saw: requests at a sidecar's entry were answered late while clients sent bodies in chunks of one byte to its readiness port, where a body has no meaning.

Cause: the gate that bounds the work of a turn of the loop learns of chunks from whoever reads the body. The ports for readiness and metrics, the admin port, and bodies of requests that were not accepted were read, or dropped by node:http, without it.

Change: ConnectionGuard.readBody reads such bodies at once and counts their small chunks; the admin port does so for requests that are no remote calls and for those without a valid token. A rest that the entry of a fleet node drops counts too.

--- a/src/admin/admin-server.ts
+++ b/src/admin/admin-server.ts
@@ -189,6 +189,10 @@
     const { node } = this;
     const app = express();
     app.disable('x-powered-by');
+    app.use((request, _response, next) => {
+      if (!isRemoteCall(request)) this.dropBody(request);
+      next();
+    });
     app.use(requireHost);
     const metrics = new MetricsText(node.metrics.registry);
     app.get('/metrics', async (_request, response) => {
@@ -243,12 +247,19 @@
         return;
       }
       log.emit(Event.OperatorRejected, { method, from });
+      this.dropBody(request);
       response.set('connection', 'close').set('www-authenticate', 'Bearer');
       const detail = 'the Authorization field presents no valid bearer token';
       sendConnectError(response, createFailure(ResultCode.OperatorUnauthenticated, detail));
     };
   }
 
+  /** Nobody reads the body; while it waits, each of its chunks is kept as an object. */
+  private dropBody(request: IncomingMessage): void {
+    const connection = this.guard.of(request.socket);
+    if (connection !== undefined) this.guard.readBody(connection, request);
+  }
+
   private handleDefect(): ErrorRequestHandler {
     // express recognizes error handlers by their four parameters.
     return (error: unknown, _request, response, next) => {
--- a/src/entry/entry-server.ts
+++ b/src/entry/entry-server.ts
@@ -113,10 +113,7 @@
     expectsContinue: boolean,
   ): void => {
     const exchange = connections.accept(request, response, expectsContinue);
-    if (exchange === undefined) {
-      request.resume();
-      return;
-    }
+    if (exchange === undefined) return;
     if (exchange === 'refused') {
       refuse(options, response);
       return;
--- a/src/entry/http-exchange.ts
+++ b/src/entry/http-exchange.ts
@@ -146,6 +146,7 @@
       socket.destroy();
     });
     request.on('data', (chunk: Buffer) => {
+      this.listener.noteChunk(chunk.length);
       dropped += chunk.length;
       if (dropped > MAX_LINGER_BYTES) socket.destroy();
     });
--- a/src/http/connection-guard.ts
+++ b/src/http/connection-guard.ts
@@ -120,11 +120,25 @@
     return connection;
   }
 
-  /** Accepts a request, refuses it, or closes its connection because it holds too much. */
+  /**
+   * Accepts a request, refuses it, or closes its connection because it holds too much. The body of a
+   * request that is not accepted is read and dropped.
+   */
   accept(
     connection: CallerConnection,
     request: IncomingMessage,
     response: ServerResponse,
+  ): Acceptance {
+    const acceptance = this.decide(connection, request, response);
+    const isAccepted = acceptance !== undefined && acceptance !== 'refused';
+    if (!isAccepted && !connection.socket.destroyed) this.readBody(connection, request);
+    return acceptance;
+  }
+
+  private decide(
+    connection: CallerConnection,
+    request: IncomingMessage,
+    response: ServerResponse,
   ): Acceptance {
     const units = weighRequest(request.rawHeaders.length);
     if (connection.unfinishedCount > 0 || connection.ignoredUnits > 0) {
@@ -154,10 +168,7 @@
   acceptOrRefuse(request: IncomingMessage, response: ServerResponse): AcceptedSlot | undefined {
     const connection = this.of(request.socket);
     const accepted = connection && this.accept(connection, request, response);
-    if (connection === undefined || accepted === undefined) {
-      request.resume();
-      return undefined;
-    }
+    if (connection === undefined || accepted === undefined) return undefined;
     if (accepted === 'refused') {
       response.writeHead(UNAVAILABLE, { Connection: 'close' }).end();
       return undefined;
@@ -165,6 +176,16 @@
     return { connection, slot: accepted };
   }
 
+  /**
+   * Begins to read a request's body, whose small chunks count as work. Whoever needs the body must
+   * listen to the request in the same turn.
+   */
+  readBody(connection: CallerConnection, request: IncomingMessage): void {
+    request.on('data', (chunk: Buffer) => {
+      this.noteChunk(connection, chunk.length);
+    });
+  }
+
   /** A chunk of a request's body was read. */
   noteChunk(connection: CallerConnection, bytes: number): void {
     if (bytes < SMALL_CHUNK_BYTES) this.gate.note(connection, SMALL_CHUNK_WORK);
--- a/src/sidecar/entry/entry-listener.ts
+++ b/src/sidecar/entry/entry-listener.ts
@@ -181,9 +181,7 @@
       this.burst.run(handle);
       return;
     }
-    request.on('data', (chunk: Buffer) => {
-      this.guard.noteChunk(connection, chunk.length);
-    });
+    this.guard.readBody(connection, request);
     handle();
   }
 
@@ -193,7 +191,6 @@
     request: IncomingMessage,
     response: ServerResponse,
   ): void {
-    request.resume();
     if (connection !== undefined && connection.hasReportedIgnored) return;
     if (connection !== undefined) connection.hasReportedIgnored = true;
     this.handler.onRequestDropped(new CallerExchange(request, response, this.clock.now()));
--- a/src/sidecar/http-listener.test.ts
+++ b/src/sidecar/http-listener.test.ts
@@ -1,4 +1,5 @@
 import assert from 'node:assert/strict';
+import { connect } from 'node:net';
 import { test } from 'node:test';
 import { sendRequest, waitUntil } from '../../test/stand-ins/mesh.js';
 import { findFreePort } from '../trials/free-ports.js';
@@ -45,6 +46,20 @@
   await call;
 });
 
+test('a body that nobody needs is read and counts as work', async () => {
+  const port = await findFreePort();
+  const guard = createGuard();
+  const listener = new HttpListener((_request, response) => {
+    response.writeHead(200).end();
+  }, guard);
+  await listener.listen('127.0.0.1', port);
+  const socket = connect(port, '127.0.0.1');
+  socket.write(`GET / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n${'1\r\nx\r\n'.repeat(2_000)}`);
+  await waitUntil(() => (guard.connections[0]?.readWork ?? 0) >= 200);
+  socket.destroy();
+  await listener.close();
+});
+
 test('a listener that never listened can be closed', async () => {
   await new HttpListener(() => {}, createGuard()).close();
 });
--- a/src/sidecar/http-listener.ts
+++ b/src/sidecar/http-listener.ts
@@ -75,6 +75,7 @@
     response.once('finish', end);
     // A response that waits behind another one is not told that its connection has closed.
     slot.request = { onConnectionEnd: end, giveUp: () => {} };
+    this.guard.readBody(connection, request);
     this.handle(request, response);
   }
 }
