Known connections are read before the new ones of a crowd

What callers saw: requests on open connections waited unread for up to 2.7 s while a crowd sent requests ahead, and a node in its planned stop closed them unanswered.

Cause: after a turn with too much work the gate resumes connections in the order of the work that they have caused. Connections of a crowd that were not read yet have caused none and came before those of ordinary callers; each took a turn of its own.

Change: connections on which a request was accepted and that caused little work come first, then new ones, then those that caused much.

--- a/src/http/read-gate.test.ts
+++ b/src/http/read-gate.test.ts
@@ -7,6 +7,7 @@
 
 interface TestConnection extends GatedConnection {
   readonly name: string;
+  hasServed: boolean;
 }
 
 let turns: (() => void)[];
@@ -27,7 +28,7 @@
 function open(name: string): TestConnection {
   const socket = new PassThrough() as unknown as Socket;
   socket.on('resume', () => resumed.push(name));
-  const connection = { name, socket, readWork: 0 };
+  const connection = { name, socket, hasServed: false, readWork: 0 };
   connections.push(connection);
   return connection;
 }
@@ -77,6 +78,17 @@
   assert.deepEqual(resumed, ['light', 'heavy']);
 });
 
+/** Guards against requests on known connections that wait until each connection of a crowd was read. */
+test('connections that have served requests are read before new ones', async () => {
+  open('new');
+  const known = open('known');
+  known.hasServed = true;
+  gate.note(known, 10);
+  gate.note(open('flooding'), MAX_WORK_PER_TURN);
+  await endTurn();
+  assert.deepEqual(resumed, ['known', 'new']);
+});
+
 test('a turn with little work pauses nothing', async () => {
   const connection = open('ordinary');
   gate.note(connection, 5);
--- a/src/http/read-gate.ts
+++ b/src/http/read-gate.ts
@@ -16,6 +16,8 @@
 /** A connection whose socket can be paused. */
 export interface GatedConnection {
   readonly socket: Socket;
+  /** Whether a request was ever accepted on it. */
+  readonly hasServed: boolean;
   /** Work that it has caused so far. */
   readWork: number;
 }
@@ -68,15 +70,24 @@
     if (this.paused.size > 0) this.schedule();
   }
 
-  /** Resumes connections; those with the least work are read first. Closed ones are let go. */
+  /** Resumes connections in the order of their ranks, then of their work. Closed ones are let go. */
   private resume(selects: (connection: GatedConnection) => boolean): void {
     const selected = [...this.paused].filter(
       (connection) => connection.socket.destroyed || selects(connection),
     );
-    selected.sort((one, other) => one.readWork - other.readWork);
+    selected.sort((one, other) => rankOf(one) - rankOf(other) || one.readWork - other.readWork);
     for (const connection of selected) {
       this.paused.delete(connection);
       connection.socket.resume();
     }
   }
 }
+
+/**
+ * Connections that are known to cause little work are read before those of which nothing is known:
+ * a crowd of new ones would otherwise take a turn each.
+ */
+function rankOf({ hasServed, readWork }: GatedConnection): number {
+  if (readWork >= MAX_WORK_PER_TURN) return 2;
+  return hasServed ? 0 : 1;
+}
