--- a/src/http/connection-guard.ts
+++ b/src/http/connection-guard.ts
@@ -1,6 +1,6 @@
 /**
- * Bounds what the clients of one HTTP listener make the process hold: connections, unanswered
- * requests, and answers that are not read. The decisions are in `src/core/holding`; a client that
+ * Bounds what the clients of one HTTP listener make the process hold: connections, begun heads,
+ * unanswered requests, and answers that are not read. The decisions are in `src/core/holding`; a client that
  * exceeds a bound loses its connection, after the answers to what was accepted where that is
  * possible.
  */
