A port that is taken at the start is tried again instead of ending the process

Callers saw: the system did not start. A process whose port (callers, readiness, registration, links or metrics) was held by another for a moment ended with code 1. Cause: each listener rejected at EADDRINUSE, and a failed listener fails the start. A predecessor that still closes is enough, or an outgoing connection that was given the number: ports of deployments may lie in that range. The port of the metrics is bound beside the start. The same in the first product (callers, operators, nodes). Weighed: another port of the range for links. Not done, since the record of the node may be written before links are bound. Why it holds: nothing but the time limit, a stop or an error that doesn't pass by itself ends the wait, and the limit is longer than what frees a port.

--- a/src/admin/admin-plugin.ts
+++ b/src/admin/admin-plugin.ts
@@ -1,6 +1,6 @@
 /** Plug-in of the admin API. */
 import { registerPlugin, StartOrder } from '../kernel/plugin.js';
-import { createToken } from '../kernel/token.js';
+import { createToken, Token } from '../kernel/token.js';
 import { resolveAdminNode } from './admin-node.js';
 import { AdminServer } from './admin-server.js';
 
@@ -15,6 +15,9 @@
       .toDynamicValue(() => new AdminServer(resolveAdminNode(container)))
       .inSingletonScope();
   },
-  start: (container) => container.get(AdminServerToken).start(),
+  start: async (container) => {
+    const server = container.get(AdminServerToken);
+    await container.get(Token.PortBinder).bind('admin', () => server.start());
+  },
   stop: (container) => container.get(AdminServerToken).stop(),
 });
--- a/src/admin/admin-server.ts
+++ b/src/admin/admin-server.ts
@@ -18,6 +18,7 @@
 import { ConnectionGuard } from '../http/connection-guard.js';
 import { onEachRequest } from '../http/on-each-request.js';
 import { Event } from '../kernel/event.js';
+import { listenOn } from '../kernel/port-binder.js';
 import { MetricsText } from '../observability/metrics-text.js';
 import type { AdminNode } from './admin-node.js';
 import { createAdminService } from './admin-service.js';
@@ -140,13 +141,7 @@
   /** Starts to listen; rejects when the address cannot be bound. */
   async start(): Promise<void> {
     const { host, port } = splitAddress(this.node.settings.listen.admin);
-    await new Promise<void>((resolve, reject) => {
-      this.server.once('error', reject);
-      this.server.listen(port, host, () => {
-        this.server.off('error', reject);
-        resolve();
-      });
-    });
+    await listenOn(this.server, host, port);
   }
 
   /** Ends streams, gives running calls {@link STOP_GRACE_MS} to finish, and closes the server. */
--- a/src/entry/entry-plugin.ts
+++ b/src/entry/entry-plugin.ts
@@ -69,6 +69,7 @@
     this.server = await startEntryServer({
       ...splitAddress(listen.entry),
       framework: 'node-http',
+      binder: this.container.get(Token.PortBinder),
       headersTimeoutMs: limits.requestReadTimeoutMs,
       limits: callerLimits(settings),
       reports,
--- a/src/entry/entry-server.ts
+++ b/src/entry/entry-server.ts
@@ -7,6 +7,7 @@
 import { ResultCode } from '../core/result-code.js';
 import type { HttpAnswer } from '../core/http-message.js';
 import type { Clock } from '../kernel/clock.js';
+import { listenOn, type PortBinder } from '../kernel/port-binder.js';
 import { AcceptBurst } from '../http/accept-burst.js';
 import {
   ConnectionGuard,
@@ -38,6 +39,8 @@
   /** Told when a caller reaches one of the limits; closed with the server. */
   readonly reports: LimitReporter<ClientLimit>;
   readonly clock: Clock;
+  /** Tries a port that is taken again; absent: the start fails at once. */
+  readonly binder?: PortBinder;
   readonly onExchange: (exchange: HttpExchange) => void;
   /** Returns the answer to input that is not a valid request. */
   readonly onBadInput: (failure: Failure) => HttpAnswer;
@@ -79,7 +82,9 @@
     connections.finish(socket);
   });
   attachListeners(server, options, connections, burst);
-  await listen(server, options);
+  const { host, port, binder } = options;
+  const listen = (): Promise<number> => listenOn(server, host, port);
+  await (binder === undefined ? listen() : binder.bind('entry', listen));
   return {
     port: (server.address() as AddressInfo).port,
     get connections() {
@@ -239,16 +244,6 @@
   return application as unknown as RequestListener;
 }
 
-function listen(server: Server, { host, port }: EntryServerOptions): Promise<void> {
-  return new Promise((resolve, reject) => {
-    server.once('error', reject);
-    server.listen(port, host, () => {
-      server.off('error', reject);
-      resolve();
-    });
-  });
-}
-
 function closeServer(server: Server, connections: Connections): Promise<void> {
   return new Promise((resolve) => {
     server.close(() => {
--- a/src/kernel/kernel.ts
+++ b/src/kernel/kernel.ts
@@ -6,6 +6,7 @@
 import { Event, type EventLog } from './event.js';
 import type { KernelControl } from './kernel-control.js';
 import type { Plugin } from './plugin.js';
+import { DEFAULT_BIND_TIMEOUT_MS, PortBinder } from './port-binder.js';
 import { Token } from './token.js';
 import { TrafficMeter } from './traffic-meter.js';
 
@@ -18,6 +19,8 @@
   readonly clock: Clock;
   readonly log: EventLog;
   readonly plugins: readonly Plugin[];
+  /** Time for which a taken port is tried again, in milliseconds; absent: {@link DEFAULT_BIND_TIMEOUT_MS}. */
+  readonly bindTimeoutMs?: number;
 }
 
 /** Runs the plug-ins of one node or sidecar. */
@@ -42,6 +45,13 @@
     this.container.bind(Token.EventLog).toConstantValue(options.log);
     this.container.bind(Token.Kernel).toConstantValue(this);
     this.container.bind(Token.TrafficMeter).toConstantValue(new TrafficMeter());
+    const binder = new PortBinder({
+      clock: options.clock,
+      log: options.log,
+      timeoutMs: options.bindTimeoutMs ?? DEFAULT_BIND_TIMEOUT_MS,
+      isStopping: () => this.stopping,
+    });
+    this.container.bind(Token.PortBinder).toConstantValue(binder);
     for (const plugin of options.plugins) plugin.bind(this.container);
   }
 
@@ -94,6 +104,7 @@
 
   /** Stops in reverse start order; a plug-in that fails to stop does not prevent the others. */
   async stop(): Promise<void> {
+    this.stopping = true;
     const started = [...this.started].reverse();
     this.started = [];
     for (const plugin of started) {
--- a/src/kernel/run-kernel.ts
+++ b/src/kernel/run-kernel.ts
@@ -32,11 +32,15 @@
 ): Promise<RunOutcome> {
   const log = kernel.container.get(Token.EventLog);
   const stops = new StopSignals(signals, kernel.container.get(Token.Clock));
+  void stops.first.then(() => {
+    kernel.requestStop();
+  });
   try {
     await kernel.start();
     await Promise.race([stops.first, kernel.stopRequested]);
     return await runPlannedStop(kernel, stopTimeoutMs(), stops);
   } catch (error) {
+    if (stops.sinceFirstMs > 0) return 'stopped';
     log.emit(Event.InternalError, { error: String(error) });
     return 'start-failed';
   } finally {
--- a/src/kernel/token.ts
+++ b/src/kernel/token.ts
@@ -17,6 +17,7 @@
 import type { EventLoopDelay } from './event-loop-delay.js';
 import type { KernelControl } from './kernel-control.js';
 import type { Metrics } from './metrics.js';
+import type { PortBinder } from './port-binder.js';
 import type { TrafficMeter } from './traffic-meter.js';
 
 /** Creates a typed identifier; plug-ins create their own for services that only they use. */
@@ -33,6 +34,7 @@
   Metrics: createToken<Metrics>('Metrics'),
   TrafficMeter: createToken<TrafficMeter>('TrafficMeter'),
   Kernel: createToken<KernelControl>('Kernel'),
+  PortBinder: createToken<PortBinder>('PortBinder'),
   PeerNetwork: createToken<PeerNetwork>('PeerNetwork'),
   Membership: createToken<Membership>('Membership'),
   LeavingTargets: createToken<LeavingTargets>('LeavingTargets'),
--- a/src/peer/peer-plugin.ts
+++ b/src/peer/peer-plugin.ts
@@ -36,7 +36,8 @@
     });
   },
   async start(container) {
-    await (container.get(Token.PeerNetwork) as TcpPeerNetwork).listen();
+    const network = container.get(Token.PeerNetwork) as TcpPeerNetwork;
+    await container.get(Token.PortBinder).bind('peers', () => network.listen());
   },
   async drain(container) {
     await (container.get(Token.PeerNetwork) as TcpPeerNetwork).retire();
--- a/src/peer/tcp-peer-network.ts
+++ b/src/peer/tcp-peer-network.ts
@@ -7,6 +7,7 @@
 import { ResultCode } from '../core/result-code.js';
 import type { CancelTimer } from '../kernel/clock.js';
 import { Event } from '../kernel/event.js';
+import { listenOn } from '../kernel/port-binder.js';
 import { reserveCodecBuffer } from './frame-codec.js';
 import { HandlerRegistry } from './handler-registry.js';
 import { IncomingLink } from './incoming-link.js';
@@ -75,15 +76,10 @@
 
   /** Opens the listening socket; rejects when the address cannot be bound. */
   async listen(): Promise<void> {
-    await new Promise<void>((resolve, reject) => {
-      this.server.once('error', reject);
-      this.server.listen(splitAddress(this.options.address), () => {
-        this.server.off('error', reject);
-        this.server.on('error', (error) => {
-          this.options.log.emit(Event.InternalError, { error: String(error) });
-        });
-        resolve();
-      });
+    const { host, port } = splitAddress(this.options.address);
+    await listenOn(this.server, host, port);
+    this.server.on('error', (error) => {
+      this.options.log.emit(Event.InternalError, { error: String(error) });
     });
     this.scheduleSweep();
   }
--- a/src/sidecar/create-sidecar.ts
+++ b/src/sidecar/create-sidecar.ts
@@ -44,6 +44,7 @@
   return new Kernel({
     clock,
     log,
+    bindTimeoutMs: settings.listen.bindTimeout,
     plugins: [settingsPlugin, ...listPlugins('sidecar')],
   });
 }
--- a/src/sidecar/entry/entry-listener.ts
+++ b/src/sidecar/entry/entry-listener.ts
@@ -4,6 +4,7 @@
 import type { Failure } from '../../core/failure.js';
 import { AcceptBurst } from '../../http/accept-burst.js';
 import type { Clock } from '../../kernel/clock.js';
+import { listenOn } from '../../kernel/port-binder.js';
 import type { CallerLimits } from '../rules/routing-rules.js';
 import type { RawFields } from '../link/link-messages.js';
 import type {
@@ -107,15 +108,9 @@
     this.keepAliveFields = ['Connection', 'keep-alive', 'Keep-Alive', `timeout=${seconds}`];
   }
 
-  /** Rejects when the address cannot be bound. */
-  listen(host: string, port: number): Promise<void> {
-    return new Promise((resolve, reject) => {
-      this.server.once('error', reject);
-      this.server.listen(port, host, () => {
-        this.server.off('error', reject);
-        resolve();
-      });
-    });
+  /** Resolves with the port; rejects when the address cannot be bound. */
+  listen(host: string, port: number): Promise<number> {
+    return listenOn(this.server, host, port);
   }
 
   /** From now on each answer closes its connection, unless later requests of the connection are unanswered. */
--- a/src/sidecar/http-listener.ts
+++ b/src/sidecar/http-listener.ts
@@ -8,6 +8,7 @@
 } from 'node:http';
 import type { ConnectionGuard } from '../http/connection-guard.js';
 import { onEachRequest } from '../http/on-each-request.js';
+import { listenOn } from '../kernel/port-binder.js';
 
 /** Time that requests in progress get to complete when the server closes. */
 const CLOSE_GRACE_MS = 300;
@@ -40,12 +41,9 @@
     this.server.on('clientError', (_error, socket) => socket.destroy());
   }
 
-  /** Rejects when the address cannot be bound. */
-  listen(host: string, port: number): Promise<void> {
-    return new Promise((resolve, reject) => {
-      this.server.once('error', reject);
-      this.server.listen(port, host, resolve);
-    });
+  /** Resolves with the port; rejects when the address cannot be bound. */
+  listen(host: string, port: number): Promise<number> {
+    return listenOn(this.server, host, port);
   }
 
   /** Closes when the requests in progress are answered or their time is up; allowed before `listen`. */
--- a/src/sidecar/link/link-server.ts
+++ b/src/sidecar/link/link-server.ts
@@ -1,9 +1,10 @@
 /** The accepting end of links: serves other nodes' calls for the local target. */
-import { createServer, type AddressInfo, type Server } from 'node:net';
+import { createServer, type Server } from 'node:net';
 import type { BufferReservation } from '../../core/byte-budget.js';
 import type { UnfinishedBodies } from '../../core/holding/unfinished-bodies.js';
 import type { LimitReporter } from '../../http/connection-guard.js';
 import type { CancelTimer, Clock } from '../../kernel/clock.js';
+import { listenOn } from '../../kernel/port-binder.js';
 import { ResultCode } from '../../core/result-code.js';
 import { ageAuthorization } from './age-authorization.js';
 import { createNotOfferedFailure, type AttemptPort, type CancelAttempt } from './attempt-port.js';
@@ -94,15 +95,10 @@
   }
 
   /** Starts to listen; resolves with the port. Rejects when the address cannot be bound. */
-  listen(host: string, port: number): Promise<number> {
-    return new Promise((resolve, reject) => {
-      this.server.once('error', reject);
-      this.server.listen(port, host, () => {
-        this.server.off('error', reject);
-        this.scheduleSilenceCheck();
-        resolve((this.server.address() as AddressInfo).port);
-      });
-    });
+  async listen(host: string, port: number): Promise<number> {
+    const bound = await listenOn(this.server, host, port);
+    this.scheduleSilenceCheck();
+    return bound;
   }
 
   /** Sends this node's status to all connected nodes. */
--- a/src/sidecar/plugins/entry-plugin.ts
+++ b/src/sidecar/plugins/entry-plugin.ts
@@ -52,7 +52,8 @@
     start: async (container) => {
       const { entry } = container.get(SidecarToken.Settings).listen;
       const { host, port } = splitAddress(entry);
-      await container.get(SidecarToken.Listener).listen(host, port);
+      const server = container.get(SidecarToken.Listener);
+      await container.get(Token.PortBinder).bind('entry', () => server.listen(host, port));
     },
     drain,
     stop: (container) => container.get(SidecarToken.Listener).close(),
--- a/src/sidecar/plugins/link-plugin.ts
+++ b/src/sidecar/plugins/link-plugin.ts
@@ -66,7 +66,8 @@
     },
     start: async (container) => {
       const { host, ports } = container.get(SidecarToken.Settings).listen;
-      await container.get(SidecarToken.LinkServer).listen(host, ports[0]);
+      const server = container.get(SidecarToken.LinkServer);
+      await container.get(Token.PortBinder).bind('links', () => server.listen(host, ports[0]));
     },
     drain: (container) => {
       container.get(SidecarToken.LinkServer).announceStatus();
--- a/src/sidecar/plugins/observability-plugin.ts
+++ b/src/sidecar/plugins/observability-plugin.ts
@@ -1,5 +1,8 @@
 /** Plug-in for the metrics. */
+import type { Container } from 'inversify';
+import { Event } from '../../kernel/event.js';
 import { registerPlugin } from '../../kernel/plugin.js';
+import { Token } from '../../kernel/token.js';
 import { splitAddress } from '../../core/host-and-port.js';
 import { createMetricsServer } from '../metrics-server.js';
 import { createSidecarMetrics } from '../sidecar-metrics.js';
@@ -22,6 +25,7 @@
           linkCounts: () => get(SidecarToken.Directory).linkCounts(),
           suspects: () => get(SidecarToken.Quarantine).suspects,
           quarantined: () => get(SidecarToken.Quarantine).quarantined,
+          takenPorts: () => get(Token.PortBinder).failedAttempts,
         }),
       );
       container
@@ -33,13 +37,25 @@
           ),
         );
     },
-    start: async (container) => {
+    start: (container) => {
       const { metrics } = container.get(SidecarToken.Settings).listen;
-      if (metrics === undefined) return;
-      const { host, port } = splitAddress(metrics);
-      await container.get(SidecarToken.MetricsServer).listen(host, port);
+      // A node serves without its metrics, so it does not wait for their port.
+      if (metrics !== undefined) void bindMetrics(container, metrics);
+      return Promise.resolve();
     },
     stop: (container) => container.get(SidecarToken.MetricsServer).close(),
   },
   'sidecar',
 );
+
+async function bindMetrics(container: Container, address: string): Promise<void> {
+  const { host, port } = splitAddress(address);
+  const server = container.get(SidecarToken.MetricsServer);
+  try {
+    await container.get(Token.PortBinder).bind('metrics', () => server.listen(host, port));
+  } catch (error) {
+    container
+      .get(Token.EventLog)
+      .emit(Event.InternalError, { port: 'metrics', error: String(error) });
+  }
+}
--- a/src/sidecar/plugins/readiness-plugin.ts
+++ b/src/sidecar/plugins/readiness-plugin.ts
@@ -26,7 +26,8 @@
     },
     start: async (container) => {
       const { host, port } = splitAddress(container.get(SidecarToken.Settings).listen.readiness);
-      await container.get(SidecarToken.ReadinessServer).listen(host, port);
+      const server = container.get(SidecarToken.ReadinessServer);
+      await container.get(Token.PortBinder).bind('readiness', () => server.listen(host, port));
     },
     stop: (container) => container.get(SidecarToken.ReadinessServer).close(),
   },
--- a/src/sidecar/plugins/target-plugin.ts
+++ b/src/sidecar/plugins/target-plugin.ts
@@ -62,7 +62,8 @@
     start: async (container) => {
       const { listen } = container.get(SidecarToken.Settings);
       const { host, port } = splitAddress(listen.registration);
-      await container.get(SidecarToken.RegistrationServer).listen(host, port);
+      const server = container.get(SidecarToken.RegistrationServer);
+      await container.get(Token.PortBinder).bind('registration', () => server.listen(host, port));
       container.get(SidecarToken.Publisher).start();
       void container.get(SidecarToken.TargetLifecycle).restore();
     },
--- a/src/sidecar/settings.ts
+++ b/src/sidecar/settings.ts
@@ -34,6 +34,9 @@
   quotaSlack: 0,
 };
 
+/** Default of `listen.bindTimeout`. */
+const DEFAULT_BIND_TIMEOUT = '120s';
+
 /** Defaults of limits that the settings omit. */
 const DEFAULT_LIMITS = {
   fileDescriptors: 4_096,
@@ -65,6 +68,8 @@
     host: z.string().min(1),
     /** First and last port of the range for messages between nodes. */
     ports: z.tuple([z.int().min(0).max(65_535), z.int().min(0).max(65_535)]),
+    /** Time for which a port that is taken at the start is tried again. */
+    bindTimeout: orDefault(duration, DEFAULT_BIND_TIMEOUT),
     /** Where other nodes reach this one, for example behind a relay; absent: `host` and the first port. */
     advertised: address.optional(),
   }),
--- a/src/sidecar/sidecar-metrics.ts
+++ b/src/sidecar/sidecar-metrics.ts
@@ -40,6 +40,8 @@
   readonly suspects: Gauge;
   /** Suspects that are not sent to targets. */
   readonly quarantined: Gauge;
+  /** Attempts to bind a port that was taken, by port. */
+  readonly takenPorts: Gauge<'port'>;
 }
 
 /** Values that are read when the metrics are scraped. */
@@ -54,6 +56,7 @@
   linkCounts(): { readonly reachable: number; readonly unreachable: number };
   suspects(): number;
   quarantined(): number;
+  takenPorts(): ReadonlyMap<string, number>;
 }
 
 /** Creates the metrics in their own registry. */
@@ -181,5 +184,14 @@
         this.set(sources.quarantined());
       },
     }),
+    takenPorts: new Gauge({
+      name: 'sillshore_taken_port_attempts',
+      help: 'Attempts to bind a port at the start that failed, by port',
+      labelNames: ['port'],
+      registers,
+      collect() {
+        for (const [port, attempts] of sources.takenPorts()) this.set({ port }, attempts);
+      },
+    }),
   };
 }
