Log lines that are refused or not read neither end nor hang a process

Callers saw: with standard output at a full disk or at a descriptor that can't be written, a node listened and answered nothing, and SIGTERM did not end it. With a pipe that nobody reads it served, but hung at its end. Cause: pino's destination throws every error but EPIPE where nobody catches it, so the process began to end; at the exit it writes what is left until that succeeds, without end, or blocks in the write. The ports stayed open meanwhile. Change: LineOutput writes the lines. A refused write loses its lines, which are counted, and is followed by a pause of 1 s; a full buffer leaves lines out as before; at the exit nothing is written while a write is in progress, and errors end the attempt. Event 105 says what was lost when lines are written again, a metric says it meanwhile. The launcher's line about its code cache went to process.stdout, whose errors nobody handles; a test of the program covers it. The test of the delayed flush is unchanged but for its import. Why it holds: no error of the descriptor leaves LineOutput, and nothing at the exit waits for the descriptor but one write to it that no earlier write waits for.

--- a/src/cli/launch-sidecar.ts
+++ b/src/cli/launch-sidecar.ts
@@ -8,7 +8,7 @@
  * with it (two profiles each). What requests cost afterwards differs by no more than the spread.
  */
 import './early-signals.js';
-import { readFileSync, writeFileSync } from 'node:fs';
+import { readFileSync, writeFileSync, writeSync } from 'node:fs';
 import { join } from 'node:path';
 import { Script } from 'node:vm';
 
@@ -18,6 +18,7 @@
 /** Number of the event `CodeCacheUnused`; its catalogue is part of the bundle. */
 const CODE_CACHE_UNUSED = 110;
 const WARN_LEVEL = 40;
+const STANDARD_OUTPUT = 1;
 /** Index in `process.argv` of the command's first argument. */
 const FIRST_ARGUMENT = 2;
 
@@ -47,7 +48,11 @@
 
 function report(detail: string): void {
   const line = { level: WARN_LEVEL, time: Date.now(), event: CODE_CACHE_UNUSED, detail };
-  process.stdout.write(`${JSON.stringify({ ...line, msg: 'code cache not used' })}\n`);
+  try {
+    writeSync(STANDARD_OUTPUT, `${JSON.stringify({ ...line, msg: 'code cache not used' })}\n`);
+  } catch {
+    // The output refuses lines; the program starts without this one.
+  }
 }
 
 const outputFile = takeOutputFile();
--- a/src/kernel/bounded-event-log.ts
+++ b/src/kernel/bounded-event-log.ts
@@ -1,5 +1,6 @@
 import type { Clock } from './clock.js';
 import { Event, EVENTS, type EventFields, type EventLog } from './event.js';
+import type { LeftOutLines } from './line-output.js';
 
 const PERIOD_MS = 1_000;
 
@@ -24,6 +25,10 @@
     return this.log.writes?.(event) ?? true;
   }
 
+  linesLeftOut(): LeftOutLines {
+    return this.log.linesLeftOut?.() ?? { notRead: 0, refused: 0 };
+  }
+
   emit(event: Event, fields?: EventFields): void {
     const [level] = EVENTS[event];
     if (level === 'debug') {
--- a/src/kernel/event.test.ts
+++ b/src/kernel/event.test.ts
@@ -4,7 +4,8 @@
 import { readFileSync } from 'node:fs';
 import { text } from 'node:stream/consumers';
 import { mock, test } from 'node:test';
-import { DelayedFlush, Event, EVENTS } from './event.js';
+import { Event, EVENTS } from './event.js';
+import { DelayedFlush } from './line-output.js';
 
 test('docs/EVENTS.md has one row for each event and no other rows', () => {
   const page = readFileSync('docs/EVENTS.md', 'utf8');
--- a/src/kernel/event.ts
+++ b/src/kernel/event.ts
@@ -3,6 +3,7 @@
  * two differ. Numbers are never reused.
  */
 import pino, { type DestinationStream } from 'pino';
+import { LineOutput, type LeftOutLines } from './line-output.js';
 
 /** 1xx node, 2xx configuration, 3xx membership, 4xx requests, 5xx claims, 6xx peers, 7xx operators. */
 export enum Event {
@@ -166,6 +167,8 @@
   emit(event: Event, fields?: EventFields): void;
   /** Whether a line is written for the event; absent: always. Lets callers skip its fields. */
   writes?(event: Event): boolean;
+  /** Lines that the output has refused or that nobody read, since the start; absent: not counted. */
+  linesLeftOut?(): LeftOutLines;
 }
 
 /** File descriptors that log lines can be written to. */
@@ -174,69 +177,22 @@
   Error = 2,
 }
 
-/** Lines are buffered up to this many bytes or for this long, which saves writes. */
-const FLUSH_BYTES = 8 * 1024;
-const FLUSH_DELAY_MS = 250;
-/** Bytes buffered while nobody reads the log; further lines are left out and counted. */
-const MAX_BUFFERED_BYTES = 1024 * 1024;
-
-/** Writes events as pino JSON lines, by default to standard error; never blocks. */
+/** Writes events as pino JSON lines, by default to standard error; see {@link LineOutput}. */
 export function createPinoEventLog(
   level: string,
   bindings: EventFields = {},
   stream: LogStream = LogStream.Error,
 ): EventLog {
-  const destination = pino.destination({
-    fd: stream,
-    sync: false,
-    minLength: FLUSH_BYTES,
-    maxLength: MAX_BUFFERED_BYTES,
-  });
-  const delayed = new DelayedFlush(() => {
-    destination.flush();
-  });
-  // A flush during a write does nothing, so another one is requested after the write, for lines
-  // buffered meanwhile. A flush of an empty buffer writes no bytes and requests no further one.
-  destination.on('write', (bytes: number) => {
-    if (bytes > 0) delayed.request();
+  const output = new LineOutput(stream, (leftOut) => {
+    log.emit(Event.LinesLeftOut, { ...leftOut });
   });
-  const lines = createEventLogTo(destination, level, bindings);
   const log: EventLog = {
-    ...lines,
-    emit: (event, fields) => {
-      lines.emit(event, fields);
-      if (lines.writes?.(event) !== false) delayed.request();
-    },
+    ...createEventLogTo(output, level, bindings),
+    linesLeftOut: () => output.leftOut,
   };
-  let leftOut = 0;
-  destination.on('drop', () => {
-    leftOut += 1;
-  });
-  destination.on('drain', () => {
-    if (leftOut === 0) return;
-    log.emit(Event.LinesLeftOut, { notRead: leftOut });
-    leftOut = 0;
-  });
   return log;
 }
 
-/** Flushes buffered lines a fixed time after a request, so that no timer wakes an idle process. */
-export class DelayedFlush {
-  private scheduled = false;
-
-  constructor(private readonly flush: () => void) {}
-
-  /** Schedules a flush; does nothing when one is already scheduled. */
-  request(): void {
-    if (this.scheduled) return;
-    this.scheduled = true;
-    setTimeout(() => {
-      this.scheduled = false;
-      this.flush();
-    }, FLUSH_DELAY_MS).unref();
-  }
-}
-
 /** Writes events as pino JSON lines to a destination. */
 export function createEventLogTo(
   destination: DestinationStream,
--- a/src/sidecar/plugins/observability-plugin.ts
+++ b/src/sidecar/plugins/observability-plugin.ts
@@ -25,6 +25,7 @@
           linkCounts: () => get(SidecarToken.Directory).linkCounts(),
           suspects: () => get(SidecarToken.Quarantine).suspects,
           quarantined: () => get(SidecarToken.Quarantine).quarantined,
+          logLinesLeftOut: () => get(Token.EventLog).linesLeftOut?.(),
           takenPorts: () => get(Token.PortBinder).failedAttempts,
         }),
       );
--- a/src/sidecar/sidecar-metrics.ts
+++ b/src/sidecar/sidecar-metrics.ts
@@ -1,10 +1,12 @@
 /** Prometheus metrics of a sidecar (prom-client). */
 import { CRITICALITIES } from '../core/request.js';
 import { Counter, Gauge, Histogram, Registry } from 'prom-client';
+import type { LeftOutLines } from '../kernel/line-output.js';
 
 const NO_REQUEST_LIMIT = -1;
 const NO_SLOWDOWN = -1;
 const NEVER_CONFIRMED = -1;
+const NOTHING_LEFT_OUT: LeftOutLines = { notRead: 0, refused: 0 };
 const MS_PER_SECOND = 1_000;
 const LATENCY_BUCKETS_SECONDS = [0.005, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5];
 
@@ -42,6 +44,8 @@
   readonly quarantined: Gauge;
   /** Attempts to bind a port that was taken, by port. */
   readonly takenPorts: Gauge<'port'>;
+  /** Log lines that nobody read or that the output refused, since the start. */
+  readonly logLinesLeftOut: Gauge<'reason'>;
 }
 
 /** Values that are read when the metrics are scraped. */
@@ -57,6 +61,7 @@
   suspects(): number;
   quarantined(): number;
   takenPorts(): ReadonlyMap<string, number>;
+  logLinesLeftOut(): LeftOutLines | undefined;
 }
 
 /** Creates the metrics in their own registry. */
@@ -193,5 +198,16 @@
         for (const [port, attempts] of sources.takenPorts()) this.set({ port }, attempts);
       },
     }),
+    logLinesLeftOut: new Gauge({
+      name: 'sillshore_log_lines_left_out',
+      help: 'Log lines since the start that nobody read or that the output refused',
+      labelNames: ['reason'],
+      registers,
+      collect() {
+        const { notRead, refused } = sources.logLinesLeftOut() ?? NOTHING_LEFT_OUT;
+        this.set({ reason: 'not-read' }, notRead);
+        this.set({ reason: 'refused' }, refused);
+      },
+    }),
   };
 }
--- a/test/machine-program.test.ts
+++ b/test/machine-program.test.ts
@@ -1,7 +1,7 @@
 /** Starts the machines' bundled program with its code cache, with a truncated one and without one. */
 import assert from 'node:assert/strict';
-import { execFile } from 'node:child_process';
-import { cpSync, mkdtempSync, rmSync, truncateSync } from 'node:fs';
+import { execFile, spawnSync } from 'node:child_process';
+import { closeSync, cpSync, mkdtempSync, openSync, rmSync, truncateSync } from 'node:fs';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { test } from 'node:test';
@@ -22,6 +22,18 @@
   return stdout + stderr;
 }
 
+/** The same with a standard output that refuses lines; returns the standard error. */
+function startWithFullDisk(directory: string): string {
+  const launcher = join(directory, 'sillshore-sidecar.cjs');
+  const args = [...FLAGS, launcher, 'sidecar', '--settings', 'absent.json'];
+  const full = openSync('/dev/full', 'w');
+  try {
+    return spawnSync(process.execPath, args, { stdio: ['ignore', full, 'pipe'] }).stderr.toString();
+  } finally {
+    closeSync(full);
+  }
+}
+
 test('the program starts from its code cache, and also without a usable one', async () => {
   await execute(process.execPath, ['scripts/bundle-sidecar.mjs'], { timeout: BUILD_TIMEOUT_MS });
   const directory = mkdtempSync(join(tmpdir(), 'sillshore-program-'));
@@ -43,6 +55,7 @@
       const without = await start(directory, FLAGS);
       assert.match(without, /cannot read absent.json/);
       assert.ok(without.includes(CODE_CACHE_UNUSED), without);
+      assert.match(startWithFullDisk(directory), /cannot read absent.json/);
     }
   } finally {
     rmSync(directory, { recursive: true, force: true });
