What a server sends is bounded by what it costs the node

Callers saw: processes ended by themselves. A target that answered 40 requests with a body in chunks of one byte ended the node beside it within a second, with all that it served; with large chunks it took 1.4 GB. A store that answered so ended every node, or made each take 1.3 to 2 GB. Cause: each answer of a target was bounded by 32 MB and nothing bounded their sum; chunks were kept as objects; answers of the store had no bound but the time of the call. Bytes beside a body (interim answers, blank lines) had no bound but time either and kept the event loop busy until links were given up. Change: an answer intake for both clients. core/holding decides: a body has a bound, all beside it has one that counts interim answers and small chunks for more than their bytes, values of documents that are parsed are counted, and the buffers come from the account of callers' bodies. When it is spent the largest unfinished one yields; answers of the store count and do not yield, so that clients can't keep rules from a node. Why it holds: whatever the bytes are, each of them counts in one of the bounds, and reaching a bound closes the connection.

--- a/src/core/byte-budget.ts
+++ b/src/core/byte-budget.ts
@@ -20,10 +20,15 @@
 
   /** Reserves bytes that are already in memory, even beyond the limit. */
   reserve(bytes: number): BufferReservation {
-    this.taken += bytes;
+    this.take(bytes);
     return new BufferReservation(this, bytes);
   }
 
+  /** Used by {@link BufferReservation}. */
+  take(bytes: number): void {
+    this.taken += bytes;
+  }
+
   /** Used by {@link BufferReservation}. */
   tryTake(bytes: number): boolean {
     if (this.taken + bytes > this.limit) return false;
@@ -53,6 +58,13 @@
     return true;
   }
 
+  /** Extends the reservation to `total` bytes that are already in memory, even beyond the limit. */
+  extend(total: number): void {
+    const more = Math.max(0, total - this.bytes);
+    this.budget.take(more);
+    this.bytes += more;
+  }
+
   /** Releases all bytes; further calls have no effect. */
   release(): void {
     this.budget.release(this.bytes);
--- a/src/sidecar/client-limits.ts
+++ b/src/sidecar/client-limits.ts
@@ -1,4 +1,5 @@
-/** Bounds on what the clients of each port may hold, from the settings. */
+/** Bounds on what the clients of each port, the target and the store may make this node hold, from the settings. */
+import type { AnswerLimits } from '../core/holding/answer-allowance.js';
 import type { ClientLimits } from '../http/connection-guard.js';
 import type { LinkLimits } from './link/incoming-links.js';
 import type { SidecarSettings } from './settings.js';
@@ -25,6 +26,23 @@
   return limits.memoryMb * BYTES_PER_MB * BODY_MEMORY_SHARE;
 }
 
+/** Bounds on one answer of the target. */
+export function targetAnswerLimits({ limits }: SidecarSettings): AnswerLimits {
+  return {
+    maxBodyBytes: limits.targetAnswerMb * BYTES_PER_MB,
+    maxOverheadBytes: limits.answerOverheadMb * BYTES_PER_MB,
+  };
+}
+
+/** Bounds on one answer of the store. */
+export function storeAnswerLimits({ limits }: SidecarSettings): AnswerLimits {
+  return {
+    maxBodyBytes: limits.storeAnswerMb * BYTES_PER_MB,
+    maxValues: limits.storeAnswerValues,
+    maxOverheadBytes: limits.answerOverheadMb * BYTES_PER_MB,
+  };
+}
+
 /** Bounds for callers. */
 export function callerLimits({ limits }: SidecarSettings): ClientLimits {
   return {
--- a/src/sidecar/plugins/store-plugin.ts
+++ b/src/sidecar/plugins/store-plugin.ts
@@ -7,6 +7,7 @@
 import { StoreBackoff } from '../../store/store-backoff.js';
 import { StoreEras } from '../../store/store-eras.js';
 import { seedOf } from '../seed.js';
+import { createStoreIntake } from './answer-intakes.js';
 import { SidecarOrder, SidecarToken } from './tokens.js';
 
 /** Timeout of a call to the store. */
@@ -17,12 +18,17 @@
     name: 'store',
     order: SidecarOrder.Store,
     bind: (container) => {
-      container.bind(SidecarToken.Store).toDynamicValue(({ get }) => {
+      container.bind(SidecarToken.Store).toDynamicValue((context) => {
+        const { get } = context;
         const { address } = get(SidecarToken.Settings).store;
         const eras = get(SidecarToken.StoreEras);
-        const connections = new StoreConnections(address, (connection) => {
-          get(SidecarToken.Metrics).storeUnanswered.inc({ connection });
-        });
+        const connections = new StoreConnections(
+          address,
+          createStoreIntake(context),
+          (connection) => {
+            get(SidecarToken.Metrics).storeUnanswered.inc({ connection });
+          },
+        );
         return get(SidecarToken.Adapter).createStore(connections, STORE_TIMEOUT_MS, eras);
       });
       container.bind(SidecarToken.StoreEras).toDynamicValue(({ get }) => {
--- a/src/sidecar/plugins/target-plugin.ts
+++ b/src/sidecar/plugins/target-plugin.ts
@@ -18,6 +18,7 @@
 import { seedOf } from '../seed.js';
 import { switchStatedLoad } from '../target/stated-load-switch.js';
 import { TargetGateway } from '../target/target-gateway.js';
+import { createTargetIntake } from './answer-intakes.js';
 import { createServicePortGuard } from './service-port-guard.js';
 import { SidecarOrder, SidecarToken } from './tokens.js';
 
@@ -75,7 +76,8 @@
   'sidecar',
 );
 
-function createGateway({ get }: ResolutionContext): TargetGateway {
+function createGateway(context: ResolutionContext): TargetGateway {
+  const { get } = context;
   const { target, node, loadControl } = get(SidecarToken.Settings);
   const { parseStatements } = get(SidecarToken.Adapter);
   const policy = findOverloadPolicy(POLICY);
@@ -89,6 +91,7 @@
       get(SidecarToken.CapacityReporter).start();
     }),
     clock: get(Token.Clock),
+    answers: createTargetIntake(context),
     log: get(Token.EventLog),
     seed: seedOf(`${node.id} gate`),
     quarantine: get(SidecarToken.Quarantine),
--- a/src/sidecar/settings.ts
+++ b/src/sidecar/settings.ts
@@ -43,6 +43,10 @@
   requestsAhead: 64,
   openRequests: 8_192,
   answerReadTimeout: '30s',
+  targetAnswerMb: 32,
+  storeAnswerMb: 4,
+  storeAnswerValues: 200_000,
+  answerOverheadMb: 1,
 };
 
 /** A member that gets a default when it is absent or null. */
@@ -87,6 +91,14 @@
     openRequests: orDefault(z.int().min(16), DEFAULT_LIMITS.openRequests),
     /** Time within which a client must read an answer. */
     answerReadTimeout: orDefault(duration, DEFAULT_LIMITS.answerReadTimeout),
+    /** Longest body of an answer of the target, in MB. */
+    targetAnswerMb: orDefault(z.number().positive(), DEFAULT_LIMITS.targetAnswerMb),
+    /** Longest body of an answer of the store, in MB. */
+    storeAnswerMb: orDefault(z.number().positive(), DEFAULT_LIMITS.storeAnswerMb),
+    /** Values in the JSON document of an answer of the store; each takes some ten bytes of the heap. */
+    storeAnswerValues: orDefault(z.int().min(1), DEFAULT_LIMITS.storeAnswerValues),
+    /** What an answer may have beside its body and twice its bytes, in MB. */
+    answerOverheadMb: orDefault(z.number().positive(), DEFAULT_LIMITS.answerOverheadMb),
   }),
   bounds: z.object({
     /** Time from SIGTERM to SIGKILL. */
--- a/src/sidecar/target/target-client-answers.test.ts
+++ b/src/sidecar/target/target-client-answers.test.ts
@@ -5,6 +5,7 @@
 import { waitUntil } from '../../../test/stand-ins/mesh.js';
 import { systemClock } from '../../kernel/clock.js';
 import { TargetClient, type ExchangeEnd } from './target-client.js';
+import { createAnswerIntake } from '../../../test/support/answer-intake.js';
 
 const HEAD = 'HTTP/1.1 200 OK\r\nx-id: 1\r\n';
 const ANSWER = `${HEAD}Content-Length: 2\r\n\r\nok`;
@@ -39,7 +40,7 @@
   });
   await new Promise<void>((resolve) => server.listen({ port: 0, host: '127.0.0.1', backlog: 2_000 }, resolve));
   const address = `127.0.0.1:${(server.address() as AddressInfo).port}`;
-  client = new TargetClient({ address, identityField: 'x-id', clock: systemClock });
+  client = new TargetClient({ address, identityField: 'x-id', clock: systemClock, answers: createAnswerIntake() });
 });
 
 afterEach(() => {
--- a/src/sidecar/target/target-client.test.ts
+++ b/src/sidecar/target/target-client.test.ts
@@ -5,6 +5,7 @@
 import { waitUntil } from '../../../test/stand-ins/mesh.js';
 import { systemClock } from '../../kernel/clock.js';
 import { TargetClient, type ExchangeEnd, type TargetRequest } from './target-client.js';
+import { createAnswerIntake } from '../../../test/support/answer-intake.js';
 
 const IDENTITY = 'x-id';
 
@@ -26,7 +27,7 @@
   });
   await new Promise<void>((resolve) => target.listen(0, '127.0.0.1', resolve));
   const address = `127.0.0.1:${(target.address() as AddressInfo).port}`;
-  client = new TargetClient({ address, identityField: IDENTITY, clock: systemClock });
+  client = new TargetClient({ address, identityField: IDENTITY, clock: systemClock, answers: createAnswerIntake() });
 });
 
 afterEach(() => {
--- a/src/sidecar/target/target-client.ts
+++ b/src/sidecar/target/target-client.ts
@@ -9,6 +9,7 @@
 import { hasKnownLength } from '../../core/answer-body.js';
 import { isFinalStatus } from '../../core/http-status.js';
 import { splitAddress } from '../../core/host-and-port.js';
+import type { AnswerIntake, AnswerReader } from '../../http/answer-intake.js';
 import type { CancelTimer, Clock } from '../../kernel/clock.js';
 import type { RawFields } from '../link/link-messages.js';
 import { ConnectionSilence } from './connection-silence.js';
@@ -18,9 +19,6 @@
 
 const CONNECTION_REFUSED = 'ECONNREFUSED';
 
-/** Longest accepted answer. */
-const MAX_ANSWER_BYTES = 32 * 1024 * 1024;
-
 /** A request as it is sent to the target. */
 export interface TargetRequest {
   readonly attemptId: string;
@@ -55,6 +53,8 @@
   /** Name of the field that carries the identity of a request, in lower case. */
   readonly identityField: string;
   readonly clock: Clock;
+  /** Receives the answers. */
+  readonly answers: AnswerIntake;
 }
 
 /** Connections to one incarnation of the target. */
@@ -78,10 +78,10 @@
    */
   send(request: TargetRequest, onEnd: (end: ExchangeEnd) => void): () => void {
     const { connections, host, port, silence } = this;
-    const { identityField, clock } = this.options;
+    const { identityField, clock, answers } = this.options;
     // Each idle connection that has gone silent would cost a request.
     if (silence.isSuspected(clock.now())) connections.closeIdle();
-    const options = { connections, host, port, identityField, clock, silence };
+    const options = { connections, host, port, identityField, clock, answers, silence };
     const exchange = new Exchange(request, options, onEnd);
     exchange.start();
     return () => {
@@ -144,6 +144,7 @@
   readonly port: number;
   readonly identityField: string;
   readonly clock: Clock;
+  readonly answers: AnswerIntake;
   readonly silence: ConnectionSilence;
 }
 
@@ -154,8 +155,7 @@
   private ended = false;
   private cancelTimer: CancelTimer = () => {};
   private cancelConnectTimer: CancelTimer = () => {};
-  private readonly chunks: Buffer[] = [];
-  private receivedBytes = 0;
+  private answer: AnswerReader | undefined;
 
   constructor(
     private readonly message: TargetRequest,
@@ -180,6 +180,9 @@
       return;
     }
     this.request = request;
+    this.answer = this.options.answers.open(request, (detail) => {
+      this.fail('broken', detail);
+    });
     request.on('socket', (socket) => {
       this.onSocket(socket);
     });
@@ -238,11 +241,8 @@
       this.fail('broken', 'the answer belongs to another request');
       return;
     }
-    response.on('data', (chunk: Buffer) => {
+    this.answer?.read(response, () => {
       silence.noteReceived(clock.now());
-      this.receivedBytes += chunk.length;
-      if (this.receivedBytes > MAX_ANSWER_BYTES) this.fail('broken', 'the answer is too long');
-      else this.chunks.push(chunk);
     });
     response.on('error', (error) => {
       this.fail('broken', error.message);
@@ -258,14 +258,14 @@
       this.fail('broken', 'the answer ended early or has no length');
       return;
     }
+    const body = this.answer!.take();
     this.finish();
-    const { chunks } = this;
     this.onEnd({
       type: 'answer',
       status: response.statusCode!,
       fields: response.rawHeaders,
       headers: response.headers,
-      body: chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks),
+      body,
     });
   }
 
@@ -278,6 +278,7 @@
 
   private finish(): void {
     this.ended = true;
+    this.answer?.close();
     this.options.silence.noteEnded(this);
     this.cancelTimer();
     this.cancelConnectTimer();
--- a/src/sidecar/target/target-gateway.test.ts
+++ b/src/sidecar/target/target-gateway.test.ts
@@ -15,6 +15,7 @@
 import type { QuarantineUpdate } from "../quarantine/quarantine-update.js";
 import { RequestQuarantine } from "../quarantine/request-quarantine.js";
 import { TargetGateway } from "./target-gateway.js";
+import { createAnswerIntake } from '../../../test/support/answer-intake.js';
 
 const FIELDS = {
   attemptId: "x-id",
@@ -96,6 +97,7 @@
   });
   await new Promise<void>((resolve) => target.listen(0, "127.0.0.1", resolve));
   gateway = new TargetGateway({
+    answers: createAnswerIntake(),
     service: "s",
     address: `127.0.0.1:${(target.address() as AddressInfo).port}`,
     fields: FIELDS,
--- a/src/sidecar/target/target-gateway.ts
+++ b/src/sidecar/target/target-gateway.ts
@@ -7,6 +7,7 @@
 import type { LoadReport, RequestContext } from '../../core/request.js';
 import { ResultCode } from '../../core/result-code.js';
 import type { Failure } from '../../core/failure.js';
+import type { AnswerIntake } from '../../http/answer-intake.js';
 import type { CancelTimer, Clock } from '../../kernel/clock.js';
 import { Event, type EventLog } from '../../kernel/event.js';
 import type { ForwardedFields } from '../forwarded-fields.js';
@@ -57,6 +58,8 @@
   readonly forwardedFields: ForwardedFields;
   readonly policy: OverloadPolicy;
   readonly clock: Clock;
+  /** Receives the target's answers. */
+  readonly answers: AnswerIntake;
   readonly log: EventLog;
   readonly seed: number;
   /** Setting `loadControl.objectiveQueue`. */
@@ -173,9 +176,9 @@
 
   /** Requests the target's identity. */
   probe(path: string, timeoutMs: number): Promise<string | undefined> {
-    const { address, fields, clock } = this.options;
+    const { address, fields, clock, answers } = this.options;
     const identityField = fields.attemptId;
-    const client = this.client ?? new TargetClient({ address, identityField, clock });
+    const client = this.client ?? new TargetClient({ address, identityField, clock, answers });
     return client.probe(path, fields.targetId, timeoutMs);
   }
 
@@ -323,10 +326,10 @@
   }
 
   private openGate(target: RegisteredTarget): void {
-    const { policy, address, fields, clock, seed, objectiveQueue } = this.options;
+    const { policy, address, fields, clock, answers, seed, objectiveQueue } = this.options;
     this.watchIncarnation(target);
     this.client?.close();
-    this.client = new TargetClient({ address, identityField: fields.attemptId, clock });
+    this.client = new TargetClient({ address, identityField: fields.attemptId, clock, answers });
     this.gate = policy.createTargetGate({
       initialLimit: target.slots,
       maxLimit: target.slots,
--- a/src/store/store-connections.test.ts
+++ b/src/store/store-connections.test.ts
@@ -5,6 +5,7 @@
 import { afterEach, beforeEach, test } from 'node:test';
 import type { StoreExchange, StoreRequest } from './metadata-store.js';
 import { StoreConnections } from './store-connections.js';
+import { createAnswerIntake } from '../../test/support/answer-intake.js';
 
 const TIMEOUT_MS = 100;
 const WAIT_MS = 5_000;
@@ -24,7 +25,9 @@
   server.on('connection', (socket) => opened.push(socket));
   await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
   const address = `127.0.0.1:${(server.address() as AddressInfo).port}`;
-  connections = new StoreConnections(address, (connection) => unanswered.push(connection));
+  connections = new StoreConnections(address, createAnswerIntake(), (connection) =>
+    unanswered.push(connection),
+  );
 });
 afterEach(() => {
   connections.close();
--- a/src/store/store-connections.ts
+++ b/src/store/store-connections.ts
@@ -6,6 +6,7 @@
  */
 import { Agent, request as httpRequest } from 'node:http';
 import { splitAddress } from '../core/host-and-port.js';
+import type { AnswerIntake } from '../http/answer-intake.js';
 import type {
   StoreConnectionKind,
   StoreExchange,
@@ -31,10 +32,12 @@
 
   /**
    * @param address IP address and port
+   * @param answers receives the answers
    * @param onUnanswered called for each request without an answer
    */
   constructor(
     private readonly address: string,
+    private readonly answers: AnswerIntake,
     private readonly onUnanswered: OnUnansweredRequest = () => {},
   ) {}
 
@@ -50,8 +53,12 @@
         headers,
       });
       let ended = false;
+      const answer = this.answers.open(request, (detail) => {
+        fail(detail);
+      });
       const end = (exchange: StoreExchange): void => {
         ended = true;
+        answer.close();
         clearTimeout(timer);
         this.waits.delete(wait);
         resolve(exchange);
@@ -80,15 +87,14 @@
         fail(error.message);
       });
       request.on('response', (response) => {
-        const chunks: Buffer[] = [];
-        response.on('data', (chunk: Buffer) => chunks.push(chunk));
+        answer.read(response);
         response.on('error', (error) => {
           fail(error.message);
         });
         response.on('end', () => {
           if (ended) return;
           const { statusCode: status = 0, headers: fields } = response;
-          end({ type: 'answer', status, headers: fields, body: Buffer.concat(chunks) });
+          end({ type: 'answer', status, headers: fields, body: answer.take() });
           if (!request.reusedSocket) this.onNewConnectionAnswered(begunAt);
         });
       });
--- a/test/bare-relay.ts
+++ b/test/bare-relay.ts
@@ -32,6 +32,7 @@
 import { RouteTable } from '../src/sidecar/rules/route-table.js';
 import { seedOf } from '../src/sidecar/seed.js';
 import { validateSidecarSettings } from '../src/sidecar/settings.js';
+import { createAnswerIntake } from './support/answer-intake.js';
 
 const STORE_TIMEOUT_MS = 1_000;
 const WATCH_WAIT_MS = 10_000;
@@ -46,7 +47,7 @@
 });
 const { fields, readinessPath, rulesKey, parseRules, acknowledgement } = platformAdapter;
 const eras = new StoreEras();
-const connections = new StoreConnections(settings.store.address);
+const connections = new StoreConnections(settings.store.address, createAnswerIntake());
 const store = platformAdapter.createStore(connections, STORE_TIMEOUT_MS, eras);
 const backoff = new StoreBackoff(systemClock, createRandom(seedOf(`${settings.node.id} store`)));
 const agent = new Agent({ keepAlive: true });
--- a/test/endless-answers.isolated.test.ts
+++ b/test/endless-answers.isolated.test.ts
@@ -14,6 +14,8 @@
 const MEMORY_MB = 350;
 const RUNTIME_FLAGS = ['--max-old-space-size=120'];
 const REQUESTS = 40;
+/** Default of `limits.storeAnswerMb`. */
+const STORE_ANSWER_BYTES = 4 * BYTES_PER_MB;
 /** Long enough for several calls to the store, each of which is given up after a second. */
 const SPOILED_STORE_MS = 4_000;
 
@@ -41,6 +43,17 @@
   return (await sendRequest(machine.entry, request).catch(() => undefined))?.status === 200;
 }
 
+test('a store that sends as many values as an answer may hold ends no process', async (context) => {
+  const values = '{},'.repeat(STORE_ANSWER_BYTES / '{},'.length - 100);
+  const body = `{"at":1,"events":[${values}{}],"items":[]}`;
+  mesh.store.faults.spoil = (connection) => {
+    connection.write(`HTTP/1.1 200 OK\r\nContent-Length: ${body.length}\r\n\r\n${body}`);
+  };
+  await sleep(SPOILED_STORE_MS);
+  mesh.store.faults.spoil = undefined;
+  await checkNodes(context);
+});
+
 async function checkNodes(context: TestContext): Promise<void> {
   for (const machine of [beside, remote]) {
     assert.ok(machine.isRunning, `${machine.id} ended: ${machine.log.slice(-1_000)}`);
