A health check of a target ends in time, whatever the target sends

Callers saw: nothing yet; a node that waits for such an answer never learns its target after a restart or a new id, so its service lacks that target. Cause: the time-out of a health check counted idle time only, so a head that trickles or interim answers without end were never late; a switch of protocols has neither a response nor an error; a path that can't be sent rejected. Change: the time is for the whole head, and the end of the request in any way ends the check. Why it holds: the timer doesn't depend on what is received.

--- a/src/sidecar/target/target-client-answers.test.ts
+++ b/src/sidecar/target/target-client-answers.test.ts
@@ -6,6 +6,7 @@
 import { systemClock } from '../../kernel/clock.js';
 import { TargetClient, type ExchangeEnd } from './target-client.js';
 import { createAnswerIntake } from '../../../test/support/answer-intake.js';
+import { ENDLESS_ANSWERS, sendWithoutEnd } from '../../../test/support/endless-bytes.js';
 
 const HEAD = 'HTTP/1.1 200 OK\r\nx-id: 1\r\n';
 const ANSWER = `${HEAD}Content-Length: 2\r\n\r\nok`;
@@ -215,3 +216,28 @@
   await waitUntil(() => sockets.size === 0);
   assert.equal(bodyOf(await sendAs('2')), '02');
 });
+
+for (const [what, answer] of [
+  ['a head that arrives byte by byte', (socket: Socket): void => {
+    const timer = setInterval(() => socket.write('a'), 20);
+    socket.write('HTTP/1.1 200 OK\r\n');
+    socket.once('close', () => { clearInterval(timer); });
+  }],
+  ['a switch of protocols', (socket: Socket): void => {
+    socket.write('HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: x\r\n\r\n');
+  }],
+  ['interim answers without end', (socket: Socket): void => {
+    sendWithoutEnd(socket, ENDLESS_ANSWERS['interim answers']!(''));
+  }],
+  ['bytes that are no answer', (socket: Socket): void => void socket.write('x'.repeat(100))],
+  ['a closed connection', (socket: Socket): void => void socket.end()],
+] as const) {
+  test(`a health check that gets ${what} does not wait forever`, { timeout: 10_000 }, async () => {
+    onRequest = answer;
+    assert.equal(await client.probe('/health', 'x-id', 200), undefined);
+  });
+}
+
+test('a health check with a path that cannot be sent finds no target', async () => {
+  assert.equal(await client.probe('/he alth\n', 'x-id', 200), undefined);
+});
--- a/src/sidecar/target/target-client.ts
+++ b/src/sidecar/target/target-client.ts
@@ -3,7 +3,12 @@
  * complete, has a final status and carries the identity of its request; after anything else the connection is
  * closed, so that no answer can reach another request.
  */
-import { request as httpRequest, type ClientRequest, type IncomingMessage } from 'node:http';
+import {
+  request as httpRequest,
+  type ClientRequest,
+  type IncomingMessage,
+  type RequestOptions,
+} from 'node:http';
 import type { OutgoingHttpHeaders } from 'node:http';
 import { connect, type Socket } from 'node:net';
 import { hasKnownLength } from '../../core/answer-body.js';
@@ -89,20 +94,31 @@
     };
   }
 
-  /** Reads the target's identity from its health check; undefined unless it answers 200 with an identity. */
+  /**
+   * Reads the target's identity from its health check; undefined unless it answers 200 with an identity in time.
+   *
+   * @param timeoutMs time for the whole head of the answer, in milliseconds
+   */
   probe(path: string, idField: string, timeoutMs: number): Promise<string | undefined> {
     return new Promise((resolve) => {
       const { host, port } = this;
-      const request = httpRequest({ host, port, path, agent: false, timeout: timeoutMs });
-      const end = (id: string | undefined): void => {
+      const request = createRequest({ host, port, path, agent: false });
+      if (request === undefined) {
+        resolve(undefined);
+        return;
+      }
+      const end = (id?: string): void => {
+        cancelTimer();
         resolve(id);
         request.destroy();
       };
-      request.on('timeout', () => {
-        end(undefined);
-      });
+      const cancelTimer = this.options.clock.schedule(timeoutMs, end);
       request.on('error', () => {
-        end(undefined);
+        end();
+      });
+      // Also after a switch of protocols, which has no other event.
+      request.on('close', () => {
+        end();
       });
       request.on('response', (response) => {
         const id = response.headers[idField];
@@ -284,3 +300,12 @@
     this.cancelConnectTimer();
   }
 }
+
+/** Creates a request; undefined when its path cannot be sent. */
+function createRequest(options: RequestOptions): ClientRequest | undefined {
+  try {
+    return httpRequest(options);
+  } catch {
+    return undefined;
+  }
+}
