A planned stop with a short grace period doesn't cut requests early

Callers saw: with a grace period of 3 s, requests that ran when the stop began got 502 at 2.2 s, though they would have ended before the last sixth of it. Cause: 800 ms were reserved for the stop itself whatever the grace period is; a sixth of 3 s is 500. Shown not to happen here: the report that requests which come late in the grace are passed on and cut. Change: the reserve is at most a sixth of the stop. Why it holds: what ends before the last sixth ends before the node gives up.

--- a/src/sidecar/entry/planned-stop.test.ts
+++ b/src/sidecar/entry/planned-stop.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { ResultCode } from '../../core/result-code.js';
-import { LEAVING_PHASE_MS, PlannedStop } from './planned-stop.js';
+import { LEAVING_PHASE_MS, PlannedStop, stopMarginMs } from './planned-stop.js';
 
 const END = 5_000;
 
@@ -42,3 +42,7 @@
   assert.equal(stop.isRefusing(LEAVING_PHASE_MS - 1), false);
   assert.equal(stop.isRefusing(LEAVING_PHASE_MS), true);
 });
+
+test('requests in progress get five sixths of a short stop, and all but 0.8 s of a long one', () => {
+  assert.deepEqual([600, 3_000, 4_800, 6_000, 60_000].map(stopMarginMs), [100, 500, 800, 800, 800]);
+});
--- a/src/sidecar/entry/planned-stop.ts
+++ b/src/sidecar/entry/planned-stop.ts
@@ -18,6 +18,10 @@
 export const TARGET_ACCEPT_TIME_MS = 1_300;
 /** Limit of this time as a share of the stop; applies to short stops. */
 const MAX_TARGET_ACCEPT_SHARE = 0.25;
+/** Time reserved at the end of a planned stop for the stop itself, in milliseconds. */
+const STOP_MARGIN_MS = 800;
+/** Limit of this time as a share of the stop; before it, callers may expect that running requests complete. */
+const MAX_STOP_MARGIN_SHARE = 1 / 6;
 /** Callers can use another node at once; this delay spreads those that arrive together. */
 const RETRY_AFTER_MS = 200;
 
@@ -52,6 +56,11 @@
   return Math.min(TARGET_ACCEPT_TIME_MS, stopMs * MAX_TARGET_ACCEPT_SHARE);
 }
 
+/** Time reserved for the stop itself at the end of a stop of this length, in milliseconds. */
+export function stopMarginMs(stopMs: number): number {
+  return Math.min(STOP_MARGIN_MS, stopMs * MAX_STOP_MARGIN_SHARE);
+}
+
 /** Failure of requests that are refused or abandoned because of the stop. */
 export function createDrainingFailure(): Failure {
   const options = { execution: 'not-run', retryAfterMs: RETRY_AFTER_MS } as const;
--- a/src/sidecar/plugins/entry-plugin.ts
+++ b/src/sidecar/plugins/entry-plugin.ts
@@ -15,7 +15,7 @@
 import { CallersDrain } from '../entry/callers-drain.js';
 import { EntryListener } from '../entry/entry-listener.js';
 import { EntryService } from '../entry/entry-service.js';
-import { PlannedStop, targetAcceptTimeMs } from '../entry/planned-stop.js';
+import { PlannedStop, stopMarginMs, targetAcceptTimeMs } from '../entry/planned-stop.js';
 import { ServiceRouters } from '../entry/service-routers.js';
 import { seedOf } from '../seed.js';
 import { SidecarOrder, SidecarToken } from './tokens.js';
@@ -32,9 +32,6 @@
 /** Share of the allowed retry slack that is used: retries add up over the levels of a call chain. */
 const RETRY_SLACK_SHARE = 0.3;
 
-/** Time reserved at the end of the grace period for the stop itself. */
-const STOP_MARGIN_MS = 800;
-
 registerPlugin(
   {
     name: 'entry',
@@ -133,7 +130,8 @@
 async function drain(container: Container, endAt: number): Promise<void> {
   const gateway = container.get(SidecarToken.Gateway);
   const clock = container.get(Token.Clock);
-  clock.schedule(targetAcceptTimeMs(endAt - clock.now()), () => {
+  const stopMs = endAt - clock.now();
+  clock.schedule(targetAcceptTimeMs(stopMs), () => {
     gateway.stop();
     container.get(SidecarToken.LinkServer).announceStatus();
   });
@@ -144,5 +142,5 @@
     log: container.get(Token.EventLog),
     runningAtTarget: () => gateway.inProgress,
   });
-  await callers.run(endAt - STOP_MARGIN_MS);
+  await callers.run(endAt - stopMarginMs(stopMs));
 }
--- a/test/sidecar-planned-stop.test.ts
+++ b/test/sidecar-planned-stop.test.ts
@@ -24,8 +24,10 @@
 let other: ProcessMachine;
 let callers: RawCaller[];
 
-beforeEach(async () => {
-  mesh = new ProcessMesh();
+beforeEach(() => startMesh());
+
+async function startMesh(gracePeriodMs = 6_000): Promise<void> {
+  mesh = new ProcessMesh({ gracePeriodMs });
   await mesh.start();
   mesh.putRules(1, [
     { path: '/read/', service: 'ledger' },
@@ -35,7 +37,7 @@
   other = await mesh.add({ service: 'ledger', zone: 'z', slots: 8, workMs: 1 });
   await mesh.waitUntilServing(['/read/warm']);
   callers = [];
-});
+}
 
 afterEach(async () => {
   for (const caller of callers) caller.close();
@@ -122,3 +124,49 @@
   assert.equal(outcome.status, 200);
   assert.deepEqual(await stopping.process.ended, { code: 0, signal: null });
 });
+
+for (const [gracePeriodMs, workMs] of [
+  [3_000, 2_350],
+  [6_000, 4_850],
+] as const) {
+  test(`a request that ends before the last sixth of a grace of ${gracePeriodMs} ms is not cut`, async () => {
+    await mesh.stop();
+    await startMesh(gracePeriodMs);
+    answerLater(workMs);
+    const sent = ['GET /read/late', 'POST /write/late'].map((line, index) => {
+      const [method, path] = line.split(' ') as [string, string];
+      return connectCaller().send({ attemptId: `running-${index}`, method, path });
+    });
+    const isRunning = (id: string): boolean =>
+      other.target.received.some(({ attemptId }) => attemptId === id);
+    await waitUntil(() => isRunning('running-0') && isRunning('running-1'));
+    stopping.process.signal('SIGTERM');
+    for (const { outcome } of await Promise.all(sent)) {
+      assert.equal(outcome.type, 'answered');
+      assert.equal(outcome.status, 200);
+    }
+    assert.deepEqual(await stopping.process.ended, { code: 0, signal: null });
+  });
+}
+
+for (const gracePeriodMs of [3_000, 6_000]) {
+  test(`requests sent until the end of a grace of ${gracePeriodMs} ms are served or not run`, async () => {
+    await mesh.stop();
+    await startMesh(gracePeriodMs);
+    answerLater(1_000);
+    const sent: Promise<CallerRecord>[] = [];
+    stopping.process.signal('SIGTERM');
+    for (let index = 0; stopping.isRunning; index += 1) {
+      const request = { attemptId: `late-${index}`, path: '/write/late', method: 'POST' };
+      sent.push(connectCaller().send(request));
+      await sleep(100);
+    }
+    assert.ok(sent.length > 10, `${sent.length} requests`);
+    for (const record of await Promise.all(sent)) {
+      const { outcome, attemptId } = record;
+      const expected = wasRun(record) ? 200 : 503;
+      if (outcome.type === 'answered') assert.equal(outcome.status, expected, attemptId);
+      else assert.equal(wasRun(record), false, attemptId);
+    }
+  });
+}
