Records of other writers are checked for their ranges and kept without what they add

Report of other operators: one odd entry among those of the targets (nested very deeply, a number too large, a port out of range) ends the machines that read the list, or they stop following it. Found beside it: octets above 255 passed and would have gone to a look-up by name, negative counts passed, texts had no length, and a record was kept whole with whatever another writer had added, up to a megabyte each. Change: texts have 200 characters at most, counts are not negative, addresses are IP addresses, and only the members of a record are kept.

--- a/src/sidecar/directory/node-record.ts
+++ b/src/sidecar/directory/node-record.ts
@@ -1,4 +1,6 @@
 /** The record that a node writes about itself into the store: its address, its location and its target. */
+import { isIPv4 } from 'node:net';
+import { splitAddress } from '../../core/host-and-port.js';
 import type { TargetState } from '../link/link-messages.js';
 
 /** Prefix of the keys of all node records; the rest of a key is the node's identity. */
@@ -29,6 +31,8 @@
 const TARGET_STATES: ReadonlySet<unknown> = new Set<TargetState>(['unknown', 'ready', 'leaving']);
 const ADDRESS = /^[0-9.]{7,15}:[0-9]{1,5}$/;
 const HIGHEST_PORT = 65_535;
+/** As for names in the settings and for ids of targets. */
+const MAX_TEXT_LENGTH = 200;
 
 /** Key of a node's record. */
 export function keyOfNode(node: string): string {
@@ -41,13 +45,13 @@
 
 /**
  * Decodes the record under a key; undefined for a value that is not a valid record of the key's node (another
- * writer wrote it). Never throws, whatever the bytes are.
+ * writer wrote it). Never throws, whatever the bytes are. Members that no record has are dropped.
  */
 export function decodeNodeRecord(key: string, value: Buffer): NodeRecord | undefined {
   try {
     const record = JSON.parse(value.toString('utf8')) as Partial<NodeRecord> | null;
-    if (typeof record !== 'object' || record === null) return undefined;
-    return isNodeRecord(record) && keyOfNode(record.node) === key ? record : undefined;
+    if (typeof record !== 'object' || record === null || !isNodeRecord(record)) return undefined;
+    return keyOfNode(record.node) === key ? withKnownMembers(record) : undefined;
   } catch {
     return undefined;
   }
@@ -56,15 +60,33 @@
 function isNodeRecord(record: Partial<NodeRecord>): record is NodeRecord {
   const { node, address, zone, region, service, targetId, target } = record;
   const { targetStartedAt, targetSlots, storeEra } = record;
-  const texts = [node, zone, region, service, targetId];
-  if (texts.some((text) => typeof text !== 'string') || service === '') return false;
-  const counts = [targetStartedAt, targetSlots, storeEra];
-  if (counts.some((count) => count !== undefined && !Number.isSafeInteger(count))) return false;
+  if (![node, zone, region, service, targetId].every(isText) || service === '') return false;
+  if (![targetStartedAt, targetSlots, storeEra].every(isOptionalCount)) return false;
   return TARGET_STATES.has(target) && isAddress(address);
 }
 
+function withKnownMembers(record: NodeRecord): NodeRecord {
+  const { node, address, zone, region, service, targetId, target } = record;
+  const { targetStartedAt, targetSlots, storeEra } = record;
+  return {
+    ...{ node, address, zone, region, service, targetId, target },
+    ...(targetStartedAt === undefined ? {} : { targetStartedAt }),
+    ...(targetSlots === undefined ? {} : { targetSlots }),
+    ...(storeEra === undefined ? {} : { storeEra }),
+  };
+}
+
+function isText(value: unknown): boolean {
+  return typeof value === 'string' && value.length <= MAX_TEXT_LENGTH;
+}
+
+function isOptionalCount(value: unknown): boolean {
+  return value === undefined || (Number.isSafeInteger(value) && (value as number) >= 0);
+}
+
+/** Only IP addresses: any other host would be looked up by name. */
 function isAddress(address: unknown): boolean {
   if (typeof address !== 'string' || !ADDRESS.test(address)) return false;
-  const port = Number(address.split(':')[1]);
-  return port > 0 && port <= HIGHEST_PORT;
+  const { host, port } = splitAddress(address);
+  return isIPv4(host) && port > 0 && port <= HIGHEST_PORT;
 }
