A watch of the store survives a change that can't be handled, and a store that answers each wait at once

Callers saw: nothing yet by this cause. Cause: the loop of a watch let errors of its handlers out, and paced itself only by the store's holding back the answer. Evidence: two new tests of prefix-watch failed before and pass. Change: such an error is logged, counts as a failed call for the back-off, and everything is listed again; an answer before a tenth of its wait is followed by a pause of 100 ms.

--- a/src/sidecar/directory/prefix-watch.test.ts
+++ b/src/sidecar/directory/prefix-watch.test.ts
@@ -239,3 +239,73 @@
   assert.deepEqual(silent.calls, ['list', 'after 10', 'replace', 'list', 'after 10']);
   await silent.stop();
 });
+
+test('a change that cannot be handled does not end the watch: everything is listed again', async () => {
+  const clock = { ...systemClock, schedule: immediately };
+  const calls: string[] = [];
+  let failures = 0;
+  const store = {
+    list: () => {
+      calls.push('list');
+      return Promise.resolve(Result.ok({ items: [], at: 10 }));
+    },
+    watch: () => {
+      calls.push('watch');
+      if (calls.length > 4) watch.close();
+      return Promise.resolve(Result.ok({ type: 'events', events: [EVENT], at: 12 }));
+    },
+  } as unknown as MetadataStore;
+  const random = createRandom(0x5eed);
+  const watch: PrefixWatch = new PrefixWatch({
+    prefix: 'k',
+    store,
+    backoff: new StoreBackoff(clock, random),
+    eras: new StoreEras(),
+    clock,
+    log: silentEventLog,
+    random,
+    waitMs: () => 100,
+    pauseAfterEventsMs: () => 0,
+    onListing: () => {},
+    onEvents: () => {
+      failures += 1;
+      if (failures === 1) throw new Error('cannot be handled');
+    },
+  });
+  await watch.run();
+  assert.deepEqual(calls.slice(0, 4), ['list', 'watch', 'list', 'watch']);
+});
+
+test('a store that answers each wait at once is not called without a pause', async () => {
+  const pauses: number[] = [];
+  let waits = 0;
+  const store = {
+    list: () => Promise.resolve(Result.ok({ items: [], at: 10 })),
+    watch: () => {
+      waits += 1;
+      if (waits === 20) watch.close();
+      return Promise.resolve(Result.ok({ type: 'events', events: [], at: 10 }));
+    },
+  } as unknown as MetadataStore;
+  const schedule = (delayMs: number, callback: () => void): CancelTimer => {
+    pauses.push(delayMs);
+    return immediately(delayMs, callback);
+  };
+  const clock = { ...systemClock, schedule };
+  const random = createRandom(0x5eed);
+  const watch: PrefixWatch = new PrefixWatch({
+    prefix: 'k',
+    store,
+    backoff: new StoreBackoff(clock, random),
+    eras: new StoreEras(),
+    clock,
+    log: silentEventLog,
+    random,
+    waitMs: () => 10_000,
+    pauseAfterEventsMs: () => 0,
+    onListing: () => {},
+    onEvents: () => {},
+  });
+  await watch.run();
+  assert.ok(pauses.length >= waits - 1, `${pauses.length} pauses for ${waits} waits`);
+});
--- a/src/sidecar/directory/prefix-watch.ts
+++ b/src/sidecar/directory/prefix-watch.ts
@@ -40,6 +40,13 @@
 /** Time in which a wait in progress delivers a change that a check has found, in milliseconds. */
 const DELIVERY_TIME_MS = 200;
 
+/**
+ * A store that answers a wait before this share of it, and without changes, may do so each time. The pause keeps the
+ * calls from following each other without end.
+ */
+const EARLY_ANSWER_SHARE = 0.1;
+const EARLY_ANSWER_PAUSE_MS = 100;
+
 /** Watch of one prefix; runs until it is closed. */
 export class PrefixWatch {
   private closed = false;
@@ -76,13 +83,30 @@
     for (;;) {
       await this.options.backoff.waitForTurn();
       if (this.closed) return;
-      const restMs = this.revision === undefined ? 0 : (this.options.restMs?.() ?? 0);
-      if (restMs > 0) await this.pause(restMs);
-      else if (this.revision === undefined) await this.list();
-      else await this.watch(this.revision);
+      try {
+        await this.step();
+      } catch (error) {
+        this.onDefect(error);
+      }
     }
   }
 
+  private async step(): Promise<void> {
+    const restMs = this.revision === undefined ? 0 : (this.options.restMs?.() ?? 0);
+    if (restMs > 0) await this.pause(restMs);
+    else if (this.revision === undefined) await this.list();
+    else await this.watch(this.revision);
+  }
+
+  /** An item that cannot be handled must neither end the process nor the watch. */
+  private onDefect(error: unknown): void {
+    const { log, prefix, backoff } = this.options;
+    log.emit(Event.InternalError, { prefix, error: String(error) });
+    this.waiting = false;
+    this.revision = undefined;
+    backoff.noteFailed();
+  }
+
   /**
    * Checks at once whether there are changes, in parallel with the wait in progress. The answer is reported
    * like those of the waits. If the wait does not deliver the changes as well, its connection has gone silent.
@@ -167,6 +191,8 @@
     // change.
     if (result.value.events.length === 0) {
       this.options.onCurrent?.(requestedAt);
+      const isEarly = this.options.clock.bootNow() - requestedAt < jittered * EARLY_ANSWER_SHARE;
+      if (isEarly) await this.pause(EARLY_ANSWER_PAUSE_MS);
       return;
     }
     this.revision = result.value.at;
