A listing of the store whose pages come without end is given up

Cause: the pages of a listing were collected as long as each began after the one before; the bound on one answer doesn't bound their sum. Class: what a server sends is not counted as what it costs. Evidence: by reading, then the new test of the store's client, which doesn't end on the code before (its pages come without end). Change: a listing holds limits.storeListingMb (16) at most; beyond it, it counts as malformed, is logged with its cause and tried again after the back-off.

--- a/src/sidecar/client-limits.ts
+++ b/src/sidecar/client-limits.ts
@@ -43,6 +43,11 @@
   };
 }
 
+/** Bytes that a listing of the store may hold. */
+export function storeListingBytes({ limits }: SidecarSettings): number {
+  return limits.storeListingMb * BYTES_PER_MB;
+}
+
 /** Bounds for callers. */
 export function callerLimits({ limits }: SidecarSettings): ClientLimits {
   return {
--- a/src/sidecar/platform-adapter.ts
+++ b/src/sidecar/platform-adapter.ts
@@ -5,7 +5,12 @@
 import type { Result } from 'true-myth';
 import type { Failure } from '../core/failure.js';
 import type { StatedLoad } from '../core/overload.js';
-import type { MetadataStore, StoreEraSink, StoreTransport } from '../store/metadata-store.js';
+import type {
+  ListingLimit,
+  MetadataStore,
+  StoreEraSink,
+  StoreTransport,
+} from '../store/metadata-store.js';
 import type { RoutingRules } from './rules/routing-rules.js';
 
 export type { StatedLoad };
@@ -122,5 +127,10 @@
    * @param timeoutMs time limit for an answer, in addition to the wait time that a watch requests
    * @param eras receives the era of each answer; an answer that it does not accept is a failure
    */
-  createStore(transport: StoreTransport, timeoutMs: number, eras: StoreEraSink): MetadataStore;
+  createStore(
+    transport: StoreTransport,
+    timeoutMs: number,
+    eras: StoreEraSink,
+    listings?: ListingLimit,
+  ): MetadataStore;
 }
--- a/src/sidecar/plugins/store-plugin.ts
+++ b/src/sidecar/plugins/store-plugin.ts
@@ -7,7 +7,7 @@
 import { StoreBackoff } from '../../store/store-backoff.js';
 import { StoreEras } from '../../store/store-eras.js';
 import { seedOf } from '../seed.js';
-import { createStoreIntake } from './answer-intakes.js';
+import { createListingLimit, createStoreIntake } from './answer-intakes.js';
 import { SidecarOrder, SidecarToken } from './tokens.js';
 
 /** Timeout of a call to the store. */
@@ -29,7 +29,8 @@
             get(SidecarToken.Metrics).storeUnanswered.inc({ connection });
           },
         );
-        return get(SidecarToken.Adapter).createStore(connections, STORE_TIMEOUT_MS, eras);
+        const listings = createListingLimit(context);
+        return get(SidecarToken.Adapter).createStore(connections, STORE_TIMEOUT_MS, eras, listings);
       });
       container.bind(SidecarToken.StoreEras).toDynamicValue(({ get }) => {
         const log = get(Token.EventLog);
--- a/src/sidecar/settings.ts
+++ b/src/sidecar/settings.ts
@@ -46,6 +46,7 @@
   targetAnswerMb: 32,
   storeAnswerMb: 4,
   storeAnswerValues: 200_000,
+  storeListingMb: 16,
   answerOverheadMb: 1,
 };
 
@@ -97,6 +98,8 @@
     storeAnswerMb: orDefault(z.number().positive(), DEFAULT_LIMITS.storeAnswerMb),
     /** Values in the JSON document of an answer of the store; each takes some ten bytes of the heap. */
     storeAnswerValues: orDefault(z.int().min(1), DEFAULT_LIMITS.storeAnswerValues),
+    /** Longest listing of the store over all its pages, in MB. */
+    storeListingMb: orDefault(z.number().positive(), DEFAULT_LIMITS.storeListingMb),
     /** What an answer may have beside its body and twice its bytes, in MB. */
     answerOverheadMb: orDefault(z.number().positive(), DEFAULT_LIMITS.answerOverheadMb),
   }),
--- a/src/store/metadata-store.ts
+++ b/src/store/metadata-store.ts
@@ -38,6 +38,13 @@
 /** Whether a connection had carried a call before. */
 export type StoreConnectionKind = 'new' | 'reused';
 
+/** Bound on what one listing may hold. */
+export interface ListingLimit {
+  readonly maxBytes: number;
+  /** Called when a listing is given up because it is longer. */
+  onTooLong(): void;
+}
+
 /** All items of a prefix, and the store's revision when the first of them was read. */
 export interface StoreListing {
   readonly items: readonly StoreItem[];
