--- a/test/soak/schedule.ts
+++ b/test/soak/schedule.ts
@@ -40,7 +40,15 @@
 /** Kinds of crowds of clients beyond the limits, in runs with crowds only. */
 export const CROWD_KINDS = ['clients-crowd'] as const;
 
-/** Kind of an action, a drill, a statement, a silence, a spoiled answer, a fault around limits or a crowd. */
+/** Kinds of bytes without end and of disturbed starts, in runs with floods only. */
+export const FLOOD_KINDS = [
+  'target-sends-without-end',
+  'store-sends-without-end',
+  'start-at-taken-port',
+  'start-with-refused-log',
+] as const;
+
+/** Kind of an action, a drill, a statement, a silence, a spoiled answer, a fault around limits, a crowd or a flood. */
 export type ActionKind =
   | (typeof ACTION_KINDS)[number]
   | (typeof DRILL_KINDS)[number]
@@ -48,7 +56,8 @@
   | (typeof SILENCE_KINDS)[number]
   | (typeof SPOIL_KINDS)[number]
   | (typeof LIMIT_KINDS)[number]
-  | (typeof CROWD_KINDS)[number];
+  | (typeof CROWD_KINDS)[number]
+  | (typeof FLOOD_KINDS)[number];
 
 /** What a schedule includes beside the kinds of all runs. */
 export interface ScheduleExtras {
@@ -63,6 +72,8 @@
   readonly limits?: boolean;
   /** Crowds of clients beyond the limits. */
   readonly crowds?: boolean;
+  /** Servers that send without end, and disturbed starts. */
+  readonly floods?: boolean;
 }
 
 /** One action; times in milliseconds. */
@@ -105,6 +116,11 @@
   { length: 8 },
   () => CROWD_KINDS,
 ).flat();
+/** Floods and disturbed starts are a third of all actions. */
+const WEIGHTED_FLOOD_KINDS: readonly ActionKind[] = Array.from(
+  { length: 3 },
+  () => FLOOD_KINDS,
+).flat();
 /**
  * Kinds of runs with silences: other faults are left out, and actions are further apart, since the bounds of a
  * machine hold only some seconds after its last fault.
@@ -141,6 +157,7 @@
     ...(extras.spoils === true ? WEIGHTED_SPOIL_KINDS : []),
     ...(extras.limits === true ? WEIGHTED_LIMIT_KINDS : []),
     ...(extras.crowds === true ? WEIGHTED_CROWD_KINDS : []),
+    ...(extras.floods === true ? WEIGHTED_FLOOD_KINDS : []),
   ];
   const random = createRandom(hash32(`soak ${seed}`));
   const actions: Action[] = [];
--- a/test/soak/soak-faults.ts
+++ b/test/soak/soak-faults.ts
@@ -1,4 +1,5 @@
 /** Performs a schedule's actions on a deployment, and records them in the ledger. */
+import type { Socket } from 'node:net';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { NO_LINK_FAULTS, type Link } from '../../src/stand-ins/link/start-link.js';
 import type { RouteOptions } from '../../platform/stand-ins/rules-document.js';
@@ -7,7 +8,9 @@
 import type { Disruption, Ledger } from './ledger.js';
 import type { Action } from './schedule.js';
 import { sendCrowd } from './soak-crowds.js';
+import { startDisturbed, type StartDisturbance } from './soak-starts.js';
 import type { SpoiledAnswers } from './spoiled-answers.js';
+import { ENDLESS_ANSWERS, sendWithoutEnd } from '../support/endless-bytes.js';
 import type { TenantOptions } from '../../platform/stand-ins/rules-document.js';
 
 /** Step of the request limits that targets state, in requests a second. */
@@ -158,6 +161,18 @@
         return await this.spoil(this.spoiled.spoiling, machine, forMs);
       case 'target-repeats-refusals':
         return await this.spoil(this.spoiled.refusing, machine, forMs);
+      case 'target-sends-without-end':
+        return await this.spoil(this.spoiled.flooding, machine, forMs);
+      case 'store-sends-without-end':
+        return await this.disruptStore(
+          () => (faults.spoil = createFlood(times)),
+          () => (faults.spoil = undefined),
+          forMs,
+        );
+      case 'start-at-taken-port':
+        return await this.startNodeDisturbed(machine, 'taken-port', action);
+      case 'start-with-refused-log':
+        return await this.startNodeDisturbed(machine, 'refused-log', action);
       case 'machine-connections-silent':
         return await this.silenceConnections([machine], action);
       case 'all-connections-silent':
@@ -257,6 +272,27 @@
     await this.restart(machine, downMs, disruption);
   }
 
+  /** Kills a node and starts it again in a disturbed way, which excuses no further end of its process. */
+  private async startNodeDisturbed(
+    machine: ProcessMachine,
+    disturbance: StartDisturbance,
+    { times, forMs }: Action,
+  ): Promise<void> {
+    if (this.down.has(machine) || this.isOver) return;
+    this.down.add(machine);
+    const disruption = this.recordDisruption(machine, 'kill');
+    const { process: node } = machine;
+    node.signal('SIGKILL');
+    await node.ended;
+    const endDisturbance = await startDisturbed(machine, disturbance, times);
+    this.down.delete(machine);
+    this.watchProcess(machine);
+    await sleep(forMs);
+    endDisturbance();
+    await this.waitReady(machine);
+    disruption.to = performance.now();
+  }
+
   private async restart(
     machine: ProcessMachine,
     downMs: number,
@@ -387,3 +423,12 @@
     await sleep(gapMs);
   }
 }
+
+/** Returns what a store writes in place of its answers, which have no end. */
+function createFlood(variant: number): (connection: Socket) => void {
+  const kinds = Object.values(ENDLESS_ANSWERS);
+  const createAnswer = kinds[variant % kinds.length]!;
+  return (connection) => {
+    sendWithoutEnd(connection, createAnswer('Content-Type: application/json\r\n'));
+  };
+}
--- a/test/soak/soak-main.ts
+++ b/test/soak/soak-main.ts
@@ -9,6 +9,8 @@
  *   node dist/test/soak/soak-main.js spoils [first seed] ...    the same with spoiled answers of targets
  *   node dist/test/soak/soak-main.js limits [first seed] ...    the same with limits of tenants
  *   node dist/test/soak/soak-main.js crowds [first seed] ...    the same with crowds of clients beyond the limits
+ *   node dist/test/soak/soak-main.js floods [first seed] ...    the same with servers that send without end, and
+ *                                                               with disturbed starts
  *   node dist/test/soak/soak-main.js failed                     the seeds in failed-seeds.ts
  */
 import { mkdirSync, writeFileSync } from 'node:fs';
@@ -26,6 +28,7 @@
   spoils: { spoils: true },
   limits: { limits: true },
   crowds: { crowds: true },
+  floods: { floods: true },
 };
 const extras = EXTRAS[process.argv[2] ?? ''];
 const [first = 1, count = 1, concurrency = 1, machines = LONG_RUN.machines] = runsFailedSeeds
--- a/test/soak/soak-run.ts
+++ b/test/soak/soak-run.ts
@@ -169,6 +169,7 @@
         run.statedLeaving = response.hasHeader('Server-Leaving');
       });
       if (this.spoiled.spoil(machine.id, attemptId, response)) return true;
+      if (this.spoiled.flood(machine.id, attemptId, response)) return true;
       if (!path.startsWith('/chain/')) return false;
       const answer = (status: number): void => {
         const fields = { 'X-Attempt-Id': attemptId, 'X-Server-Stamp': `stamp ${target.id}` };
--- a/test/soak/spoiled-answers.ts
+++ b/test/soak/spoiled-answers.ts
@@ -2,6 +2,7 @@
 import type { ServerResponse } from 'node:http';
 import { hash32 } from '../../src/core/hash.js';
 import { createRandom, type Random } from '../../src/core/random.js';
+import { ENDLESS_ANSWERS, sendWithoutEnd } from '../support/endless-bytes.js';
 
 /** Share of the answers that are spoiled, and of the requests that are refused, while a fault lasts. */
 const SPOILED_SHARE = 0.15;
@@ -17,6 +18,8 @@
   /** Machines whose targets spoil answers now, and those whose targets refuse twice. */
   readonly spoiling = new Set<string>();
   readonly refusing = new Set<string>();
+  /** Machines whose targets answer some requests without end now. */
+  readonly flooding = new Set<string>();
   private readonly refused = new Set<string>();
 
   constructor(seed: number) {
@@ -40,6 +43,16 @@
     return true;
   }
 
+  /** Answers some requests without end. */
+  flood(machine: string, attemptId: string, { socket }: ServerResponse): boolean {
+    if (!this.flooding.has(machine) || this.random.next() >= SPOILED_SHARE) return false;
+    if (socket === null) return false;
+    const kinds = Object.values(ENDLESS_ANSWERS);
+    const createAnswer = kinds[this.random.nextInt(kinds.length)]!;
+    sendWithoutEnd(socket, createAnswer(`X-Attempt-Id: ${attemptId}\r\nX-Server-Stamp: s\r\n`));
+    return true;
+  }
+
   /** Answers some requests with a start line that is none; everything else of the answer is sound. */
   spoil(machine: string, attemptId: string, { socket }: ServerResponse): boolean {
     if (!this.spoiling.has(machine) || this.random.next() >= SPOILED_SHARE) return false;
