An answer to HEAD may declare a length beyond the limit on bodies

Evidence: a test of the first product's client failed when it got the intake; the new test of the intake fails without this change.

--- a/src/http/answer-intake.test.ts
+++ b/src/http/answer-intake.test.ts
@@ -37,10 +37,10 @@
 });
 
 /** Returns the body, or the description of the limit that the answer reached. */
-function receive(): Promise<Buffer | string> {
+function receive(method = 'GET'): Promise<Buffer | string> {
   const { port } = server.address() as AddressInfo;
   return new Promise((resolve, reject) => {
-    const request = httpRequest({ port, host: '127.0.0.1', agent });
+    const request = httpRequest({ port, host: '127.0.0.1', agent, method });
     const reader = intake.open(request, (detail) => {
       request.destroy();
       resolve(detail);
@@ -90,6 +90,11 @@
   });
 }
 
+test('the length of a body that is not sent may be beyond the limit', async () => {
+  answer = (connection) => connection.write('HTTP/1.1 200 OK\r\nContent-Length: 99999999\r\n\r\n');
+  assert.deepEqual(await receive('HEAD'), Buffer.alloc(0));
+});
+
 for (const [what, limit] of [
   ['a body in large chunks', 'answer-body'],
   ['a body in chunks of one byte', 'answer-overhead'],
--- a/src/http/answer-intake.ts
+++ b/src/http/answer-intake.ts
@@ -4,6 +4,7 @@
  */
 import type { ClientRequest, IncomingMessage } from 'node:http';
 import type { Socket } from 'node:net';
+import { hasBody } from '../core/answer-body.js';
 import { BodyBuffer } from '../core/body-buffer.js';
 import {
   AnswerAllowance,
@@ -53,7 +54,7 @@
   private ended = false;
 
   constructor(
-    request: ClientRequest,
+    private readonly request: ClientRequest,
     private readonly options: AnswerIntakeOptions,
     private readonly onExcess: (detail: string) => void,
   ) {
@@ -68,7 +69,10 @@
 
   /** Reads the body; `onChunk` is called for each part of it. */
   read(response: IncomingMessage, onChunk: () => void = () => {}): void {
-    if (Number(response.headers['content-length']) > this.options.limits.maxBodyBytes) {
+    const declaredBytes = expectsBody(this.request, response)
+      ? Number(response.headers['content-length'])
+      : 0;
+    if (declaredBytes > this.options.limits.maxBodyBytes) {
       this.exceed('answer-body');
       return;
     }
@@ -125,3 +129,7 @@
     this.onExcess(EXCESS_TEXTS[limit]);
   }
 }
+
+function expectsBody({ method }: ClientRequest, { statusCode = 0 }: IncomingMessage): boolean {
+  return method !== 'HEAD' && hasBody(statusCode);
+}
