The first product receives answers of back ends through the same bounds

Cause: its client bounded the body and its buffers, but kept each chunk as an object and had no bound on what arrives beside the body, the same class as in sidecars. Evidence: by reading; the bounds themselves are tested with the intake. Change: it uses the answer intake. What an answer may have beside its body is a constant here, 1 MB.

--- a/src/target/node-backend-client.ts
+++ b/src/target/node-backend-client.ts
@@ -16,6 +16,8 @@
 import { createFailure } from '../core/failure.js';
 import type { HeaderFields, HttpRequest } from '../core/http-message.js';
 import { ResultCode } from '../core/result-code.js';
+import type { AnswerBuffers } from '../core/holding/answer-buffers.js';
+import { AnswerIntake, type AnswerLimit, type AnswerReader } from '../http/answer-intake.js';
 import type { CancelTimer, Clock } from '../kernel/clock.js';
 import type {
   BackendCallLimits,
@@ -64,14 +66,20 @@
   'buffer-exhausted': ResultCode.BufferExhausted,
 };
 
+/** What an answer may have beside its body and twice its bytes. */
+const MAX_OVERHEAD_BYTES = 1024 * 1024;
+const LIMIT_CAUSES: Partial<Record<AnswerLimit, BackendErrorCause>> = {
+  'answer-body': 'too-large',
+  'answer-buffers': 'buffer-exhausted',
+};
+
 /** One request and its answer. */
 class Exchange {
   private request: ClientRequest | undefined;
   private sent = false;
   private ended = false;
   private cancelTimer: CancelTimer = () => {};
-  private readonly chunks: Buffer[] = [];
-  private received = 0;
+  private answer: AnswerReader | undefined;
   private readonly onAbort = (): void => {
     this.fail('cancelled', 'the caller went away');
   };
@@ -115,6 +123,7 @@
       headers: this.message.headers as unknown as OutgoingHttpHeaders,
     });
     this.request = request;
+    this.answer = this.openAnswer(request);
     request.on('socket', (socket) => {
       this.onSocket(socket);
     });
@@ -169,9 +178,7 @@
       this.fail('too-large', `answer of ${declared} bytes is too large`);
       return;
     }
-    response.on('data', (chunk: Buffer) => {
-      this.onData(chunk);
-    });
+    this.answer?.read(response);
     response.on('error', (error) => {
       this.fail('failed', error.message);
     });
@@ -180,18 +187,19 @@
     });
   }
 
-  private onData(chunk: Buffer): void {
-    if (this.ended) return;
-    this.received += chunk.length;
-    if (this.received > this.limits.maxAnswerBytes) {
-      this.fail('too-large', `answer exceeds ${this.limits.maxAnswerBytes} bytes`);
-      return;
-    }
-    if (!this.limits.reserveBuffer(chunk.length)) {
-      this.fail('buffer-exhausted', 'no buffer left for the answer');
-      return;
-    }
-    this.chunks.push(chunk);
+  private openAnswer(request: ClientRequest): AnswerReader {
+    const { maxAnswerBytes: maxBodyBytes, reserveBuffer } = this.limits;
+    let cause: BackendErrorCause = 'failed';
+    const intake = new AnswerIntake({
+      limits: { maxBodyBytes, maxOverheadBytes: MAX_OVERHEAD_BYTES },
+      openBuffers: () => coverBy(reserveBuffer),
+      onLimit: (limit) => {
+        cause = LIMIT_CAUSES[limit] ?? 'failed';
+      },
+    });
+    return intake.open(request, (detail) => {
+      this.fail(cause, detail);
+    });
   }
 
   private onEnd(response: IncomingMessage): void {
@@ -201,10 +209,11 @@
       this.fail('failed', 'the answer ended early or has no length');
       return;
     }
+    const body = this.answer!.take();
     this.finish();
     this.resolve({
       type: 'answer',
-      answer: { status: response.statusCode!, headers, body: joinChunks(this.chunks) },
+      answer: { status: response.statusCode!, headers, body },
       closes: connectionTokens(headers).has('close'),
     });
   }
@@ -221,6 +230,7 @@
 
   private finish(): void {
     this.ended = true;
+    this.answer?.close();
     this.cancelTimer();
     this.limits.signal.removeEventListener('abort', this.onAbort);
   }
@@ -234,7 +244,16 @@
   return headers;
 }
 
-function joinChunks(chunks: readonly Buffer[]): Uint8Array {
-  const only = chunks[0];
-  return chunks.length === 1 && only !== undefined ? only : Buffer.concat(chunks);
+/** Buffers that are released with the request. */
+function coverBy(reserve: (bytes: number) => boolean): AnswerBuffers {
+  let covered = 0;
+  return {
+    cover: (totalBytes) => {
+      if (totalBytes <= covered) return true;
+      if (!reserve(totalBytes - covered)) return false;
+      covered = totalBytes;
+      return true;
+    },
+    release: () => {},
+  };
 }
