--- a/src/kernel/run-kernel.ts
+++ b/src/kernel/run-kernel.ts
@@ -32,6 +32,7 @@
 ): Promise<RunOutcome> {
   const log = kernel.container.get(Token.EventLog);
   const stops = new StopSignals(signals, kernel.container.get(Token.Clock));
+  // Also ends the wait of a start for a port that is taken.
   void stops.first.then(() => {
     kernel.requestStop();
   });
@@ -40,9 +41,8 @@
     await Promise.race([stops.first, kernel.stopRequested]);
     return await runPlannedStop(kernel, stopTimeoutMs(), stops);
   } catch (error) {
-    if (stops.sinceFirstMs > 0) return 'stopped';
     log.emit(Event.InternalError, { error: String(error) });
-    return 'start-failed';
+    return stops.wasSignalled ? 'stopped' : 'start-failed';
   } finally {
     stops.close();
   }
@@ -95,6 +95,10 @@
     for (const [signal, listener] of this.listeners) source.on(signal, listener);
   }
 
+  get wasSignalled(): boolean {
+    return this.firstAt !== undefined;
+  }
+
   /** Time since the first signal, which may have arrived during the start; 0 without one. */
   get sinceFirstMs(): number {
     return this.firstAt === undefined ? 0 : this.clock.now() - this.firstAt;
