--- a/test/start-with-taken-ports.test.ts
+++ b/test/start-with-taken-ports.test.ts
@@ -47,7 +47,7 @@
   ['link', ({ peerAddress }: ProcessMachine) => peerAddress],
   ['metrics', ({ metrics }: ProcessMachine) => metrics],
 ] as const) {
-  test(`a ${name} port that is taken at the start does not end the process`, async () => {
+  test(`the ${name} port taken at the start does not end the process`, async () => {
     const holder = await hold(addressOf(machine));
     machine.start();
     await sleep(HELD_MS);
